--- /dev/null
+++ b/core/tmfleet/instance.go
@@ -0,0 +1,117 @@
+package tmfleet
+
+import "fmt"
+
+// Duty says what operators or a maintenance wave want of an instance.
+type Duty int
+
+// The duties of an instance. Only a Serving instance gets new work.
+const (
+	Serving Duty = iota
+	Draining
+	Rebooting
+	Leaving
+)
+
+var dutyNames = [...]string{"serving", "draining", "rebooting", "leaving"}
+
+// String returns the snake_case name.
+func (d Duty) String() string {
+	if d < 0 || int(d) >= len(dutyNames) {
+		return fmt.Sprintf("duty_%d", int(d))
+	}
+	return dutyNames[d]
+}
+
+// ParseDuty returns the Duty with the given name.
+func ParseDuty(name string) (Duty, error) {
+	for i, n := range dutyNames {
+		if n == name {
+			return Duty(i), nil
+		}
+	}
+	return 0, fmt.Errorf("tmfleet: unknown duty %q, expected one of %v", name, dutyNames)
+}
+
+// Instance is a machine that runs one endpoint. Its pool is a single field,
+// so it is in exactly one pool in every version of the State.
+type Instance struct {
+	name    string
+	address string
+	zone    string
+	rack    string
+	pool    string
+	moveTo  string
+	slots   int
+	duty    Duty
+}
+
+// InstanceParams are the fields of a new Instance.
+type InstanceParams struct {
+	// Name is unique, Address is IP:port of the endpoint.
+	Name, Address    string
+	Zone, Rack, Pool string
+	// MoveTo is the pool that the instance drains for, or empty.
+	MoveTo string
+	// Slots is the number of tasks that the endpoint runs at a time.
+	Slots int
+	Duty  Duty
+}
+
+// NewInstance returns an Instance.
+func NewInstance(p InstanceParams) Instance {
+	return Instance{
+		name:    p.Name,
+		address: p.Address,
+		zone:    p.Zone,
+		rack:    p.Rack,
+		pool:    p.Pool,
+		moveTo:  p.MoveTo,
+		slots:   p.Slots,
+		duty:    p.Duty,
+	}
+}
+
+// Name returns the unique name.
+func (i Instance) Name() string { return i.name }
+
+// Address returns IP:port of the endpoint.
+func (i Instance) Address() string { return i.address }
+
+// Zone returns the name of the availability zone.
+func (i Instance) Zone() string { return i.zone }
+
+// Rack returns the name of the rack.
+func (i Instance) Rack() string { return i.rack }
+
+// Pool returns the name of the only pool that the instance is in.
+func (i Instance) Pool() string { return i.pool }
+
+// MoveTo returns the pool that the instance drains for, or "".
+func (i Instance) MoveTo() string { return i.moveTo }
+
+// Slots returns the number of tasks that the endpoint runs at a time.
+func (i Instance) Slots() int { return i.slots }
+
+// Duty returns what is wanted of the instance.
+func (i Instance) Duty() Duty { return i.duty }
+
+// WithDuty returns a copy of i with another duty.
+func (i Instance) WithDuty(d Duty) Instance {
+	i.duty = d
+	return i
+}
+
+// WithMoveTo returns a copy of i that drains for another pool, or for none
+// when pool is empty.
+func (i Instance) WithMoveTo(pool string) Instance {
+	i.moveTo = pool
+	return i
+}
+
+// WithPool returns a copy of i that is in pool and is no longer being moved.
+func (i Instance) WithPool(pool string) Instance {
+	i.pool = pool
+	i.moveTo = ""
+	return i
+}
