--- a/core/tmfleet/config.go
+++ b/core/tmfleet/config.go
@@ -175,6 +175,8 @@
 	share  int
 	limit  int
 	urgent bool
+
+	limitVersion uint64
 }
 
 // NewTeam returns a Team. The share is a weight relative to other teams, the
@@ -196,18 +198,30 @@
 // Urgent reports whether the team may mark requests as urgent.
 func (t Team) Urgent() bool { return t.urgent }
 
+// LimitVersion returns the version of the State that last changed the limit.
+// Slices of the limit that were recorded for another version don't count.
+func (t Team) LimitVersion() uint64 { return t.limitVersion }
+
 // WithShare returns a copy of t with another share.
 func (t Team) WithShare(share int) Team {
 	t.share = share
 	return t
 }
 
-// WithLimit returns a copy of t with another limit.
+// WithLimit returns a copy of t with another limit. WithLimitVersion has to
+// follow.
 func (t Team) WithLimit(limit int) Team {
 	t.limit = limit
 	return t
 }
 
+// WithLimitVersion returns a copy of t whose limit was set by the given
+// version of the State.
+func (t Team) WithLimitVersion(version uint64) Team {
+	t.limitVersion = version
+	return t
+}
+
 // Key is a granted key. The key itself is never stored.
 type Key struct {
 	hash  string
--- /dev/null
+++ b/core/tmonce/outcome.go
@@ -0,0 +1,36 @@
+// Package tmonce has the rules for telling a caller whether its request ran,
+// and the record that keeps a non-idempotent request from running twice.
+package tmonce
+
+import "fmt"
+
+// Outcome says what is known about a request that got no complete answer.
+type Outcome int
+
+// The outcomes. NotRun may only be told when it is certain that the request
+// did not run and never will under this attempt.
+const (
+	Unknown Outcome = iota
+	NotRun
+	Ran
+)
+
+var outcomeNames = [...]string{"unknown", "not_run", "ran"}
+
+// String returns the name that callers and endpoints use.
+func (o Outcome) String() string {
+	if o < 0 || int(o) >= len(outcomeNames) {
+		return outcomeNames[Unknown]
+	}
+	return outcomeNames[o]
+}
+
+// ParseOutcome returns the Outcome with the given name.
+func ParseOutcome(name string) (Outcome, error) {
+	for i, n := range outcomeNames {
+		if n == name {
+			return Outcome(i), nil
+		}
+	}
+	return Unknown, fmt.Errorf("tmonce: unknown outcome %q, expected one of %v", name, outcomeNames)
+}
