io/tmcaller: HTTP handler and client for callers

Cause: callers need a path to the entries, and each refusal must say whether the work ran. Change: core/tmrequest has the request, the answer and the typed error; io/tmcaller maps them to HTTP.

--- /dev/null
+++ b/io/tmcaller/client.go
@@ -0,0 +1,109 @@
+package tmcaller
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"turmericmoor/core/tmonce"
+	"turmericmoor/core/tmrequest"
+)
+
+// answerGrace is how much longer than the timeout of a request a Client waits
+// for the answer, so that the refusal of the entry arrives.
+const answerGrace = 5 * time.Second
+
+// maxConnsPerEntry bounds the connections of a Client to one entry.
+const maxConnsPerEntry = 256
+
+// Client submits requests to one entry. It is safe for concurrent use.
+type Client struct {
+	base      string
+	transport *http.Transport
+	http      *http.Client
+}
+
+// NewClient returns a Client for the entry at base, for example
+// "http://127.0.0.1:7001".
+func NewClient(base string) *Client {
+	transport := &http.Transport{
+		MaxConnsPerHost:     maxConnsPerEntry,
+		MaxIdleConnsPerHost: maxConnsPerEntry,
+		IdleConnTimeout:     30 * time.Second,
+	}
+	return &Client{
+		base:      strings.TrimSuffix(base, "/"),
+		transport: transport,
+		http:      &http.Client{Transport: transport},
+	}
+}
+
+// Submit sends one request with the given key, which may be empty for queues
+// that are open to all, and returns the answer. The error is a
+// *tmrequest.Error, also when the entry can't be reached.
+func (c *Client) Submit(ctx context.Context, key string, r tmrequest.Request) (tmrequest.Answer, error) {
+	ctx, cancel := context.WithTimeout(ctx, r.Timeout().Duration()+answerGrace)
+	defer cancel()
+	hr, err := c.newRequest(ctx, key, r)
+	if err != nil {
+		return tmrequest.Answer{}, tmrequest.Refuse(tmrequest.BadRequest, "%v", err)
+	}
+	resp, err := c.http.Do(hr)
+	if err != nil {
+		return tmrequest.Answer{}, tmrequest.NewError(tmrequest.AnswerLost, tmonce.Unknown, "%v", err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, tmrequest.MaxAnswerBytes))
+	if err != nil {
+		return tmrequest.Answer{}, tmrequest.NewError(tmrequest.AnswerBroken, tmonce.Unknown, "%v", err)
+	}
+	if resp.StatusCode != http.StatusOK {
+		return tmrequest.Answer{}, readError(resp.StatusCode, body)
+	}
+	replayed := resp.Header.Get(HeaderReplayed) == "true"
+	return tmrequest.NewAnswer(resp.Header.Get("Content-Type"), body, replayed), nil
+}
+
+func (c *Client) newRequest(ctx context.Context, key string, r tmrequest.Request) (*http.Request, error) {
+	target := c.base + "/v1/queues/" + url.PathEscape(r.Queue()) + "/requests"
+	hr, err := http.NewRequestWithContext(ctx, http.MethodPost, target, bytes.NewReader(r.Body()))
+	if err != nil {
+		return nil, fmt.Errorf("tmcaller: new request: %w", err)
+	}
+	// Without GetBody the transport can't send the body a second time by
+	// itself, which would run a request twice.
+	hr.GetBody = nil
+	h := hr.Header
+	h.Set("Content-Type", r.ContentType())
+	h.Set(HeaderTimeout, strconv.FormatInt(int64(r.Timeout()), 10))
+	if r.OwnID() {
+		h.Set(HeaderRequestID, r.ID())
+	}
+	setFlag(h, HeaderIdempotent, r.Idempotent())
+	setFlag(h, HeaderUrgent, r.Urgent())
+	setFlag(h, HeaderPreemptible, r.Preemptible())
+	if r.Size() > 0 {
+		h.Set(HeaderSize, strconv.Itoa(r.Size()))
+	}
+	if key != "" {
+		h.Set("Authorization", "Bearer "+key)
+	}
+	return hr, nil
+}
+
+func setFlag(h http.Header, name string, on bool) {
+	if on {
+		h.Set(name, "true")
+	}
+}
+
+// Close drops the idle connections.
+func (c *Client) Close() {
+	c.transport.CloseIdleConnections()
+}
--- /dev/null
+++ b/io/tmcaller/error.go
@@ -0,0 +1,89 @@
+package tmcaller
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+
+	"turmericmoor/core/tmclock"
+	"turmericmoor/core/tmonce"
+	"turmericmoor/core/tmrequest"
+)
+
+// statusClientClosed is what logs and metrics show for a caller that left.
+const statusClientClosed = 499
+
+var statusOf = map[tmrequest.Code]int{
+	tmrequest.NoKey:            http.StatusUnauthorized,
+	tmrequest.BadKey:           http.StatusUnauthorized,
+	tmrequest.KeyNotForQueue:   http.StatusForbidden,
+	tmrequest.UnknownQueue:     http.StatusNotFound,
+	tmrequest.TooLarge:         http.StatusRequestEntityTooLarge,
+	tmrequest.BadRequest:       http.StatusBadRequest,
+	tmrequest.IDExpired:        http.StatusGone,
+	tmrequest.IDReused:         http.StatusUnprocessableEntity,
+	tmrequest.NeverRuns:        http.StatusUnprocessableEntity,
+	tmrequest.InProgress:       http.StatusConflict,
+	tmrequest.Overloaded:       http.StatusTooManyRequests,
+	tmrequest.LimitReached:     http.StatusTooManyRequests,
+	tmrequest.NoCapacity:       http.StatusServiceUnavailable,
+	tmrequest.NotFresh:         http.StatusServiceUnavailable,
+	tmrequest.Stopping:         http.StatusServiceUnavailable,
+	tmrequest.StoreUnavailable: http.StatusServiceUnavailable,
+	tmrequest.Deadline:         http.StatusGatewayTimeout,
+	tmrequest.EndpointFailed:   http.StatusBadGateway,
+	tmrequest.AnswerBroken:     http.StatusBadGateway,
+	tmrequest.AnswerLost:       http.StatusBadGateway,
+	tmrequest.TaskFailed:       http.StatusInternalServerError,
+	tmrequest.Cancelled:        statusClientClosed,
+}
+
+type wireErrorBody struct {
+	Error wireError `json:"error"`
+}
+
+type wireError struct {
+	Code      string `json:"code"`
+	Message   string `json:"message"`
+	Outcome   string `json:"outcome"`
+	RequestID string `json:"request_id"`
+}
+
+func writeError(w http.ResponseWriter, requestID string, e *tmrequest.Error) {
+	status, ok := statusOf[e.Code()]
+	if !ok {
+		status = http.StatusInternalServerError
+	}
+	header := w.Header()
+	header.Set("Content-Type", "application/json")
+	header.Set(HeaderOutcome, e.Outcome().String())
+	if requestID != "" {
+		header.Set(HeaderRequestID, requestID)
+	}
+	if e.RetryAfter() > 0 {
+		seconds := (e.RetryAfter() + tmclock.Second - 1) / tmclock.Second
+		header.Set("Retry-After", strconv.FormatInt(int64(seconds), 10))
+	}
+	w.WriteHeader(status)
+	// The caller may have left; then nobody reads the error.
+	_ = json.NewEncoder(w).Encode(wireErrorBody{Error: wireError{
+		Code:      string(e.Code()),
+		Message:   e.Message(),
+		Outcome:   e.Outcome().String(),
+		RequestID: requestID,
+	}})
+}
+
+// readError turns the body of a refused request into an Error. Anything that
+// is not the documented form counts as an answer whose outcome is unknown.
+func readError(status int, body []byte) *tmrequest.Error {
+	var w wireErrorBody
+	if err := json.Unmarshal(body, &w); err != nil || w.Error.Code == "" {
+		return tmrequest.NewError(tmrequest.AnswerBroken, tmonce.Unknown, "status %d with a body that is not an error in JSON", status)
+	}
+	outcome, err := tmonce.ParseOutcome(w.Error.Outcome)
+	if err != nil {
+		outcome = tmonce.Unknown
+	}
+	return tmrequest.NewError(tmrequest.Code(w.Error.Code), outcome, "%s", w.Error.Message)
+}
