--- /dev/null
+++ b/io/tmplatform/txn.go
@@ -0,0 +1,120 @@
+package tmplatform
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+)
+
+// Limits of one transaction.
+const (
+	MaxTxnRows  = 100
+	MaxTxnBytes = 256 << 10
+)
+
+// Txn is a transaction over rows: all of its writes take effect, or none when
+// a check fails. It is for use by one goroutine.
+type Txn struct {
+	wire wireTxn
+	rows map[rowName]struct{}
+}
+
+type rowName struct {
+	table string
+	key   string
+}
+
+type wireTxn struct {
+	Checks []wireCheck `json:"checks"`
+	Writes []wireWrite `json:"writes"`
+}
+
+type wireCheck struct {
+	Table    string `json:"table"`
+	Key      string `json:"key"`
+	Revision uint64 `json:"revision"`
+}
+
+type wireWrite struct {
+	Table  string          `json:"table"`
+	Key    string          `json:"key"`
+	Value  json.RawMessage `json:"value,omitempty"`
+	Delete bool            `json:"delete,omitempty"`
+}
+
+type wireCommit struct {
+	Revision uint64     `json:"revision"`
+	Conflict *wireCheck `json:"conflict"`
+}
+
+// Check makes the transaction depend on the revision of a row. Revision 0
+// means that the row must not exist.
+func (t *Txn) Check(table, key string, revision uint64) {
+	t.touch(table, key)
+	t.wire.Checks = append(t.wire.Checks, wireCheck{Table: table, Key: key, Revision: revision})
+}
+
+// Put writes a row. The value is JSON.
+func (t *Txn) Put(table, key string, value json.RawMessage) {
+	t.touch(table, key)
+	t.wire.Writes = append(t.wire.Writes, wireWrite{Table: table, Key: key, Value: value})
+}
+
+// Delete removes a row if it exists.
+func (t *Txn) Delete(table, key string) {
+	t.touch(table, key)
+	t.wire.Writes = append(t.wire.Writes, wireWrite{Table: table, Key: key, Delete: true})
+}
+
+// Rows returns the number of different rows that are checked or written. At
+// most MaxTxnRows are accepted.
+func (t *Txn) Rows() int {
+	return len(t.rows)
+}
+
+func (t *Txn) touch(table, key string) {
+	if t.rows == nil {
+		t.rows = make(map[rowName]struct{})
+	}
+	t.rows[rowName{table, key}] = struct{}{}
+}
+
+func (t *Txn) encode() ([]byte, error) {
+	if t.Rows() > MaxTxnRows {
+		return nil, fmt.Errorf("tmplatform: transaction has %d rows, at most %d: %w", t.Rows(), MaxTxnRows, ErrRejected)
+	}
+	body, err := json.Marshal(t.wire)
+	if err != nil {
+		return nil, fmt.Errorf("tmplatform: transaction: %w: %w", ErrRejected, err)
+	}
+	if len(body) > MaxTxnBytes {
+		return nil, fmt.Errorf("tmplatform: transaction has %d bytes, at most %d: %w", len(body), MaxTxnBytes, ErrRejected)
+	}
+	return body, nil
+}
+
+// Commit performs the transaction and returns its revision. The error is a
+// *ConflictError, or wraps ErrUnavailable or ErrRejected (no effect) or
+// ErrUncertain (the caller has to read back).
+func (c *Client) Commit(ctx context.Context, t *Txn) (uint64, error) {
+	body, err := t.encode()
+	if err != nil {
+		return 0, err
+	}
+	resp, err := c.write(ctx, http.MethodPost, "/v1/tables/txn", body)
+	if err != nil {
+		return 0, err
+	}
+	var w wireCommit
+	if err := json.Unmarshal(resp.Body, &w); err != nil {
+		return 0, fmt.Errorf("tmplatform: commit: %w: %w", ErrUncertain, err)
+	}
+	switch {
+	case resp.Status == http.StatusConflict && w.Conflict != nil:
+		return 0, &ConflictError{Table: w.Conflict.Table, Key: w.Conflict.Key, Revision: w.Conflict.Revision}
+	case resp.Status == http.StatusOK && w.Revision > 0:
+		return w.Revision, nil
+	}
+	return 0, fmt.Errorf("tmplatform: commit: answer has neither revision nor conflict: %w", ErrUncertain)
+}
