--- /dev/null
+++ b/io/tmpeer/message.go
@@ -0,0 +1,166 @@
+package tmpeer
+
+import (
+	"encoding/json"
+
+	"turmericmoor/core/tmclock"
+	"turmericmoor/core/tmonce"
+)
+
+// Identity names an entry process.
+type Identity struct {
+	Entry       string
+	Incarnation string
+}
+
+// Cell is the demand of one team for one pool at one entry.
+type Cell struct {
+	Pool    string `json:"pool"`
+	Team    string `json:"team"`
+	Queued  int    `json:"queued,omitempty"`
+	Running int    `json:"running,omitempty"`
+}
+
+// Units is the number of units of a team's limit that an entry holds and does
+// not use.
+type Units struct {
+	Team   string `json:"team"`
+	Unused int    `json:"unused"`
+}
+
+// Demand is what an entry tells the others about its queues.
+type Demand struct {
+	Cells []Cell  `json:"cells"`
+	Units []Units `json:"units"`
+}
+
+// Heartbeat is the question that keeps entries fresh.
+type Heartbeat struct {
+	Version uint64 `json:"version"`
+	Demand  Demand `json:"demand"`
+	Leaving bool   `json:"leaving,omitempty"`
+}
+
+// HeartbeatAnswer is what the asked entry says about itself.
+type HeartbeatAnswer struct {
+	Version     uint64 `json:"version"`
+	Incarnation string `json:"incarnation"`
+	Demand      Demand `json:"demand"`
+	Leaving     bool   `json:"leaving,omitempty"`
+}
+
+// StatusQuestion asks for a request that the asked entry may own.
+type StatusQuestion struct {
+	Team      string `json:"team"`
+	RequestID string `json:"request_id"`
+}
+
+// Status says where a request is at the asked entry.
+type Status string
+
+// The statuses of a request.
+const (
+	StatusQueued  Status = "queued"
+	StatusRunning Status = "running"
+	StatusNone    Status = "none"
+)
+
+// Work is a request that one entry hands to another one. The entry that
+// receives it never forwards it again.
+type Work struct {
+	RequestID   string
+	CallerID    bool
+	Team        string
+	KeyHash     string
+	Queue       string
+	Idempotent  bool
+	Urgent      bool
+	Preemptible bool
+	Size        int64
+	Remaining   tmclock.Span
+	Body        []byte
+}
+
+// WorkAnswer is the answer to forwarded work. Code is empty on success, else
+// one of the codes of the caller protocol.
+type WorkAnswer struct {
+	Body    []byte
+	Outcome tmonce.Outcome
+	Code    string
+	Message string
+}
+
+type wireHello struct {
+	Entry       string `json:"entry"`
+	Incarnation string `json:"incarnation"`
+	Nonce       []byte `json:"nonce"`
+}
+
+type wireProof struct {
+	Proof []byte `json:"proof"`
+}
+
+type wireState struct {
+	State json.RawMessage `json:"state"`
+}
+
+type wireVersion struct {
+	Version uint64 `json:"version"`
+}
+
+type wireStatus struct {
+	Status Status `json:"status"`
+}
+
+type wireWork struct {
+	RequestID   string `json:"request_id"`
+	CallerID    bool   `json:"caller_id,omitempty"`
+	Team        string `json:"team"`
+	KeyHash     string `json:"key_hash,omitempty"`
+	Queue       string `json:"queue"`
+	Idempotent  bool   `json:"idempotent,omitempty"`
+	Urgent      bool   `json:"urgent,omitempty"`
+	Preemptible bool   `json:"preemptible,omitempty"`
+	Size        int64  `json:"size,omitempty"`
+	RemainingMS int64  `json:"remaining_ms"`
+	Body        []byte `json:"body"`
+}
+
+type wireWorkAnswer struct {
+	Body    []byte `json:"body,omitempty"`
+	Outcome string `json:"outcome"`
+	Code    string `json:"code,omitempty"`
+	Message string `json:"message,omitempty"`
+}
+
+func encodeWork(w Work) wireWork {
+	return wireWork{
+		RequestID:   w.RequestID,
+		CallerID:    w.CallerID,
+		Team:        w.Team,
+		KeyHash:     w.KeyHash,
+		Queue:       w.Queue,
+		Idempotent:  w.Idempotent,
+		Urgent:      w.Urgent,
+		Preemptible: w.Preemptible,
+		Size:        w.Size,
+		RemainingMS: int64(w.Remaining),
+		Body:        w.Body,
+	}
+}
+
+func decodeWork(w wireWork) Work {
+	return Work{
+		RequestID:   w.RequestID,
+		CallerID:    w.CallerID,
+		Team:        w.Team,
+		KeyHash:     w.KeyHash,
+		Queue:       w.Queue,
+		Idempotent:  w.Idempotent,
+		Urgent:      w.Urgent,
+		Preemptible: w.Preemptible,
+		Size:        w.Size,
+		Remaining:   tmclock.Span(w.RemainingMS),
+		Body:        w.Body,
+	}
+}
