--- a/core/tmchange/instance.go
+++ b/core/tmchange/instance.go
@@ -55,7 +55,8 @@
 		return
 	}
 	old, ok := d.before.Instances().Get(c.Name)
-	if d.live(c.Name) && !(ok && old.Duty() == tmfleet.Leaving) {
+	leaving := ok && old.Duty() == tmfleet.Leaving
+	if d.live(c.Name) && !leaving {
 		message := fmt.Sprintf("instance %q is live and was not leaving before this request", c.Name)
 		d.problem("name", message, "an instance that an earlier request marked as leaving")
 		return
--- /dev/null
+++ b/io/tmini/ini.go
@@ -0,0 +1,175 @@
+// Package tmini reads INI files strictly: a key that appears twice is refused,
+// and every value comes with its line, so that errors can name file and line.
+// All functions are safe for concurrent use.
+package tmini
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"os"
+	"strings"
+
+	"gopkg.in/ini.v1"
+)
+
+// MaxSize bounds the size of a file in bytes.
+const MaxSize = 1 << 20
+
+// Entry is one key of a file.
+type Entry struct {
+	// Section is empty for keys above the first section.
+	Section, Key, Value string
+	// Line counts from 1, and is 0 when the line is not known.
+	Line int
+}
+
+// Name returns the key with its section, for example "callers.listen".
+func (e Entry) Name() string {
+	if e.Section == "" {
+		return e.Key
+	}
+	return e.Section + "." + e.Key
+}
+
+// Problem is something wrong with a file.
+type Problem struct {
+	File string
+	// Line is 0 when the problem is about no line, for example a missing key.
+	Line int
+	// Field is the key with its section.
+	Field string
+	// Message says what is wrong, Expected what would be right.
+	Message, Expected string
+}
+
+// String returns the problem as one line.
+func (p Problem) String() string {
+	place := p.File
+	if p.Line > 0 {
+		place = fmt.Sprintf("%s:%d", p.File, p.Line)
+	}
+	return fmt.Sprintf("%s: %s: %s, expected %s", place, p.Field, p.Message, p.Expected)
+}
+
+// InvalidError lists every problem of a file.
+type InvalidError struct {
+	Problems []Problem
+}
+
+// Error returns all problems, one a line.
+func (e *InvalidError) Error() string {
+	lines := make([]string, 0, len(e.Problems))
+	for _, p := range e.Problems {
+		lines = append(lines, p.String())
+	}
+	return strings.Join(lines, "\n")
+}
+
+// Load reads the file at path.
+func Load(path string) ([]Entry, error) {
+	info, err := os.Stat(path)
+	if err != nil {
+		return nil, fmt.Errorf("tmini: %w", err)
+	}
+	if info.Size() > MaxSize {
+		return nil, fmt.Errorf("tmini: %s has %d bytes, expected at most %d", path, info.Size(), MaxSize)
+	}
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("tmini: %w", err)
+	}
+	return Parse(path, data)
+}
+
+// Parse reads the contents of a file. The name is used in errors. A file that
+// is not INI or has a key twice gives an *InvalidError.
+func Parse(name string, data []byte) ([]Entry, error) {
+	file, err := ini.LoadSources(options(), data)
+	if err != nil {
+		return nil, &InvalidError{Problems: []Problem{syntaxProblem(name, data, err)}}
+	}
+	var entries []Entry
+	var problems []Problem
+	lines := indexLines(data)
+	for _, section := range file.Sections() {
+		title := section.Name()
+		if title == ini.DefaultSection {
+			title = ""
+		}
+		for _, key := range section.Keys() {
+			e := Entry{Section: title, Key: key.Name(), Value: key.Value()}
+			at := lines[position{title, e.Key}]
+			if len(at) > 0 {
+				e.Line = at[0]
+			}
+			if n := len(key.ValueWithShadows()); n > 1 {
+				problems = append(problems, twice(name, e, at))
+			}
+			entries = append(entries, e)
+		}
+	}
+	if len(problems) > 0 {
+		return nil, &InvalidError{Problems: problems}
+	}
+	return entries, nil
+}
+
+func options() ini.LoadOptions {
+	return ini.LoadOptions{
+		IgnoreContinuation:         true,
+		SpaceBeforeInlineComment:   true,
+		KeyValueDelimiters:         "=",
+		AllowShadows:               true,
+		AllowDuplicateShadowValues: true,
+		PreserveEmptyShadowValues:  true,
+	}
+}
+
+func twice(name string, e Entry, at []int) Problem {
+	p := Problem{File: name, Field: e.Name(), Message: "is given twice", Expected: "one value"}
+	if len(at) > 1 {
+		p.Line = at[1]
+	}
+	return p
+}
+
+func syntaxProblem(name string, data []byte, err error) Problem {
+	p := Problem{File: name, Field: "syntax", Message: err.Error(), Expected: "lines of the form key = value or [section]"}
+	var delimiter ini.ErrDelimiterNotFound
+	if !errors.As(err, &delimiter) {
+		return p
+	}
+	p.Message = fmt.Sprintf("%q is not a key with a value", strings.TrimSpace(delimiter.Line))
+	for i, line := range bytes.Split(data, []byte("\n")) {
+		if strings.TrimSpace(string(line)) == strings.TrimSpace(delimiter.Line) {
+			p.Line = i + 1
+			break
+		}
+	}
+	return p
+}
+
+type position struct{ section, key string }
+
+// indexLines finds the lines of keys. The library does not report them. The
+// result is only used in messages, so it does not need to handle values of
+// several lines.
+func indexLines(data []byte) map[position][]int {
+	lines := make(map[position][]int)
+	section := ""
+	for i, raw := range bytes.Split(data, []byte("\n")) {
+		line := strings.TrimSpace(string(raw))
+		if strings.HasPrefix(line, "[") {
+			section = strings.TrimSpace(strings.Trim(strings.SplitN(line, "]", 2)[0], "["))
+			continue
+		}
+		key, _, ok := strings.Cut(line, "=")
+		if !ok || strings.HasPrefix(line, "#") || strings.HasPrefix(line, ";") {
+			continue
+		}
+		at := position{section, strings.TrimSpace(key)}
+		lines[at] = append(lines[at], i+1)
+	}
+	return lines
+}
--- /dev/null
+++ b/io/tmsettings/settings.go
@@ -0,0 +1,177 @@
+// Package tmsettings reads the INI settings of one entry. Unknown sections and
+// keys are refused with file and line, durations and sizes need a unit, and an
+// error lists every problem with what would be right. docs/entry.example.ini
+// has all keys with their defaults.
+package tmsettings
+
+import (
+	"errors"
+	"fmt"
+	"path/filepath"
+
+	"github.com/charmbracelet/log"
+
+	"turmericmoor/core/tmclock"
+	"turmericmoor/io/tmini"
+)
+
+// InvalidError lists every problem of a settings file.
+type InvalidError = tmini.InvalidError
+
+// Problem is one problem of a settings file.
+type Problem = tmini.Problem
+
+// Listener is where the entry listens for one kind of client. It is immutable.
+type Listener struct {
+	address string
+	cert    string
+	key     string
+}
+
+// Address returns IP:port. Port 0 lets the system choose a port.
+func (l Listener) Address() string { return l.address }
+
+// TLS reports whether the listener has a certificate.
+func (l Listener) TLS() bool { return l.cert != "" }
+
+// CertFile returns the path of the certificate in PEM form, or "".
+func (l Listener) CertFile() string { return l.cert }
+
+// KeyFile returns the path of the private key in PEM form, or "".
+func (l Listener) KeyFile() string { return l.key }
+
+// Settings are the settings of one entry. They are immutable and safe for
+// concurrent use.
+type Settings struct {
+	name     string
+	zone     string
+	logLevel log.Level
+
+	callers   Listener
+	operators Listener
+	peers     string
+	advertise string
+
+	platformURL     string
+	peerSecret      string
+	operatorKeyHash string
+
+	platformTimeout tmclock.Span
+	connectTimeout  tmclock.Span
+	idleTimeout     tmclock.Span
+	shutdownTimeout tmclock.Span
+
+	queueRequests int
+	queueBytes    int64
+	bodyBytes     int64
+}
+
+// Name returns the name of the entry, which is unique among entries.
+func (s Settings) Name() string { return s.name }
+
+// Zone returns the availability zone that the entry runs in.
+func (s Settings) Zone() string { return s.zone }
+
+// LogLevel returns the lowest level that is logged.
+func (s Settings) LogLevel() log.Level { return s.logLevel }
+
+// Callers returns the listener for callers.
+func (s Settings) Callers() Listener { return s.callers }
+
+// Operators returns the listener for operators.
+func (s Settings) Operators() Listener { return s.operators }
+
+// PeerListen returns IP:port of the listener for other entries.
+func (s Settings) PeerListen() string { return s.peers }
+
+// PeerAdvertise returns the IP:port at which other entries reach this one.
+func (s Settings) PeerAdvertise() string { return s.advertise }
+
+// PlatformURL returns the base URL of the platform, without a slash at the end.
+func (s Settings) PlatformURL() string { return s.platformURL }
+
+// PeerSecret returns the secret that all entries share. It is not logged.
+func (s Settings) PeerSecret() string { return s.peerSecret }
+
+// OperatorKeyHash returns the SHA-256 of the operator key in lower-case hex.
+func (s Settings) OperatorKeyHash() string { return s.operatorKeyHash }
+
+// PlatformTimeout returns the limit for one call to the platform.
+func (s Settings) PlatformTimeout() tmclock.Span { return s.platformTimeout }
+
+// ConnectTimeout returns the limit for connecting to an endpoint or entry.
+func (s Settings) ConnectTimeout() tmclock.Span { return s.connectTimeout }
+
+// IdleTimeout returns after what time idle connections of clients are closed.
+func (s Settings) IdleTimeout() tmclock.Span { return s.idleTimeout }
+
+// ShutdownTimeout returns the limit for a graceful shutdown.
+func (s Settings) ShutdownTimeout() tmclock.Span { return s.shutdownTimeout }
+
+// QueueRequests returns how many requests are queued at most.
+func (s Settings) QueueRequests() int { return s.queueRequests }
+
+// QueueBytes returns how many bytes of request bodies are queued at most.
+func (s Settings) QueueBytes() int64 { return s.queueBytes }
+
+// BodyBytes returns the largest permitted body of a request.
+func (s Settings) BodyBytes() int64 { return s.bodyBytes }
+
+// Load reads the settings file at path. It returns an *InvalidError with every
+// problem found. Relative paths in the file start at the directory of the file.
+func Load(path string) (Settings, error) {
+	entries, err := tmini.Load(path)
+	if err != nil {
+		return Settings{}, wrap(err)
+	}
+	return build(path, filepath.Dir(path), entries)
+}
+
+// Parse reads settings from the contents of a file. The name is used in
+// errors. Relative paths start at the working directory.
+func Parse(name string, data []byte) (Settings, error) {
+	entries, err := tmini.Parse(name, data)
+	if err != nil {
+		return Settings{}, wrap(err)
+	}
+	return build(name, ".", entries)
+}
+
+func wrap(err error) error {
+	var invalid *InvalidError
+	if errors.As(err, &invalid) {
+		return err
+	}
+	return fmt.Errorf("tmsettings: %w", err)
+}
+
+func build(file, dir string, entries []tmini.Entry) (Settings, error) {
+	r := newReader(file, dir, entries)
+	s := Settings{
+		name:            r.name("entry", "name"),
+		zone:            r.name("entry", "zone"),
+		logLevel:        r.level("entry", "log_level", log.InfoLevel),
+		callers:         r.listener("callers"),
+		operators:       r.listener("operators"),
+		peers:           r.address("peers", "listen", needPort),
+		operatorKeyHash: r.hash("operators", "operator_key_hash"),
+		platformURL:     r.url("platform", "url"),
+		platformTimeout: r.span("platform", 2*tmclock.Second),
+		connectTimeout:  r.span("connect", tmclock.Second),
+		idleTimeout:     r.span("idle", tmclock.Minute),
+		shutdownTimeout: r.span("shutdown", 30*tmclock.Second),
+		queueRequests:   r.count("queue", "max_requests", 10_000),
+		queueBytes:      r.size("queue", "max_size", 64*megabyte),
+		bodyBytes:       r.size("callers", "max_body", megabyte),
+	}
+	s.advertise = r.advertise(s.peers)
+	s.peerSecret = r.secret()
+	r.refuseUnknown()
+	if s.bodyBytes > s.queueBytes {
+		r.bad("callers", "max_body", "is above queue.max_size", "at most the size of the queue")
+	}
+	if len(r.problems) > 0 {
+		return Settings{}, &InvalidError{Problems: r.problems}
+	}
+	return s, nil
+}
