core/tmonce: record of non-idempotent requests and its rules

Cause: a non-idempotent request with a caller's id must run at most once, also when it is retried through another entry. Ruled out: the age check on creation alone. An entry that pauses for more than 5 minutes between the check and the commit creates its row after an earlier row with the same id was deleted, so the age is checked again after the commit.

--- a/core/tmonce/outcome.go
+++ b/core/tmonce/outcome.go
@@ -1,5 +1,14 @@
 // Package tmonce has the rules for telling a caller whether its request ran,
 // and the record that keeps a non-idempotent request from running twice.
+//
+// The order for a request with a caller's id is: ParseID and ID.CheckAge, read
+// the row, Decide; on Start add a creation to the Batch; once it is committed
+// call ID.CheckStart and only then send. A creation that meets an existing row
+// is settled with Claim.Settle on a new read of that row. Attempts then says
+// whether the request may be sent again and which outcome may be reported.
+//
+// Values are immutable and safe for concurrent use, except Batch, Sweeper and
+// Attempts, which belong to one goroutine or need the lock of their owner.
 package tmonce
 
 import "fmt"
--- /dev/null
+++ b/core/tmonce/sweep.go
@@ -0,0 +1,91 @@
+package tmonce
+
+import (
+	"github.com/cespare/xxhash/v2"
+
+	"turmericmoor/core/tmclock"
+)
+
+const (
+	// sweepWindow is how many minutes behind the newest due one are swept one
+	// by one.
+	sweepWindow = 15
+	// backlogMinutes is the interval of the sweep over all older rows, which
+	// finds what an outage of the platform or a late transaction left behind.
+	backlogMinutes = 60
+)
+
+// Sweep is a range of row keys to be deleted: above After and below Until.
+type Sweep struct {
+	After, Until string
+}
+
+// Sweeper says which rows of expired requests this entry deletes. It is not
+// safe for concurrent use.
+type Sweeper struct {
+	self    string
+	done    map[int64]bool
+	backlog int64
+}
+
+// NewSweeper returns a Sweeper of the member with the given incarnation.
+func NewSweeper(self string) *Sweeper {
+	return &Sweeper{self: self, done: make(map[int64]bool)}
+}
+
+// Due returns the sweeps to make at the wall time now. Each minute is owned by
+// one member; a member that becomes the owner later sweeps the minute again,
+// which finds nothing when the earlier owner was done.
+func (s *Sweeper) Due(now tmclock.Millis, members []string) []Sweep {
+	newest := lastDueMinute(now)
+	var out []Sweep
+	for m := newest - sweepWindow + 1; m <= newest; m++ {
+		if !s.done[m] && OwnerOf(m, members) == s.self {
+			out = append(out, Sweep{After: minutePrefix(m), Until: minutePrefix(m + 1)})
+		}
+	}
+	turn := newest / backlogMinutes
+	if s.backlog != turn && OwnerOf(-turn, members) == s.self {
+		out = append(out, Sweep{Until: minutePrefix(newest - sweepWindow + 1)})
+	}
+	return out
+}
+
+// Swept notes that all rows of sw are deleted.
+func (s *Sweeper) Swept(sw Sweep, now tmclock.Millis) {
+	newest := lastDueMinute(now)
+	if sw.After == "" {
+		s.backlog = newest / backlogMinutes
+		return
+	}
+	for m := newest - sweepWindow + 1; m <= newest; m++ {
+		if minutePrefix(m) == sw.After {
+			s.done[m] = true
+		}
+	}
+	for m := range s.done {
+		if m <= newest-sweepWindow {
+			delete(s.done, m)
+		}
+	}
+}
+
+// lastDueMinute returns the newest minute all of whose ids are older than
+// keepFor.
+func lastDueMinute(now tmclock.Millis) int64 {
+	return minuteOf(now.Add(-keepFor)) - 1
+}
+
+// OwnerOf returns the member that deletes the rows of a minute, by rendezvous
+// hashing, or "" without members.
+func OwnerOf(minute int64, members []string) string {
+	var owner string
+	var best uint64
+	for _, m := range members {
+		w := xxhash.Sum64String(m + "/" + minutePrefix(minute))
+		if owner == "" || w > best || (w == best && m < owner) {
+			owner, best = m, w
+		}
+	}
+	return owner
+}
