--- /dev/null
+++ b/core/tmshare/usage.go
@@ -0,0 +1,140 @@
+package tmshare
+
+import "turmericmoor/core/tmfleet"
+
+// Usage has the number of running tasks of each team in the whole fleet: the
+// exact count of this entry plus the counts that its peers last reported. A
+// Usage belongs to one Queue, which keeps the count of this entry.
+type Usage struct {
+	teams map[string]*teamUse
+	peers map[string]map[string]int
+	dirty []*teamUse
+}
+
+// teamUse is the usage of one team. Its lanes are reordered when it is dirty.
+type teamUse struct {
+	name   string
+	share  int64
+	own    int
+	peers  int
+	served uint64
+	dirty  bool
+}
+
+// NewUsage returns a Usage without teams.
+func NewUsage() *Usage {
+	return &Usage{teams: map[string]*teamUse{}, peers: map[string]map[string]int{}}
+}
+
+// SetShares takes the shares of all teams from the configuration. A team that
+// is not in the table has share 0 and is served after all others.
+func (u *Usage) SetShares(teams tmfleet.Table[string, tmfleet.Team]) {
+	for name, use := range u.teams {
+		if !teams.Has(name) {
+			u.setShare(use, 0)
+		}
+	}
+	for name, team := range teams.All() {
+		u.setShare(u.team(name), int64(team.Share()))
+	}
+}
+
+// Report replaces the running counts of a peer by those of its last
+// heartbeat. The Usage keeps a copy.
+func (u *Usage) Report(peer string, running map[string]int) {
+	last := u.peers[peer]
+	if last == nil {
+		last = make(map[string]int, len(running))
+		u.peers[peer] = last
+	}
+	for team, n := range last {
+		if _, ok := running[team]; !ok {
+			u.addPeers(team, -n)
+			delete(last, team)
+		}
+	}
+	for team, n := range running {
+		u.addPeers(team, n-last[team])
+		last[team] = n
+	}
+}
+
+// Forget drops the counts of a peer that has left or was removed.
+func (u *Usage) Forget(peer string) {
+	u.Report(peer, nil)
+	delete(u.peers, peer)
+}
+
+// Running returns the number of tasks that the team runs in the whole fleet.
+func (u *Usage) Running(team string) int {
+	use, ok := u.teams[team]
+	if !ok {
+		return 0
+	}
+	return use.running()
+}
+
+// Own returns the number of tasks that the team runs through this entry.
+func (u *Usage) Own(team string) int {
+	use, ok := u.teams[team]
+	if !ok {
+		return 0
+	}
+	return use.own
+}
+
+func (u *Usage) team(name string) *teamUse {
+	use, ok := u.teams[name]
+	if !ok {
+		use = &teamUse{name: name}
+		u.teams[name] = use
+	}
+	return use
+}
+
+func (u *Usage) setShare(use *teamUse, share int64) {
+	if use.share != share {
+		use.share = share
+		u.mark(use)
+	}
+}
+
+func (u *Usage) addPeers(team string, n int) {
+	if n == 0 {
+		return
+	}
+	use := u.team(team)
+	use.peers += n
+	u.mark(use)
+}
+
+func (u *Usage) addOwn(use *teamUse, n int) {
+	use.own += n
+	u.mark(use)
+}
+
+func (u *Usage) mark(use *teamUse) {
+	if !use.dirty {
+		use.dirty = true
+		u.dirty = append(u.dirty, use)
+	}
+}
+
+func (t *teamUse) running() int { return t.own + t.peers }
+
+// before reports whether t is served before o: the smaller running/share
+// first, then the team that was served longer ago.
+func (t *teamUse) before(o *teamUse) bool {
+	if (t.share > 0) != (o.share > 0) {
+		return t.share > 0
+	}
+	left := int64(t.running()) * max(o.share, 1)
+	right := int64(o.running()) * max(t.share, 1)
+	if left != right {
+		return left < right
+	}
+	if t.served != o.served {
+		return t.served < o.served
+	}
+	return t.name < o.name
+}
