--- a/core/tmonce/once_test.go
+++ b/core/tmonce/once_test.go
@@ -2,9 +2,7 @@
 
 import (
 	"errors"
-	"flag"
 	"math/rand/v2"
-	"os"
 	"strconv"
 	"testing"
 
@@ -13,22 +11,10 @@
 	"pgregory.net/rapid"
 
 	"turmericmoor/core/tmclock"
+	"turmericmoor/internal/tmseed"
 )
 
-// TestMain fixes the seed of rapid unless TM_FRESH_SEEDS is set, and prints it.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	seed := uint64(20261204)
-	if os.Getenv("TM_FRESH_SEEDS") != "" {
-		seed = rand.Uint64()
-	}
-	if f := flag.Lookup("rapid.seed"); f.Value.String() == "0" {
-		_ = f.Value.Set(strconv.FormatUint(seed, 10))
-	}
-	_ = flag.Set("rapid.nofailfile", "true")
-	println("rapid.seed", flag.Lookup("rapid.seed").Value.String())
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { tmseed.Main(m) }
 
 // TestAtMostOnce guards against a second run and a false not_run when calls
 // through several entries meet lost answers, late transactions, crashes,
@@ -42,7 +28,7 @@
 			assert.NilError(t, w.err)
 		}
 	})
-	seed := rapidSeed()
+	seed := tmseed.First()
 	for i := range uint64(8000) {
 		if err := walk(seed+i, controls{}); err != nil {
 			t.Fatalf("seed %d: %v", seed+i, err)
@@ -50,11 +36,6 @@
 	}
 }
 
-func rapidSeed() uint64 {
-	seed, _ := strconv.ParseUint(flag.Lookup("rapid.seed").Value.String(), 10, 64)
-	return seed
-}
-
 func walk(seed uint64, opt controls) error {
 	rng := rand.New(rand.NewPCG(seed, 1))
 	w := newWorld(rng.IntN, opt)
@@ -80,7 +61,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			for i := range uint64(60000) {
-				if err := walk(rapidSeed()+i, opt); err != nil {
+				if err := walk(tmseed.First()+i, opt); err != nil {
 					t.Logf("found after %d walks: %v", i+1, err)
 					return
 				}
