io/tmentry, io/tmstore: the entry daemon and its records

Cause: the parts in core and io need one process that uses them. Change: State and membership loops, heartbeats, endpoint leases, slices, the worker pool, recorded requests, operator calls, dump and metrics. A refusal of a recorded request says unknown in place of not_run, since not_run speaks of the id and another submission of it may have run.

--- /dev/null
+++ b/io/tmentry/demand.go
@@ -0,0 +1,126 @@
+package tmentry
+
+import (
+	"context"
+
+	"turmericmoor/core/tmroute"
+	"turmericmoor/core/tmslice"
+	"turmericmoor/io/tmpeer"
+)
+
+// demand returns what heartbeats tell the other entries.
+func (t *tables) demand() tmpeer.Demand {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var d tmpeer.Demand
+	for cell, load := range t.queue.Demand().All() {
+		d.Cells = append(d.Cells, tmpeer.Cell{
+			Pool:    cell.Pool,
+			Team:    cell.Team,
+			Queued:  load.Queued,
+			Running: load.Running,
+		})
+	}
+	for name := range t.state.Config().Teams().All() {
+		if n := t.ledger.Available(name); n > 0 {
+			d.Units = append(d.Units, tmpeer.Units{Team: name, Unused: n})
+		}
+	}
+	return d
+}
+
+// peerReported takes the demand of a peer.
+func (t *tables) peerReported(incarnation string, d tmpeer.Demand) {
+	report := peerReport{
+		at:     t.clock.Now(),
+		pools:  map[string]int{},
+		teams:  tmslice.Demand{},
+		unused: map[string]int{},
+	}
+	running := map[string]int{}
+	for _, c := range d.Cells {
+		report.pools[c.Pool] += c.Queued + c.Running
+		report.teams[c.Team] += c.Queued + c.Running
+		running[c.Team] += c.Running
+	}
+	for _, u := range d.Units {
+		report.unused[u.Team] = u.Unused
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !t.state.Members().Has(incarnation) {
+		return
+	}
+	t.peers[incarnation] = report
+	t.usage.Report(incarnation, running)
+}
+
+// teamDemandsLocked returns the demand of all entries by team.
+func (t *tables) teamDemandsLocked() map[string]tmslice.Demand {
+	t.expirePeersLocked()
+	all := make(map[string]tmslice.Demand, len(t.peers)+1)
+	for incarnation, report := range t.peers {
+		all[incarnation] = report.teams
+	}
+	own := tmslice.Demand{}
+	for cell, load := range t.queue.Demand().All() {
+		own[cell.Team] += load.Total()
+	}
+	all[t.e.self.Incarnation()] = own
+	return all
+}
+
+// expirePeersLocked forgets what silent peers have reported.
+func (t *tables) expirePeersLocked() {
+	now := t.clock.Now()
+	for incarnation, report := range t.peers {
+		if now.Sub(report.at) > peerReportFor {
+			t.dropPeerLocked(incarnation)
+		}
+	}
+}
+
+// planSlots divides the slots of all pools with demand among the entries.
+func (e *Entry) planSlots(context.Context) {
+	t := e.tables
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.expirePeersLocked()
+	now := t.clock.Now()
+	for pool := range t.state.Config().Pools().All() {
+		if t.queue.Demand().Pool(pool).Total() > 0 {
+			t.demanded[pool] = now
+		}
+		if last, ok := t.demanded[pool]; ok && now.Sub(last) > warmFor {
+			delete(t.demanded, pool)
+		}
+		t.planPoolLocked(pool)
+	}
+}
+
+// planPoolLocked sets the targets of one pool. An entry with recent demand
+// counts with at least one request, which keeps a lease for the next one.
+func (t *tables) planPoolLocked(pool string) {
+	demand := map[string]int{}
+	for incarnation, report := range t.peers {
+		if n := report.pools[pool]; n > 0 {
+			demand[incarnation] = n
+		}
+	}
+	if _, ok := t.demanded[pool]; ok {
+		demand[t.e.self.Incarnation()] = max(1, t.queue.Demand().Pool(pool).Total())
+	}
+	var endpoints []tmroute.EndpointSlots
+	config := t.state.Config()
+	for name, in := range config.Instances().All() {
+		if in.Pool() == pool && config.Usable(in) && t.list.live(name) {
+			endpoints = append(endpoints, tmroute.EndpointSlots{Name: name, Slots: in.Slots()})
+		}
+	}
+	planner, ok := t.planners[pool]
+	if !ok {
+		planner = tmroute.NewPlanner()
+		t.planners[pool] = planner
+	}
+	t.targets[pool] = planner.Plan(endpoints, demand)
+}
--- /dev/null
+++ b/io/tmentry/job.go
@@ -0,0 +1,87 @@
+package tmentry
+
+import (
+	"context"
+
+	"turmericmoor/core/tmclock"
+	"turmericmoor/core/tmonce"
+	"turmericmoor/core/tmrequest"
+	"turmericmoor/core/tmshare"
+)
+
+// job is a request that an entry has accepted. Its fields are guarded by
+// tables.mu, except those that only the worker running it uses.
+type job struct {
+	// id is unique for each submission, unlike the request id.
+	id       string
+	req      tmrequest.Request
+	team     string
+	pool     string
+	deadline tmclock.Millis
+	arrived  tmclock.Millis
+	done     chan result
+
+	// queued is set while the job is in the queue, parkedUntil while it waits
+	// to be queued again.
+	queued      bool
+	parkedUntil tmclock.Millis
+	// abandoned is set when the caller has gone.
+	abandoned bool
+	// attempt and address name the attempt under way.
+	attempt string
+	address string
+
+	// The fields below belong to the worker that runs the job.
+	attempts   tmonce.Attempts
+	refusals   int
+	failures   int
+	avoid      []string
+	avoidRacks []string
+	// resumed is set when a checkpoint of the task exists, so that it has run
+	// in part.
+	resumed bool
+	record  *runRecord
+}
+
+// result is what the submitter of a job gets.
+type result struct {
+	answer tmrequest.Answer
+	fail   *tmrequest.Error
+}
+
+// queueItem returns the job in the form in which it is queued.
+func (j *job) queueItem() tmshare.Request[*job] {
+	return tmshare.Request[*job]{
+		ID:       j.id,
+		Pool:     j.pool,
+		Team:     j.team,
+		Urgent:   j.req.Urgent(),
+		Bytes:    len(j.req.Body()),
+		Deadline: j.deadline,
+		Value:    j,
+	}
+}
+
+// outcome returns what may be said about the request if it is given up now.
+func (j *job) outcome() tmonce.Outcome {
+	o := j.attempts.Outcome()
+	if j.resumed && o == tmonce.NotRun {
+		return tmonce.Unknown
+	}
+	return o
+}
+
+// fail returns the error for giving the job up now.
+func (j *job) fail(code tmrequest.Code, format string, args ...any) result {
+	return result{fail: tmrequest.NewError(code, j.outcome(), format, args...)}
+}
+
+// wait returns the result of the job, or false when ctx ends first.
+func (j *job) wait(ctx context.Context) (result, bool) {
+	select {
+	case r := <-j.done:
+		return r, true
+	case <-ctx.Done():
+		return result{}, false
+	}
+}
--- /dev/null
+++ b/io/tmentry/membership.go
@@ -0,0 +1,316 @@
+package tmentry
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"maps"
+	"sync"
+
+	"turmericmoor/core/tmclock"
+	"turmericmoor/core/tmfleet"
+	"turmericmoor/core/tmfresh"
+	"turmericmoor/io/tmpeer"
+	"turmericmoor/io/tmstore"
+)
+
+// heartbeatTimeout is shorter than the freshness bound, so that a lost answer
+// leaves time for another heartbeat.
+const heartbeatTimeout = 1 * tmclock.Second
+
+// membership keeps the State of the entry up to date, and the entry among the
+// members.
+type membership struct {
+	e *Entry
+
+	mu       sync.Mutex
+	asking   map[string]bool
+	leaving  bool
+	revision map[uint64]uint64
+}
+
+func newMembership(e *Entry) *membership {
+	return &membership{e: e, asking: map[string]bool{}, revision: map[uint64]uint64{}}
+}
+
+// refresh reads the State from the table service, and joins or removes
+// members where that is due.
+func (m *membership) refresh(ctx context.Context) {
+	if _, _, err := m.read(ctx); err != nil {
+		return
+	}
+	state := m.e.tracker.State()
+	switch {
+	case m.isLeaving():
+	case !state.Members().Has(m.e.self.Incarnation()):
+		m.join(ctx)
+	case m.e.tracker.Fresh() && m.e.tracker.InForce():
+		m.removeSilent(ctx)
+	}
+}
+
+// read reads the State and installs it. It returns the State read and its
+// revision, 0 when none is written yet.
+func (m *membership) read(ctx context.Context) (tmfleet.State, uint64, error) {
+	sentAt := m.e.clock.Now()
+	state, revision, err := m.e.store.State(ctx)
+	if errors.Is(err, tmstore.ErrNotFound) {
+		return tmfleet.State{}, 0, nil
+	}
+	if err != nil {
+		m.e.metrics.platformErrors.Inc()
+		return tmfleet.State{}, 0, err
+	}
+	m.e.install(state)
+	m.e.tracker.TableRead(sentAt, state.Version())
+	m.setRevision(state.Version(), revision)
+	return state, revision, nil
+}
+
+// setRevision remembers the table revision of the newest version only.
+func (m *membership) setRevision(version, revision uint64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	clear(m.revision)
+	m.revision[version] = revision
+}
+
+// revisionOf returns the table revision of a version, if it was the newest one
+// at the last read.
+func (m *membership) revisionOf(version uint64) (uint64, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	revision, ok := m.revision[version]
+	return revision, ok
+}
+
+// join writes the entry into the members, in place of earlier processes of the
+// same name that are gone.
+func (m *membership) join(ctx context.Context) {
+	state := m.e.tracker.State()
+	if state.Version() > 0 && !m.e.tracker.InForce() {
+		return
+	}
+	err := m.update(ctx, func(s tmfleet.State) (tmfleet.State, error) {
+		members := withoutGone(s.Members(), m.e.tracker.GoneMembers())
+		return s.NextMembers(members.With(m.e.self.Incarnation(), m.e.self)), nil
+	}, func(s tmfleet.State) bool {
+		return s.Members().Has(m.e.self.Incarnation())
+	})
+	if err == nil {
+		m.e.log.Info("joined the members", "version", m.e.tracker.State().Version())
+	}
+}
+
+func withoutGone(members tmfleet.Table[string, tmfleet.Member], gone []tmfleet.Member) tmfleet.Table[string, tmfleet.Member] {
+	for _, g := range gone {
+		members = members.Without(g.Incarnation())
+	}
+	return members
+}
+
+// removeSilent removes the members that are gone or have been silent for too
+// long.
+func (m *membership) removeSilent(ctx context.Context) {
+	remove := append(m.e.tracker.SilentMembers(tmfresh.SilenceBeforeRemoval), m.e.tracker.GoneMembers()...)
+	if len(remove) == 0 {
+		return
+	}
+	err := m.update(ctx, func(s tmfleet.State) (tmfleet.State, error) {
+		return s.NextMembers(withoutGone(s.Members(), remove)), nil
+	}, func(s tmfleet.State) bool {
+		return withoutGone(s.Members(), remove).Len() == s.Members().Len()
+	})
+	if err == nil {
+		m.e.log.Warn("removed silent members", "members", memberNames(remove))
+	}
+}
+
+func memberNames(members []tmfleet.Member) []string {
+	names := make([]string, 0, len(members))
+	for _, m := range members {
+		names = append(names, m.Name())
+	}
+	return names
+}
+
+// errSuperseded means that the State changed while a change of the members was
+// being written. The loop tries again later.
+var errSuperseded = errors.New("tmentry: state has changed meanwhile")
+
+// update writes one change of the members by compare-and-set. A change that
+// isn't written because of another one is left to the next round, since the
+// other version has to be in force first.
+func (m *membership) update(ctx context.Context, edit func(tmfleet.State) (tmfleet.State, error), done func(tmfleet.State) bool) error {
+	installed := m.e.tracker.State().Version()
+	state, revision, err := m.read(ctx)
+	if err != nil {
+		return err
+	}
+	if done(state) {
+		return nil
+	}
+	if state.Version() != installed {
+		return errSuperseded
+	}
+	next, err := edit(state)
+	if err != nil {
+		return err
+	}
+	var t tmstore.Txn
+	t.PutState(revision, next, tmstore.Revision{Written: tmclock.Wall()})
+	if _, err := m.e.store.Commit(ctx, &t); err != nil {
+		return fmt.Errorf("tmentry: change members: %w", err)
+	}
+	m.e.install(next)
+	return nil
+}
+
+// leave removes the entry from the members on a graceful shutdown. Its slices
+// are returned first, so that others need not wait for them.
+func (m *membership) leave(ctx context.Context) {
+	m.mu.Lock()
+	m.leaving = true
+	m.mu.Unlock()
+	for ctx.Err() == nil {
+		err := m.update(ctx, func(s tmfleet.State) (tmfleet.State, error) {
+			if !m.e.tracker.InForce() {
+				return tmfleet.State{}, errSuperseded
+			}
+			return s.NextMembers(s.Members().Without(m.e.self.Incarnation())), nil
+		}, func(s tmfleet.State) bool {
+			return !s.Members().Has(m.e.self.Incarnation())
+		})
+		if err == nil {
+			return
+		}
+		if errors.Is(err, tmstore.ErrUnavailable) {
+			// Without the table service nobody can leave; the others remove
+			// the entry after its silence.
+			return
+		}
+		sleep(ctx, 100*tmclock.Millisecond)
+	}
+}
+
+func (m *membership) isLeaving() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.leaving
+}
+
+// heartbeat asks all other members and the entries that left a version behind.
+// A member that has not answered the last heartbeat yet is not asked again.
+func (m *membership) heartbeat(ctx context.Context) {
+	state := m.e.tracker.State()
+	hb := tmpeer.Heartbeat{
+		Version: state.Version(),
+		Demand:  m.e.tables.demand(),
+		Leaving: m.isLeaving(),
+	}
+	for _, member := range peersOf(state, m.e.self.Incarnation()) {
+		if !m.startAsking(member.Incarnation()) {
+			continue
+		}
+		m.e.loops.Go(func() {
+			defer m.stopAsking(member.Incarnation())
+			m.ask(ctx, member, hb)
+		})
+	}
+}
+
+// peersOf returns the members of a State and of the one before, except self:
+// a version is in force only when it has reached both.
+func peersOf(state tmfleet.State, self string) []tmfleet.Member {
+	all := map[string]tmfleet.Member{}
+	maps.Insert(all, state.PreviousMembers().All())
+	maps.Insert(all, state.Members().All())
+	delete(all, self)
+	peers := make([]tmfleet.Member, 0, len(all))
+	for _, member := range tmfleet.NewTable(all).All() {
+		peers = append(peers, member)
+	}
+	return peers
+}
+
+func (m *membership) startAsking(incarnation string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.asking[incarnation] {
+		return false
+	}
+	m.asking[incarnation] = true
+	return true
+}
+
+func (m *membership) stopAsking(incarnation string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	delete(m.asking, incarnation)
+}
+
+func (m *membership) ask(ctx context.Context, member tmfleet.Member, hb tmpeer.Heartbeat) {
+	ctx, cancel := context.WithTimeout(ctx, heartbeatTimeout.Duration())
+	defer cancel()
+	sentAt := m.e.clock.Now()
+	answer, err := m.e.node.Heartbeat(ctx, member, hb)
+	var other *tmpeer.IncarnationError
+	if errors.As(err, &other) {
+		m.e.tracker.MemberGone(member.Incarnation())
+		return
+	}
+	if err != nil {
+		m.e.metrics.heartbeatErrors.Inc()
+		return
+	}
+	m.e.tracker.HeartbeatAnswered(member.Incarnation(), sentAt, answer.Version)
+	m.e.tables.peerReported(member.Incarnation(), answer.Demand)
+	if answer.Version > m.e.tracker.State().Version() {
+		m.fetch(ctx, member)
+	}
+}
+
+// fetch installs the State of a member that has a newer one.
+func (m *membership) fetch(ctx context.Context, member tmfleet.Member) {
+	state, err := m.e.node.Fetch(ctx, member)
+	if err != nil {
+		m.e.log.Debug("state not fetched", "member", member.Name(), "error", err)
+		return
+	}
+	m.e.install(state)
+}
+
+// push offers the installed State to all members that have not acknowledged
+// it, and waits for their answers.
+func (m *membership) push(ctx context.Context) {
+	state := m.e.tracker.State()
+	var calls sync.WaitGroup
+	for _, member := range peersOf(state, m.e.self.Incarnation()) {
+		calls.Go(func() {
+			callCtx, cancel := context.WithTimeout(ctx, heartbeatTimeout.Duration())
+			defer cancel()
+			sentAt := m.e.clock.Now()
+			version, err := m.e.node.Push(callCtx, member, state)
+			var other *tmpeer.IncarnationError
+			switch {
+			case errors.As(err, &other):
+				m.e.tracker.MemberGone(member.Incarnation())
+			case err == nil:
+				m.e.tracker.HeartbeatAnswered(member.Incarnation(), sentAt, version)
+			}
+		})
+	}
+	calls.Wait()
+}
+
+// install takes a State from any source. Older ones have no effect.
+func (e *Entry) install(state tmfleet.State) {
+	if !e.tracker.Install(state) {
+		return
+	}
+	e.tables.install(e.tracker.State())
+	e.leases.sync(e.tracker.State())
+	e.runs.setMembers(state.Members().Len())
+	e.metrics.version.Set(float64(state.Version()))
+	e.log.Debug("state installed", "version", state.Version())
+}
--- /dev/null
+++ b/io/tmentry/peer.go
@@ -0,0 +1,69 @@
+package tmentry
+
+import (
+	"context"
+
+	"turmericmoor/core/tmclock"
+	"turmericmoor/core/tmfleet"
+	"turmericmoor/core/tmonce"
+	"turmericmoor/core/tmrequest"
+	"turmericmoor/io/tmpeer"
+)
+
+// peerHandler answers the questions of other entries.
+type peerHandler struct {
+	e *Entry
+}
+
+// Heartbeat implements tmpeer.Handler.
+func (h peerHandler) Heartbeat(_ context.Context, from tmpeer.Identity, hb tmpeer.Heartbeat) (tmpeer.HeartbeatAnswer, error) {
+	h.e.tables.peerReported(from.Incarnation, hb.Demand)
+	return tmpeer.HeartbeatAnswer{
+		Version:     h.e.tracker.State().Version(),
+		Incarnation: h.e.self.Incarnation(),
+		Demand:      h.e.tables.demand(),
+		Leaving:     h.e.members.isLeaving(),
+	}, nil
+}
+
+// Fetch implements tmpeer.Handler.
+func (h peerHandler) Fetch(context.Context, tmpeer.Identity) (tmfleet.State, error) {
+	return h.e.tracker.State(), nil
+}
+
+// Push implements tmpeer.Handler.
+func (h peerHandler) Push(_ context.Context, _ tmpeer.Identity, state tmfleet.State) (uint64, error) {
+	h.e.install(state)
+	return h.e.tracker.State().Version(), nil
+}
+
+// Status implements tmpeer.Handler.
+func (h peerHandler) Status(_ context.Context, _ tmpeer.Identity, q tmpeer.StatusQuestion) (tmpeer.Status, error) {
+	return h.e.tables.status(q.Team, q.RequestID), nil
+}
+
+// Forward implements tmpeer.Handler. A forwarded request is served here or
+// refused, never forwarded again.
+func (h peerHandler) Forward(ctx context.Context, _ tmpeer.Identity, w tmpeer.Work) (tmpeer.WorkAnswer, error) {
+	r := tmrequest.New(tmrequest.Params{
+		ID:          w.RequestID,
+		OwnID:       w.CallerID,
+		KeyHash:     w.KeyHash,
+		Queue:       w.Queue,
+		Size:        int(w.Size),
+		Idempotent:  w.Idempotent,
+		Urgent:      w.Urgent,
+		Preemptible: w.Preemptible,
+		Timeout:     max(w.Remaining, tmclock.Millisecond),
+		Body:        w.Body,
+	})
+	answer, fail := h.e.serve(ctx, r)
+	if fail != nil {
+		return tmpeer.WorkAnswer{
+			Outcome: fail.Outcome(),
+			Code:    string(fail.Code()),
+			Message: fail.Message(),
+		}, nil
+	}
+	return tmpeer.WorkAnswer{Body: answer.Body(), Outcome: tmonce.Ran}, nil
+}
--- /dev/null
+++ b/io/tmentry/submit.go
@@ -0,0 +1,118 @@
+package tmentry
+
+import (
+	"context"
+
+	"github.com/google/uuid"
+
+	"turmericmoor/core/tmclock"
+	"turmericmoor/core/tmfleet"
+	"turmericmoor/core/tmonce"
+	"turmericmoor/core/tmrequest"
+)
+
+// Submit implements tmcaller.Backend.
+func (e *Entry) Submit(ctx context.Context, r tmrequest.Request) (tmrequest.Answer, *tmrequest.Error) {
+	start := e.clock.Now()
+	answer, fail := e.serve(ctx, r)
+	code := "ok"
+	if fail != nil {
+		code = string(fail.Code())
+		e.log.Info("request not answered", "request_id", r.ID(), "queue", r.Queue(),
+			"code", code, "outcome", fail.Outcome(), "error", fail.Message())
+	} else {
+		e.log.Debug("request answered", "request_id", r.ID(), "queue", r.Queue())
+	}
+	e.metrics.request(code, e.clock.Now().Sub(start))
+	return answer, fail
+}
+
+// serve runs a request from a caller or a peer.
+func (e *Entry) serve(ctx context.Context, r tmrequest.Request) (tmrequest.Answer, *tmrequest.Error) {
+	if !e.tracker.Fresh() {
+		fail := tmrequest.Refuse(tmrequest.NotFresh, "entry %s is cut off from the table service and its peers", e.opts.Name)
+		return tmrequest.Answer{}, aboutID(r, fail.WithRetryAfter(tmclock.Second))
+	}
+	team, queue, fail := authorize(e.tracker.State(), r)
+	if fail != nil {
+		return tmrequest.Answer{}, aboutID(r, fail)
+	}
+	j := &job{
+		id:       uuid.NewString(),
+		req:      r,
+		team:     team.Name(),
+		pool:     queue.Pool(),
+		arrived:  e.clock.Now(),
+		deadline: e.clock.Now().Add(r.Timeout()),
+		done:     make(chan result, 1),
+	}
+	if r.OwnID() {
+		answered, answer, fail := e.checkID(ctx, j)
+		if answered || fail != nil {
+			return answer, fail
+		}
+	}
+	if fail := e.tables.add(j); fail != nil {
+		return tmrequest.Answer{}, aboutID(r, fail)
+	}
+	res, ok := j.wait(ctx)
+	if !ok {
+		outcome := e.tables.abandon(j)
+		return tmrequest.Answer{}, aboutID(r, tmrequest.NewError(tmrequest.Cancelled, outcome, "the caller has gone"))
+	}
+	if res.fail != nil {
+		return tmrequest.Answer{}, aboutID(r, res.fail)
+	}
+	return res.answer, nil
+}
+
+// aboutID turns NotRun into Unknown for a request whose id its caller chose
+// and whose runs are recorded. NotRun speaks of the id then, and an earlier
+// submission under the same id may have run or may still run through another
+// entry. The caller repeats the request under the same id.
+func aboutID(r tmrequest.Request, fail *tmrequest.Error) *tmrequest.Error {
+	if !r.NeedsRecord() || fail.Outcome() != tmonce.NotRun {
+		return fail
+	}
+	return tmrequest.NewError(fail.Code(), tmonce.Unknown, "%s; another submission of this id may have run", fail.Message()).
+		WithRetryAfter(fail.RetryAfter())
+}
+
+// authorize returns the team and the queue of a request, by the given State.
+func authorize(state tmfleet.State, r tmrequest.Request) (tmfleet.Team, tmfleet.Queue, *tmrequest.Error) {
+	config := state.Config()
+	name := ""
+	if r.KeyHash() != "" {
+		// The hash of a random key of 256 bits is looked up, not the key, so
+		// the time of the look-up tells nothing about stored keys.
+		key, ok := config.Keys().Get(r.KeyHash())
+		if !ok {
+			return tmfleet.Team{}, tmfleet.Queue{}, tmrequest.Refuse(tmrequest.BadKey, "the key is unknown or withdrawn")
+		}
+		name = key.Team()
+	}
+	queue, ok := config.Queues().Get(r.Queue())
+	if !ok {
+		if name == "" {
+			return tmfleet.Team{}, tmfleet.Queue{}, tmrequest.Refuse(tmrequest.NoKey, "the request has no key")
+		}
+		return tmfleet.Team{}, tmfleet.Queue{}, tmrequest.Refuse(tmrequest.UnknownQueue, "there is no queue %q", r.Queue())
+	}
+	if name == "" {
+		if !queue.Open() {
+			return tmfleet.Team{}, tmfleet.Queue{}, tmrequest.Refuse(tmrequest.NoKey, "queue %q takes no work without a key", queue.Name())
+		}
+		name = queue.Team()
+	}
+	team, ok := config.Teams().Get(name)
+	if !ok {
+		return tmfleet.Team{}, tmfleet.Queue{}, tmrequest.Refuse(tmrequest.BadKey, "the team of the key no longer exists")
+	}
+	if r.Urgent() && !team.Urgent() {
+		return tmfleet.Team{}, tmfleet.Queue{}, tmrequest.Refuse(tmrequest.BadRequest, "team %q may not mark requests as urgent", name)
+	}
+	if team.Limit() == 0 {
+		return tmfleet.Team{}, tmfleet.Queue{}, tmrequest.Refuse(tmrequest.LimitReached, "the limit of team %q is 0", name)
+	}
+	return team, queue, nil
+}
