--- a/cmd/tmstandin/main.go
+++ b/cmd/tmstandin/main.go
@@ -109,6 +109,10 @@
 	if f.count < 1 {
 		return nil, fmt.Errorf("tmstandin: --count %d, expected at least 1", f.count)
 	}
+	// All addresses are checked before the first one is listened on.
+	if _, err := nthAddress(f.listen, f.count-1); err != nil {
+		return nil, err
+	}
 	opts := f.opts
 	opts.RebootTime = tmclock.SpanOf(f.rebootTime)
 	opts.UsageLag = tmclock.SpanOf(f.usageLag)
--- a/internal/standin/tmfakeendpoint/fault.go
+++ b/internal/standin/tmfakeendpoint/fault.go
@@ -94,6 +94,8 @@
 	if faults.Cut {
 		ans.sendHeader(w)
 		_, _ = w.Write(ans.body[:len(ans.body)/2])
+		// Without the flush the client would see no answer at all.
+		_ = http.NewResponseController(w).Flush()
 		panic(http.ErrAbortHandler)
 	}
 	ans.send(w)
