--- /dev/null
+++ b/io/tmpeer/failure_test.go
@@ -0,0 +1,179 @@
+package tmpeer
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"turmericmoor/core/tmclock"
+	"turmericmoor/core/tmfleet"
+)
+
+// Guards against a restarted process that can't bind its port, and against a
+// restarted member that passes for the old one.
+func TestRestartOnTheSamePort(t *testing.T) {
+	a, _, b, mb := pair(t, nil)
+	for round := range 3 {
+		answers(t, a, mb)
+		assert.NilError(t, b.Close())
+		b, _ = start(t, "b", mb.Address(), nil)
+		t.Logf("restart %d", round)
+	}
+	answers(t, a, mb)
+	assert.NilError(t, b.Close())
+	start(t, "b", mb.Address(), func(o *Options) { o.Self.Incarnation = "b-2" })
+	var other *IncarnationError
+	deadline := time.Now().Add(10 * time.Second)
+	for !errors.As(beat(a, mb), &other) {
+		assert.Assert(t, time.Now().Before(deadline))
+	}
+	assert.Equal(t, other.Found.Incarnation, "b-2")
+}
+
+func beat(n *Node, m tmfleet.Member) error {
+	_, err := n.Heartbeat(context.Background(), m, Heartbeat{Version: 1})
+	return err
+}
+
+// Guards against calls to a healthy peer that wait for one that accepts
+// connections and never answers, or for one that doesn't exist.
+func TestSlowPeerDoesNotDelayOthers(t *testing.T) {
+	a, _, _, mb := pair(t, nil)
+	answers(t, a, mb)
+	silent, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer silent.Close()
+	var calls sync.WaitGroup
+	stop := make(chan struct{})
+	for _, m := range []tmfleet.Member{member("silent", silent.Addr().String()), member("none", freeAddress(t))} {
+		calls.Go(func() {
+			for {
+				select {
+				case <-stop:
+					return
+				default:
+					assert.Check(t, beat(a, m) != nil)
+				}
+			}
+		})
+	}
+	var slowest time.Duration
+	for range 50 {
+		began := time.Now()
+		assert.NilError(t, beat(a, mb))
+		slowest = max(slowest, time.Since(began))
+	}
+	close(stop)
+	calls.Wait()
+	assert.Assert(t, slowest < 500*time.Millisecond, "slowest heartbeat took %v", slowest)
+}
+
+// Guards against a call that outlasts its timeout, and against a back-off that
+// lets calls wait.
+func TestCallsEndInTime(t *testing.T) {
+	silent, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer silent.Close()
+	a, _ := start(t, "a", freeAddress(t), nil)
+	m := member("silent", silent.Addr().String())
+	began := time.Now()
+	err = beat(a, m)
+	assert.Assert(t, NotSeen(err), "%v", err)
+	assert.Assert(t, time.Since(began) < 2*shortCall)
+	began = time.Now()
+	for range 1000 {
+		assert.Assert(t, beat(a, m) != nil)
+		if time.Since(began) > firstBackOff.Duration()/2 {
+			break
+		}
+	}
+	assert.Assert(t, time.Since(began) < firstBackOff.Duration(), "calls during the back-off waited")
+}
+
+// Guards against a filter that doesn't cut, and against a connection that
+// doesn't come back after a cut.
+func TestFilterCutsOneDirectionOrBoth(t *testing.T) {
+	var cutAB, cutBA atomic.Bool
+	filter := func(from, _ string) bool {
+		return !(from == "a" && cutAB.Load() || from == "b" && cutBA.Load())
+	}
+	a, ma, b, mb := pair(t, func(o *Options) { o.Filter = filter })
+	for _, cut := range []func(bool){
+		cutAB.Store, cutBA.Store,
+		func(on bool) { cutAB.Store(on); cutBA.Store(on) },
+	} {
+		answers(t, a, mb)
+		answers(t, b, ma)
+		cut(true)
+		for range timeoutsBeforeRedial + 1 {
+			var calls sync.WaitGroup
+			calls.Go(func() { assert.Check(t, beat(a, mb) != nil) })
+			calls.Go(func() { assert.Check(t, beat(b, ma) != nil) })
+			calls.Wait()
+		}
+		cut(false)
+		began := time.Now()
+		answers(t, a, mb)
+		answers(t, b, ma)
+		assert.Assert(t, time.Since(began) < 4*time.Second, "took %v after the cut", time.Since(began))
+	}
+}
+
+// Guards against Close that returns while handlers run, or hangs while calls,
+// dials and handlers are under way.
+func TestCloseWaitsAndEndsCalls(t *testing.T) {
+	silent, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer silent.Close()
+	a, _, b, mb := pair(t, nil)
+	answers(t, a, mb)
+	var calls sync.WaitGroup
+	for range 20 {
+		calls.Go(func() {
+			_, err := a.Forward(context.Background(), mb, Work{Size: 60000, Remaining: 60 * tmclock.Second})
+			assert.Check(t, err != nil)
+		})
+		calls.Go(func() { assert.Check(t, beat(a, member("silent", silent.Addr().String())) != nil) })
+	}
+	began := time.Now()
+	assert.NilError(t, b.Close())
+	assert.NilError(t, a.Close())
+	calls.Wait()
+	assert.Assert(t, time.Since(began) < stopTimeout)
+	assert.ErrorIs(t, beat(a, mb), ErrClosed)
+	assert.NilError(t, a.Close())
+}
+
+// Guards against memory that grows without bound when a proven peer sends
+// questions and never reads the answers.
+func TestPeerThatNeverReadsIsCutOff(t *testing.T) {
+	_, ma := start(t, "a", freeAddress(t), nil)
+	c, err := net.Dial("tcp", ma.Address())
+	assert.NilError(t, err)
+	defer c.Close()
+	proveByHand(t, c)
+	body := `{"jsonrpc":"2.0","id":3,"method":"work.forward","params":{"remaining_ms":1000,"body":"` +
+		string(zeros(2<<20)) + `"}}`
+	assert.NilError(t, c.SetDeadline(time.Now().Add(20*time.Second)))
+	for range 200 {
+		if err = writeFrame(c, []byte(body)); err != nil {
+			break
+		}
+	}
+	var timeout net.Error
+	assert.Assert(t, err != nil && (!errors.As(err, &timeout) || !timeout.Timeout()), "got %v", err)
+}
+
+func zeros(n int) []byte {
+	b := make([]byte, n)
+	for i := range b {
+		b[i] = 'A'
+	}
+	return b
+}
--- /dev/null
+++ b/io/tmpeer/fuzz_test.go
@@ -0,0 +1,72 @@
+package tmpeer
+
+import (
+	"encoding/binary"
+	"encoding/json"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// proveByHand does the dialling side of the handshake on a plain socket.
+func proveByHand(t testing.TB, c net.Conn) {
+	own := wireHello{Entry: "hand", Incarnation: "hand-1", Nonce: newNonce()}
+	var theirs wireHello
+	askByHand(t, c, methodHello, own, &theirs)
+	var proof wireProof
+	askByHand(t, c, methodProve, wireProof{Proof: prove(testSecret, roleDialer, own, theirs)}, &proof)
+	assert.Assert(t, proves(proof.Proof, testSecret, roleListener, own, theirs))
+}
+
+func askByHand(t testing.TB, c net.Conn, method string, params, result any) {
+	body, err := json.Marshal(map[string]any{"jsonrpc": "2.0", "id": 1, "method": method, "params": params})
+	assert.NilError(t, err)
+	assert.NilError(t, writeFrame(c, body))
+	answer, err := readFrame(c)
+	assert.NilError(t, err)
+	var resp struct {
+		Result json.RawMessage `json:"result"`
+	}
+	assert.NilError(t, json.Unmarshal(answer, &resp))
+	assert.NilError(t, json.Unmarshal(resp.Result, result))
+}
+
+// FuzzFrames sends bytes from the outside, before and after the proof. It
+// guards against a panic, and against a node that stops serving others.
+func FuzzFrames(f *testing.F) {
+	for _, body := range []string{
+		`{"jsonrpc":"2.0","id":1,"method":"peer.hello","params":{"entry":"x","incarnation":"y","nonce":""}}`,
+		`{"jsonrpc":"2.0","id":1,"method":"peer.heartbeat","params":{"version":1,"demand":{"cells":[]}}}`,
+		`{"jsonrpc":"2.0","id":1,"method":"state.push","params":{"state":{"version":1}}}`,
+		`{"jsonrpc":"2.0","id":1,"result":null}`, `{"id":null,"error":{}}`, `[]`, `[{"method":"x"}]`,
+	} {
+		frame := append(binary.BigEndian.AppendUint32(nil, uint32(len(body))), body...)
+		f.Add(frame, true)
+		f.Add(frame, false)
+	}
+	f.Add([]byte{0xff, 0xff, 0xff, 0xff}, true)
+	f.Add([]byte{0, 0, 0, 0, 0, 0}, false)
+	a, ma := start(f, "a", freeAddress(f), nil)
+	b, _ := start(f, "b", freeAddress(f), nil)
+	f.Fuzz(func(t *testing.T, data []byte, proven bool) {
+		c, err := net.Dial("tcp", ma.Address())
+		assert.NilError(t, err)
+		defer c.Close()
+		if proven {
+			proveByHand(t, c)
+		}
+		_, _ = c.Write(data)
+		_ = c.(*net.TCPConn).CloseWrite()
+		assert.NilError(t, c.SetReadDeadline(time.Now().Add(5*time.Second)))
+		_, err = io.Copy(io.Discard, c)
+		var timeout net.Error
+		if e, ok := err.(net.Error); ok {
+			timeout = e
+		}
+		assert.Assert(t, timeout == nil || !timeout.Timeout(), "the connection was not closed")
+		assert.NilError(t, beat(b, member("a", a.opts.Listen)))
+	})
+}
