cmd/turmericmoor: commands for operators

Cause: operators need a command line for the whole operator protocol. Change: a file per topic over one operator type that connects, repeats a change with the same id when its answer is lost, and prints. Conclusion: commands, exit codes and the questionnaire pass against a backend in memory, also with the race detector.

--- /dev/null
+++ b/cmd/turmericmoor/config.go
@@ -0,0 +1,199 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"turmericmoor/core/tmchange"
+	"turmericmoor/core/tmfleet"
+	"turmericmoor/io/tmcodec"
+	"turmericmoor/io/tmoperator"
+)
+
+// maxChangeFile bounds a change file in bytes, as the entry bounds its body.
+const maxChangeFile = tmoperator.MaxBody
+
+func newConfigCommand() *cobra.Command {
+	o := &operator{}
+	return o.newGroup("config", "Check, apply and show the configuration",
+		o.newConfigCheck(), o.newConfigApply(), o.newConfigShow(), o.newConfigHistory())
+}
+
+func (o *operator) newConfigCheck() *cobra.Command {
+	return &cobra.Command{
+		Use:   "check FILE",
+		Short: "Check a change file without applying it",
+		Long: `Check a change file, a JSON array of changes, without applying it.
+
+Without an operator URL only its form is checked. With one it is also checked
+against the present configuration, with all instances counted as live; the entry
+checks again with those that really are when the file is applied.`,
+		Example: "  turmericmoor config check changes.json",
+		Args:    cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			changes, err := readChanges(cmd, args[0])
+			if err != nil {
+				return err
+			}
+			against := "its form only"
+			if o.url != "" {
+				version, err := o.checkPresent(cmd, changes)
+				if err != nil {
+					return err
+				}
+				against = fmt.Sprintf("version %d", version)
+			}
+			_, err = fmt.Fprintf(cmd.ErrOrStderr(), "%d changes are right, checked against %s\n", len(changes), against)
+			return err
+		},
+	}
+}
+
+func (o *operator) checkPresent(cmd *cobra.Command, changes []tmchange.Change) (uint64, error) {
+	client, err := o.client()
+	if err != nil {
+		return 0, err
+	}
+	config, version, err := client.Config(cmd.Context())
+	if err != nil {
+		return 0, err
+	}
+	none := tmfleet.Table[string, tmfleet.Member]{}
+	_, err = tmchange.Apply(tmfleet.NewState(version, none, none, config, nil), tmchange.AllLive, changes)
+	return version, err
+}
+
+func (o *operator) newConfigApply() *cobra.Command {
+	var base uint64
+	cmd := &cobra.Command{
+		Use:   "apply FILE",
+		Short: "Apply a change file as a whole",
+		Long: `Apply a change file, a JSON array of changes, as a whole or not at all. FILE can
+be - for the standard input.`,
+		Example: `  turmericmoor config apply changes.json
+  echo '[{"op":"zone_out","name":"zone-a"}]' | turmericmoor config apply -`,
+		Args: cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			changes, err := readChanges(cmd, args[0])
+			if err != nil {
+				return err
+			}
+			return o.apply(cmd, base, changes...)
+		},
+	}
+	cmd.Flags().Uint64Var(&base, "base-version", 0, "refuse when the configuration is not at this version (0: any)")
+	o.addChangeID(cmd)
+	return cmd
+}
+
+func readChanges(cmd *cobra.Command, path string) ([]tmchange.Change, error) {
+	data, err := readFile(cmd, path)
+	if err != nil {
+		return nil, err
+	}
+	if len(data) > maxChangeFile {
+		return nil, fmt.Errorf("%s is too large, expected at most %d bytes", path, maxChangeFile)
+	}
+	changes, err := tmcodec.DecodeChanges(data)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	if len(changes) == 0 {
+		return nil, fmt.Errorf("%s has no changes, expected at least one", path)
+	}
+	return changes, nil
+}
+
+func readFile(cmd *cobra.Command, path string) ([]byte, error) {
+	in := cmd.InOrStdin()
+	if path != "-" {
+		file, err := os.Open(path)
+		if err != nil {
+			return nil, err
+		}
+		defer func() { _ = file.Close() }()
+		in = file
+	}
+	return io.ReadAll(io.LimitReader(in, maxChangeFile+1))
+}
+
+func (o *operator) newConfigShow() *cobra.Command {
+	return &cobra.Command{
+		Use:   "show",
+		Short: "Show the present configuration",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			client, err := o.client()
+			if err != nil {
+				return err
+			}
+			config, version, err := client.Config(cmd.Context())
+			if err != nil {
+				return err
+			}
+			if o.output == outputJSON {
+				return printConfigJSON(cmd, config, version)
+			}
+			return printConfig(cmd, config, version)
+		},
+	}
+}
+
+func printConfig(cmd *cobra.Command, config tmfleet.Config, version uint64) error {
+	if _, err := fmt.Fprintf(cmd.OutOrStdout(), "version %d\n", version); err != nil {
+		return err
+	}
+	for _, l := range []listing{zoneListing, poolListing, queueListing, teamListing, keyListing, instanceListing} {
+		if _, err := fmt.Fprintf(cmd.OutOrStdout(), "\n%s\n", strings.ToUpper(l.section)); err != nil {
+			return err
+		}
+		if err := printTable(cmd, l.header, l.rows(config)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (o *operator) newConfigHistory() *cobra.Command {
+	return &cobra.Command{
+		Use:   "history",
+		Short: "Show the last versions, newest first",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			client, err := o.client()
+			if err != nil {
+				return err
+			}
+			list, err := client.History(cmd.Context())
+			if err != nil {
+				return err
+			}
+			if o.output == outputJSON {
+				return printHistoryJSON(cmd, list)
+			}
+			return printTable(cmd, []string{"VERSION", "WRITTEN", "CHANGE", "OPS"}, historyRows(list))
+		},
+	}
+}
+
+func historyRows(list []tmoperator.Revision) [][]string {
+	rows := make([][]string, 0, len(list))
+	for _, r := range list {
+		ops := make([]string, 0, len(r.Changes))
+		for _, c := range r.Changes {
+			ops = append(ops, c.Op())
+		}
+		written := "-"
+		if r.Written > 0 {
+			written = time.UnixMilli(int64(r.Written)).UTC().Format(time.RFC3339)
+		}
+		rows = append(rows, []string{strconv.FormatUint(r.Version, 10), written, r.ChangeID, strings.Join(ops, " ")})
+	}
+	return rows
+}
--- a/cmd/turmericmoor/main.go
+++ b/cmd/turmericmoor/main.go
@@ -2,4 +2,8 @@
 // command line.
 package main
 
-func main() {}
+import "os"
+
+func main() {
+	os.Exit(run(os.Args[1:], os.Stdin, os.Stdout, os.Stderr))
+}
--- /dev/null
+++ b/cmd/turmericmoor/root.go
@@ -0,0 +1,116 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"io"
+
+	"github.com/spf13/cobra"
+)
+
+// Exit codes.
+const (
+	exitDone    = 0
+	exitFailed  = 1
+	exitUsage   = 2
+	exitPending = 3
+)
+
+const exitCodeHelp = `Exit codes:
+  0  done
+  1  refused or failed
+  2  wrong usage
+  3  stored, but not yet confirmed by all entries`
+
+var (
+	// errPending means that a change is stored but not yet confirmed.
+	errPending = errors.New("stored, not yet confirmed")
+	// errUsage means that arguments, flags or the environment are wrong.
+	errUsage = errors.New("wrong usage")
+	// errUnknownOutcome means that a change may or may not be stored.
+	errUnknownOutcome = errors.New("the change may have been stored")
+)
+
+// newRoot returns the root command with all its subcommands.
+func newRoot() *cobra.Command {
+	root := &cobra.Command{
+		Use:   "turmericmoor",
+		Short: "Manage fleet capacity and maintenance",
+		Long: `turmericmoor manages the capacity and the maintenance of a fleet that several
+teams share.
+
+Commands for operators need the address of any entry and the operator key:
+
+  export TURMERICMOOR_OPERATOR=http://127.0.0.1:8401
+  export TURMERICMOOR_OPERATOR_KEY_FILE=operator.key
+
+` + exitCodeHelp,
+		SilenceUsage:  true,
+		SilenceErrors: true,
+	}
+	root.AddCommand(
+		newConfigCommand(),
+		newTeamCommand(),
+		newKeyCommand(),
+		newShareCommand(),
+		newLimitCommand(),
+		newPoolCommand(),
+		newQueueCommand(),
+		newInstanceCommand(),
+		newZoneCommand(),
+		newWaveCommand(),
+		newDumpCommand(),
+		newQuestionnaireCommand(),
+	)
+	return root
+}
+
+// run executes the command line and returns the exit code.
+func run(args []string, in io.Reader, out, errOut io.Writer) int {
+	root := newRoot()
+	root.SetArgs(args)
+	root.SetIn(in)
+	root.SetOut(out)
+	root.SetErr(errOut)
+	started := false
+	prepare(root, &started)
+	err := root.Execute()
+	switch {
+	case err == nil:
+		return exitDone
+	case errors.Is(err, errPending):
+		_, _ = fmt.Fprintln(errOut, "turmericmoor:", err)
+		return exitPending
+	case !started || errors.Is(err, errUsage):
+		_, _ = fmt.Fprintf(errOut, "turmericmoor: %v\nSee --help for the usage.\n", err)
+		return exitUsage
+	}
+	_, _ = fmt.Fprintln(errOut, "turmericmoor:", err)
+	return exitFailed
+}
+
+// prepare makes every command report that it has started. An error before that
+// is one of usage. A command that only groups others refuses unknown ones,
+// which cobra answers with the help text and success.
+func prepare(cmd *cobra.Command, started *bool) {
+	if cmd.RunE != nil {
+		inner := cmd.RunE
+		cmd.RunE = func(cmd *cobra.Command, args []string) error {
+			*started = true
+			return inner(cmd, args)
+		}
+	} else if cmd.Run == nil {
+		cmd.Args = cobra.ArbitraryArgs
+		cmd.RunE = unknownCommand
+	}
+	for _, sub := range cmd.Commands() {
+		prepare(sub, started)
+	}
+}
+
+func unknownCommand(cmd *cobra.Command, args []string) error {
+	if len(args) == 0 {
+		return cmd.Help()
+	}
+	return fmt.Errorf("unknown command %q of %q", args[0], cmd.CommandPath())
+}
--- /dev/null
+++ b/cmd/turmericmoor/wave.go
@@ -0,0 +1,118 @@
+package main
+
+import (
+	"fmt"
+	"strings"
+
+	"github.com/spf13/cobra"
+
+	"turmericmoor/io/tmoperator"
+)
+
+type waveOutput struct {
+	Name   string   `json:"name"`
+	Pools  []string `json:"pools"`
+	Reason string   `json:"reason"`
+	Phase  string   `json:"phase"`
+	Leader string   `json:"leader"`
+	Total  int      `json:"total"`
+	Done   int      `json:"done"`
+	Active []string `json:"active"`
+	Note   string   `json:"note"`
+}
+
+func newWaveCommand() *cobra.Command {
+	o := &operator{}
+	return o.newGroup("wave", "Start, stop and follow maintenance waves", o.newWaveStart(), o.newWaveStop(), o.newWaveStatus())
+}
+
+func (o *operator) newWaveStart() *cobra.Command {
+	var req tmoperator.WaveRequest
+	cmd := &cobra.Command{
+		Use:     "start NAME",
+		Short:   "Start a maintenance wave over all instances of some pools",
+		Example: "  turmericmoor wave start kernel-6 --pool steps --pool spares --reason 'kernel update'",
+		Args:    cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			req.Name = args[0]
+			return o.wave(cmd, func(c *tmoperator.Client) (tmoperator.WaveStatus, error) {
+				return c.StartWave(cmd.Context(), req)
+			})
+		},
+	}
+	cmd.Flags().StringSliceVar(&req.Pools, "pool", nil, "pool of the wave, can be repeated")
+	cmd.Flags().StringVar(&req.Reason, "reason", "", "why the wave is needed")
+	require(cmd, "pool")
+	return cmd
+}
+
+func (o *operator) newWaveStop() *cobra.Command {
+	return &cobra.Command{
+		Use:     "stop NAME",
+		Short:   "Let a wave take no further instances",
+		Example: "  turmericmoor wave stop kernel-6",
+		Args:    cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			return o.wave(cmd, func(c *tmoperator.Client) (tmoperator.WaveStatus, error) {
+				return c.StopWave(cmd.Context(), args[0])
+			})
+		},
+	}
+}
+
+func (o *operator) newWaveStatus() *cobra.Command {
+	return &cobra.Command{
+		Use:     "status [NAME]",
+		Short:   "Show the progress of one wave or of the last waves",
+		Example: "  turmericmoor wave status kernel-6",
+		Args:    cobra.MaximumNArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			if len(args) == 1 {
+				return o.wave(cmd, func(c *tmoperator.Client) (tmoperator.WaveStatus, error) {
+					return c.Wave(cmd.Context(), args[0])
+				})
+			}
+			client, err := o.client()
+			if err != nil {
+				return err
+			}
+			list, err := client.Waves(cmd.Context())
+			if err != nil {
+				return err
+			}
+			return o.printWaves(cmd, list)
+		},
+	}
+}
+
+// wave makes a call about one wave and prints its progress.
+func (o *operator) wave(cmd *cobra.Command, call func(*tmoperator.Client) (tmoperator.WaveStatus, error)) error {
+	client, err := o.client()
+	if err != nil {
+		return err
+	}
+	status, err := call(client)
+	if err != nil {
+		return err
+	}
+	return o.printWaves(cmd, []tmoperator.WaveStatus{status})
+}
+
+func (o *operator) printWaves(cmd *cobra.Command, list []tmoperator.WaveStatus) error {
+	if o.output == outputJSON {
+		out := make([]waveOutput, 0, len(list))
+		for _, w := range list {
+			out = append(out, waveOutput{
+				Name: w.Name, Pools: w.Pools, Reason: w.Reason, Phase: string(w.Phase), Leader: w.Leader,
+				Total: w.Total, Done: w.Done, Active: w.Active, Note: w.Note,
+			})
+		}
+		return printJSON(cmd, out)
+	}
+	rows := make([][]string, 0, len(list))
+	for _, w := range list {
+		done := fmt.Sprintf("%d/%d", w.Done, w.Total)
+		rows = append(rows, []string{w.Name, string(w.Phase), done, strings.Join(w.Pools, ","), strings.Join(w.Active, ","), w.Note})
+	}
+	return printTable(cmd, []string{"NAME", "PHASE", "DONE", "POOLS", "ACTIVE", "NOTE"}, rows)
+}
