io/tmini, cmd/turmericmoor: unknown empty sections, exit codes in every help

Cause: a misspelled section without keys was not refused, and only groups of commands stated the exit codes. Change: tmini reports empty sections; the usage of every command ends with the exit codes. Conclusion: the table of bad settings has the case.

--- a/cmd/turmericmoor/dump.go
+++ b/cmd/turmericmoor/dump.go
@@ -7,7 +7,6 @@
 	cmd := &cobra.Command{
 		Use:     "dump",
 		Short:   "Print the state of one entry as JSON, without keys",
-		Long:    "Print the state of one entry as JSON, without keys.\n\n" + exitCodeHelp,
 		Example: "  turmericmoor dump --operator http://127.0.0.1:8401",
 		Args:    cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
--- a/cmd/turmericmoor/group.go
+++ b/cmd/turmericmoor/group.go
@@ -9,7 +9,7 @@
 // newGroup returns a command that groups commands for operators and has their
 // flags.
 func (o *operator) newGroup(use, short string, subs ...*cobra.Command) *cobra.Command {
-	cmd := &cobra.Command{Use: use, Short: short, Long: short + ".\n\n" + exitCodeHelp}
+	cmd := &cobra.Command{Use: use, Short: short}
 	o.addFlags(cmd)
 	cmd.PersistentPreRunE = o.checkOutput
 	cmd.AddCommand(subs...)
--- a/cmd/turmericmoor/questionnaire.go
+++ b/cmd/turmericmoor/questionnaire.go
@@ -20,9 +20,7 @@
 		Long: `Ask a new team some questions, or read its answers from an INI file, and generate
 its configuration for the present fleet. The change file goes to the standard
 output and the explanation to the standard error. With --apply the changes are
-sent, and each holder of a key gets one, which is printed once.
-
-` + exitCodeHelp,
+sent, and each holder of a key gets one, which is printed once.`,
 		Example: `  turmericmoor questionnaire > changes.json
   turmericmoor questionnaire --answers crews.ini --apply`,
 		Args: cobra.NoArgs,
--- a/cmd/turmericmoor/root.go
+++ b/cmd/turmericmoor/root.go
@@ -42,12 +42,11 @@
 Commands for operators need the address of any entry and the operator key:
 
   export TURMERICMOOR_OPERATOR=http://127.0.0.1:8401
-  export TURMERICMOOR_OPERATOR_KEY_FILE=operator.key
-
-` + exitCodeHelp,
+  export TURMERICMOOR_OPERATOR_KEY_FILE=operator.key`,
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
+	root.SetUsageTemplate(root.UsageTemplate() + "\n" + exitCodeHelp + "\n")
 	root.AddCommand(
 		newConfigCommand(),
 		newTeamCommand(),
--- a/core/tmchange/apply.go
+++ b/core/tmchange/apply.go
@@ -19,7 +19,9 @@
 
 // Apply returns the Config of s with all changes applied in their order. It
 // returns an *InvalidError with every problem found, and then nothing is
-// applied. A nil live counts no instance as live.
+// applied. A nil live counts no instance as live. An instance that has been added
+// but is not yet on the platform's list is not live either, so it counts against
+// the budget until the list has it.
 func Apply(s tmfleet.State, live Liveness, changes []Change) (tmfleet.Config, error) {
 	return apply(s, live, changes, options{})
 }
--- a/io/tmini/ini.go
+++ b/io/tmini/ini.go
@@ -16,7 +16,7 @@
 // MaxSize bounds the size of a file in bytes.
 const MaxSize = 1 << 20
 
-// Entry is one key of a file.
+// Entry is one key of a file, or a section without keys, whose Key is empty.
 type Entry struct {
 	// Section is empty for keys above the first section.
 	Section, Key, Value string
@@ -26,6 +26,9 @@
 
 // Name returns the key with its section, for example "callers.listen".
 func (e Entry) Name() string {
+	if e.Key == "" {
+		return "[" + e.Section + "]"
+	}
 	if e.Section == "" {
 		return e.Key
 	}
@@ -97,6 +100,9 @@
 		if title == ini.DefaultSection {
 			title = ""
 		}
+		if len(section.Keys()) == 0 && title != "" {
+			entries = append(entries, emptySection(title, lines))
+		}
 		for _, key := range section.Keys() {
 			e := Entry{Section: title, Key: key.Name(), Value: key.Value()}
 			at := lines[position{title, e.Key}]
@@ -126,6 +132,14 @@
 	}
 }
 
+func emptySection(title string, lines map[position][]int) Entry {
+	e := Entry{Section: title}
+	if at := lines[position{section: title}]; len(at) > 0 {
+		e.Line = at[0]
+	}
+	return e
+}
+
 func twice(name string, e Entry, at []int) Problem {
 	p := Problem{File: name, Field: e.Name(), Message: "is given twice", Expected: "one value"}
 	if len(at) > 1 {
@@ -152,7 +166,7 @@
 
 type position struct{ section, key string }
 
-// indexLines finds the lines of keys. The library does not report them. The
+// indexLines finds the lines of keys, and those of sections under an empty key. The library does not report them. The
 // result is only used in messages, so it does not need to handle values of
 // several lines.
 func indexLines(data []byte) map[position][]int {
@@ -162,6 +176,8 @@
 		line := strings.TrimSpace(string(raw))
 		if strings.HasPrefix(line, "[") {
 			section = strings.TrimSpace(strings.Trim(strings.SplitN(line, "]", 2)[0], "["))
+			at := position{section: section}
+			lines[at] = append(lines[at], i+1)
 			continue
 		}
 		key, _, ok := strings.Cut(line, "=")
--- a/io/tmsettings/reader.go
+++ b/io/tmsettings/reader.go
@@ -87,10 +87,10 @@
 
 func (r *reader) refuseUnknown() {
 	for _, name := range r.order {
-		if slices.Contains(r.known, name) {
+		e := r.entries[name]
+		if slices.Contains(r.known, name) || (e.Key == "" && r.knownSection(e.Section)) {
 			continue
 		}
-		e := r.entries[name]
 		r.problems = append(r.problems, Problem{
 			File:     r.file,
 			Line:     e.Line,
@@ -101,6 +101,12 @@
 	}
 }
 
+func (r *reader) knownSection(section string) bool {
+	return slices.ContainsFunc(r.known, func(name string) bool {
+		return strings.HasPrefix(name, section+".")
+	})
+}
+
 // alternatives lists the keys of a known section, or the known sections.
 func (r *reader) alternatives(section string) string {
 	var keys, sections []string
--- a/io/tmsettings/settings_test.go
+++ b/io/tmsettings/settings_test.go
@@ -46,6 +46,7 @@
 		{"max_requests = 10000", "max_requests = 0", "queue.max_requests", "1 to"},
 		{"max_requests = 10000", "max_request = 10000", "queue.max_request", "max_requests"},
 		{"[queue]", "[queues]", "queues.max_size", "[queue]"},
+		{"[queue]", "[colours]\n[queue]", "[colours]", "[queue]"},
 		{"idle = 1m", "idle = 1m\nidle = 1m", "timeouts.idle", "one value"},
 		{"idle = 1m", "idle", "syntax", "key = value"},
 	}
