docs: example answers of a new team, run by a test

Cause: teams need a file to start from. Change: docs/answers.example.ini is read by the test of the questionnaire; the judge of the budget property also counts all instances that are unavailable on purpose; a handshake test for io/tmtls.

--- a/cmd/turmericmoor/command_test.go
+++ b/cmd/turmericmoor/command_test.go
@@ -150,14 +150,16 @@
 	assert.Equal(t, state.Version(), uint64(1))
 }
 
-const answers = "team = crews\nwork = plans crews\nlargest_tasks = 20\nusual_tasks = 10\nqueues = jobs\npool = steps\nkey_holders = anna\n"
+const answersExample = "../../docs/answers.example.ini"
 
 // Guards against answers that lead to another configuration than the file that
 // is printed, and against bad answers without file and line.
 func TestQuestionnaire(t *testing.T) {
 	c := newConsole(t)
 	c.fleet()
-	path := c.write("crews.ini", answers)
+	path := answersExample
+	answers, err := os.ReadFile(path)
+	assert.NilError(t, err)
 	file, hint := c.run(exitDone, "", "questionnaire --answers "+path)
 	assert.Assert(t, strings.Contains(hint, "key grant crews crews-anna"), hint)
 	c.run(exitDone, file, "config check -")
@@ -166,9 +168,9 @@
 	assert.Equal(t, same, file)
 	assert.Assert(t, strings.Contains(prompts, `"many" is no answer`), prompts)
 	c.run(exitFailed, "crews\n", "questionnaire")
-	bad := c.write("bad.ini", strings.Replace(answers, "pool = steps", "pool = step", 1))
+	bad := c.write("bad.ini", strings.Replace(string(answers), "pool = steps", "pool = step", 1))
 	_, text := c.run(exitFailed, "", "questionnaire --answers "+bad)
-	assert.Assert(t, strings.Contains(text, `bad.ini:6: pool: unknown pool "step", expected one of spares, steps`), text)
+	assert.Assert(t, strings.Contains(text, `bad.ini:20: pool: unknown pool "step", expected one of spares, steps`), text)
 	out, _ := c.run(exitDone, "", "questionnaire --apply --answers "+path)
 	assert.Assert(t, strings.Contains(out, "key crews-anna: "), out)
 	c.run(exitDone, "", "key withdraw crews-anna")
--- a/core/tmchange/property_test.go
+++ b/core/tmchange/property_test.go
@@ -65,9 +65,11 @@
 
 // violation judges one accepted request without using the rules of the
 // package. Between two versions, an instance that became unavailable on purpose
-// must leave its pool within its budget.
+// must leave its pool within its budget, and those that are unavailable on
+// purpose are always within it.
 func violation(before, after tmfleet.Config, dead map[string]bool) string {
 	unavailable := map[string]int{}
+	onPurposeIn := map[string]int{}
 	planned := map[string]bool{}
 	for name, in := range after.Instances().All() {
 		pools := 0
@@ -84,6 +86,9 @@
 		if onPurpose || zone.Out() || dead[name] {
 			unavailable[in.Pool()]++
 		}
+		if onPurpose {
+			onPurposeIn[in.Pool()]++
+		}
 		old, existed := before.Instances().Get(name)
 		if onPurpose && (!existed || old.Pool() != in.Pool() || (old.Duty() == tmfleet.Serving && old.MoveTo() == "")) {
 			planned[in.Pool()] = true
@@ -95,6 +100,12 @@
 			return name + " was removed while it served"
 		}
 	}
+	for pool, n := range onPurposeIn {
+		p, _ := after.Pools().Get(pool)
+		if n > p.Budget().MaxUnavailable() {
+			return fmt.Sprintf("%d instances of %s unavailable on purpose, budget %d", n, pool, p.Budget().MaxUnavailable())
+		}
+	}
 	for pool := range planned {
 		p, _ := after.Pools().Get(pool)
 		if unavailable[pool] > p.Budget().MaxUnavailable() {
--- a/io/tmtls/source_test.go
+++ b/io/tmtls/source_test.go
@@ -4,10 +4,13 @@
 	"crypto/ecdsa"
 	"crypto/elliptic"
 	"crypto/rand"
+	"crypto/tls"
 	"crypto/x509"
 	"crypto/x509/pkix"
 	"encoding/pem"
 	"math/big"
+	"net/http"
+	"net/http/httptest"
 	"os"
 	"path/filepath"
 	"testing"
@@ -74,3 +77,27 @@
 	assert.Equal(t, serial(t, s), int64(3))
 	assert.NilError(t, s.Err())
 }
+
+// Guards against a configuration whose handshake doesn't use the present
+// certificate.
+func TestHandshake(t *testing.T) {
+	dir := t.TempDir()
+	cert, key := filepath.Join(dir, "c.pem"), filepath.Join(dir, "k.pem")
+	writePair(t, cert, key, 1)
+	clock := tmclock.NewManual(1)
+	s, err := tmtls.New(cert, key, clock)
+	assert.NilError(t, err)
+	server := httptest.NewUnstartedServer(http.NotFoundHandler())
+	server.TLS = s.Config()
+	server.StartTLS()
+	t.Cleanup(server.Close)
+	for _, want := range []int64{1, 2} {
+		writePair(t, cert, key, want)
+		clock.Advance(tmclock.Second)
+		conn, err := tls.Dial("tcp", server.Listener.Addr().String(), &tls.Config{InsecureSkipVerify: true, ServerName: "entry"})
+		assert.NilError(t, err)
+		got := conn.ConnectionState().PeerCertificates[0].SerialNumber.Int64()
+		assert.NilError(t, conn.Close())
+		assert.Equal(t, got, want)
+	}
+}
