--- a/io/tmentry/entry.go
+++ b/io/tmentry/entry.go
@@ -64,6 +64,8 @@
 	runs      *runWriter
 	members   *membership
 	metrics   *metrics
+	// starved is poked when a team has queued work but no units.
+	starved chan struct{}
 
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -93,6 +95,7 @@
 		}),
 		endpoints: tmendpoint.New(tmendpoint.Options{}),
 		metrics:   newMetrics(),
+		starved:   make(chan struct{}, 1),
 		ctx:       ctx,
 		cancel:    cancel,
 	}
@@ -130,8 +133,6 @@
 		{tmfresh.HeartbeatEvery, e.members.refresh},
 		{tmfresh.HeartbeatEvery, e.members.heartbeat},
 		{tmfresh.ListEvery, e.readInstanceList},
-		{sliceReadEvery, e.readSlices},
-		{rebalanceEvery, e.rebalanceSlices},
 		{tickEvery, e.tables.tick},
 		{planEvery, e.planSlots},
 		{doubtEvery, e.resolveDoubts},
@@ -141,6 +142,7 @@
 		e.loops.Go(func() { every(e.ctx, l.every, l.run) })
 	}
 	e.loops.Go(func() { e.runs.loop(e.ctx) })
+	e.loops.Go(func() { e.keepSlices(e.ctx) })
 	for range workers {
 		e.pool.Go(e.work)
 	}
--- a/io/tmentry/loop.go
+++ b/io/tmentry/loop.go
@@ -10,7 +10,8 @@
 // Intervals of the loops that core/tmfresh does not state.
 const (
 	sliceReadEvery = 1 * tmclock.Second
-	rebalanceEvery = 2 * tmclock.Second
+	// starvedWait bounds how often a starved entry reads slices.
+	starvedWait = 200 * tmclock.Millisecond
 	tickEvery      = 50 * tmclock.Millisecond
 	planEvery      = 250 * tmclock.Millisecond
 	doubtEvery     = 500 * tmclock.Millisecond
--- a/io/tmentry/operator.go
+++ b/io/tmentry/operator.go
@@ -95,7 +95,7 @@
 		return 0, err
 	}
 	e.install(next)
-	e.loops.Go(func() { e.readSlices(e.ctx) })
+	poke(e.starved)
 	return next.Version(), nil
 }
 
--- a/io/tmentry/slices.go
+++ b/io/tmentry/slices.go
@@ -3,18 +3,41 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
+	"time"
 
+	"turmericmoor/core/tmclock"
 	"turmericmoor/core/tmslice"
 	"turmericmoor/io/tmstore"
 )
 
-// readSlices reads the rows of all entries, which is one call.
-func (e *Entry) readSlices(ctx context.Context) {
-	if _, err := e.loadSlices(ctx); err != nil {
-		e.metrics.platformErrors.Inc()
+const (
+	// sliceTries is how often a lost race is tried again in one round.
+	sliceTries = 6
+	// sliceRaceWait is the shortest wait before that, sliceRaceSpread the
+	// spread of waits.
+	sliceRaceWait   = 10 * tmclock.Millisecond
+	sliceRaceSpread = 150 * tmclock.Millisecond
+)
+
+// keepSlices balances slices once a second, and at once when a team has work
+// here but no units left.
+func (e *Entry) keepSlices(ctx context.Context) {
+	for {
+		e.balanceSlices(ctx)
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(sliceReadEvery.Duration()):
+		case <-e.starved:
+			if !sleep(ctx, starvedWait) {
+				return
+			}
+		}
 	}
 }
 
+// loadSlices reads the rows of all entries, which is one call.
 func (e *Entry) loadSlices(ctx context.Context) ([]tmslice.Row, error) {
 	rows, err := e.store.Slices(ctx)
 	if err != nil {
@@ -28,47 +51,61 @@
 	return rows, nil
 }
 
-// rebalanceSlices moves units of team limits to where the demand is, and
-// returns those of members that were removed to the free ones.
-func (e *Entry) rebalanceSlices(ctx context.Context) {
-	if !e.tracker.Fresh() {
-		return
+// balanceSlices moves units of team limits to where the demand is, and returns
+// those of members that were removed to the free ones. Entries that move units
+// at the same time conflict on the row of free units, so a lost race is tried
+// again after a random wait.
+func (e *Entry) balanceSlices(ctx context.Context) {
+	for range sliceTries {
+		err := e.balanceOnce(ctx)
+		if !errors.Is(err, tmstore.ErrConflict) {
+			return
+		}
+		if !sleep(ctx, sliceRaceWait+tmclock.Span(rand.Int64N(int64(sliceRaceSpread)))) {
+			return
+		}
 	}
+}
+
+func (e *Entry) balanceOnce(ctx context.Context) error {
 	rows, err := e.loadSlices(ctx)
 	if err != nil {
-		return
+		e.metrics.platformErrors.Inc()
+		return err
+	}
+	if !e.tracker.Fresh() {
+		return nil
 	}
 	t := e.tables
 	t.mu.Lock()
 	state := e.tracker.State()
 	if fence, ok := t.ledger.Fence(); ok {
 		t.mu.Unlock()
-		e.commitSlices(ctx, fence, 0)
-		return
+		return e.commitSlices(ctx, fence, 0)
 	}
 	if t.ledger.Own().Revision() == 0 {
 		create := t.ledger.PlanCreate()
 		t.mu.Unlock()
-		e.commitSlices(ctx, create, state.Version())
-		return
+		return e.commitSlices(ctx, create, state.Version())
 	}
 	transfer, ok := t.ledger.PlanTransfers(t.teamDemandsLocked(), rows)
 	t.mu.Unlock()
 	if ok {
-		e.commitTransfer(ctx, transfer)
+		return e.commitTransfer(ctx, transfer)
 	}
 	if e.tracker.InForceVersion() != state.Version() {
-		return
+		return nil
 	}
 	t.mu.Lock()
 	reclaim, due := t.ledger.PlanReclaim(state, rows)
 	t.mu.Unlock()
-	if due {
-		e.commitSlices(ctx, reclaim, state.Version())
+	if !due {
+		return nil
 	}
+	return e.commitSlices(ctx, reclaim, state.Version())
 }
 
-func (e *Entry) commitTransfer(ctx context.Context, transfer *tmslice.Transfer) {
+func (e *Entry) commitTransfer(ctx context.Context, transfer *tmslice.Transfer) error {
 	var txn tmstore.Txn
 	txn.Slices(transfer.Transaction())
 	revision, err := e.store.Commit(ctx, &txn)
@@ -84,24 +121,27 @@
 		t.ledger.TransferFailed(transfer)
 	}
 	t.ready.Signal()
+	return err
 }
 
 // commitSlices writes a transaction on slices whose result shows at the next
 // read. With a version other than 0 it depends on that version of the State
 // being the newest one.
-func (e *Entry) commitSlices(ctx context.Context, x tmslice.Transaction, version uint64) {
+func (e *Entry) commitSlices(ctx context.Context, x tmslice.Transaction, version uint64) error {
 	var txn tmstore.Txn
 	txn.Slices(x)
 	if version != 0 {
 		revision, ok := e.members.revisionOf(version)
 		if !ok {
-			return
+			return nil
 		}
 		txn.CheckState(revision)
 	}
-	if _, err := e.store.Commit(ctx, &txn); err != nil {
+	_, err := e.store.Commit(ctx, &txn)
+	if err != nil {
 		e.log.Debug("slices not written", "error", err)
-		return
+		return err
 	}
-	e.readSlices(ctx)
+	_, err = e.loadSlices(ctx)
+	return err
 }
--- a/io/tmentry/tables.go
+++ b/io/tmentry/tables.go
@@ -105,6 +105,7 @@
 			t.ramps.Returned(name)
 		}
 	}
+	limitsChanged := len(limitChanges(t.state, state)) > 0
 	t.state = state
 	t.usage.SetShares(state.Config().Teams())
 	t.ledger.Install(state)
@@ -115,6 +116,9 @@
 	}
 	t.updateEndpointsLocked()
 	t.ready.Broadcast()
+	if limitsChanged {
+		poke(t.e.starved)
+	}
 }
 
 func (t *tables) dropPeerLocked(incarnation string) {
@@ -226,9 +230,20 @@
 		}
 	}
 	t.picker.Refresh()
+	t.checkStarvedLocked()
 	t.ready.Signal()
 }
 
+// checkStarvedLocked asks for units when a team has queued work and none left.
+func (t *tables) checkStarvedLocked() {
+	for cell, load := range t.queue.Demand().All() {
+		if load.Queued > 0 && t.ledger.Available(cell.Team) <= 0 {
+			poke(t.e.starved)
+			return
+		}
+	}
+}
+
 // parkLocked queues a job again after the given time.
 func (t *tables) parkLocked(j *job, wait tmclock.Span) {
 	j.parkedUntil = t.clock.Now().Add(wait)
