--- a/cmd/tmstandin/main_test.go
+++ b/cmd/tmstandin/main_test.go
@@ -52,6 +52,10 @@
 	c := tmplatform.New(tmplatform.Options{BaseURL: "http://" + addresses[0], Instance: "entry-1"})
 	assert.NilError(t, c.PutObject(context.Background(), "x", nil))
 	assert.NilError(t, stop())
+	c.Close()
+	// A pooled connection may take a write before its end is noticed, which is
+	// rightly uncertain. A new connection has to be refused.
+	c = tmplatform.New(tmplatform.Options{BaseURL: "http://" + addresses[0], Instance: "entry-1"})
 	assert.ErrorIs(t, c.PutObject(context.Background(), "x", nil), tmplatform.ErrUnavailable)
 	c.Close()
 }
--- a/io/tmplatform/client.go
+++ b/io/tmplatform/client.go
@@ -101,7 +101,8 @@
 }
 
 // List returns at most limit rows whose keys start with prefix and follow
-// after, in the order of their keys. The error wraps ErrUnavailable.
+// after, in the order of their keys. The limit is 1 to MaxListRows. The error
+// wraps ErrUnavailable or ErrRejected.
 func (c *Client) List(ctx context.Context, table, prefix, after string, limit int) ([]Row, error) {
 	query := url.Values{}
 	query.Set("prefix", prefix)
--- a/io/tmplatform/client_test.go
+++ b/io/tmplatform/client_test.go
@@ -8,9 +8,11 @@
 	"net/http"
 	"net/http/httptest"
 	"testing"
+	"time"
 
 	"go.uber.org/goleak"
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 
 	"turmericmoor/core/tmclock"
 	"turmericmoor/internal/standin/tmfakeplatform"
@@ -95,13 +97,35 @@
 // Guards against a late write being reported as one without effect.
 func TestTimeoutIsUncertain(t *testing.T) {
 	platform := tmfakeplatform.New(tmfakeplatform.Options{})
+	defer platform.Close()
 	c := connect(t, platform, 50)
 	platform.SetControl(tmfakeplatform.Control{SlowMs: 3600_000})
 	_, err := c.Commit(ctx, put("a", `1`, 0))
 	assert.ErrorIs(t, err, tmplatform.ErrUncertain)
 	_, err = c.Read(ctx, "run", "a")
 	assert.ErrorIs(t, err, tmplatform.ErrUnavailable)
+}
+
+// Guards against a stand-in that drops a write when its client gives up, which
+// would hide that a read after ErrUncertain may come before the write.
+func TestWriteTakesEffectAfterTheClientGaveUp(t *testing.T) {
+	platform := tmfakeplatform.New(tmfakeplatform.Options{})
+	defer platform.Close()
+	c := connect(t, platform, 200)
+	platform.SetControl(tmfakeplatform.Control{SlowMs: 3600_000})
+	_, err := c.Commit(ctx, put("a", `1`, 0))
+	assert.ErrorIs(t, err, tmplatform.ErrUncertain)
+	platform.SetControl(tmfakeplatform.Control{})
+	_, err = c.Read(ctx, "run", "a")
+	assert.ErrorIs(t, err, tmplatform.ErrNotFound)
+	// Close ends the delay of the write.
 	platform.Close()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if _, err := c.Read(ctx, "run", "a"); err != nil {
+			return poll.Continue("%v", err)
+		}
+		return poll.Success()
+	}, poll.WithDelay(time.Millisecond))
 }
 
 // Guards against rates above those that the platform sustains.
--- a/io/tmplatform/txn.go
+++ b/io/tmplatform/txn.go
@@ -13,6 +13,9 @@
 	MaxTxnBytes = 256 << 10
 )
 
+// MaxListRows is the largest limit that List takes.
+const MaxListRows = 1000
+
 // Txn is a transaction over rows: all of its writes take effect, or none when
 // a check fails. It is for use by one goroutine.
 type Txn struct {
