--- /dev/null
+++ b/core/tmshare/queue_test.go
@@ -0,0 +1,237 @@
+package tmshare
+
+import (
+	"errors"
+	"flag"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"os"
+	"slices"
+	"strconv"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"turmericmoor/core/tmclock"
+	"turmericmoor/core/tmfleet"
+)
+
+const fixedSeed = 20260204
+
+// seed is fixed, or fresh with TM_FRESH_SEEDS=1.
+var seed = uint64(fixedSeed)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if os.Getenv("TM_FRESH_SEEDS") == "1" {
+		seed = uint64(time.Now().UnixNano())
+	}
+	if flag.Lookup("rapid.seed").Value.String() == "0" {
+		_ = flag.Set("rapid.seed", strconv.FormatUint(seed, 10))
+	}
+	_ = flag.Set("rapid.nofailfile", "true")
+	os.Exit(m.Run())
+}
+
+// newRand returns a source with the seed, which it prints.
+func newRand(t testing.TB) *rand.Rand {
+	t.Helper()
+	t.Logf("seed %d", seed)
+	return rand.New(rand.NewPCG(seed, 1))
+}
+
+// units is a SliceView with a fixed number of units for each team.
+type units map[string]int
+
+func (u units) Available(team string) int { return u[team] }
+
+func newTestQueue(shares map[string]int) (*Queue[int], *Usage, *tmclock.Manual) {
+	clock := tmclock.NewManual(1)
+	usage := NewUsage()
+	teams := map[string]tmfleet.Team{}
+	for name, share := range shares {
+		teams[name] = tmfleet.NewTeam(name, share, 1000, true)
+	}
+	usage.SetShares(tmfleet.NewTable(teams))
+	return NewQueue[int](clock, usage, Bounds{}), usage, clock
+}
+
+func push(t testing.TB, q *Queue[int], id, team string, urgent bool) {
+	t.Helper()
+	r := Request[int]{ID: id, Pool: "p", Team: team, Urgent: urgent, Bytes: 10, Deadline: 1_000_000}
+	assert.NilError(t, q.Push(r))
+}
+
+// TestRunningFollowsShares guards against an order that drifts from the shares
+// when all is full and tasks differ in length.
+func TestRunningFollowsShares(t *testing.T) {
+	shares := map[string]int{"a": 1, "b": 2, "c": 5}
+	rng := newRand(t)
+	q, usage, _ := newTestQueue(shares)
+	all := units{"a": 1, "b": 1, "c": 1}
+	next := 0
+	fill := func(team string) {
+		next++
+		push(t, q, fmt.Sprint(next), team, false)
+	}
+	for team := range shares {
+		for range 20 {
+			fill(team)
+		}
+	}
+	var running []Request[int]
+	for range 5000 {
+		for len(running) < 80 {
+			r, ok := q.Next("p", all)
+			assert.Assert(t, ok)
+			fill(r.Team)
+			running = append(running, r)
+		}
+		i := rng.IntN(len(running))
+		q.Finished("p", running[i].Team)
+		running[i] = running[len(running)-1]
+		running = running[:len(running)-1]
+		for team, share := range shares {
+			off := usage.Running(team) - 10*share
+			assert.Assert(t, off >= -1 && off <= 1, "team %s runs %d", team, usage.Running(team))
+		}
+	}
+}
+
+// TestPeersCount guards against a team that gets its share at each entry that
+// it uses, instead of once in the fleet.
+func TestPeersCount(t *testing.T) {
+	q, usage, _ := newTestQueue(map[string]int{"a": 1, "b": 1})
+	push(t, q, "1", "a", false)
+	push(t, q, "2", "b", false)
+	usage.Report("peer", map[string]int{"a": 3})
+	r, _ := q.Next("p", units{"a": 1, "b": 1})
+	assert.Equal(t, r.Team, "b")
+	push(t, q, "3", "b", false)
+	usage.Report("peer", map[string]int{"b": 5})
+	r, _ = q.Next("p", units{"a": 1, "b": 1})
+	assert.Equal(t, r.Team, "a")
+	usage.Forget("peer")
+	assert.Equal(t, usage.Running("b"), 1)
+}
+
+// TestUrgentFirstAndInOrder guards against urgent work that waits, and against
+// requests of one team that overtake each other.
+func TestUrgentFirstAndInOrder(t *testing.T) {
+	q, _, _ := newTestQueue(map[string]int{"a": 1, "b": 100})
+	push(t, q, "1", "b", false)
+	push(t, q, "2", "b", false)
+	push(t, q, "3", "a", true)
+	push(t, q, "4", "a", true)
+	var order []string
+	for {
+		r, ok := q.Next("p", units{"a": 9, "b": 9})
+		if !ok {
+			break
+		}
+		order = append(order, r.ID)
+	}
+	assert.DeepEqual(t, order, []string{"3", "4", "1", "2"})
+}
+
+// TestSliceBlocksAndReturns guards against a team that is passed over for good
+// after it had no unused slice.
+func TestSliceBlocksAndReturns(t *testing.T) {
+	q, _, clock := newTestQueue(map[string]int{"a": 1, "b": 1})
+	free := units{"b": 1}
+	push(t, q, "1", "a", false)
+	_, ok := q.Next("p", free)
+	assert.Assert(t, !ok)
+	free["a"] = 1
+	q.Gained("a")
+	r, ok := q.Next("p", free)
+	assert.Assert(t, ok && r.ID == "1")
+
+	free["a"] = 0
+	push(t, q, "2", "a", false)
+	_, ok = q.Next("p", free)
+	assert.Assert(t, !ok)
+	free["a"] = 1
+	clock.Advance(parkedFor)
+	_, ok = q.Next("p", free)
+	assert.Assert(t, ok, "the team has to be served even when Gained was not called")
+}
+
+// TestBoundsAndDeadlines guards against a queue that grows without bound, and
+// against a start after the deadline.
+func TestBoundsAndDeadlines(t *testing.T) {
+	clock := tmclock.NewManual(1)
+	q := NewQueue[int](clock, NewUsage(), Bounds{MaxRequests: 2, MaxBytes: 100})
+	in := Request[int]{ID: "1", Pool: "p", Team: "a", Bytes: 60, Deadline: 50}
+	assert.NilError(t, q.Push(in))
+	assert.ErrorIs(t, q.Push(in), ErrDuplicate)
+	in.ID = "2"
+	err := q.Push(in)
+	assert.ErrorIs(t, err, ErrFull)
+	var full *FullError
+	assert.Assert(t, errors.As(err, &full) && full.Bound == "bytes")
+	in.Bytes, in.Deadline = 1, 500
+	assert.NilError(t, q.Push(in))
+	in.ID = "3"
+	assert.Error(t, q.Push(in), "tmshare: queue is full: limit of 2 requests reached")
+
+	clock.Advance(49)
+	r, ok := q.Next("p", units{"a": 1})
+	assert.Assert(t, ok && r.ID == "2")
+	late := q.Expired(clock.Now())
+	assert.Assert(t, len(late) == 1 && late[0].ID == "1")
+	assert.Equal(t, q.Len()+q.Bytes(), 0)
+}
+
+// TestDemandStaysExact compares the table that is kept up to date with a count
+// of all requests after random changes.
+func TestDemandStaysExact(t *testing.T) {
+	rng := newRand(t)
+	q, _, clock := newTestQueue(map[string]int{"a": 1, "b": 1})
+	queued := map[string]Request[int]{}
+	running := map[string]int{}
+	for i := range 3000 {
+		switch rng.IntN(6) {
+		case 0, 1, 2:
+			r := Request[int]{
+				ID: fmt.Sprint(i), Pool: "p", Team: string(rune('a' + rng.IntN(2))),
+				Urgent: rng.IntN(4) == 0, Deadline: clock.Now().Add(tmclock.Span(1 + rng.IntN(50))),
+			}
+			assert.NilError(t, q.Push(r))
+			queued[r.ID] = r
+		case 3:
+			if r, ok := q.Next("p", units{"a": 1, "b": 1}); ok {
+				delete(queued, r.ID)
+				running[r.Team]++
+			}
+		case 4:
+			clock.Advance(5)
+			for _, r := range q.Expired(clock.Now()) {
+				delete(queued, r.ID)
+			}
+		case 5:
+			if len(queued) > 0 {
+				id := slices.Min(slices.Collect(maps.Keys(queued)))
+				_, ok := q.Remove(id)
+				assert.Assert(t, ok)
+				delete(queued, id)
+			}
+			if running["a"] > 0 {
+				q.Finished("p", "a")
+				running["a"]--
+			}
+		}
+		want := map[string]Load{}
+		for _, r := range queued {
+			want[r.Team] = want[r.Team].plus(queuedDelta(r.Urgent, 1))
+		}
+		for _, late := range q.expired {
+			want[late.Team] = want[late.Team].plus(queuedDelta(late.Urgent, -1))
+		}
+		for _, team := range []string{"a", "b"} {
+			assert.Equal(t, q.Demand().Get("p", team), want[team].plus(Load{Running: running[team]}))
+		}
+	}
+}
--- a/core/tmslice/ledger.go
+++ b/core/tmslice/ledger.go
@@ -62,6 +62,8 @@
 		switch {
 		case r.key == l.own.key && r.revision > l.own.revision:
 			l.installOwn(r)
+		case r.key == l.own.key && l.rules.trustReadBack && l.out != nil && l.out.uncertain:
+			l.out = nil
 		case r.key == Free && r.revision > l.free.revision:
 			l.free = r
 		}
--- a/core/tmslice/transfer.go
+++ b/core/tmslice/transfer.go
@@ -79,7 +79,7 @@
 		return
 	}
 	t.uncertain = true
-	if l.rules.trustReadBack || l.own.revision > l.checkedRevision(t) {
+	if l.own.revision > l.checkedRevision(t) {
 		l.out = nil
 	}
 }
