--- a/core/tmroute/health.go
+++ b/core/tmroute/health.go
@@ -36,6 +36,8 @@
 	last    [outcomesKept]outcome
 	count   int
 	aside   bool
+	lost    bool
+	failing bool
 	trial   bool
 	until   tmclock.Millis
 	strikes int
@@ -94,17 +96,37 @@
 		return r.aside
 	}
 	if failed && h.guilty(r, now) {
+		r.failing = true
 		h.setAside(r, now)
 	}
 	return r.aside
 }
 
 // Lost records that the connection or the lease of an endpoint has failed. It
-// is set aside until a renewal works and the back-off has passed.
+// is set aside until Renewed.
 func (h *Health) Lost(endpoint string) {
-	if r, ok := h.endpoints[endpoint]; ok && !r.aside {
+	r, ok := h.endpoints[endpoint]
+	if !ok || r.lost {
+		return
+	}
+	r.lost = true
+	if !r.aside {
 		h.setAside(r, h.clock.Now())
 	}
+	r.strikes++
+}
+
+// Renewed records that a lease works. An endpoint that was lost, but has not
+// failed tasks, serves again once the back-off since its loss has passed.
+func (h *Health) Renewed(endpoint string) {
+	r, ok := h.endpoints[endpoint]
+	if !ok || !r.lost || h.clock.Now().Before(r.until) {
+		return
+	}
+	r.lost = false
+	if !r.failing {
+		h.restore(r)
+	}
 }
 
 // Aside reports whether the endpoint gets only probes.
@@ -117,7 +139,7 @@
 // probe now.
 func (h *Health) Due(endpoint string, idempotent bool) bool {
 	r, ok := h.endpoints[endpoint]
-	if !ok || !r.aside || r.trial {
+	if !ok || !r.failing || r.lost || r.trial {
 		return false
 	}
 	until := r.until
@@ -240,7 +262,7 @@
 // restore lets the endpoint serve again. One strike is kept, so that the next
 // failures set it aside for longer.
 func (h *Health) restore(r *record) {
-	r.aside, r.trial, r.passed = false, false, 0
+	r.aside, r.failing, r.trial, r.passed = false, false, false, 0
 	r.count = 0
 	r.strikes = max(0, r.strikes-1)
 	h.pool(r.pool).aside--
