--- a/Makefile
+++ b/Makefile
@@ -31,7 +31,7 @@
 	@sh scripts/demo.sh
 
 measure: build
-	$(GO) run ./cmd/tmmeasure
+	$(GO) run ./cmd/tmmeasure --commit "$$(git rev-parse --short HEAD)"
 
 bench:
 	$(GO) test -run '^$$' -bench . -benchmem ./core/... ./io/...
