--- a/cmd/turmericmoor/root.go
+++ b/cmd/turmericmoor/root.go
@@ -60,6 +60,8 @@
 		newWaveCommand(),
 		newDumpCommand(),
 		newQuestionnaireCommand(),
+		newEntryCommand(),
+		newSubmitCommand(),
 	)
 	return root
 }
--- a/io/tmentry/entry.go
+++ b/io/tmentry/entry.go
@@ -12,6 +12,7 @@
 	"fmt"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 
 	"github.com/charmbracelet/log"
 	"github.com/google/uuid"
@@ -66,6 +67,8 @@
 	metrics   *metrics
 	// starved is poked when a team has queued work but no units.
 	starved chan struct{}
+	// withdrawn is set when the entry is about to stop.
+	withdrawn atomic.Bool
 
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -155,7 +158,7 @@
 
 // Ready reports whether the entry takes work: it is fresh and not stopping.
 func (e *Entry) Ready() bool {
-	return e.tracker.Fresh() && !e.tables.isStopping()
+	return e.tracker.Fresh() && !e.Withdrawn() && !e.tables.isStopping()
 }
 
 // State returns the installed State, or ErrNotFresh before there is one.
@@ -167,9 +170,15 @@
 	return state, nil
 }
 
-// Stop makes the entry refuse new requests. Those it has go on.
-func (e *Entry) Stop() {
-	e.tables.stop()
+// Withdraw makes Healthy fail while the entry still takes requests, so that
+// the balancer sends no new ones before it stops.
+func (e *Entry) Withdraw() {
+	e.withdrawn.Store(true)
+}
+
+// Withdrawn reports whether Withdraw was called.
+func (e *Entry) Withdrawn() bool {
+	return e.withdrawn.Load()
 }
 
 // Close shuts down gracefully: it refuses new requests, waits until those it
--- a/io/tmentry/fleet_test.go
+++ b/io/tmentry/fleet_test.go
@@ -31,7 +31,6 @@
 	endpoints map[string]*tmfakeendpoint.Endpoint
 	addresses map[string]string
 	entries   []*tmentry.Entry
-	ports     int
 	filter    func(from, to string) bool
 }
 
--- a/io/tmentry/loop.go
+++ b/io/tmentry/loop.go
@@ -12,10 +12,10 @@
 	sliceReadEvery = 1 * tmclock.Second
 	// starvedWait bounds how often a starved entry reads slices.
 	starvedWait = 200 * tmclock.Millisecond
-	tickEvery      = 50 * tmclock.Millisecond
-	planEvery      = 250 * tmclock.Millisecond
-	doubtEvery     = 500 * tmclock.Millisecond
-	sweepEvery     = 10 * tmclock.Second
+	tickEvery   = 50 * tmclock.Millisecond
+	planEvery   = 250 * tmclock.Millisecond
+	doubtEvery  = 500 * tmclock.Millisecond
+	sweepEvery  = 10 * tmclock.Second
 )
 
 // every calls run at once and then at the given interval until ctx ends. A run
