--- a/cmd/tmstandin/main.go
+++ b/cmd/tmstandin/main.go
@@ -37,7 +37,7 @@
 		Short:        "Run a stand-in for the platform or for endpoints",
 		SilenceUsage: true,
 	}
-	root.AddCommand(platformCommand(), endpointCommand())
+	root.AddCommand(platformCommand(), endpointCommand(), postCommand())
 	return root
 }
 
