io/tmentry: forwarding, preemption, headroom of slots

Cause: a cold request waited 0.5 to 29 s, because the first entry with demand leased all slots of a pool and other entries got them back by hysteresis only. Ruled out: missing units of the team's limit (the dump showed unused units). Change: entries lease their demand with headroom and leave the rest free; requests that find no units or no slot here are handed to a peer; preemptible tasks are checkpointed for urgent requests, for teams below their share, and in zones that are out. A peer's heartbeat acknowledges its version.

--- a/io/tmentry/demand.go
+++ b/io/tmentry/demand.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"turmericmoor/core/tmroute"
+	"turmericmoor/core/tmshare"
 	"turmericmoor/core/tmslice"
 	"turmericmoor/io/tmpeer"
 )
@@ -35,11 +36,13 @@
 		at:     t.clock.Now(),
 		pools:  map[string]int{},
 		teams:  tmslice.Demand{},
+		cells:  map[tmshare.Cell]int{},
 		unused: map[string]int{},
 	}
 	running := map[string]int{}
 	for _, c := range d.Cells {
 		report.pools[c.Pool] += c.Queued + c.Running
+		report.cells[tmshare.Cell{Pool: c.Pool, Team: c.Team}] += c.Queued + c.Running
 		report.teams[c.Team] += c.Queued + c.Running
 		running[c.Team] += c.Running
 	}
@@ -96,10 +99,14 @@
 		}
 		t.planPoolLocked(pool)
 	}
+	t.entitled = t.entitlementsLocked()
+	t.preemptLocked()
 }
 
-// planPoolLocked sets the targets of one pool. An entry with recent demand
-// counts with at least one request, which keeps a lease for the next one.
+// planPoolLocked sets the targets of one pool. While the pool has room for all,
+// entries lease what they need with some headroom, and the rest stays free for
+// whoever needs it next; a slot leased elsewhere takes a heartbeat and a renewal
+// to come back. An entry with recent demand counts with at least one request.
 func (t *tables) planPoolLocked(pool string) {
 	demand := map[string]int{}
 	for incarnation, report := range t.peers {
@@ -110,17 +117,51 @@
 	if _, ok := t.demanded[pool]; ok {
 		demand[t.e.self.Incarnation()] = max(1, t.queue.Demand().Pool(pool).Total())
 	}
+	endpoints, slots := t.plannableLocked(pool)
+	planner, ok := t.planners[pool]
+	if !ok {
+		planner = tmroute.NewPlanner()
+		t.planners[pool] = planner
+	}
+	t.targets[pool] = planner.Plan(endpoints, withHeadroom(demand, slots))
+}
+
+// plannableLocked returns the endpoints of a pool that may be used, and the sum
+// of their slots.
+func (t *tables) plannableLocked(pool string) ([]tmroute.EndpointSlots, int) {
 	var endpoints []tmroute.EndpointSlots
+	slots := 0
 	config := t.state.Config()
 	for name, in := range config.Instances().All() {
 		if in.Pool() == pool && config.Usable(in) && t.list.live(name) {
 			endpoints = append(endpoints, tmroute.EndpointSlots{Name: name, Slots: in.Slots()})
+			slots += in.Slots()
 		}
 	}
-	planner, ok := t.planners[pool]
-	if !ok {
-		planner = tmroute.NewPlanner()
-		t.planners[pool] = planner
+	return endpoints, slots
+}
+
+const (
+	// minHeadroom is the least number of slots that an entry leases beyond its
+	// demand while there is room; above that it leases a part of its demand.
+	minHeadroom  = 2
+	headroomPart = 2
+	// unleased stands for the slots that stay free. It is no incarnation.
+	unleased = ""
+)
+
+// withHeadroom returns the demand to plan for. When the demand with headroom
+// exceeds the slots it is returned as it is.
+func withHeadroom(demand map[string]int, slots int) map[string]int {
+	wanted := make(map[string]int, len(demand)+1)
+	sum := 0
+	for entry, n := range demand {
+		wanted[entry] = n + max(minHeadroom, n/headroomPart)
+		sum += wanted[entry]
+	}
+	if sum >= slots {
+		return demand
 	}
-	t.targets[pool] = planner.Plan(endpoints, demand)
+	wanted[unleased] = slots - sum
+	return wanted
 }
--- a/io/tmentry/job.go
+++ b/io/tmentry/job.go
@@ -27,9 +27,12 @@
 	parkedUntil tmclock.Millis
 	// abandoned is set when the caller has gone.
 	abandoned bool
-	// attempt and address name the attempt under way.
+	// attempt, address and zone name the attempt under way.
 	attempt string
 	address string
+	zone    string
+	// local is set for a request that another entry has forwarded.
+	local bool
 
 	// The fields below belong to the worker that runs the job.
 	attempts   tmonce.Attempts
--- a/io/tmentry/lease.go
+++ b/io/tmentry/lease.go
@@ -43,7 +43,6 @@
 
 	mu    sync.Mutex
 	kicks map[string]chan struct{}
-	pools map[string]string
 	stops map[string]context.CancelFunc
 	loops sync.WaitGroup
 	done  bool
@@ -53,7 +52,6 @@
 	return &leaseKeeper{
 		e:     e,
 		kicks: map[string]chan struct{}{},
-		pools: map[string]string{},
 		stops: map[string]context.CancelFunc{},
 	}
 }
@@ -68,14 +66,12 @@
 			stop()
 			delete(k.stops, name)
 			delete(k.kicks, name)
-			delete(k.pools, name)
 		}
 	}
 	if k.done {
 		return
 	}
-	for name, in := range instances.All() {
-		k.pools[name] = in.Pool()
+	for name := range instances.All() {
 		if _, ok := k.stops[name]; ok {
 			continue
 		}
@@ -87,17 +83,6 @@
 	}
 }
 
-// kick renews the leases at the endpoints of a pool at once.
-func (k *leaseKeeper) kick(pool string) {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	for name, kick := range k.kicks {
-		if k.pools[name] == pool {
-			poke(kick)
-		}
-	}
-}
-
 // kickEndpoint renews the lease at one endpoint at once.
 func (k *leaseKeeper) kickEndpoint(name string) {
 	k.mu.Lock()
--- a/io/tmentry/membership.go
+++ b/io/tmentry/membership.go
@@ -163,6 +163,7 @@
 		return fmt.Errorf("tmentry: change members: %w", err)
 	}
 	m.e.install(next)
+	m.push(ctx)
 	return nil
 }
 
--- a/io/tmentry/metrics.go
+++ b/io/tmentry/metrics.go
@@ -16,6 +16,8 @@
 	seconds         prometheus.Histogram
 	attemptErrors   *prometheus.CounterVec
 	retries         prometheus.Counter
+	forwards        prometheus.Counter
+	checkpoints     prometheus.Counter
 	platformErrors  prometheus.Counter
 	heartbeatErrors prometheus.Counter
 	renewalErrors   prometheus.Counter
@@ -45,6 +47,8 @@
 			Namespace: "turmericmoor", Name: "attempt_errors_total", Help: "Attempts without an answer by code.",
 		}, []string{"code"}),
 		retries:         counter("retries_total", "Attempts beyond the first after a failure."),
+		forwards:        counter("forwards_total", "Requests handed to other entries."),
+		checkpoints:     counter("checkpoints_total", "Tasks checkpointed for others."),
 		platformErrors:  counter("platform_errors_total", "Failed reads of the platform."),
 		heartbeatErrors: counter("heartbeat_errors_total", "Heartbeats without an answer."),
 		renewalErrors:   counter("renewal_errors_total", "Failed lease calls to endpoints."),
@@ -53,7 +57,8 @@
 		queued:          gauge("queued_requests", "Requests in the queue."),
 		jobs:            gauge("open_requests", "Requests queued, parked or running."),
 	}
-	m.registry.MustRegister(m.requests, m.seconds, m.attemptErrors, m.retries, m.platformErrors,
+	m.registry.MustRegister(m.requests, m.seconds, m.attemptErrors, m.retries,
+		m.forwards, m.checkpoints, m.platformErrors,
 		m.heartbeatErrors, m.renewalErrors, m.version, m.fresh, m.queued, m.jobs)
 	return m
 }
--- a/io/tmentry/peer.go
+++ b/io/tmentry/peer.go
@@ -17,6 +17,9 @@
 
 // Heartbeat implements tmpeer.Handler.
 func (h peerHandler) Heartbeat(_ context.Context, from tmpeer.Identity, hb tmpeer.Heartbeat) (tmpeer.HeartbeatAnswer, error) {
+	// The peer acknowledges its version by asking. Freshness counts only from
+	// own questions, so the time of the question is left out.
+	h.e.tracker.HeartbeatAnswered(from.Incarnation, 0, hb.Version)
 	h.e.tables.peerReported(from.Incarnation, hb.Demand)
 	return tmpeer.HeartbeatAnswer{
 		Version:     h.e.tracker.State().Version(),
@@ -57,7 +60,7 @@
 		Timeout:     max(w.Remaining, tmclock.Millisecond),
 		Body:        w.Body,
 	})
-	answer, fail := h.e.serve(ctx, r)
+	answer, fail := h.e.serve(ctx, r, true)
 	if fail != nil {
 		return tmpeer.WorkAnswer{
 			Outcome: fail.Outcome(),
--- a/io/tmentry/submit.go
+++ b/io/tmentry/submit.go
@@ -14,7 +14,7 @@
 // Submit implements tmcaller.Backend.
 func (e *Entry) Submit(ctx context.Context, r tmrequest.Request) (tmrequest.Answer, *tmrequest.Error) {
 	start := e.clock.Now()
-	answer, fail := e.serve(ctx, r)
+	answer, fail := e.serve(ctx, r, false)
 	code := "ok"
 	if fail != nil {
 		code = string(fail.Code())
@@ -27,8 +27,8 @@
 	return answer, fail
 }
 
-// serve runs a request from a caller or a peer.
-func (e *Entry) serve(ctx context.Context, r tmrequest.Request) (tmrequest.Answer, *tmrequest.Error) {
+// serve runs a request from a caller or, when forwarded is set, from a peer.
+func (e *Entry) serve(ctx context.Context, r tmrequest.Request, forwarded bool) (tmrequest.Answer, *tmrequest.Error) {
 	if !e.tracker.Fresh() {
 		fail := tmrequest.Refuse(tmrequest.NotFresh, "entry %s is cut off from the table service and its peers", e.opts.Name)
 		return tmrequest.Answer{}, aboutID(r, fail.WithRetryAfter(tmclock.Second))
@@ -45,6 +45,7 @@
 		arrived:  e.clock.Now(),
 		deadline: e.clock.Now().Add(r.Timeout()),
 		done:     make(chan result, 1),
+		local:    forwarded,
 	}
 	if r.OwnID() {
 		answered, answer, fail := e.checkID(ctx, j)
--- a/io/tmentry/tables.go
+++ b/io/tmentry/tables.go
@@ -54,6 +54,15 @@
 
 	list *instanceList
 	next int
+
+	// kicked is when the leases of a pool were last renewed out of turn.
+	kicked map[string]tmclock.Millis
+	parked map[string]*job
+	// entitled has the tasks that each team is entitled to in the fleet.
+	entitled tmshare.Entitlements
+	// checkpoints counts checkpoints under way by pool.
+	checkpoints map[string]int
+	forwarding  int
 }
 
 // peerReport is what a peer last said about its demand.
@@ -61,6 +70,7 @@
 	at     tmclock.Millis
 	pools  map[string]int
 	teams  tmslice.Demand
+	cells  map[tmshare.Cell]int
 	unused map[string]int
 }
 
@@ -80,6 +90,10 @@
 		demanded: map[string]tmclock.Millis{},
 		peers:    map[string]peerReport{},
 		list:     newInstanceList(),
+
+		kicked:      map[string]tmclock.Millis{},
+		parked:      map[string]*job{},
+		checkpoints: map[string]int{},
 	}
 	t.ready = sync.NewCond(&t.mu)
 	t.queue = tmshare.NewQueue[*job](e.clock, t.usage, tmshare.Bounds{
@@ -115,6 +129,7 @@
 		}
 	}
 	t.updateEndpointsLocked()
+	t.evacuateLocked()
 	t.ready.Broadcast()
 	if limitsChanged {
 		poke(t.e.starved)
@@ -159,14 +174,31 @@
 	return tmrequest.NewError(tmrequest.InProgress, tmonce.Unknown, "request %s is in progress", j.req.ID()).WithRetryAfter(tmclock.Second)
 }
 
-// demandedLocked notes demand for a pool. The first demand after a while plans
+// kickEvery bounds how often the leases of a pool are renewed out of turn.
+const kickEvery = 20 * tmclock.Millisecond
+
+// demandedLocked notes demand for a pool. Demand that finds no idle slot plans
 // slots at once, so that the request need not wait for the next round.
 func (t *tables) demandedLocked(pool string) {
+	now := t.clock.Now()
 	_, warm := t.demanded[pool]
-	t.demanded[pool] = t.clock.Now()
-	if !warm {
-		t.planPoolLocked(pool)
-		t.e.leases.kick(pool)
+	t.demanded[pool] = now
+	if warm && (t.picker.Idle(pool) > 0 || now.Sub(t.kicked[pool]) < kickEvery) {
+		return
+	}
+	t.kicked[pool] = now
+	t.planPoolLocked(pool)
+	for name, in := range t.state.Config().Instances().All() {
+		if in.Pool() != pool {
+			continue
+		}
+		held := 0
+		if l, ok := t.leases[name]; ok {
+			held = l.slots
+		}
+		if t.targets[pool].Get(name, t.e.self.Incarnation()) > held {
+			t.e.leases.kickEndpoint(name)
+		}
 	}
 }
 
@@ -177,6 +209,7 @@
 		return
 	}
 	delete(t.jobs, j.id)
+	delete(t.parked, j.id)
 	if j.record != nil && t.recorded[j.record.key] == j {
 		delete(t.recorded, j.record.key)
 	}
@@ -219,17 +252,17 @@
 		r.Value.queued = false
 		t.finishLocked(r.Value, r.Value.fail(tmrequest.Deadline, "the request waited until its timeout"))
 	}
-	for _, j := range t.jobs {
-		switch {
-		case !fresh && j.queued:
-			t.queue.Remove(j.id)
-			j.queued = false
-			t.finishLocked(j, j.fail(tmrequest.NotFresh, "entry %s is cut off from the table service and its peers", t.e.opts.Name))
-		case j.parkedUntil != 0 && !now.Before(j.parkedUntil):
+	if !fresh {
+		t.refuseQueuedLocked()
+	}
+	for _, j := range t.parked {
+		if !now.Before(j.parkedUntil) {
 			t.unparkLocked(j, now)
 		}
 	}
 	t.picker.Refresh()
+	t.preemptUrgentLocked()
+	t.forwardLocked(now)
 	t.checkStarvedLocked()
 	t.ready.Signal()
 }
@@ -244,16 +277,30 @@
 	}
 }
 
+func (t *tables) refuseQueuedLocked() {
+	for _, j := range t.jobs {
+		if j.queued {
+			t.queue.Remove(j.id)
+			j.queued = false
+			t.finishLocked(j, j.fail(tmrequest.NotFresh, "entry %s is cut off from the table service and its peers", t.e.opts.Name))
+		}
+	}
+}
+
 // parkLocked queues a job again after the given time.
 func (t *tables) parkLocked(j *job, wait tmclock.Span) {
-	j.parkedUntil = t.clock.Now().Add(wait)
+	now := t.clock.Now()
 	if wait <= 0 {
-		t.unparkLocked(j, t.clock.Now())
+		t.unparkLocked(j, now)
+		return
 	}
+	j.parkedUntil = now.Add(wait)
+	t.parked[j.id] = j
 }
 
 func (t *tables) unparkLocked(j *job, now tmclock.Millis) {
 	j.parkedUntil = 0
+	delete(t.parked, j.id)
 	switch {
 	case j.abandoned && j.record == nil:
 		t.finishLocked(j, j.fail(tmrequest.Cancelled, "the caller has gone"))
--- a/io/tmentry/worker.go
+++ b/io/tmentry/worker.go
@@ -162,7 +162,7 @@
 	if !ok || in.Pool() != j.pool || !t.usableLocked(in, l) || !state.Config().Usable(in) {
 		return start{}, &verdict{again: true}
 	}
-	j.attempt, j.address = s.attempt, s.address
+	j.attempt, j.address, j.zone = s.attempt, s.address, s.zone
 	if j.req.Preemptible() {
 		t.tasks.Add(tmshare.Task{ID: s.attempt, Pool: j.pool, Team: j.team, Started: s.sent})
 	}
@@ -329,7 +329,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.tasks.Remove(j.attempt)
-	j.attempt, j.address = "", ""
+	j.attempt, j.address, j.zone = "", "", ""
 	t.queue.Finished(j.pool, j.team)
 	if v.doubt != nil {
 		t.ledger.Quarantine(*v.doubt)
