--- a/io/tmentry/demand.go
+++ b/io/tmentry/demand.go
@@ -133,7 +133,7 @@
 	slots := 0
 	config := t.state.Config()
 	for name, in := range config.Instances().All() {
-		if in.Pool() == pool && config.Usable(in) && t.list.live(name) {
+		if in.Pool() == pool && config.Usable(in) && t.liveLocked(name) {
 			endpoints = append(endpoints, tmroute.EndpointSlots{Name: name, Slots: in.Slots()})
 			slots += in.Slots()
 		}
--- a/io/tmentry/entry.go
+++ b/io/tmentry/entry.go
@@ -67,6 +67,7 @@
 	metrics   *metrics
 	// starved is poked when a team has queued work but no units.
 	starved chan struct{}
+	disabled rules
 	// withdrawn is set when the entry is about to stop.
 	withdrawn atomic.Bool
 
@@ -156,9 +157,14 @@
 	return e.self.Incarnation()
 }
 
+// fresh reports whether the entry may act on its State.
+func (e *Entry) fresh() bool {
+	return e.disabled.freshness.Load() || e.tracker.Fresh()
+}
+
 // Ready reports whether the entry takes work: it is fresh and not stopping.
 func (e *Entry) Ready() bool {
-	return e.tracker.Fresh() && !e.Withdrawn() && !e.tables.isStopping()
+	return e.fresh() && !e.Withdrawn() && !e.tables.isStopping()
 }
 
 // State returns the installed State, or ErrNotFresh before there is one.
--- a/io/tmentry/fleet_test.go
+++ b/io/tmentry/fleet_test.go
@@ -36,6 +36,12 @@
 
 // newFleet starts a platform, four endpoints in zones a and b, and n entries.
 func newFleet(t *testing.T, n int) *fleet {
+	t.Helper()
+	return newFleetWith(t, n, nil)
+}
+
+// newFleetWith is newFleet with a filter of the traffic between entries.
+func newFleetWith(t *testing.T, n int, filter func(from, to string) bool) *fleet {
 	t.Helper()
 	platform := tmfakeplatform.New(tmfakeplatform.Options{})
 	server := httptest.NewServer(platform)
@@ -49,6 +55,7 @@
 		url:       server.URL,
 		endpoints: map[string]*tmfakeendpoint.Endpoint{},
 		addresses: map[string]string{},
+		filter:    filter,
 	}
 	for i := range 4 {
 		f.addEndpoint(fmt.Sprintf("ep-%d", i), string(rune('a'+i%2)))
--- a/io/tmentry/lease.go
+++ b/io/tmentry/lease.go
@@ -104,7 +104,7 @@
 	ticker := time.NewTicker(tmfresh.LeaseRenewEvery.Duration())
 	defer ticker.Stop()
 	for {
-		if k.e.tracker.Fresh() {
+		if k.e.fresh() {
 			k.renew(ctx, name)
 		}
 		select {
@@ -190,7 +190,7 @@
 		id = l.id
 	}
 	running := t.picker.Running(name)
-	if !t.state.Config().Usable(in) || !t.list.live(name) || t.stopping {
+	if !t.state.Config().Usable(in) || !t.liveLocked(name) || t.stopping {
 		return running, id, in.Address()
 	}
 	target := t.targets[in.Pool()].Get(name, t.e.self.Incarnation())
@@ -301,7 +301,7 @@
 // is valid.
 func (t *tables) usableLocked(in tmfleet.Instance, l *lease) bool {
 	return t.state.Config().Usable(in) &&
-		t.list.live(in.Name()) &&
+		t.liveLocked(in.Name()) &&
 		l.state == tmendpoint.Serving &&
 		l.valid(t.clock.Now())
 }
--- a/io/tmentry/list.go
+++ b/io/tmentry/list.go
@@ -38,6 +38,11 @@
 	return !row.Leaving
 }
 
+// liveLocked reports whether the platform's list permits work at an instance.
+func (t *tables) liveLocked(name string) bool {
+	return t.e.disabled.list.Load() || t.list.live(name)
+}
+
 // gone reports whether the instance was listed and no longer is.
 func (l *instanceList) gone(name string) bool {
 	_, listed := l.rows[name]
--- a/io/tmentry/membership.go
+++ b/io/tmentry/membership.go
@@ -44,7 +44,7 @@
 	case m.isLeaving():
 	case !state.Members().Has(m.e.self.Incarnation()):
 		m.join(ctx)
-	case m.e.tracker.Fresh() && m.e.tracker.InForce():
+	case m.e.fresh() && m.e.tracker.InForce():
 		m.removeSilent(ctx)
 	}
 }
@@ -265,7 +265,6 @@
 		return
 	}
 	m.e.tracker.HeartbeatAnswered(member.Incarnation(), sentAt, answer.Version)
-	m.e.tables.peerReported(member.Incarnation(), answer.Demand)
 	if answer.Version > m.e.tracker.State().Version() {
 		m.fetch(ctx, member)
 	}
--- a/io/tmentry/operator.go
+++ b/io/tmentry/operator.go
@@ -146,7 +146,7 @@
 // ends, and reports whether it is.
 func (e *Entry) confirm(ctx context.Context, version uint64) bool {
 	for {
-		if e.tracker.InForceVersion() >= version {
+		if e.tracker.InForceVersion() >= version || e.disabled.confirmation.Load() {
 			return true
 		}
 		e.members.push(ctx)
--- a/io/tmentry/peer.go
+++ b/io/tmentry/peer.go
@@ -15,7 +15,8 @@
 	e *Entry
 }
 
-// Heartbeat implements tmpeer.Handler.
+// Heartbeat implements tmpeer.Handler. The answer has no demand: every entry
+// tells its demand in its own heartbeats.
 func (h peerHandler) Heartbeat(_ context.Context, from tmpeer.Identity, hb tmpeer.Heartbeat) (tmpeer.HeartbeatAnswer, error) {
 	// The peer acknowledges its version by asking. Freshness counts only from
 	// own questions, so the time of the question is left out.
@@ -24,7 +25,6 @@
 	return tmpeer.HeartbeatAnswer{
 		Version:     h.e.tracker.State().Version(),
 		Incarnation: h.e.self.Incarnation(),
-		Demand:      h.e.tables.demand(),
 		Leaving:     h.e.members.isLeaving(),
 	}, nil
 }
--- a/io/tmentry/record.go
+++ b/io/tmentry/record.go
@@ -208,7 +208,7 @@
 // sweepRuns deletes the records that no repetition may ask for any more.
 func (e *Entry) sweepRuns(ctx context.Context) {
 	now := tmclock.Wall()
-	if !e.tracker.Fresh() {
+	if !e.fresh() {
 		return
 	}
 	for _, sweep := range e.runs.due(now, e.tracker.State().Members().Keys()) {
--- a/io/tmentry/slices.go
+++ b/io/tmentry/slices.go
@@ -73,7 +73,7 @@
 		e.metrics.platformErrors.Inc()
 		return err
 	}
-	if !e.tracker.Fresh() {
+	if !e.fresh() {
 		return nil
 	}
 	t := e.tables
--- a/io/tmentry/submit.go
+++ b/io/tmentry/submit.go
@@ -29,7 +29,7 @@
 
 // serve runs a request from a caller or, when forwarded is set, from a peer.
 func (e *Entry) serve(ctx context.Context, r tmrequest.Request, forwarded bool) (tmrequest.Answer, *tmrequest.Error) {
-	if !e.tracker.Fresh() {
+	if !e.fresh() {
 		fail := tmrequest.Refuse(tmrequest.NotFresh, "entry %s is cut off from the table service and its peers", e.opts.Name)
 		return tmrequest.Answer{}, aboutID(r, fail.WithRetryAfter(tmclock.Second))
 	}
--- a/io/tmentry/tables.go
+++ b/io/tmentry/tables.go
@@ -243,7 +243,7 @@
 // tick drops expired jobs, queues parked ones again and wakes the workers. A
 // stale entry refuses all it has queued: others may be able to serve it.
 func (t *tables) tick(context.Context) {
-	fresh := t.e.tracker.Fresh()
+	fresh := t.e.fresh()
 	now := t.clock.Now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/io/tmentry/worker.go
+++ b/io/tmentry/worker.go
@@ -94,7 +94,7 @@
 }
 
 func (t *tables) assignLocked(pool string) (assignment, bool) {
-	r, ok := t.queue.Next(pool, t.ledger)
+	r, ok := t.queue.Next(pool, t.sliceView())
 	if !ok {
 		return assignment{}, false
 	}
@@ -107,7 +107,7 @@
 		AvoidRacks: j.avoidRacks,
 		Idempotent: j.req.Idempotent(),
 	})
-	if !ok || !t.ledger.Acquire(j.team) {
+	if !ok || !t.acquireLocked(j.team) {
 		if ok {
 			t.picker.Release(name)
 		}
@@ -119,10 +119,27 @@
 	return assignment{job: j, endpoint: name, rack: in.Rack()}, true
 }
 
+// unlimited is a SliceView without limits.
+type unlimited struct{}
+
+// Available implements tmshare.SliceView.
+func (unlimited) Available(string) int { return workers }
+
+func (t *tables) sliceView() tmshare.SliceView {
+	if t.e.disabled.slices.Load() {
+		return unlimited{}
+	}
+	return t.ledger
+}
+
+func (t *tables) acquireLocked(team string) bool {
+	return t.ledger.Acquire(team) || t.e.disabled.slices.Load()
+}
+
 // run makes one attempt and settles it.
 func (e *Entry) run(a assignment) {
 	j := a.job
-	if j.record != nil && !j.record.owned {
+	if j.record != nil && !j.record.owned && !e.disabled.record.Load() {
 		if r, ok := e.claim(j); !ok {
 			e.tables.settle(a, verdict{result: r, final: true})
 			return
@@ -149,7 +166,7 @@
 	}
 	s := start{attempt: uuid.NewString(), lease: l.id, nonce: l.nonce, address: l.instance.Address(), zone: l.instance.Zone()}
 	s.sent = t.clock.Now()
-	if !t.e.tracker.Fresh() {
+	if !t.e.fresh() {
 		r := j.fail(tmrequest.NotFresh, "entry %s is cut off from the table service and its peers", t.e.opts.Name)
 		return start{}, &verdict{result: r, final: true}
 	}
