--- a/core/tmwave/next.go
+++ b/core/tmwave/next.go
@@ -98,7 +98,9 @@
 	for _, name := range names {
 		t.emit(name)
 	}
-	t.p.marks = tmfleet.NewTable(t.marks)
+	if !maps.Equal(t.marks, maps.Collect(p.marks.All())) {
+		t.p.marks = tmfleet.NewTable(t.marks)
+	}
 	return t.p, t.steps
 }
 
