--- a/internal/measure/maintenance/waves.go
+++ b/internal/measure/maintenance/waves.go
@@ -43,7 +43,9 @@
 	stuck float64
 	// rackLoss takes one rack down in the middle of the wave.
 	rackLoss bool
-	// leaderLoss ends the leader once; another entry goes on after takeover.
+	// leaderLoss ends the leader once in the second half of the wave, when an
+	// instance of the slowest pool has just come back, which costs most;
+	// another entry goes on after takeover.
 	leaderLoss bool
 }
 
@@ -206,13 +208,44 @@
 	}
 }
 
+// cycles returns the times out of service of a wave without faults, of one
+// pool or, when pool is empty, of all.
+func (f *fleet) cycles(pool string) []tmwave.Cycle {
+	var out []tmwave.Cycle
+	for _, b := range f.boxes {
+		if pool == "" || b.in.Pool() == pool {
+			out = append(out, tmwave.Cycle{Pool: b.in.Pool(), Zone: b.in.Zone(), Length: b.drain + b.reboot})
+		}
+	}
+	return out
+}
+
 // bound returns the lower bound for a wave without faults.
 func (f *fleet) bound(zones bool) tmclock.Span {
-	var cycles []tmwave.Cycle
-	for _, b := range f.boxes {
-		cycles = append(cycles, tmwave.Cycle{Pool: b.in.Pool(), Zone: b.in.Zone(), Length: b.drain + b.reboot})
+	return tmwave.LowerBound(f.cycles(""), f.budgets, zones)
+}
+
+// slowest returns the pool with the highest lower bound.
+func (f *fleet) slowest() string {
+	best, longest := "", tmclock.Span(0)
+	for _, pool := range f.cfg.Pools().Keys() {
+		if d := tmwave.LowerBound(f.cycles(pool), f.budgets, true); d > longest {
+			best, longest = pool, d
+		}
+	}
+	return best
+}
+
+// returning reports whether an instance of the pool is back from its reboot
+// and not yet marked as serving.
+func (f *fleet) returning(pool string) bool {
+	for name, b := range f.boxes {
+		in, _ := f.cfg.Instances().Get(name)
+		if b.in.Pool() == pool && b.boots > 1 && in.Duty() == tmfleet.Rebooting {
+			return true
+		}
 	}
-	return tmwave.LowerBound(cycles, f.budgets, zones)
+	return false
 }
 
 // waveResult is one measured wave.
@@ -231,6 +264,7 @@
 	}
 	p := tmwave.NewProgress(plan)
 	runner := tmwave.NewRunner(plan, f.clock)
+	slowest := f.slowest()
 	middle := f.clock.Now().Add(f.bound(true) / 2)
 	var idle tmclock.Millis
 	for f.clock.Now() < tmclock.Millis(24*tmclock.Hour) && !p.Ended() {
@@ -240,10 +274,10 @@
 			if out.rackLoss {
 				f.loseRack(rng)
 			}
-			if out.leaderLoss {
-				idle = now.Add(takeover)
-				runner = tmwave.NewRunner(plan, f.clock)
-			}
+		}
+		if out.leaderLoss && idle == 0 && now >= middle && f.returning(slowest) {
+			idle = now.Add(takeover)
+			runner = tmwave.NewRunner(plan, f.clock)
 		}
 		if now < idle {
 			continue
