--- a/core/tmmove/ahead.go
+++ b/core/tmmove/ahead.go
@@ -113,8 +113,10 @@
 	// is taken for an early return.
 	returned = 0.5
 	// urgentReserve is the multiple of the urgent work of a return that is kept
-	// on. On full instances urgent work starts only when a task ends; with
-	// tasks of 4 s, twice the mean made a part of it wait for more than 1 s.
+	// on. On full instances urgent work starts only when a task ends. With
+	// tasks of 4 s and a return 8 to 30 h early, the part that waits for more
+	// than 1 s was 4.6% at twice the mean, 0.2% at four times and 0 at five
+	// times (worst of 7 seeds).
 	urgentReserve = 5
 	// margin is added to the time of a start.
 	margin = 5 * tmclock.Minute
