--- /dev/null
+++ b/model/check.sh
@@ -0,0 +1,54 @@
+#!/bin/sh
+# check.sh searches the model of freshness whole, and expects each variant with
+# a broken rule to be rejected by an assertion.
+set -u
+here=$(cd "$(dirname "$0")" && pwd)
+work=$(mktemp -d) || exit 1
+trap 'rm -rf "$work"' EXIT INT TERM
+failed=0
+
+# search NAME DEFINE... builds and runs one variant; its output is in NAME/out.
+search() {
+	name=$1
+	shift
+	mkdir "$work/$name" && cp "$here/freshness.pml" "$work/$name/" || return 1
+	(
+		cd "$work/$name" &&
+			spin "$@" -a freshness.pml >build 2>&1 &&
+			gcc -w -O2 -DSAFETY -DCOLLAPSE -DMEMLIM=2000 -o pan pan.c >>build 2>&1 &&
+			./pan -m100000 >out 2>&1
+	) || return 1
+}
+
+# passes NAME DEFINE... expects a complete search without errors.
+passes() {
+	search "$@"
+	out=$work/$1/out
+	if grep -q 'errors: 0' "$out" 2>/dev/null &&
+		! grep -q -e 'Search not completed' -e 'max search depth too small' "$out"; then
+		echo "ok    $1: $(grep 'states, stored' "$out" | tr -s ' ')"
+	else
+		echo "FAIL  $1: expected a complete search without errors"
+		failed=1
+	fi
+}
+
+# rejects NAME expects a violated assertion in the variant.
+rejects() {
+	search "$1" "-D$1"
+	if grep -q 'assertion violated' "$work/$1/out" 2>/dev/null; then
+		echo "ok    $1: rejected"
+	else
+		echo "FAIL  $1: expected a violated assertion"
+		failed=1
+	fi
+}
+
+passes F1 -DF=1
+passes F2 -DF=2
+for rule in NO_WAIT NO_QUESTION_TIME NO_ANSWER_VERSION NO_TABLE_VERSION \
+	NO_MAJORITY NO_PREVIOUS NO_MEMBER_CHECK NO_IN_FORCE NO_CAS \
+	ACK_BEFORE_INSTALL GONE_BY_SILENCE; do
+	rejects "$rule"
+done
+exit $failed
