--- a/io/tmpeer/failure_test.go
+++ b/io/tmpeer/failure_test.go
@@ -37,6 +37,20 @@
 	assert.Equal(t, other.Found.Incarnation, "b-2")
 }
 
+// Guards against a new member that is reported as gone because the connection
+// to its predecessor at the same address is still open.
+func TestOldConnectionDoesNotSpeakForNewMember(t *testing.T) {
+	t.Parallel()
+	a, _, _, mb := pair(t, nil)
+	answers(t, a, mb)
+	p, err := a.peerAt(mb.Address())
+	assert.NilError(t, err)
+	p.mu.Lock()
+	p.link = &link{conn: p.link.conn, dial: p.link.dial, found: Identity{Entry: "b", Incarnation: "b-0"}}
+	p.mu.Unlock()
+	assert.NilError(t, beat(a, mb))
+}
+
 func beat(n *Node, m tmfleet.Member) error {
 	_, err := n.Heartbeat(context.Background(), m, Heartbeat{Version: 1})
 	return err
--- a/io/tmpeer/peer.go
+++ b/io/tmpeer/peer.go
@@ -32,6 +32,7 @@
 type link struct {
 	conn  *jsonrpc2.Conn
 	found Identity
+	dial  uint64
 }
 
 func (l *link) alive() bool {
@@ -53,6 +54,7 @@
 	closed   bool
 	link     *link
 	dialing  chan struct{}
+	dials    uint64
 	failure  error
 	backOff  tmclock.Span
 	retryAt  tmclock.Millis
@@ -114,12 +116,13 @@
 		return nil, nil, p.failure
 	}
 	p.dialing = make(chan struct{})
-	go p.dial(entry)
+	p.dials++
+	go p.dial(entry, p.dials)
 	return nil, p.dialing, nil
 }
 
 // dial opens a connection and records the result.
-func (p *peer) dial(entry string) {
+func (p *peer) dial(entry string, number uint64) {
 	ctx, cancel := context.WithTimeout(p.node.ctx, handshakeTimeout)
 	defer cancel()
 	l, err := p.open(ctx, entry)
@@ -128,6 +131,7 @@
 	defer close(p.dialing)
 	p.timeouts = 0
 	if err == nil {
+		l.dial = number
 		p.link = l
 		p.backOff = 0
 	} else {
@@ -187,12 +191,9 @@
 	if err != nil {
 		return notSent(err)
 	}
-	l, err := p.acquire(ctx, to.Name())
+	l, err := p.reach(ctx, to)
 	if err != nil {
-		return notSent(err)
-	}
-	if to.Incarnation() != "" && to.Incarnation() != l.found.Incarnation {
-		return &IncarnationError{Expected: to.Incarnation(), Found: l.found}
+		return err
 	}
 	waiter, err := l.conn.DispatchCall(ctx, method, question)
 	if err != nil {
@@ -203,6 +204,39 @@
 	return callError(err)
 }
 
+// reach returns a connection to the process that to names. An open connection
+// may lead to a process that has ended since, and whose end has not been
+// noticed; only a dial that began after this call proves that another process
+// has the address. Otherwise a new member would be reported as gone.
+func (p *peer) reach(ctx context.Context, to tmfleet.Member) (*link, error) {
+	p.mu.Lock()
+	before := p.dials
+	p.mu.Unlock()
+	for {
+		l, err := p.acquire(ctx, to.Name())
+		if err != nil {
+			return nil, notSent(err)
+		}
+		if to.Incarnation() == "" || to.Incarnation() == l.found.Incarnation {
+			return l, nil
+		}
+		if l.dial > before {
+			return nil, &IncarnationError{Expected: to.Incarnation(), Found: l.found}
+		}
+		p.drop(l)
+	}
+}
+
+// drop closes a connection, so that the next call dials.
+func (p *peer) drop(l *link) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.link == l {
+		p.link = nil
+	}
+	_ = l.conn.Close()
+}
+
 func notSent(err error) error {
 	return fmt.Errorf("%w: %w", ErrNotSent, err)
 }
@@ -212,10 +246,14 @@
 func (p *peer) finished(l *link, err error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if !errors.Is(err, context.DeadlineExceeded) {
+	var answered *jsonrpc2.Error
+	if err == nil || errors.As(err, &answered) {
 		p.timeouts = 0
 		return
 	}
+	if !errors.Is(err, context.DeadlineExceeded) {
+		return
+	}
 	p.timeouts++
 	if p.timeouts >= timeoutsBeforeRedial && p.link == l {
 		p.link = nil
