--- a/io/tmpeer/bench_test.go
+++ b/io/tmpeer/bench_test.go
@@ -31,7 +31,7 @@
 func BenchmarkHeartbeat(b *testing.B) {
 	for _, cells := range []int{30, 600} {
 		hb := Heartbeat{Version: 123456, Demand: demandOf(cells)}
-		body, err := json.Marshal(hb)
+		body, err := json.Marshal(wireHeartbeat{Version: hb.Version, Demand: encodeDemand(hb.Demand)})
 		assert.NilError(b, err)
 		for _, members := range []int{9, 32} {
 			b.Run(fmt.Sprintf("members=%d/cells=%d", members, cells), func(b *testing.B) {
--- a/io/tmpeer/call.go
+++ b/io/tmpeer/call.go
@@ -39,14 +39,24 @@
 func (n *Node) Heartbeat(ctx context.Context, to tmfleet.Member, hb Heartbeat) (HeartbeatAnswer, error) {
 	ctx, cancel := context.WithTimeout(ctx, shortCall)
 	defer cancel()
-	var answer HeartbeatAnswer
-	if err := n.call(ctx, to, methodHeartbeat, hb, &answer); err != nil {
+	var answer wireHeartbeatAnswer
+	question := wireHeartbeat{Version: hb.Version, Demand: encodeDemand(hb.Demand), Leaving: hb.Leaving}
+	if err := n.call(ctx, to, methodHeartbeat, question, &answer); err != nil {
 		return HeartbeatAnswer{}, err
 	}
 	if to.Incarnation() != "" && answer.Incarnation != to.Incarnation() {
 		return HeartbeatAnswer{}, fmt.Errorf("%w: heartbeat answered by incarnation %q", ErrProtocol, answer.Incarnation)
 	}
-	return answer, nil
+	demand, err := decodeDemand(answer.Demand)
+	if err != nil {
+		return HeartbeatAnswer{}, err
+	}
+	return HeartbeatAnswer{
+		Version:     answer.Version,
+		Incarnation: answer.Incarnation,
+		Demand:      demand,
+		Leaving:     answer.Leaving,
+	}, nil
 }
 
 // Fetch asks a member for its State.
--- a/io/tmpeer/fuzz_test.go
+++ b/io/tmpeer/fuzz_test.go
@@ -41,6 +41,8 @@
 	for _, body := range []string{
 		`{"jsonrpc":"2.0","id":1,"method":"peer.hello","params":{"entry":"x","incarnation":"y","nonce":""}}`,
 		`{"jsonrpc":"2.0","id":1,"method":"peer.heartbeat","params":{"version":1,"demand":{"cells":[]}}}`,
+		`{"jsonrpc":"2.0","id":1,"method":"peer.heartbeat","params":{"demand":{"pools":["p"],"cells":[0,-1,2,3]}}}`,
+		`{"jsonrpc":"2.0","id":1,"method":"peer.heartbeat","params":{"demand":{"cells":[1]}}}`,
 		`{"jsonrpc":"2.0","id":1,"method":"state.push","params":{"state":{"version":1}}}`,
 		`{"jsonrpc":"2.0","id":1,"result":null}`, `{"id":null,"error":{}}`, `[]`, `[{"method":"x"}]`,
 	} {
--- a/io/tmpeer/message.go
+++ b/io/tmpeer/message.go
@@ -15,38 +15,38 @@
 
 // Cell is the demand of one team for one pool at one entry.
 type Cell struct {
-	Pool    string `json:"pool"`
-	Team    string `json:"team"`
-	Queued  int    `json:"queued,omitempty"`
-	Running int    `json:"running,omitempty"`
+	Pool    string
+	Team    string
+	Queued  int
+	Running int
 }
 
 // Units is the number of units of a team's limit that an entry holds and does
 // not use.
 type Units struct {
-	Team   string `json:"team"`
-	Unused int    `json:"unused"`
+	Team   string
+	Unused int
 }
 
 // Demand is what an entry tells the others about its queues.
 type Demand struct {
-	Cells []Cell  `json:"cells"`
-	Units []Units `json:"units"`
+	Cells []Cell
+	Units []Units
 }
 
 // Heartbeat is the question that keeps entries fresh.
 type Heartbeat struct {
-	Version uint64 `json:"version"`
-	Demand  Demand `json:"demand"`
-	Leaving bool   `json:"leaving,omitempty"`
+	Version uint64
+	Demand  Demand
+	Leaving bool
 }
 
 // HeartbeatAnswer is what the asked entry says about itself.
 type HeartbeatAnswer struct {
-	Version     uint64 `json:"version"`
-	Incarnation string `json:"incarnation"`
-	Demand      Demand `json:"demand"`
-	Leaving     bool   `json:"leaving,omitempty"`
+	Version     uint64
+	Incarnation string
+	Demand      Demand
+	Leaving     bool
 }
 
 // StatusQuestion asks for a request that the asked entry may own.
--- a/io/tmpeer/serve.go
+++ b/io/tmpeer/serve.go
@@ -222,8 +222,8 @@
 	h := in.node.opts.Handler
 	switch req.Method {
 	case methodHeartbeat:
-		return ask(req, func(hb Heartbeat) (HeartbeatAnswer, error) {
-			return h.Heartbeat(ctx, in.from, hb)
+		return ask(req, func(w wireHeartbeat) (wireHeartbeatAnswer, error) {
+			return in.heartbeat(ctx, w)
 		})
 	case methodFetch:
 		return in.fetch(ctx)
@@ -257,6 +257,21 @@
 	return f(q)
 }
 
+func (in *inbound) heartbeat(ctx context.Context, w wireHeartbeat) (wireHeartbeatAnswer, error) {
+	demand, err := decodeDemand(w.Demand)
+	if err != nil {
+		return wireHeartbeatAnswer{}, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: err.Error()}
+	}
+	question := Heartbeat{Version: w.Version, Demand: demand, Leaving: w.Leaving}
+	a, err := in.node.opts.Handler.Heartbeat(ctx, in.from, question)
+	return wireHeartbeatAnswer{
+		Version:     a.Version,
+		Incarnation: a.Incarnation,
+		Demand:      encodeDemand(a.Demand),
+		Leaving:     a.Leaving,
+	}, err
+}
+
 func (in *inbound) fetch(ctx context.Context) (any, error) {
 	state, err := in.node.opts.Handler.Fetch(ctx, in.from)
 	if err != nil {
