core/tmshare: targets between heartbeats

Cause: all entries saw the same deficit of a team in the last reports and each made up for the whole of it, so small teams overshot. Change: Rebalance bounds what an entry corrects until the next heartbeat; Potential gives the bound for teams that are limited by their demand.

--- a/core/tmroute/picker.go
+++ b/core/tmroute/picker.go
@@ -45,6 +45,7 @@
 	health *Health
 	ramps  *Ramps
 	byName map[string]*slot
+	all    []*slot
 	ready  map[string][]*slot
 	probes map[string][]*slot
 }
@@ -79,6 +80,7 @@
 	if !ok {
 		s = &slot{pos: notReady}
 		p.byName[e.Name] = s
+		p.all = append(p.all, s)
 	}
 	if s.Pool != e.Pool {
 		p.drop(s)
@@ -96,6 +98,7 @@
 	}
 	p.drop(s)
 	delete(p.byName, name)
+	p.all = slices.DeleteFunc(p.all, func(o *slot) bool { return o == s })
 	p.health.leave(name)
 }
 
@@ -148,7 +151,7 @@
 // Refresh lists endpoints again whose health or ramp has changed with time. It
 // takes O(endpoints) and is due with every renewal round.
 func (p *Picker) Refresh() {
-	for _, s := range p.byName {
+	for _, s := range p.all {
 		p.list(s)
 	}
 }
--- a/core/tmshare/divide.go
+++ b/core/tmshare/divide.go
@@ -41,6 +41,34 @@
 	return out
 }
 
+// Potential returns about how much each team would get if its demand had no
+// bound and all others stayed as they are, given the result of Divide. It is
+// infinite for all when capacity is left over.
+func Potential(capacity float64, claims []Claim, parts []float64) []float64 {
+	level, used := 0.0, 0.0
+	for i, c := range claims {
+		used += parts[i]
+		if c.Share > 0 && parts[i] < c.most() {
+			level = max(level, parts[i]/c.Share)
+		}
+	}
+	out := make([]float64, len(claims))
+	for i, c := range claims {
+		wanted := level * c.Share
+		switch {
+		case level == 0 || used < capacity*(1-1e-9):
+			out[i] = math.Inf(1)
+		case wanted <= parts[i]:
+			out[i] = parts[i]
+		default:
+			// What the team gets more, all others give up in proportion.
+			out[i] = wanted * capacity / (capacity + wanted - parts[i])
+		}
+		out[i] = min(out[i], c.Limit)
+	}
+	return out
+}
+
 // Apportion divides total into whole parts in proportion to the weights by the
 // method of the largest remainder. The parts add up to total unless all
 // weights are 0. On a tie the first gets more.
--- a/core/tmshare/usage.go
+++ b/core/tmshare/usage.go
@@ -1,6 +1,13 @@
 package tmshare
 
-import "turmericmoor/core/tmfleet"
+import (
+	"maps"
+	"math"
+	"math/rand/v2"
+	"slices"
+
+	"turmericmoor/core/tmfleet"
+)
 
 // Usage has the number of running tasks of each team in the whole fleet: the
 // exact count of this entry plus the counts that its peers last reported. A
@@ -17,6 +24,9 @@
 	share  int64
 	own    int
 	peers  int
+	// target is the own count from which the team stands behind others that
+	// are below theirs.
+	target int
 	served uint64
 	dirty  bool
 }
@@ -65,6 +75,35 @@
 	delete(u.peers, peer)
 }
 
+// correction is the part of a deviation that is corrected between two
+// heartbeats. Half of what peers have corrected already is not yet reported,
+// so correcting all of it would overshoot.
+const correction = 0.6
+
+// Rebalance sets how far this entry may move each team's count until the next
+// call, which is due with each heartbeat. Without it, all entries see the same
+// deficit of a team and each of them makes up for the whole of it. Potential is
+// what each team may run in the fleet when it has work, see the function of
+// that name. Part is this entry's part in the correction of a team, such as its
+// part of the team's queued requests; the parts of all entries add up to 1.
+// Teams without a finite potential get no target. Targets decide only between
+// teams: a slot never stays idle for them.
+func (u *Usage) Rebalance(potential Entitlements, part func(team string) float64, rng *rand.Rand) {
+	for _, name := range slices.Sorted(maps.Keys(u.teams)) {
+		use := u.teams[name]
+		want, ok := potential[name]
+		target := math.MaxInt
+		if ok && !math.IsInf(want, 1) {
+			move := (want - float64(use.running())) * correction * part(name)
+			target = use.own + int(math.Floor(move+rng.Float64()))
+		}
+		if target != use.target {
+			use.target = target
+			u.mark(use)
+		}
+	}
+}
+
 // Running returns the number of tasks that the team runs in the whole fleet.
 func (u *Usage) Running(team string) int {
 	use, ok := u.teams[team]
@@ -86,7 +125,7 @@
 func (u *Usage) team(name string) *teamUse {
 	use, ok := u.teams[name]
 	if !ok {
-		use = &teamUse{name: name}
+		use = &teamUse{name: name, target: math.MaxInt}
 		u.teams[name] = use
 	}
 	return use
@@ -122,12 +161,18 @@
 
 func (t *teamUse) running() int { return t.own + t.peers }
 
-// before reports whether t is served before o: the smaller running/share
-// first, then the team that was served longer ago.
+// below reports whether the team may grow at this entry.
+func (t *teamUse) below() bool { return t.own < t.target }
+
+// before reports whether t is served before o: teams below their target first,
+// then the smaller running/share, then the team that was served longer ago.
 func (t *teamUse) before(o *teamUse) bool {
 	if (t.share > 0) != (o.share > 0) {
 		return t.share > 0
 	}
+	if t.below() != o.below() {
+		return t.below()
+	}
 	left := int64(t.running()) * max(o.share, 1)
 	right := int64(o.running()) * max(t.share, 1)
 	if left != right {
