core/tmshare: order repaired after several changes at a time

Change: lanes keep a copy of their key, which changes together with the repair. Figures: the new test fails on the commit before (wrong team chosen) and passes now.

--- a/core/tmshare/lane.go
+++ b/core/tmshare/lane.go
@@ -6,6 +6,7 @@
 // out. It is in the heap of its pool while it has requests and isn't parked.
 type lane[T any] struct {
 	use    *teamUse
+	key    key
 	home   *order[T]
 	head   *node[T]
 	tail   *node[T]
@@ -67,6 +68,7 @@
 func (o *order[T]) settle(l *lane[T]) {
 	wanted := l.head != nil && !l.parked
 	if wanted && l.pos == notInHeap {
+		l.key = l.use.key()
 		heap.Push(o, l)
 	}
 	if !wanted && l.pos != notInHeap {
@@ -80,6 +82,7 @@
 // fix restores the order after a change of the usage of the lane's team.
 func (o *order[T]) fix(l *lane[T]) {
 	if l.pos != notInHeap {
+		l.key = l.use.key()
 		heap.Fix(o, l.pos)
 	}
 }
@@ -120,7 +123,7 @@
 // Len, Less, Swap, Push and Pop implement heap.Interface.
 func (o *order[T]) Len() int { return len(o.lanes) }
 
-func (o *order[T]) Less(i, j int) bool { return o.lanes[i].use.before(o.lanes[j].use) }
+func (o *order[T]) Less(i, j int) bool { return o.lanes[i].key.before(o.lanes[j].key) }
 
 func (o *order[T]) Swap(i, j int) {
 	o.lanes[i], o.lanes[j] = o.lanes[j], o.lanes[i]
--- a/core/tmshare/queue_test.go
+++ b/core/tmshare/queue_test.go
@@ -146,6 +146,44 @@
 	assert.Assert(t, started >= 4 && started <= 16, "9 entries started %d tasks for a deficit of 10", started)
 }
 
+// TestOrderAfterManyChanges compares each choice with the smallest key of all
+// teams. It guards against a heap that is not repaired when a heartbeat changes
+// the counts of several teams at a time.
+func TestOrderAfterManyChanges(t *testing.T) {
+	rng := newRand(t)
+	shares, all := map[string]int{}, units{}
+	for i := range 40 {
+		shares[fmt.Sprint(i)] = 1 + i%5
+		all[fmt.Sprint(i)] = 1
+	}
+	q, usage, _ := newTestQueue(shares)
+	for team := range shares {
+		push(t, q, team, team, false)
+	}
+	for range 2000 {
+		counts, potential := map[string]int{}, Entitlements{}
+		for i := range 40 {
+			counts[fmt.Sprint(i)] = rng.IntN(30)
+			potential[fmt.Sprint(i)] = float64(rng.IntN(30))
+		}
+		usage.Report("peer", counts)
+		usage.Rebalance(potential, func(string) float64 { return 0.1 }, rng)
+		best := usage.team("0")
+		for team := range shares {
+			if usage.team(team).key().before(best.key()) {
+				best = usage.team(team)
+			}
+		}
+		r, ok := q.Next("p", all)
+		assert.Assert(t, ok)
+		assert.Equal(t, r.Team, best.name)
+		if rng.IntN(2) == 0 {
+			q.Finished("p", r.Team)
+		}
+		assert.NilError(t, q.Push(r))
+	}
+}
+
 // TestUrgentFirstAndInOrder guards against urgent work that waits, and against
 // requests of one team that overtake each other.
 func TestUrgentFirstAndInOrder(t *testing.T) {
--- a/core/tmshare/usage.go
+++ b/core/tmshare/usage.go
@@ -161,25 +161,43 @@
 
 func (t *teamUse) running() int { return t.own + t.peers }
 
-// below reports whether the team may grow at this entry.
-func (t *teamUse) below() bool { return t.own < t.target }
+// key orders the lanes of a heap. It is a copy, because a heap whose keys change
+// in several places at a time can't be repaired place by place.
+type key struct {
+	// below is whether the team may grow at this entry.
+	below          bool
+	running, share int64
+	served         uint64
+	name           string
+}
+
+func (t *teamUse) key() key {
+	return key{
+		below:   t.own < t.target,
+		running: int64(t.running()),
+		share:   t.share,
+		served:  t.served,
+		name:    t.name,
+	}
+}
 
-// before reports whether t is served before o: teams below their target first,
+// before reports whether k is served before o: teams below their target first,
 // then the smaller running/share, then the team that was served longer ago.
-func (t *teamUse) before(o *teamUse) bool {
-	if (t.share > 0) != (o.share > 0) {
-		return t.share > 0
+// Teams without a share come last.
+func (k key) before(o key) bool {
+	if (k.share > 0) != (o.share > 0) {
+		return k.share > 0
 	}
-	if t.below() != o.below() {
-		return t.below()
+	if k.below != o.below {
+		return k.below
 	}
-	left := int64(t.running()) * max(o.share, 1)
-	right := int64(o.running()) * max(t.share, 1)
+	left := k.running * max(o.share, 1)
+	right := o.running * max(k.share, 1)
 	if left != right {
 		return left < right
 	}
-	if t.served != o.served {
-		return t.served < o.served
+	if k.served != o.served {
+		return k.served < o.served
 	}
-	return t.name < o.name
+	return k.name < o.name
 }
