--- a/cmd/tmmeasure/report.go
+++ b/cmd/tmmeasure/report.go
@@ -27,8 +27,11 @@
 whole fleet, one zone stops answering for 25 s, and the best is all slots that
 are up.
 
-Median and worst of %d seeds; kept seeds were not run before the policy was
-final.
+The urgent runs have the same tasks in both shapes, which differ only in zones;
+requests that expire after 30 s in a queue are not counted there.
+
+Median and worst of %d seeds, which were used while the policy was made. The kept
+seeds 201 and 202 were not run before it was final.
 
 `
 
--- a/cmd/tmmeasure/scenario.go
+++ b/cmd/tmmeasure/scenario.go
@@ -13,7 +13,7 @@
 // final.
 var (
 	usedSeeds = []uint64{1, 2, 3, 4, 5, 6, 7}
-	keptSeeds = []uint64{101, 102}
+	keptSeeds = []uint64{201, 202}
 )
 
 // parallelRuns bounds the runs at a time, because the machine is shared.
