--- a/io/tmcaller/client.go
+++ b/io/tmcaller/client.go
@@ -19,8 +19,8 @@
 // for the answer, so that the refusal of the entry arrives.
 const answerGrace = 5 * time.Second
 
-// maxConnsPerEntry bounds the connections of a Client to one entry.
-const maxConnsPerEntry = 256
+// defaultConns bounds the connections of a Client to one entry.
+const defaultConns = 256
 
 // Client submits requests to one entry. It is safe for concurrent use.
 type Client struct {
@@ -32,9 +32,15 @@
 // NewClient returns a Client for the entry at base, for example
 // "http://127.0.0.1:7001".
 func NewClient(base string) *Client {
+	return NewClientConns(base, defaultConns)
+}
+
+// NewClientConns returns a Client that opens at most conns connections. More
+// requests wait for one of them.
+func NewClientConns(base string, conns int) *Client {
 	transport := &http.Transport{
-		MaxConnsPerHost:     maxConnsPerEntry,
-		MaxIdleConnsPerHost: maxConnsPerEntry,
+		MaxConnsPerHost:     conns,
+		MaxIdleConnsPerHost: conns,
 		IdleConnTimeout:     30 * time.Second,
 	}
 	return &Client{
@@ -44,30 +50,52 @@
 	}
 }
 
+// Reply is what an entry says about one request.
+type Reply struct {
+	// RequestID is the id under which the entry knows the request, or "" when
+	// no answer arrived.
+	RequestID string
+	Answer    tmrequest.Answer
+	// Fail is nil when there is an Answer.
+	Fail *tmrequest.Error
+	// Cut is set when the connection broke before the whole answer arrived.
+	Cut bool
+}
+
 // Submit sends one request with the given key, which may be empty for queues
 // that are open to all, and returns the answer. The error is a
 // *tmrequest.Error, also when the entry can't be reached.
 func (c *Client) Submit(ctx context.Context, key string, r tmrequest.Request) (tmrequest.Answer, error) {
+	reply := c.Call(ctx, key, r)
+	if reply.Fail != nil {
+		return tmrequest.Answer{}, reply.Fail
+	}
+	return reply.Answer, nil
+}
+
+// Call is like Submit and also returns the id of the request.
+func (c *Client) Call(ctx context.Context, key string, r tmrequest.Request) Reply {
 	ctx, cancel := context.WithTimeout(ctx, r.Timeout().Duration()+answerGrace)
 	defer cancel()
 	hr, err := c.newRequest(ctx, key, r)
 	if err != nil {
-		return tmrequest.Answer{}, tmrequest.Refuse(tmrequest.BadRequest, "%v", err)
+		return Reply{Fail: tmrequest.Refuse(tmrequest.BadRequest, "%v", err)}
 	}
 	resp, err := c.http.Do(hr)
 	if err != nil {
-		return tmrequest.Answer{}, tmrequest.NewError(tmrequest.AnswerLost, tmonce.Unknown, "%v", err)
+		return Reply{Fail: tmrequest.NewError(tmrequest.AnswerLost, tmonce.Unknown, "%v", err), Cut: true}
 	}
 	defer func() { _ = resp.Body.Close() }()
+	id := resp.Header.Get(HeaderRequestID)
 	body, err := io.ReadAll(io.LimitReader(resp.Body, tmrequest.MaxAnswerBytes))
 	if err != nil {
-		return tmrequest.Answer{}, tmrequest.NewError(tmrequest.AnswerBroken, tmonce.Unknown, "%v", err)
+		return Reply{RequestID: id, Fail: tmrequest.NewError(tmrequest.AnswerBroken, tmonce.Unknown, "%v", err), Cut: true}
 	}
 	if resp.StatusCode != http.StatusOK {
-		return tmrequest.Answer{}, readError(resp.StatusCode, body)
+		return Reply{RequestID: id, Fail: readError(resp.StatusCode, body)}
 	}
 	replayed := resp.Header.Get(HeaderReplayed) == "true"
-	return tmrequest.NewAnswer(resp.Header.Get("Content-Type"), body, replayed), nil
+	return Reply{RequestID: id, Answer: tmrequest.NewAnswer(resp.Header.Get("Content-Type"), body, replayed)}
 }
 
 func (c *Client) newRequest(ctx context.Context, key string, r tmrequest.Request) (*http.Request, error) {
