--- /dev/null
+++ b/cmd/tmload/main_test.go
@@ -0,0 +1,84 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+func write(t *testing.T, name, text string) string {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), name)
+	assert.NilError(t, os.WriteFile(path, []byte(text), 0o600))
+	return path
+}
+
+// Guards against a judge whose exit code hides violations.
+func TestJudgeExitCode(t *testing.T) {
+	const events = `{"events":[
+		{"at_ms":1000,"event":"start","attempt":"x","request_id":"r","team":"crews","queue":"scans","zone":"a"},
+		{"at_ms":2000,"event":"end","attempt":"x","request_id":"r","team":"crews","queue":"scans","zone":"a"}]}`
+	submission := `{"team":"crews","queue":"scans","echo":"e","request_id":"r","code":%q,"outcome":%q,"answer_echo":"e","answer_id":"r"}`
+	cases := []struct {
+		code, outcome, flags string
+		want                 int
+	}{
+		{"ok", "ran", "--limit crews=1 --complete", exitDone},
+		{"ok", "ran", "--limit crews=0", exitViolation},
+		{"deadline", "not_run", "", exitViolation},
+		{"ok", "ran", "--zone-out a=-4001", exitFailed},
+		{"ok", "ran", "--zone-out a=1000-900", exitFailed},
+		{"ok", "ran", "--limit crews", exitFailed},
+	}
+	for _, c := range cases {
+		line := fmt.Sprintf("judge --journal %s --events %s %s",
+			write(t, "journal.jsonl", fmt.Sprintf(submission, c.code, c.outcome)), write(t, "events.json", events), c.flags)
+		var out, errOut bytes.Buffer
+		assert.Equal(t, run(context.Background(), strings.Fields(line), &out, &errOut), c.want, out.String()+errOut.String())
+	}
+	var out, errOut bytes.Buffer
+	assert.Equal(t, run(context.Background(), []string{"judge"}, &out, &errOut), exitFailed)
+}
+
+// Guards against a load file whose mistakes are ignored, so that another load
+// is measured than the file says.
+func TestLoadFile(t *testing.T) {
+	good := `[load]
+entries = http://127.0.0.1:1 http://127.0.0.1:2
+duration = 5s
+seed = 7
+[stream scans]
+team = crews
+queue = scans
+rate = 2.5
+run = uniform:10ms-20ms
+own_ids = true
+retries = 2
+`
+	plan, err := readPlan(write(t, "load.ini", good))
+	assert.NilError(t, err)
+	assert.Equal(t, len(plan.Entries), 2)
+	assert.Equal(t, plan.Duration, 5*time.Second)
+	assert.Equal(t, plan.Streams[0].Rate, 2.5)
+	assert.Assert(t, plan.Streams[0].OwnIDs)
+	for edit, want := range map[string]string{
+		"rate = 2.5 -> rate = fast":        "rate",
+		"own_ids -> owned":                 `unknown key "owned"`,
+		"[stream scans] -> [queue scans]":  "unknown section",
+		"team = crews -> key_file = none":  "key_file",
+		"run = uniform -> run = triangles": "expected fixed",
+	} {
+		from, to, _ := strings.Cut(edit, " -> ")
+		_, err := readPlan(write(t, "load.ini", strings.Replace(good, from, to, 1)))
+		assert.ErrorContains(t, err, want)
+	}
+	_, err = parseStream("name=a,queue")
+	assert.ErrorContains(t, err, "key=value")
+}
--- a/io/tmcaller/client.go
+++ b/io/tmcaller/client.go
@@ -3,8 +3,10 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -58,6 +60,9 @@
 	Answer    tmrequest.Answer
 	// Fail is nil when there is an Answer.
 	Fail *tmrequest.Error
+	// Unsent is set when no connection to the entry could be opened, so that the
+	// request never left.
+	Unsent bool
 	// Cut is set when the connection broke before the whole answer arrived.
 	Cut bool
 }
@@ -83,7 +88,10 @@
 	}
 	resp, err := c.http.Do(hr)
 	if err != nil {
-		return Reply{Fail: tmrequest.NewError(tmrequest.AnswerLost, tmonce.Unknown, "%v", err), Cut: true}
+		// An earlier submission of the same id may have run, so the outcome is
+		// unknown even when this one was not sent.
+		fail := tmrequest.NewError(tmrequest.AnswerLost, tmonce.Unknown, "%v", err)
+		return Reply{Fail: fail, Unsent: isDialError(err), Cut: !isDialError(err)}
 	}
 	defer func() { _ = resp.Body.Close() }()
 	id := resp.Header.Get(HeaderRequestID)
@@ -98,6 +106,11 @@
 	return Reply{RequestID: id, Answer: tmrequest.NewAnswer(resp.Header.Get("Content-Type"), body, replayed)}
 }
 
+func isDialError(err error) bool {
+	var failed *net.OpError
+	return errors.As(err, &failed) && failed.Op == "dial"
+}
+
 func (c *Client) newRequest(ctx context.Context, key string, r tmrequest.Request) (*http.Request, error) {
 	target := c.base + "/v1/queues/" + url.PathEscape(r.Queue()) + "/requests"
 	hr, err := http.NewRequestWithContext(ctx, http.MethodPost, target, bytes.NewReader(r.Body()))
