internal/harness: fleets of real processes for tests and measurements

Each fleet has its own loopback address and takes ports below the range of outgoing connections, so that fleets of several test processes don't collide.

--- a/cmd/tmload/judge.go
+++ b/cmd/tmload/judge.go
@@ -105,7 +105,7 @@
 		return fmt.Errorf("no journal of endpoints, expected --endpoint or --events")
 	}
 	for _, base := range f.endpoints {
-		events, err := judge.EndpointEvents(ctx, client, strings.TrimSuffix(base, "/"))
+		events, err := judge.EndpointEvents(ctx, client, strings.TrimSuffix(base, "/"), 0)
 		if err != nil {
 			return err
 		}
--- /dev/null
+++ b/internal/harness/entry.go
@@ -0,0 +1,192 @@
+package harness
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strconv"
+	"time"
+
+	"turmericmoor/core/tmrequest"
+	"turmericmoor/io/tmoperator"
+)
+
+// callTimeout bounds one call of an operator. An entry answers a change after
+// at most 8 s.
+const callTimeout = 15 * time.Second
+
+// Entry is one entry of a Fleet.
+type Entry struct {
+	Name string
+	Zone string
+	// URL is that of the listener for callers, OperatorURL that for operators.
+	URL, OperatorURL string
+	// PeerAddress is IP:port of the listener for other entries.
+	PeerAddress string
+
+	settings string
+	process  *Process
+}
+
+// Process returns the process of the present start.
+func (e *Entry) Process() *Process { return e.process }
+
+// addEntry chooses ports and writes the settings of one entry.
+func (f *Fleet) addEntry(number int) (*Entry, error) {
+	first, err := f.ports.take(3)
+	if err != nil {
+		return nil, err
+	}
+	e := &Entry{
+		Name:        "entry-" + strconv.Itoa(number),
+		Zone:        f.layout.Zones[(number-1)%len(f.layout.Zones)],
+		URL:         "http://" + f.ports.address(first),
+		OperatorURL: "http://" + f.ports.address(first+1),
+		PeerAddress: f.ports.address(first + 2),
+	}
+	e.settings = filepath.Join(f.dir, e.Name+".ini")
+	text := fmt.Sprintf(`[entry]
+name = %s
+zone = %s
+log_level = %s
+[callers]
+listen = %s
+[operators]
+listen = %s
+operator_key_hash = %s
+[peers]
+listen = %s
+secret_file = peer.secret
+[platform]
+url = %s
+`, e.Name, e.Zone, f.layout.LogLevel, f.ports.address(first), f.ports.address(first+1),
+		tmrequest.HashKey(f.operatorKey), e.PeerAddress, f.platformURL)
+	if f.layout.QueueRequests > 0 {
+		text += fmt.Sprintf("[queue]\nmax_requests = %d\n", f.layout.QueueRequests)
+	}
+	if err := os.WriteFile(e.settings, []byte(text), 0o600); err != nil {
+		return nil, fmt.Errorf("harness: settings of %s: %w", e.Name, err)
+	}
+	return e, nil
+}
+
+// Entries returns the entries. The caller must not change the slice.
+func (f *Fleet) Entries() []*Entry { return f.entries }
+
+// URLs returns the URLs of all entries for callers.
+func (f *Fleet) URLs() []string {
+	var list []string
+	for _, e := range f.entries {
+		list = append(list, e.URL)
+	}
+	return list
+}
+
+// startEntry starts the process of an entry, in place of one that has ended.
+func (f *Fleet) startEntry(e *Entry) error {
+	path, err := binary("turmericmoor")
+	if err != nil {
+		return err
+	}
+	p, err := start(program{
+		name:    e.Name,
+		logFile: f.LogFile(e.Name),
+		path:    path,
+		args:    []string{"entry", "--config", e.settings},
+		env:     f.layout.Env,
+	})
+	if err != nil {
+		return err
+	}
+	e.process = p
+	f.keep(p)
+	return nil
+}
+
+// RestartEntry starts an entry whose process has ended. It does not wait until
+// the entry is ready.
+func (f *Fleet) RestartEntry(number int) error {
+	e := f.entries[number-1]
+	if e.process.Running() {
+		return fmt.Errorf("harness: %s is still running", e.Name)
+	}
+	return f.startEntry(e)
+}
+
+// Operator returns a client of one entry, counted from 1.
+func (f *Fleet) Operator(number int) (*tmoperator.Client, error) {
+	return tmoperator.NewClient(f.entries[number-1].OperatorURL, f.operatorKey, f.http)
+}
+
+// ready returns an error while an entry takes no work or doesn't know n
+// members.
+func (f *Fleet) ready(ctx context.Context, number, n int) error {
+	ctx, cancel := context.WithTimeout(ctx, time.Second)
+	defer cancel()
+	e := f.entries[number-1]
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, e.OperatorURL+"/healthz", nil)
+	if err != nil {
+		return fmt.Errorf("harness: %w", err)
+	}
+	resp, err := f.http.Do(req)
+	if err != nil {
+		return fmt.Errorf("harness: %s: %w", e.Name, err)
+	}
+	_ = resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return fmt.Errorf("harness: %s is not healthy: status %d", e.Name, resp.StatusCode)
+	}
+	dump, err := f.Dump(ctx, number)
+	if err != nil {
+		return err
+	}
+	if len(dump.Members) != n || !dump.Fresh || dump.InForce != dump.Version {
+		return fmt.Errorf("harness: %s knows %d members of %d, version %d, in force %d, fresh %t",
+			e.Name, len(dump.Members), n, dump.Version, dump.InForce, dump.Fresh)
+	}
+	return nil
+}
+
+// Dump is the part of an entry's dump that tests look at.
+type Dump struct {
+	Incarnation string `json:"incarnation"`
+	Version     uint64 `json:"version"`
+	InForce     uint64 `json:"in_force_version"`
+	Fresh       bool   `json:"fresh"`
+	Members     []struct {
+		Name        string `json:"name"`
+		Incarnation string `json:"incarnation"`
+	} `json:"members"`
+	Leases []struct {
+		Instance string `json:"instance"`
+		Slots    int    `json:"slots"`
+		Running  int    `json:"running"`
+		Usable   bool   `json:"usable"`
+	} `json:"leases"`
+	Slices []struct {
+		Team  string `json:"team"`
+		Held  int    `json:"held"`
+		InUse int    `json:"in_use"`
+	} `json:"slices"`
+	OpenRequests int `json:"open_requests"`
+}
+
+// Dump returns the state of one entry, counted from 1.
+func (f *Fleet) Dump(ctx context.Context, number int) (Dump, error) {
+	client, err := f.Operator(number)
+	if err != nil {
+		return Dump{}, err
+	}
+	raw, err := client.Dump(ctx)
+	if err != nil {
+		return Dump{}, err
+	}
+	var d Dump
+	if err := json.Unmarshal(raw, &d); err != nil {
+		return Dump{}, fmt.Errorf("harness: dump of entry %d: %w", number, err)
+	}
+	return d, nil
+}
--- /dev/null
+++ b/internal/harness/standin.go
@@ -0,0 +1,243 @@
+package harness
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+
+	"turmericmoor/internal/judge"
+	"turmericmoor/internal/standin/tmfakeendpoint"
+	"turmericmoor/internal/standin/tmfakeplatform"
+)
+
+// Endpoint is one endpoint of a Fleet.
+type Endpoint struct {
+	Name, Zone, Rack, Pool string
+	// Address is IP:port.
+	Address string
+
+	process *endpointProcess
+	// seen is the number of events that were fetched of the present start.
+	seen int
+}
+
+// URL returns the base URL of the endpoint.
+func (e *Endpoint) URL() string { return "http://" + e.Address }
+
+// Process returns the process of the endpoint's rack.
+func (e *Endpoint) Process() *Process { return e.process.process }
+
+// endpointProcess runs the endpoints of a rack.
+type endpointProcess struct {
+	rack      rack
+	port      int
+	process   *Process
+	endpoints []*Endpoint
+	// journal has the events of earlier starts, as far as they were fetched.
+	journal []judge.Event
+}
+
+func (f *Fleet) startPlatform() error {
+	port, err := f.ports.take(1)
+	if err != nil {
+		return err
+	}
+	f.platformURL = "http://" + f.ports.address(port)
+	args := []string{"platform", "--listen", f.ports.address(port)}
+	if f.layout.Writes > 0 {
+		args = append(args, "--writes", strconv.Itoa(f.layout.Writes))
+	}
+	if f.layout.Reads > 0 {
+		args = append(args, "--reads", strconv.Itoa(f.layout.Reads))
+	}
+	f.platform, err = f.startStandin("platform", args)
+	return err
+}
+
+func (f *Fleet) startStandin(name string, args []string) (*Process, error) {
+	path, err := binary("tmstandin")
+	if err != nil {
+		return nil, err
+	}
+	p, err := start(program{name: name, logFile: f.LogFile(name), path: path, args: args, standin: true})
+	if err == nil {
+		f.keep(p)
+	}
+	return p, err
+}
+
+// addRack starts the endpoints of a rack and puts them into the list of
+// instances.
+func (f *Fleet) addRack(ctx context.Context, r rack) error {
+	port, err := f.ports.take(r.size)
+	if err != nil {
+		return err
+	}
+	ep := &endpointProcess{rack: r, port: port}
+	for i := range r.size {
+		name := r.name
+		if r.size > 1 {
+			name = fmt.Sprintf("%s-%d", r.name, i+1)
+		}
+		ep.endpoints = append(ep.endpoints, &Endpoint{
+			Name: name, Zone: r.zone, Rack: r.name, Pool: r.pool,
+			Address: f.ports.address(port + i), process: ep,
+		})
+	}
+	f.racks = append(f.racks, ep)
+	f.endpoints = append(f.endpoints, ep.endpoints...)
+	if err := f.startRack(ep); err != nil {
+		return err
+	}
+	for _, e := range ep.endpoints {
+		if err := f.SetInstance(ctx, e, "live"); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (f *Fleet) startRack(ep *endpointProcess) error {
+	p, err := f.startStandin(ep.rack.name, []string{
+		"endpoint", "--listen", f.ports.address(ep.port), "--count", strconv.Itoa(ep.rack.size),
+		"--name", ep.rack.name, "--zone", ep.rack.zone, "--slots", strconv.Itoa(f.layout.Slots),
+	})
+	ep.process = p
+	for _, e := range ep.endpoints {
+		e.seen = 0
+	}
+	return err
+}
+
+// RestartRack starts the process of an endpoint's rack after its end. Events
+// that Journal did not see before the end are lost.
+func (f *Fleet) RestartRack(e *Endpoint) error {
+	if e.process.process.Running() {
+		return fmt.Errorf("harness: rack %s is still running", e.Rack)
+	}
+	return f.startRack(e.process)
+}
+
+// Endpoints returns the endpoints. The caller must not change the slice.
+func (f *Fleet) Endpoints() []*Endpoint { return f.endpoints }
+
+// Platform returns the process of the platform.
+func (f *Fleet) Platform() *Process { return f.platform }
+
+// PlatformURL returns the base URL of the platform.
+func (f *Fleet) PlatformURL() string { return f.platformURL }
+
+// SetPlatform shows faults of the platform. It replaces all earlier ones.
+func (f *Fleet) SetPlatform(ctx context.Context, c tmfakeplatform.Control) error {
+	return f.post(ctx, f.platformURL+"/v1/control", c)
+}
+
+// SetEndpoint shows faults of an endpoint. It replaces all earlier ones.
+func (f *Fleet) SetEndpoint(ctx context.Context, e *Endpoint, faults tmfakeendpoint.Faults) error {
+	return f.post(ctx, e.URL()+"/v1/control", faults)
+}
+
+// SetInstance sets the state of an endpoint in the list of instances: live,
+// leaving or gone.
+func (f *Fleet) SetInstance(ctx context.Context, e *Endpoint, state string) error {
+	return f.post(ctx, f.platformURL+"/v1/control/instances", tmfakeplatform.Instance{
+		Name: e.Name, Zone: e.Zone, Rack: e.Rack, Address: e.Address, State: state,
+	})
+}
+
+// SetEntryInstance sets the state of an entry in the list of instances.
+func (f *Fleet) SetEntryInstance(ctx context.Context, e *Entry, state string) error {
+	return f.post(ctx, f.platformURL+"/v1/control/instances", tmfakeplatform.Instance{
+		Name: e.Name, Zone: e.Zone, Rack: e.Name, Address: e.PeerAddress, State: state,
+	})
+}
+
+// PlatformStats returns how many calls the platform has served and refused.
+func (f *Fleet) PlatformStats(ctx context.Context) (tmfakeplatform.Stats, error) {
+	var stats tmfakeplatform.Stats
+	err := f.call(ctx, http.MethodGet, f.platformURL+"/v1/control/stats", nil, &stats)
+	return stats, err
+}
+
+// Journal returns the events of all endpoints. Endpoints that don't run add
+// what an earlier call has seen of them.
+func (f *Fleet) Journal(ctx context.Context) ([]judge.Event, error) {
+	var all []judge.Event
+	for _, ep := range f.racks {
+		if ep.process.Running() {
+			if err := f.readJournal(ctx, ep); err != nil {
+				return nil, err
+			}
+		}
+		all = append(all, ep.journal...)
+	}
+	return all, nil
+}
+
+func (f *Fleet) readJournal(ctx context.Context, ep *endpointProcess) error {
+	for _, e := range ep.endpoints {
+		events, err := judge.EndpointEvents(ctx, f.http, e.URL(), e.seen)
+		if err != nil {
+			return err
+		}
+		e.seen += len(events)
+		ep.journal = append(ep.journal, events...)
+	}
+	return nil
+}
+
+// Evidence returns what the judge needs, with the given submissions.
+func (f *Fleet) Evidence(ctx context.Context, submissions []judge.Submission) (judge.Evidence, error) {
+	events, err := f.Journal(ctx)
+	if err != nil {
+		return judge.Evidence{}, err
+	}
+	limits, err := judge.PlatformLimits(ctx, f.http, f.platformURL)
+	if err != nil {
+		return judge.Evidence{}, err
+	}
+	runs, err := judge.PlatformRuns(ctx, f.http, f.platformURL)
+	return judge.Evidence{Submissions: submissions, Events: events, Limits: limits, Runs: runs}, err
+}
+
+func (f *Fleet) post(ctx context.Context, target string, body any) error {
+	data, err := json.Marshal(body)
+	if err != nil {
+		return fmt.Errorf("harness: %w", err)
+	}
+	return f.call(ctx, http.MethodPost, target, data, nil)
+}
+
+// call performs one call to a stand-in and decodes the answer into out, unless
+// it is nil.
+func (f *Fleet) call(ctx context.Context, method, target string, body []byte, out any) error {
+	req, err := http.NewRequestWithContext(ctx, method, target, bytes.NewReader(body))
+	if err != nil {
+		return fmt.Errorf("harness: %w", err)
+	}
+	resp, err := f.http.Do(req)
+	if err != nil {
+		return fmt.Errorf("harness: %w", err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	data, err := io.ReadAll(resp.Body)
+	if err == nil && resp.StatusCode != http.StatusOK {
+		err = errors.New(strings.TrimSpace(string(data)))
+	}
+	if err != nil {
+		return fmt.Errorf("harness: %s %s: status %d: %w", method, target, resp.StatusCode, err)
+	}
+	if out == nil {
+		return nil
+	}
+	if err := json.Unmarshal(data, out); err != nil {
+		return fmt.Errorf("harness: %s: %w", target, err)
+	}
+	return nil
+}
--- a/internal/judge/collect.go
+++ b/internal/judge/collect.go
@@ -20,12 +20,12 @@
 const maxAnswer = 1 << 30
 
 // EndpointEvents returns the journal of the endpoint at base, for example
-// "http://127.0.0.1:7001".
-func EndpointEvents(ctx context.Context, client *http.Client, base string) ([]Event, error) {
+// "http://127.0.0.1:7001", without its first events.
+func EndpointEvents(ctx context.Context, client *http.Client, base string, without int) ([]Event, error) {
 	var w struct {
 		Events []Event `json:"events"`
 	}
-	err := getJSON(ctx, client, base+"/v1/journal", &w)
+	err := getJSON(ctx, client, fmt.Sprintf("%s/v1/journal?after=%d", base, without), &w)
 	return w.Events, err
 }
 
