--- a/internal/harness/entry.go
+++ b/internal/harness/entry.go
@@ -48,6 +48,14 @@
 		PeerAddress: f.ports.address(first + 2),
 	}
 	e.settings = filepath.Join(f.dir, e.Name+".ini")
+	advertise, platformURL := e.PeerAddress, f.platformURL
+	if f.layout.CountBytes {
+		var tables string
+		if advertise, tables, err = f.addRelays(e.PeerAddress); err != nil {
+			return nil, err
+		}
+		platformURL = "http://" + tables
+	}
 	text := fmt.Sprintf(`[entry]
 name = %s
 zone = %s
@@ -59,11 +67,12 @@
 operator_key_hash = %s
 [peers]
 listen = %s
+advertise = %s
 secret_file = peer.secret
 [platform]
 url = %s
 `, e.Name, e.Zone, f.layout.LogLevel, f.ports.address(first), f.ports.address(first+1),
-		tmrequest.HashKey(f.operatorKey), e.PeerAddress, f.platformURL)
+		tmrequest.HashKey(f.operatorKey), e.PeerAddress, advertise, platformURL)
 	if f.layout.QueueRequests > 0 {
 		text += fmt.Sprintf("[queue]\nmax_requests = %d\n", f.layout.QueueRequests)
 	}
--- a/internal/harness/fleet.go
+++ b/internal/harness/fleet.go
@@ -48,6 +48,8 @@
 	racks       []*endpointProcess
 	entries     []*Entry
 
+	peerRelays, platformRelays []*relay
+
 	mu        sync.Mutex
 	processes []*Process
 }
@@ -228,6 +230,7 @@
 			p.Kill()
 		}
 	}
+	f.closeRelays()
 	f.http.CloseIdleConnections()
 }
 
--- a/internal/harness/layout.go
+++ b/internal/harness/layout.go
@@ -15,7 +15,7 @@
 	// default. Entries and endpoints are spread evenly over them.
 	Zones []string
 	// Endpoints is the number of endpoints of each pool in all zones, 6 by
-	// default.
+	// default. A budget needs at least two.
 	Endpoints int
 	// RackSize is the number of endpoints of a rack, which run in one process,
 	// 4 by default.
@@ -36,6 +36,9 @@
 	LogLevel string
 	// QueueRequests is the queue length of each entry, 0 for its default.
 	QueueRequests int
+	// CountBytes counts the bytes on the connections between entries and to the
+	// platform, with a relay on each of them.
+	CountBytes bool
 	// Env is added to the environment of entries, for example GOMAXPROCS=2.
 	Env []string
 }
--- /dev/null
+++ b/internal/harness/usage.go
@@ -0,0 +1,86 @@
+package harness
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"time"
+
+	dto "github.com/prometheus/client_model/go"
+	"github.com/prometheus/common/expfmt"
+	"github.com/prometheus/common/model"
+	"github.com/prometheus/procfs"
+)
+
+// Usage is what a process has used since its start, and the memory that it
+// uses now.
+type Usage struct {
+	At  time.Time
+	CPU time.Duration
+	// RSS is the resident memory in bytes.
+	RSS int
+	// IOBytes were read and written on all connections and files.
+	IOBytes uint64
+}
+
+// Usage reads the usage of the process from the kernel. CPU time has a
+// resolution of 10 ms.
+func (p *Process) Usage() (Usage, error) {
+	proc, err := procfs.NewProc(p.PID())
+	if err != nil {
+		return Usage{}, fmt.Errorf("harness: usage of %s: %w", p.name, err)
+	}
+	u := Usage{At: time.Now()}
+	stat, err := proc.Stat()
+	if err != nil {
+		return Usage{}, fmt.Errorf("harness: usage of %s: %w", p.name, err)
+	}
+	io, err := proc.IO()
+	if err != nil {
+		return Usage{}, fmt.Errorf("harness: usage of %s: %w", p.name, err)
+	}
+	u.CPU = time.Duration(stat.CPUTime() * float64(time.Second))
+	u.RSS = stat.ResidentMemory()
+	u.IOBytes = io.RChar + io.WChar
+	return u, nil
+}
+
+// Metric returns the sum of one metric of an entry, counted from 1, over all
+// its labels.
+func (f *Fleet) Metric(ctx context.Context, number int, name string) (float64, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, f.entries[number-1].OperatorURL+"/metrics", nil)
+	if err != nil {
+		return 0, fmt.Errorf("harness: %w", err)
+	}
+	req.Header.Set("Authorization", "Bearer "+f.operatorKey)
+	resp, err := f.http.Do(req)
+	if err != nil {
+		return 0, fmt.Errorf("harness: metrics: %w", err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	parser := expfmt.NewTextParser(model.UTF8Validation)
+	families, err := parser.TextToMetricFamilies(resp.Body)
+	if err != nil {
+		return 0, fmt.Errorf("harness: metrics: %w", err)
+	}
+	family, found := families[name]
+	if !found {
+		return 0, nil
+	}
+	sum := 0.0
+	for _, m := range family.GetMetric() {
+		sum += valueOf(m)
+	}
+	return sum, nil
+}
+
+func valueOf(m *dto.Metric) float64 {
+	switch {
+	case m.GetCounter() != nil:
+		return m.GetCounter().GetValue()
+	case m.GetHistogram() != nil:
+		return float64(m.GetHistogram().GetSampleCount())
+	default:
+		return m.GetGauge().GetValue()
+	}
+}
--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -124,7 +124,7 @@
 	report, err := load.Run(context.Background(), plan(url), nil)
 	assert.NilError(t, err)
 	assert.Equal(t, report.Total.WrongAnswers, 39)
-	assert.Equal(t, report.Goodput(0, 1), 0.0)
+	assert.Equal(t, report.Total.Goodput(0, 1), 0.0)
 }
 
 // Guards against a wrong plan that is run anyway.
--- a/internal/load/report.go
+++ b/internal/load/report.go
@@ -25,9 +25,6 @@
 	Total         Summary  `json:"total"`
 	// Streams has one Summary for each stream.
 	Streams []Summary `json:"streams"`
-	// GoodputPerSecond counts the right answers that arrived in each second
-	// from the start.
-	GoodputPerSecond []int `json:"goodput_per_second"`
 }
 
 // Summary describes the requests of one stream or of all.
@@ -50,6 +47,9 @@
 	Answered Latency `json:"answered"`
 	Refused  Latency `json:"refused"`
 	Lag      Latency `json:"lag"`
+	// GoodputPerSecond counts the right answers that arrived in each second
+	// from the start.
+	GoodputPerSecond []int `json:"goodput_per_second"`
 }
 
 // Latency has percentiles in milliseconds.
@@ -104,7 +104,6 @@
 	start   time.Time
 	total   *group
 	streams []*group
-	goodput []int
 }
 
 func newRecorder(plan Plan) *recorder {
@@ -118,17 +117,20 @@
 // add counts a submission, and the request when it is the last one.
 func (r *recorder) add(q *request, s judge.Submission, final bool) {
 	right := s.Code == judge.CodeOK && s.AnswerEcho == s.Echo && s.AnswerID == s.RequestID
+	second := max(0, int(time.UnixMicro(s.EndedUs).Sub(r.start)/time.Second))
 	for _, g := range []*group{r.total, r.streams[q.index]} {
 		g.add(q, s, final, right)
+		if right {
+			g.addGoodput(second)
+		}
 	}
-	if !right {
-		return
-	}
-	second := int(time.UnixMicro(s.EndedUs).Sub(r.start) / time.Second)
-	for len(r.goodput) <= second {
-		r.goodput = append(r.goodput, 0)
+}
+
+func (g *group) addGoodput(second int) {
+	for len(g.GoodputPerSecond) <= second {
+		g.GoodputPerSecond = append(g.GoodputPerSecond, 0)
 	}
-	r.goodput[max(0, second)]++
+	g.GoodputPerSecond[second]++
 }
 
 func (g *group) add(q *request, s judge.Submission, final, right bool) {
@@ -177,12 +179,11 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	report := &Report{
-		Seed:             r.plan.Seed,
-		StartedUnixMs:    r.start.UnixMilli(),
-		DurationMs:       r.plan.Duration.Milliseconds(),
-		Entries:          r.plan.Entries,
-		Total:            r.total.summary(),
-		GoodputPerSecond: r.goodput,
+		Seed:          r.plan.Seed,
+		StartedUnixMs: r.start.UnixMilli(),
+		DurationMs:    r.plan.Duration.Milliseconds(),
+		Entries:       r.plan.Entries,
+		Total:         r.total.summary(),
 	}
 	for _, g := range r.streams {
 		report.Streams = append(report.Streams, g.summary())
@@ -192,11 +193,11 @@
 
 // Goodput returns the mean goodput per second from one second after the start
 // to another.
-func (r *Report) Goodput(from, to int) float64 {
+func (s Summary) Goodput(from, to int) float64 {
 	sum := 0
 	for i := from; i < to; i++ {
-		if i < len(r.GoodputPerSecond) {
-			sum += r.GoodputPerSecond[i]
+		if i < len(s.GoodputPerSecond) {
+			sum += s.GoodputPerSecond[i]
 		}
 	}
 	return float64(sum) / float64(max(1, to-from))
