--- a/cmd/tmbench/cpu.go
+++ b/cmd/tmbench/cpu.go
@@ -14,11 +14,11 @@
 const cpuTime = 8 * time.Second
 
 func cpuMeasurement() measurement {
-	return measurement{"cpu", "requests per second of CPU time of one entry, tasks of 0 ms", runCPU}
+	return measurement{name: "cpu", short: "requests per second of CPU time of one entry, tasks of 0 ms", run: runCPU}
 }
 
 func runCPU(ctx context.Context, out io.Writer) error {
-	f, err := harness.Start(ctx, harness.Layout{Entries: 1, Endpoints: 4, Zones: []string{"zone-a"}, RackSize: 1, Slots: 32})
+	f, err := harness.Start(ctx, harness.Layout{Entries: 1, Endpoints: 16})
 	if err != nil {
 		return err
 	}
@@ -47,7 +47,7 @@
 		l := load.LatencyOf(h)
 		t.add(callers, n/wall, cpu/wall, n/cpu, cpu/n*1e6, megabytes(after.RSS), l.P50Ms, l.P99Ms)
 	}
-	return t.write(out, "closed loop, 4 endpoints of 32 slots")
+	return t.write(out, "closed loop, 16 endpoints of 8 slots")
 }
 
 func megabytes(bytes int) float64 { return float64(bytes) / (1 << 20) }
--- a/cmd/tmbench/failure.go
+++ b/cmd/tmbench/failure.go
@@ -28,7 +28,7 @@
 )
 
 func outageMeasurement() measurement {
-	return measurement{"outage", "throughput while the platform is down for 60 s and no entry is lost", runOutage}
+	return measurement{name: "outage", short: "throughput while the platform is down for 60 s and no entry is lost", run: runOutage}
 }
 
 func runOutage(ctx context.Context, out io.Writer) error {
@@ -77,7 +77,7 @@
 }
 
 func killMeasurement() measurement {
-	return measurement{"kill", "throughput after one of nine entries is killed", runKill}
+	return measurement{name: "kill", short: "throughput after one of nine entries is killed", run: runKill}
 }
 
 func runKill(ctx context.Context, out io.Writer) error {
--- a/cmd/tmbench/latency.go
+++ b/cmd/tmbench/latency.go
@@ -27,8 +27,8 @@
 )
 
 const (
-	// latencyRounds alternate between direct calls and calls through the
-	// entry, so that a disturbance of the machine meets both.
+	// latencyRounds alternate between the paths, so that a disturbance of the
+	// machine meets all of them.
 	latencyRounds = 20
 	latencyRound  = 500 * time.Millisecond
 	// latencySlots leaves both kinds of calls free slots at all times.
@@ -36,7 +36,7 @@
 )
 
 func latencyMeasurement() measurement {
-	return measurement{"latency", "added latency of an entry against a direct net/http call to the same endpoint, tasks of 0 ms", runLatency}
+	return measurement{name: "latency", short: "added latency of an entry against a direct net/http call to the same endpoint, tasks of 0 ms", run: runLatency}
 }
 
 // caller makes one call and returns an error when it brought no answer.
@@ -48,13 +48,19 @@
 		return err
 	}
 	defer func() { _ = f.Close() }()
-	t := newTable("callers", "path", "calls", "p50 ms", "p99 ms", "p50 ratio", "p99 ratio", "added p50 / direct", "added p99 / direct", "target")
+	address := f.Endpoints()[0].Address
+	forwarder, stop, err := startForwarder(address)
+	if err != nil {
+		return err
+	}
+	defer stop()
+	t := newTable("callers", "path", "calls", "p50 ms", "p99 ms", "p50 ratio", "p99 ratio", "p50 added / direct", "p99 added / direct", "ratio on target")
 	for _, callers := range []int{1, 4} {
-		direct, err := newDirect(ctx, f.Endpoints()[0].Address, callers)
+		direct, err := newDirect(ctx, address, callers)
 		if err != nil {
 			return err
 		}
-		err = compare(ctx, t, f, direct, callers)
+		err = compare(ctx, t, f, direct, forwarder, callers)
 		direct.close()
 		if err != nil {
 			return err
@@ -64,32 +70,43 @@
 	return t.write(out, title)
 }
 
-func compare(ctx context.Context, t *table, f *harness.Fleet, d *direct, callers int) error {
+// path is one way to the endpoint.
+type path struct {
+	name string
+	call caller
+	took *hdrhistogram.Histogram
+}
+
+func compare(ctx context.Context, t *table, f *harness.Fleet, d *direct, forwarder string, callers int) error {
 	client := tmcaller.NewClient(f.URLs()[0])
 	defer client.Close()
-	through := func(ctx context.Context) error { return throughEntry(ctx, client, f.Key("crews"), "steps") }
-	a, b := load.NewHistogram(), load.NewHistogram()
-	// The first rounds open connections and leases.
-	for _, h := range []*hdrhistogram.Histogram{load.NewHistogram(), load.NewHistogram()} {
-		if err := callFor(ctx, through, callers, 2*latencyRound, h); err != nil {
-			return err
-		}
-		if err := callFor(ctx, d.call, callers, latencyRound, h); err != nil {
-			return err
-		}
+	paths := []path{
+		{"direct", func(ctx context.Context) error { return d.call(ctx, d.address) }, load.NewHistogram()},
+		{"forwarder", func(ctx context.Context) error { return d.call(ctx, forwarder) }, load.NewHistogram()},
+		{"entry", func(ctx context.Context) error { return throughEntry(ctx, client, f.Key("crews"), "steps") }, load.NewHistogram()},
 	}
-	for range latencyRounds {
-		if err := callFor(ctx, d.call, callers, latencyRound, a); err != nil {
-			return err
+	// The first round opens connections and leases.
+	for round := range latencyRounds + 1 {
+		for _, p := range paths {
+			h := p.took
+			if round == 0 {
+				h = load.NewHistogram()
+			}
+			if err := callFor(ctx, p.call, callers, latencyRound, h); err != nil {
+				return fmt.Errorf("%s: %w", p.name, err)
+			}
 		}
-		if err := callFor(ctx, through, callers, latencyRound, b); err != nil {
-			return err
+	}
+	base := load.LatencyOf(paths[0].took)
+	for _, p := range paths {
+		l := load.LatencyOf(p.took)
+		p50, p99 := l.P50Ms/base.P50Ms, l.P99Ms/base.P99Ms
+		verdict := ""
+		if p.name == "entry" {
+			verdict = met(p50 < targetP50 && p99 < targetP99)
 		}
+		t.add(callers, p.name, l.Count, l.P50Ms, l.P99Ms, p50, p99, p50-1, p99-1, verdict)
 	}
-	x, y := load.LatencyOf(a), load.LatencyOf(b)
-	p50, p99 := y.P50Ms/x.P50Ms, y.P99Ms/x.P99Ms
-	t.add(callers, "direct", x.Count, x.P50Ms, x.P99Ms, "", "", "", "", "")
-	t.add(callers, "entry", y.Count, y.P50Ms, y.P99Ms, p50, p99, p50-1, p99-1, met(p50 < targetP50 && p99 < targetP99))
 	return nil
 }
 
@@ -183,10 +200,11 @@
 	return d.grant
 }
 
-// call starts one task with net/http alone.
-func (d *direct) call(ctx context.Context) error {
+// call starts one task with net/http alone, at the endpoint or at a process
+// that passes it on.
+func (d *direct) call(ctx context.Context, address string) error {
 	grant := d.present()
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+d.address+"/v1/tasks", bytes.NewReader([]byte(`{"run_ms":0,"echo":"x"}`)))
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/v1/tasks", bytes.NewReader([]byte(`{"run_ms":0,"echo":"x"}`)))
 	if err != nil {
 		return err
 	}
--- a/cmd/tmbench/main.go
+++ b/cmd/tmbench/main.go
@@ -14,6 +14,7 @@
 	"syscall"
 
 	"github.com/spf13/cobra"
+	"github.com/spf13/pflag"
 )
 
 func main() {
@@ -29,7 +30,9 @@
 // measurement is one subcommand.
 type measurement struct {
 	name, short string
-	run         func(ctx context.Context, out io.Writer) error
+	// flags adds flags, unless it is nil.
+	flags func(flags *pflag.FlagSet)
+	run   func(ctx context.Context, out io.Writer) error
 }
 
 func newRoot() *cobra.Command {
@@ -43,6 +46,7 @@
 		SilenceErrors: true,
 	}
 	root.PersistentFlags().StringVar(&commit, "commit", builtFrom(), "commit id that the output names")
+	root.AddCommand(forwarderCommand())
 	for _, m := range []measurement{
 		latencyMeasurement(),
 		cpuMeasurement(),
@@ -52,19 +56,23 @@
 		tableMeasurement(),
 		slopeMeasurement(),
 	} {
-		root.AddCommand(&cobra.Command{
+		cmd := &cobra.Command{
 			Use:   m.name,
 			Short: m.short,
 			Args:  cobra.NoArgs,
 			RunE: func(cmd *cobra.Command, _ []string) error {
 				out := cmd.OutOrStdout()
 				if _, err := fmt.Fprintf(out, "%s\ncommand: tmbench %s\ncommit: %s\nload average: %s\n",
-					m.short, m.name, commit, loadAverage()); err != nil {
+					m.short, strings.Join(os.Args[1:], " "), commit, loadAverage()); err != nil {
 					return err
 				}
 				return m.run(cmd.Context(), out)
 			},
-		})
+		}
+		if m.flags != nil {
+			m.flags(cmd.Flags())
+		}
+		root.AddCommand(cmd)
 	}
 	return root
 }
--- a/cmd/tmbench/overload.go
+++ b/cmd/tmbench/overload.go
@@ -26,7 +26,7 @@
 var overloadSteps = []float64{0.8, 1, 1.2, 5}
 
 func overloadMeasurement() measurement {
-	return measurement{"overload", "goodput at five times the capacity against its peak", runOverload}
+	return measurement{name: "overload", short: "goodput at five times the capacity against its peak", run: runOverload}
 }
 
 func runOverload(ctx context.Context, out io.Writer) error {
--- a/cmd/tmbench/slopes.go
+++ b/cmd/tmbench/slopes.go
@@ -5,8 +5,11 @@
 	"fmt"
 	"io"
 	"math"
+	"strings"
 	"time"
 
+	"github.com/spf13/pflag"
+
 	"turmericmoor/internal/harness"
 	"turmericmoor/internal/load"
 )
@@ -37,17 +40,32 @@
 		{"endpoints, idle", []int{8, 16, 32, 64}, false, endpoints},
 		{"endpoints, 1 request/s for each entry", []int{8, 16, 32, 64}, true, endpoints},
 		{"teams, idle", []int{6, 30, 150}, false, func(n int) harness.Layout {
-			layout := harness.Layout{Entries: 3, Endpoints: 12}
-			for i := range n {
-				layout.Teams = append(layout.Teams, harness.Team{Name: fmt.Sprintf("team-%03d", i)})
-			}
-			return layout
+			return harness.Layout{Entries: 3, Endpoints: 12, Teams: manyTeams(n)}
 		}},
+		{"entries with 150 teams, idle", []int{3, 9, 16}, false, func(n int) harness.Layout {
+			return harness.Layout{Entries: n, Endpoints: 12, Teams: manyTeams(150)}
+		}},
+	}
+}
+
+func manyTeams(n int) []harness.Team {
+	var teams []harness.Team
+	for i := range n {
+		teams = append(teams, harness.Team{Name: fmt.Sprintf("team-%03d", i)})
 	}
+	return teams
 }
 
 func slopeMeasurement() measurement {
-	return measurement{"slopes", "use of one entry against the size of the fleet", runSlopes}
+	only := ""
+	return measurement{
+		name:  "slopes",
+		short: "use of one entry against the size of the fleet",
+		flags: func(flags *pflag.FlagSet) {
+			flags.StringVar(&only, "series", "", "only the series whose names begin so (default: all)")
+		},
+		run: func(ctx context.Context, out io.Writer) error { return runSlopes(ctx, out, only) },
+	}
 }
 
 // use is what one entry uses on average.
@@ -55,8 +73,11 @@
 	cpu, rss, peer, platform, all float64
 }
 
-func runSlopes(ctx context.Context, out io.Writer) error {
+func runSlopes(ctx context.Context, out io.Writer, only string) error {
 	for _, s := range slopeSeries() {
+		if only != "" && !strings.HasPrefix(s.name, only) {
+			continue
+		}
 		t := newTable(s.name, "CPU s/s", "RSS MB", "peer B/s", "platform B/s", "all I/O B/s")
 		var uses []use
 		for _, n := range s.sizes {
--- a/cmd/tmbench/tables.go
+++ b/cmd/tmbench/tables.go
@@ -20,7 +20,7 @@
 const tableTime = 20 * time.Second
 
 func tableMeasurement() measurement {
-	return measurement{"table", "reads and writes of the table service in steady state", runTable}
+	return measurement{name: "table", short: "reads and writes of the table service in steady state", run: runTable}
 }
 
 func runTable(ctx context.Context, out io.Writer) error {
