--- a/cmd/tmbench/failure.go
+++ b/cmd/tmbench/failure.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"strings"
 	"time"
 
 	"turmericmoor/internal/harness"
@@ -49,12 +50,18 @@
 		s.RunTime, s.Timeout = load.Fixed(failureRun), 10*time.Second
 		plan.Streams = append(plan.Streams, s)
 	}
+	holdings := ""
 	fault := startFault(ctx, func(ctx context.Context) error {
 		wait(ctx, outageBefore*time.Second)
+		var err error
 		if err := f.SetPlatform(ctx, tmfakeplatform.Control{Down: true}); err != nil {
 			return err
 		}
-		wait(ctx, outageTime*time.Second)
+		wait(ctx, outageTime/2*time.Second)
+		if holdings, err = holdingsOf(ctx, f); err != nil {
+			return err
+		}
+		wait(ctx, outageTime/2*time.Second)
 		return f.SetPlatform(ctx, tmfakeplatform.Control{})
 	})
 	report, found, err := runAndJudge(ctx, f, plan, nil)
@@ -72,10 +79,32 @@
 		}
 		t.add(s.Name, before, down, after, down/before, verdict, fmt.Sprint(s.Codes))
 	}
-	title := fmt.Sprintf("9 entries, 12 endpoints of 8 slots, tasks of %v, %.0f requests/s\n%s", failureRun, rate, found)
+	title := fmt.Sprintf("9 entries, 12 endpoints of 8 slots, tasks of %v, %.0f requests/s\n%s\nin the middle of the outage: %s", failureRun, rate, found, holdings)
 	return t.write(out, title)
 }
 
+// holdingsOf says how units and slots are divided among the entries.
+func holdingsOf(ctx context.Context, f *harness.Fleet) (string, error) {
+	var text []string
+	for i, e := range f.Entries() {
+		d, err := f.Dump(ctx, i+1)
+		if err != nil {
+			return "", err
+		}
+		held, inUse, leased, running := 0, 0, 0, 0
+		for _, s := range d.Slices {
+			held += s.Held
+			inUse += s.InUse
+		}
+		for _, l := range d.Leases {
+			leased += l.Slots
+			running += l.Running
+		}
+		text = append(text, fmt.Sprintf("%s units %d/%d slots %d/%d open %d", e.Name, inUse, held, running, leased, d.OpenRequests))
+	}
+	return strings.Join(text, ", "), nil
+}
+
 func killMeasurement() measurement {
 	return measurement{name: "kill", short: "throughput after one of nine entries is killed", run: runKill}
 }
--- a/internal/harness/harness_test.go
+++ b/internal/harness/harness_test.go
@@ -32,7 +32,7 @@
 func TestFleet(t *testing.T) {
 	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Minute)
 	defer cancel()
-	f, err := harness.Start(ctx, harness.Layout{Entries: 2, Endpoints: 3, RackSize: 1})
+	f, err := harness.Start(ctx, harness.Layout{Entries: 2, Endpoints: 3, RackSize: 1, CountBytes: true})
 	assert.NilError(t, err)
 	defer func() { _ = f.Close() }()
 	var all []judge.Submission
@@ -40,6 +40,11 @@
 	assert.NilError(t, err)
 	assert.Equal(t, report.Total.Codes[judge.CodeOK], report.Total.Requests, "%+v", report.Total)
 
+	assert.Assert(t, f.PeerBytes() > 0 && f.PlatformBytes() > 0)
+	answered, err := f.MetricBy(ctx, 1, "turmericmoor_requests_total", "code")
+	assert.NilError(t, err)
+	assert.Assert(t, answered["ok"] > 0)
+
 	second := f.Entries()[1]
 	assert.NilError(t, second.Process().Pause())
 	assert.NilError(t, second.Process().Resume())
