--- a/core/tmslice/row.go
+++ b/core/tmslice/row.go
@@ -1,6 +1,10 @@
 package tmslice
 
-import "turmericmoor/core/tmfleet"
+import (
+	"maps"
+
+	"turmericmoor/core/tmfleet"
+)
 
 // Free is the key of the row with the units that no entry holds.
 const Free = "free"
@@ -58,6 +62,14 @@
 	return r
 }
 
+// withAll returns a copy of r with the given holdings in place of its own.
+func (r Row) withAll(edits map[string]Holding) Row {
+	all := maps.Collect(r.teams.All())
+	maps.Copy(all, edits)
+	r.teams = tmfleet.NewTable(all)
+	return r
+}
+
 // add returns a copy of r with n more held units and the limit version of the
 // row that the units come from or go to.
 func (r Row) add(team string, n int, version uint64) Row {
--- a/core/tmslice/transfer.go
+++ b/core/tmslice/transfer.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 
 	"turmericmoor/core/tmshare"
@@ -40,7 +41,7 @@
 		p.team(name, team.Limit())
 	}
 	p.settleRemoved()
-	if !p.changed {
+	if len(p.edits) == 0 {
 		return nil, false
 	}
 	l.out = p.transfer()
@@ -121,8 +122,10 @@
 	demands map[string]Demand
 	given   map[string]int
 	taken   map[string]int
-	touched map[string]bool
-	changed bool
+	// edits are the changed holdings by row and team. They become rows at the
+	// end, because a copy of a row for each change would cost the square of the
+	// number of teams.
+	edits map[string]map[string]Holding
 }
 
 func (l *Ledger) newPlan(demands map[string]Demand, rows []Row) *plan {
@@ -132,7 +135,7 @@
 		demands: demands,
 		given:   map[string]int{},
 		taken:   map[string]int{},
-		touched: map[string]bool{},
+		edits:   map[string]map[string]Holding{},
 	}
 	for _, r := range rows {
 		known, ok := p.rows[r.key]
@@ -152,15 +155,14 @@
 // settle returns draining units to Free once this entry's tasks fit into what
 // it holds.
 func (p *plan) settle(team string) {
-	own := p.rows[p.l.own.key]
-	h := own.Holding(team)
+	h := p.own(team)
 	if h.Draining == 0 || p.l.inUse[team] > h.Held || !p.hasFree() {
 		return
 	}
 	n := h.Draining
 	h.Draining = 0
-	p.put(own.with(team, h))
-	p.put(p.rows[Free].add(team, n, h.LimitVersion))
+	p.put(p.l.own.key, team, h)
+	p.add(Free, team, n, h.LimitVersion)
 }
 
 // settleRemoved returns the draining units of teams that were removed from the
@@ -197,35 +199,30 @@
 }
 
 func (p *plan) takeFree(team string, target int) {
-	own := p.rows[p.l.own.key]
-	free := p.rows[Free].Holding(team)
-	n := min(free.Held, target-own.Holding(team).Held)
+	free := p.holding(Free, team)
+	n := min(free.Held, target-p.own(team).Held)
 	if n <= 0 || !p.hasFree() {
 		return
 	}
 	p.taken[team] += n
-	p.put(own.add(team, n, free.LimitVersion))
-	p.put(p.rows[Free].add(team, -n, free.LimitVersion))
+	p.add(p.l.own.key, team, n, free.LimitVersion)
+	p.add(Free, team, -n, free.LimitVersion)
 }
 
 // giveFree returns unused units to Free while Free is negative, so that they
 // make up for tasks that run on draining units elsewhere. Otherwise the team
 // could start nothing until the last of those has ended.
 func (p *plan) giveFree(team string) {
-	own := p.rows[p.l.own.key]
-	n := min(-p.rows[Free].Holding(team).Held, p.surplus(team, 0))
+	n := min(-p.holding(Free, team).Held, p.surplus(team, 0))
 	if n <= 0 || !p.hasFree() {
 		return
 	}
-	p.given[team] += n
-	p.put(own.add(team, -n, 0))
-	p.put(p.rows[Free].add(team, n, own.Holding(team).LimitVersion))
+	p.give(team, Free, n)
 }
 
 // surplus is what this entry neither uses nor should hold.
 func (p *plan) surplus(team string, target int) int {
-	held := p.rows[p.l.own.key].Holding(team).Held
-	return held - max(target, p.l.inUse[team])
+	return p.own(team).Held - max(target, p.l.inUse[team])
 }
 
 // giveSurplus serves the entries that lack most first.
@@ -242,7 +239,7 @@
 			continue
 		}
 		wanted := min(targets[i], p.demands[key][team])
-		if lack := wanted - p.rows[key].Holding(team).Held; lack > 0 && p.rows[key].revision > 0 {
+		if lack := wanted - p.holding(key, team).Held; lack > 0 && p.rows[key].revision > 0 {
 			needs = append(needs, need{key: key, lack: lack})
 		}
 	}
@@ -258,29 +255,41 @@
 }
 
 func (p *plan) give(team, to string, n int) {
-	own := p.rows[p.l.own.key]
+	version := p.own(team).LimitVersion
 	p.given[team] += n
-	p.put(own.add(team, -n, 0))
-	p.put(p.rows[to].add(team, n, own.Holding(team).LimitVersion))
+	p.add(p.l.own.key, team, -n, version)
+	p.add(to, team, n, version)
 }
 
 func (p *plan) hasFree() bool { return p.rows[Free].revision > 0 }
 
-func (p *plan) put(r Row) {
-	p.rows[r.key] = r
-	p.touched[r.key] = true
-	p.changed = true
+func (p *plan) own(team string) Holding { return p.holding(p.l.own.key, team) }
+
+func (p *plan) holding(key, team string) Holding {
+	if h, ok := p.edits[key][team]; ok {
+		return h
+	}
+	return p.rows[key].Holding(team)
+}
+
+func (p *plan) add(key, team string, n int, version uint64) {
+	h := p.holding(key, team)
+	h.Held += n
+	h.LimitVersion = max(h.LimitVersion, version)
+	p.put(key, team, h)
+}
+
+func (p *plan) put(key, team string, h Holding) {
+	if p.edits[key] == nil {
+		p.edits[key] = map[string]Holding{}
+	}
+	p.edits[key][team] = h
 }
 
 func (p *plan) transfer() *Transfer {
 	t := &Transfer{given: p.given, taken: p.taken}
-	keys := make([]string, 0, len(p.touched))
-	for key := range p.touched {
-		keys = append(keys, key)
-	}
-	slices.Sort(keys)
-	for _, key := range keys {
-		t.txn.write(p.rows[key])
+	for _, key := range slices.Sorted(maps.Keys(p.edits)) {
+		t.txn.write(p.rows[key].withAll(p.edits[key]))
 	}
 	return t
 }
