--- a/core/tmfleet/example_test.go
+++ b/core/tmfleet/example_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 
 	"turmericmoor/core/tmfleet"
 )
@@ -25,3 +26,11 @@
 	fmt.Println(s.Version(), s.HasChange("change-1"))
 	// Output: 1 true
 }
+
+func ExampleOwner() {
+	members := []string{"entry-1", "entry-2", "entry-3"}
+	owner := tmfleet.Owner("w7", members)
+	others := slices.DeleteFunc(slices.Clone(members), func(m string) bool { return m != owner && m != "entry-1" })
+	fmt.Println(owner == tmfleet.Owner("w7", others))
+	// Output: true
+}
--- a/core/tmonce/sweep.go
+++ b/core/tmonce/sweep.go
@@ -1,9 +1,8 @@
 package tmonce
 
 import (
-	"github.com/cespare/xxhash/v2"
-
 	"turmericmoor/core/tmclock"
+	"turmericmoor/core/tmfleet"
 )
 
 const (
@@ -43,12 +42,12 @@
 	newest := s.lastDueMinute(now)
 	var out []Sweep
 	for m := newest - sweepWindow + 1; m <= newest; m++ {
-		if !s.done[m] && OwnerOf(m, members) == s.self {
+		if !s.done[m] && tmfleet.Owner(minutePrefix(m), members) == s.self {
 			out = append(out, Sweep{After: minutePrefix(m), Until: minutePrefix(m + 1)})
 		}
 	}
 	turn := newest / backlogMinutes
-	if s.backlog != turn && OwnerOf(-turn, members) == s.self {
+	if s.backlog != turn && tmfleet.Owner(minutePrefix(-turn), members) == s.self {
 		out = append(out, Sweep{Until: minutePrefix(newest - sweepWindow + 1)})
 	}
 	return out
@@ -78,17 +77,3 @@
 func (s *Sweeper) lastDueMinute(now tmclock.Millis) int64 {
 	return minuteOf(now.Add(-s.keep)) - 1
 }
-
-// OwnerOf returns the member that deletes the rows of a minute, by rendezvous
-// hashing, or "" without members.
-func OwnerOf(minute int64, members []string) string {
-	var owner string
-	var best uint64
-	for _, m := range members {
-		w := xxhash.Sum64String(m + "/" + minutePrefix(minute))
-		if owner == "" || w > best || (w == best && m < owner) {
-			owner, best = m, w
-		}
-	}
-	return owner
-}
