--- a/io/tmstore/store.go
+++ b/io/tmstore/store.go
@@ -1,5 +1,5 @@
 // Package tmstore keeps the records of turmericmoor in the platform's table
-// service: the State and its history, slices of team limits, and the records
+// service: the State and its history, slices of team limits, waves, and the records
 // of non-idempotent requests. It maps domain types to rows and back.
 package tmstore
 
