core/tmslice: busy entries give units by attrition

Cause: an entry whose units are all in use never had surplus to give, so an entry without units starved while the others were saturated (limit 6, three entries at full load: no unit in 10 s). Change: while others lack units an entry uses no more than its target.

--- /dev/null
+++ b/core/tmslice/ceiling_test.go
@@ -0,0 +1,44 @@
+package tmslice
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"turmericmoor/core/tmclock"
+	"turmericmoor/core/tmfleet"
+)
+
+// TestBusyEntryGivesUnitsByAttrition guards against an entry that has no units
+// and gets none for as long as the other keeps all of its units in use.
+func TestBusyEntryGivesUnitsByAttrition(t *testing.T) {
+	team := tmfleet.NewTeam(testTeam, 1, 4, false).WithLimitVersion(1)
+	var s tmfleet.State
+	s = s.Next("", s.Config().WithTeams(tmfleet.Table[string, tmfleet.Team]{}.With(testTeam, team)))
+	members := tmfleet.Table[string, tmfleet.Member]{}.
+		With("a", tmfleet.NewMember("a", "a", "", "")).
+		With("b", tmfleet.NewMember("b", "b", "", ""))
+	s = s.NextMembers(members)
+	rows := []Row{
+		NewRow("a", 2, Row{}.teams.With(testTeam, Holding{Held: 4, LimitVersion: 1})),
+		NewRow("b", 2, Row{}.teams),
+		NewRow(Free, 2, Row{}.teams.With(testTeam, Holding{LimitVersion: 1})),
+	}
+	l := NewLedger(tmclock.NewManual(1), "a", nil)
+	l.Install(s, rows...)
+	for range 4 {
+		assert.Assert(t, l.Acquire(testTeam))
+	}
+	demands := map[string]Demand{"a": {testTeam: 10}, "b": {testTeam: 10}}
+	_, ok := l.PlanTransfers(demands, rows)
+	assert.Assert(t, !ok)
+	l.Release(testTeam)
+	assert.Assert(t, !l.Acquire(testTeam), "the unit is needed by the other entry")
+	transfer, ok := l.PlanTransfers(demands, rows)
+	assert.Assert(t, ok)
+	for _, row := range transfer.Transaction().Writes {
+		if row.Key() == "b" {
+			assert.Equal(t, row.Holding(testTeam).Held, 1)
+		}
+	}
+}
--- a/core/tmslice/ledger.go
+++ b/core/tmslice/ledger.go
@@ -17,7 +17,9 @@
 	out    *Transfer
 	onGain func(team string)
 	absent map[string]tmclock.Millis
-	rules  rules
+	// ceilings bound what is used of a team's units while others lack some.
+	ceilings map[string]int
+	rules    rules
 }
 
 // rules are the safety rules of the ledger. The negative controls of the tests
@@ -48,6 +50,8 @@
 		sent:   map[string]tmclock.Millis{},
 		onGain: onGain,
 		absent: map[string]tmclock.Millis{},
+
+		ceilings: map[string]int{},
 	}
 }
 
@@ -104,7 +108,11 @@
 	if l.free.Holding(team).Held < 0 && !l.rules.ignoreDraining {
 		return 0
 	}
-	return max(0, l.holding(team)-l.inUse[team])
+	usable := l.holding(team)
+	if ceiling, ok := l.ceilings[team]; ok {
+		usable = min(usable, ceiling)
+	}
+	return max(0, usable-l.inUse[team])
 }
 
 // Acquire takes one unit for a task that is about to start. Without unused
--- a/core/tmslice/transfer.go
+++ b/core/tmslice/transfer.go
@@ -244,14 +244,28 @@
 		}
 	}
 	slices.SortStableFunc(needs, func(a, b need) int { return cmp.Compare(b.lack, a.lack) })
+	unmet := 0
 	for _, n := range needs {
-		moved := min(own, n.lack)
-		if moved <= 0 {
-			return
+		moved := max(0, min(own, n.lack))
+		unmet += n.lack - moved
+		if moved > 0 {
+			own -= moved
+			p.give(team, n.key, moved)
 		}
-		own -= moved
-		p.give(team, n.key, moved)
 	}
+	p.setCeiling(team, unmet, targets)
+}
+
+// setCeiling lets this entry use no more than its target while others lack
+// units. An entry whose units are all in use would otherwise never have any to
+// give, since each task that ends makes room for the next one.
+func (p *plan) setCeiling(team string, unmet int, targets []int) {
+	delete(p.l.ceilings, team)
+	if unmet == 0 {
+		return
+	}
+	i, _ := slices.BinarySearch(p.keys, p.l.own.key)
+	p.l.ceilings[team] = max(targets[i], p.own(team).Held-unmet)
 }
 
 func (p *plan) give(team, to string, n int) {
--- a/io/tmentry/demand.go
+++ b/io/tmentry/demand.go
@@ -18,10 +18,15 @@
 		d.Cells = append(d.Cells, tmpeer.Cell{
 			Pool:    cell.Pool,
 			Team:    cell.Team,
-			Queued:  load.Queued,
+			Queued:  load.Queued + t.forwarded[cell],
 			Running: load.Running,
 		})
 	}
+	for cell, n := range t.forwarded {
+		if t.queue.Demand().Get(cell.Pool, cell.Team).Total() == 0 {
+			d.Cells = append(d.Cells, tmpeer.Cell{Pool: cell.Pool, Team: cell.Team, Queued: n})
+		}
+	}
 	for name := range t.state.Config().Teams().All() {
 		if n := t.ledger.Available(name); n > 0 {
 			d.Units = append(d.Units, tmpeer.Units{Team: name, Unused: n})
@@ -37,6 +42,7 @@
 		pools:  map[string]int{},
 		teams:  tmslice.Demand{},
 		cells:  map[tmshare.Cell]int{},
+		queued: map[string]int{},
 		unused: map[string]int{},
 	}
 	running := map[string]int{}
@@ -44,6 +50,7 @@
 		report.pools[c.Pool] += c.Queued + c.Running
 		report.cells[tmshare.Cell{Pool: c.Pool, Team: c.Team}] += c.Queued + c.Running
 		report.teams[c.Team] += c.Queued + c.Running
+		report.queued[c.Team] += c.Queued
 		running[c.Team] += c.Running
 	}
 	for _, u := range d.Units {
@@ -69,6 +76,9 @@
 	for cell, load := range t.queue.Demand().All() {
 		own[cell.Team] += load.Total()
 	}
+	for cell, n := range t.forwarded {
+		own[cell.Team] += n
+	}
 	all[t.e.self.Incarnation()] = own
 	return all
 }
@@ -99,8 +109,6 @@
 		}
 		t.planPoolLocked(pool)
 	}
-	t.entitled = t.entitlementsLocked()
-	t.preemptLocked()
 }
 
 // planPoolLocked sets the targets of one pool. While the pool has room for all,
--- a/io/tmentry/entry.go
+++ b/io/tmentry/entry.go
@@ -66,7 +66,7 @@
 	members   *membership
 	metrics   *metrics
 	// starved is poked when a team has queued work but no units.
-	starved chan struct{}
+	starved  chan struct{}
 	disabled rules
 	// withdrawn is set when the entry is about to stop.
 	withdrawn atomic.Bool
@@ -139,6 +139,7 @@
 		{tmfresh.ListEvery, e.readInstanceList},
 		{tickEvery, e.tables.tick},
 		{planEvery, e.planSlots},
+		{tmfresh.HeartbeatEvery, e.rebalanceTeams},
 		{doubtEvery, e.resolveDoubts},
 		{sweepEvery, e.sweepRuns},
 	}
--- a/io/tmentry/forward.go
+++ b/io/tmentry/forward.go
@@ -7,6 +7,7 @@
 	"turmericmoor/core/tmfleet"
 	"turmericmoor/core/tmonce"
 	"turmericmoor/core/tmrequest"
+	"turmericmoor/core/tmshare"
 	"turmericmoor/io/tmpeer"
 )
 
@@ -52,6 +53,7 @@
 		t.queue.Remove(j.id)
 		j.queued = false
 		t.forwarding++
+		t.forwarded[tmshare.Cell{Pool: j.pool, Team: j.team}]++
 		handed++
 		t.e.loops.Go(func() { t.e.forward(j, peer) })
 	}
@@ -112,6 +114,10 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.forwarding--
+	cell := tmshare.Cell{Pool: j.pool, Team: j.team}
+	if t.forwarded[cell]--; t.forwarded[cell] <= 0 {
+		delete(t.forwarded, cell)
+	}
 	if final {
 		t.finishLocked(j, r)
 		return
--- a/io/tmentry/lease.go
+++ b/io/tmentry/lease.go
@@ -226,6 +226,7 @@
 		free:     g.Free,
 		state:    g.State,
 	}
+	t.health.Renewed(name)
 	t.updateEndpointLocked(name)
 	t.ready.Signal()
 }
--- a/io/tmentry/preempt.go
+++ b/io/tmentry/preempt.go
@@ -1,6 +1,8 @@
 package tmentry
 
 import (
+	"context"
+
 	"turmericmoor/core/tmclock"
 	"turmericmoor/core/tmshare"
 )
@@ -8,10 +10,22 @@
 // maxCheckpoints bounds the checkpoints under way in one pool.
 const maxCheckpoints = 4
 
-// entitlementsLocked returns the tasks that each team is entitled to in the
-// whole fleet: the weighted max-min division of the slots of each pool by the
-// demand of all entries.
-func (t *tables) entitlementsLocked() tmshare.Entitlements {
+// rebalanceTeams divides the fleet among the teams by what the entries last
+// reported, sets how far this entry may correct each team's part, and
+// checkpoints tasks for teams that lack theirs. It is due with each heartbeat.
+func (e *Entry) rebalanceTeams(context.Context) {
+	t := e.tables
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.expirePeersLocked()
+	demand := t.fleetDemandLocked()
+	potential := t.divideLocked(demand)
+	t.usage.Rebalance(potential, func(team string) float64 { return t.partLocked(team) }, t.rng)
+	t.preemptLocked()
+}
+
+// fleetDemandLocked returns the queued and running requests of all entries.
+func (t *tables) fleetDemandLocked() map[tmshare.Cell]int {
 	demand := map[tmshare.Cell]int{}
 	for cell, load := range t.queue.Demand().All() {
 		demand[cell] += load.Total()
@@ -21,7 +35,14 @@
 			demand[cell] += n
 		}
 	}
-	entitled := tmshare.Entitlements{}
+	return demand
+}
+
+// divideLocked sets what each team is entitled to, by weighted max-min division
+// of each pool's slots, and returns what each team could get at most.
+func (t *tables) divideLocked(demand map[tmshare.Cell]int) tmshare.Entitlements {
+	t.entitled = tmshare.Entitlements{}
+	potential := tmshare.Entitlements{}
 	config := t.state.Config()
 	for pool := range config.Pools().All() {
 		_, slots := t.plannableLocked(pool)
@@ -37,28 +58,46 @@
 				})
 			}
 		}
-		for i, part := range tmshare.Divide(float64(slots), claims) {
-			entitled[names[i]] += part
+		parts := tmshare.Divide(float64(slots), claims)
+		most := tmshare.Potential(float64(slots), claims, parts)
+		for i, name := range names {
+			t.entitled[name] += parts[i]
+			potential[name] += most[i]
 		}
 	}
-	return entitled
+	return potential
+}
+
+// partLocked returns this entry's part of a team's queued requests.
+func (t *tables) partLocked(team string) float64 {
+	own := t.queue.Demand().Team(team).Queued
+	all := own
+	for _, report := range t.peers {
+		all += report.queued[team]
+	}
+	if all == 0 {
+		return 1 / float64(max(1, t.state.Members().Len()))
+	}
+	return float64(own) / float64(all)
 }
 
-// preemptLocked checkpoints a task for each pool in which a team that has work
-// here runs clearly less than it is entitled to. Several entries may act on
-// the same report, so each makes up for its part of the difference only.
+// preemptLocked checkpoints this entry's part of what teams with queued work
+// lack, as far as no task ends by itself.
 func (t *tables) preemptLocked() {
-	entries := float64(max(1, t.state.Members().Len()))
-	for cell, load := range t.queue.Demand().All() {
-		if load.Queued == 0 || t.picker.Idle(cell.Pool) > 0 || t.checkpoints[cell.Pool] > 0 {
-			continue
-		}
-		lack := t.entitled[cell.Team] - float64(t.usage.Running(cell.Team))
-		if lack < max(2, entries/2) || t.ledger.Available(cell.Team) <= 0 {
-			continue
-		}
-		if task, ok := t.tasks.ForReturning(cell.Pool, cell.Team, t.entitled); ok {
-			t.checkpointLocked(task)
+	now := t.clock.Now()
+	for team := range t.state.Config().Teams().All() {
+		missing := t.tasks.Missing(now, team, t.entitled[team], t.partLocked(team))
+		for pool := range t.state.Config().Pools().All() {
+			if missing <= 0 || t.ledger.Available(team) <= 0 {
+				break
+			}
+			if t.queue.Demand().Get(pool, team).Queued <= t.checkpoints[pool] {
+				continue
+			}
+			if task, ok := t.tasks.ForReturning(pool, team, t.entitled); ok {
+				t.checkpointLocked(task)
+				missing--
+			}
 		}
 	}
 }
--- a/io/tmentry/promise_test.go
+++ b/io/tmentry/promise_test.go
@@ -26,6 +26,9 @@
 // withinSeconds is the bound for "within seconds" and "a few seconds".
 const withinSeconds = 5 * time.Second
 
+// loadTimeout keeps a request that can't start from holding up the test.
+const loadTimeout = 3 * tmclock.Second
+
 // cut drops all traffic between one entry and its peers while it is set.
 type cut struct{ entry atomic.Pointer[string] }
 
@@ -111,6 +114,20 @@
 	f.platform.SetControl(tmfakeplatform.Control{Only: others})
 }
 
+// allHold reports whether every entry holds units of the team's limit.
+func (f *fleet) allHold() bool {
+	for _, e := range f.entries {
+		data, err := e.Dump(context.Background())
+		assert.NilError(f.t, err)
+		var d struct{ Slices []struct{ Held int } }
+		assert.NilError(f.t, json.Unmarshal(data, &d))
+		if len(d.Slices) == 0 || d.Slices[0].Held == 0 {
+			return false
+		}
+	}
+	return true
+}
+
 // cutOffCase applies a change while one entry is cut off, waits until the
 // change is accepted, and returns how many matching tasks started more than the
 // bound later.
@@ -123,8 +140,8 @@
 		f.entries[2].Disable(m)
 		f.entries[0].Disable(m)
 	}
-	l := f.startLoad(4, tmrequest.Params{Idempotent: true}, 30)
-	f.eventually(5*time.Second, "work runs", func() bool { return l.ok.Load() > 50 })
+	l := f.startLoad(4, tmrequest.Params{Idempotent: true, Timeout: loadTimeout}, 30)
+	f.eventually(10*time.Second, "work runs through all entries", func() bool { return l.ok.Load() > 50 && f.allHold() })
 	f.isolate(c, 2)
 	status, err := f.entries[0].Apply(context.Background(), tmoperator.ChangeRequest{ID: uuid.NewString(), Changes: []tmchange.Change{change}})
 	assert.NilError(t, err)
@@ -212,8 +229,8 @@
 			e.Disable(m)
 		}
 	}
-	l := f.startLoad(8, tmrequest.Params{Idempotent: true}, 60)
-	f.eventually(5*time.Second, "work runs", func() bool { return l.ok.Load() > 20 })
+	l := f.startLoad(8, tmrequest.Params{Idempotent: true, Timeout: loadTimeout}, 60)
+	f.eventually(10*time.Second, "work runs through all entries", func() bool { return l.ok.Load() > 20 && f.allHold() })
 	f.platform.SetControl(tmfakeplatform.Control{LoseAnswers: 8})
 	f.eventually(10*time.Second, "work goes on", func() bool { return l.ok.Load() > 150 })
 	f.entries[1].Kill()
@@ -254,8 +271,8 @@
 			e.Disable(m)
 		}
 	}
-	l := f.startLoad(4, tmrequest.Params{Idempotent: true}, 30)
-	f.eventually(5*time.Second, "work runs", func() bool { return l.ok.Load() > 50 })
+	l := f.startLoad(4, tmrequest.Params{Idempotent: true, Timeout: loadTimeout}, 30)
+	f.eventually(10*time.Second, "work runs through all entries", func() bool { return l.ok.Load() > 50 && f.allHold() })
 	name := "entry-2"
 	c.entry.Store(&name)
 	f.platform.SetControl(tmfakeplatform.Control{ListLagMs: lag.Milliseconds()})
--- a/io/tmentry/tables.go
+++ b/io/tmentry/tables.go
@@ -62,7 +62,11 @@
 	entitled tmshare.Entitlements
 	// checkpoints counts checkpoints under way by pool.
 	checkpoints map[string]int
-	forwarding  int
+	// forwarded counts the requests that are with other entries. They still
+	// count as demand here, so that units and slots come to this entry.
+	forwarded  map[tmshare.Cell]int
+	forwarding int
+	rng        *rand.Rand
 }
 
 // peerReport is what a peer last said about its demand.
@@ -71,6 +75,7 @@
 	pools  map[string]int
 	teams  tmslice.Demand
 	cells  map[tmshare.Cell]int
+	queued map[string]int
 	unused map[string]int
 }
 
@@ -94,6 +99,8 @@
 		kicked:      map[string]tmclock.Millis{},
 		parked:      map[string]*job{},
 		checkpoints: map[string]int{},
+		forwarded:   map[tmshare.Cell]int{},
+		rng:         rng,
 	}
 	t.ready = sync.NewCond(&t.mu)
 	t.queue = tmshare.NewQueue[*job](e.clock, t.usage, tmshare.Bounds{
