--- a/io/tmentry/export_test.go
+++ b/io/tmentry/export_test.go
@@ -32,6 +32,7 @@
 
 // Kill ends the entry without any farewell to others, as a crash does.
 func (e *Entry) Kill() {
+	e.tables.stop()
 	e.cancel()
 	_ = e.node.Close()
 	e.tables.close()
