core/tmwave: waves that meet at one instance

Cause: in tests of two waves over one pool, one returned an instance to service and the other drained it again before the first had seen its own return; the two repeated this until the test ended. A wave could also wait for 10 minutes, because another one had given up an instance that it wanted to reboot. A drain that was decided before another wave drained in a second rack was still carried out. Instances that operators marked as leaving were put back into service. Ruled out: a note in the State of which wave drains an instance, which would change the contract of the State. Change: Progress.Served is written in the transaction that marks instances as serving; a drain that no longer fits into the rack, and an instance that somebody else returned before its reboot, go back to waiting; leaving instances are skipped.

--- a/core/tmwave/next.go
+++ b/core/tmwave/next.go
@@ -116,7 +116,9 @@
 func (t *turn) advance(name string) {
 	m := t.marks[name]
 	in, ok := t.v.Config.Instances().Get(name)
-	if !ok {
+	// A return to service would undo an operator's mark of a leaving instance.
+	leaving := in.Duty() == tmfleet.Leaving && m.Phase != Done
+	if !ok || leaving {
 		m.Phase = Skipped
 		t.marks[name] = m
 		return
@@ -155,10 +157,13 @@
 func (t *turn) advanceDraining(m *Mark, in tmfleet.Instance, e Endpoint) {
 	s := t.surveys[in.Pool()]
 	overdrawn := s != nil && s.spare() < 0 && !t.opt.noBudget
+	// Another wave may have drained elsewhere since this drain was decided. The
+	// State refuses what exceeds a budget, but knows no rule for zones.
+	blocked := in.Duty() == tmfleet.Serving && s != nil && !s.fits(in, t.opt)
 	late := t.elapsed(in.Name(), Draining) > drainTimeout
 	drained := in.Duty() == tmfleet.Draining && e.State == EndpointDraining && e.Running == 0
 	switch {
-	case overdrawn || t.p.stopped != "" || in.Duty() == tmfleet.Leaving:
+	case overdrawn || blocked || t.p.stopped != "":
 		m.Phase = Returning
 	case drained || e.Boots > m.Boots:
 		m.Phase = Rebooting
@@ -174,6 +179,12 @@
 		t.p.failedInRow = 0
 		return
 	}
+	// Somebody else returned the instance to service before its reboot, for
+	// example another wave that drained it too and gave it up.
+	if m.Phase == Rebooting && e.Boots == m.Boots && e.State == EndpointServing && in.Duty() == tmfleet.Serving {
+		m.Phase = Returning
+		return
+	}
 	if m.Phase == Rebooting && t.elapsed(in.Name(), Rebooting) > returnTimeout {
 		m.Phase = Failed
 		t.p.failedInRow++
--- a/core/tmwave/plan.go
+++ b/core/tmwave/plan.go
@@ -5,8 +5,9 @@
 // from the wave's row and a fresh View. It writes the returned Progress by
 // compare-and-set before it carries out the steps. A step that changes the
 // State is written in a transaction that also checks the revision of the wave
-// row, so that a leader that has been replaced can't change the State. Every
-// step may be carried out again, and one that was lost is returned again.
+// row, so that a leader that has been replaced can't change the State. With a
+// MarkServing step that transaction also writes Progress.Served. Every step may
+// be carried out again, and one that was lost is returned again.
 //
 // Values are immutable and safe for concurrent use, except Runner and Leader,
 // which belong to one goroutine.
--- a/core/tmwave/progress.go
+++ b/core/tmwave/progress.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 
 	"turmericmoor/core/tmfleet"
 )
@@ -98,6 +99,31 @@
 	return p
 }
 
+// Served returns a copy of p in which the instances have been returned to
+// service. It is written in the transaction that marks them as serving: if the
+// row followed later, another wave could drain an instance in between, and
+// this one would return it to service again and again.
+func (p Progress) Served(names []string) Progress {
+	marks := maps.Collect(p.marks.All())
+	for _, name := range names {
+		m, ok := marks[name]
+		switch {
+		case !ok:
+			continue
+		case m.Phase == Rebooting || m.Phase == Failed:
+			m.Phase = Done
+			p.failedInRow = 0
+		case m.Phase == Returning && m.Tries >= maxTries:
+			m.Phase = Skipped
+		case m.Phase == Returning:
+			m.Phase = Waiting
+		}
+		marks[name] = m
+	}
+	p.marks = tmfleet.NewTable(marks)
+	return p
+}
+
 // Count returns how many instances are in the phase.
 func (p Progress) Count(phase Phase) int {
 	n := 0
