io/tmwaves, io/tmentry: lead waves and finish moves

Cause: the operator calls for waves were a stub, and a move left its instance draining. Ruled out: finishing a move as soon as the endpoint runs no task. A start that was permitted before may still arrive while its nonce is valid, so the owner of a move waits for that long after the version is in force. The change depends on the version that was checked, since an operator may have ended the move and started another one. Change: every entry reads the open waves each second; the holder of the lease makes turns as core/tmwave requires and raises the counter with every write. One member per instance finishes moves. Negative controls in the tests switch off the check of budgets and the checks before the end of a move.

--- a/io/tmentry/entry.go
+++ b/io/tmentry/entry.go
@@ -25,6 +25,7 @@
 	"turmericmoor/io/tmpeer"
 	"turmericmoor/io/tmplatform"
 	"turmericmoor/io/tmstore"
+	"turmericmoor/io/tmwaves"
 )
 
 // workers is the number of tasks that an entry has under way at most.
@@ -47,6 +48,8 @@
 	Log                       *log.Logger
 	// PeerFilter is for failure tests; see tmpeer.Options.
 	PeerFilter func(from, to string) bool
+	// wrapWaves is for negative controls in tests of waves and moves.
+	wrapWaves func(tmwaves.Parts) tmwaves.Parts
 }
 
 // Entry is one running entry. It is safe for concurrent use.
@@ -65,6 +68,10 @@
 	runs      *runWriter
 	members   *membership
 	metrics   *metrics
+	waves     *tmwaves.Keeper
+	moves     *tmwaves.Mover
+	// spreading is set while an installed version is being pushed.
+	spreading atomic.Bool
 	// starved is poked when a team has queued work but no units.
 	starved chan struct{}
 	// withdrawn is set when the entry is about to stop.
@@ -107,6 +114,7 @@
 	e.leases = newLeaseKeeper(e)
 	e.runs = newRunWriter(e.store, clock, incarnation)
 	e.members = newMembership(e)
+	e.newWaves()
 	node, err := tmpeer.Start(tmpeer.Options{
 		Self:    tmpeer.Identity{Entry: opts.Name, Incarnation: incarnation},
 		Listen:  opts.PeerListen,
@@ -140,12 +148,14 @@
 		{planEvery, e.planSlots},
 		{doubtEvery, e.resolveDoubts},
 		{sweepEvery, e.sweepRuns},
+		{tmwaves.MoveEvery, e.moves.Step},
 	}
 	for _, l := range loops {
 		e.loops.Go(func() { every(e.ctx, l.every, l.run) })
 	}
 	e.loops.Go(func() { e.runs.loop(e.ctx) })
 	e.loops.Go(func() { e.keepSlices(e.ctx) })
+	e.loops.Go(func() { e.waves.Run(e.ctx) })
 	for range workers {
 		e.pool.Go(e.work)
 	}
--- a/io/tmentry/fleet_test.go
+++ b/io/tmentry/fleet_test.go
@@ -32,6 +32,8 @@
 	addresses map[string]string
 	entries   []*tmentry.Entry
 	filter    func(from, to string) bool
+	// adjust changes the options of entries, unless it is nil.
+	adjust func(*tmentry.Options)
 }
 
 // newFleet starts a platform, four endpoints in zones a and b, and n entries.
@@ -83,7 +85,7 @@
 
 func (f *fleet) addEntry(name string) *tmentry.Entry {
 	f.t.Helper()
-	e, err := tmentry.Start(tmentry.Options{
+	opts := tmentry.Options{
 		Name:        name,
 		Zone:        "a",
 		PeerListen:  freePort(f.t),
@@ -91,7 +93,11 @@
 		PlatformURL: f.url,
 		Log:         testLog(),
 		PeerFilter:  f.filter,
-	})
+	}
+	if f.adjust != nil {
+		f.adjust(&opts)
+	}
+	e, err := tmentry.Start(opts)
 	assert.NilError(f.t, err)
 	f.entries = append(f.entries, e)
 	f.t.Cleanup(func() {
--- a/io/tmentry/membership.go
+++ b/io/tmentry/membership.go
@@ -311,6 +311,7 @@
 	e.tables.install(e.tracker.State())
 	e.leases.sync(e.tracker.State())
 	e.runs.setMembers(state.Members().Len())
+	e.moves.Observe(state)
 	e.metrics.version.Set(float64(state.Version()))
 	e.log.Debug("state installed", "version", state.Version())
 }
