--- a/io/tmentry/export_test.go
+++ b/io/tmentry/export_test.go
@@ -5,6 +5,7 @@
 
 	"turmericmoor/core/tmonce"
 	"turmericmoor/core/tmrequest"
+	"turmericmoor/io/tmwaves"
 )
 
 // Mechanism is one that a negative control switches off.
@@ -33,12 +34,20 @@
 // Kill ends the entry without any farewell to others, as a crash does.
 func (e *Entry) Kill() {
 	e.tables.stop()
+	e.platform.Close()
 	e.cancel()
 	_ = e.node.Close()
 	e.tables.close()
+	e.loops.Wait()
 	e.tables.mu.Lock()
 	defer e.tables.mu.Unlock()
 	for _, j := range e.tables.jobs {
 		e.tables.finishLocked(j, result{fail: tmrequest.NewError(tmrequest.AnswerLost, tmonce.Unknown, "the entry was killed")})
 	}
 }
+
+// WrapWaves replaces the parts that lead waves and finish moves, so that
+// negative controls can switch their checks off.
+func (o *Options) WrapWaves(wrap func(tmwaves.Parts) tmwaves.Parts) {
+	o.wrapWaves = wrap
+}
