--- a/cmd/tmload/main_test.go
+++ b/cmd/tmload/main_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"encoding/json"
 	"fmt"
 	"os"
 	"path/filepath"
@@ -11,6 +12,9 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"turmericmoor/internal/harness"
+	"turmericmoor/internal/load"
 )
 
 func write(t *testing.T, name, text string) string {
@@ -82,3 +86,32 @@
 	_, err = parseStream("name=a,queue")
 	assert.ErrorContains(t, err, "key=value")
 }
+
+// Guards against a load and a judge that don't fit together or with real
+// processes: the judge has to pass a sound run and to find a violation in the
+// same journals.
+func TestRunAndJudge(t *testing.T) {
+	f := harness.New(t, harness.Layout{Entries: 2, Endpoints: 3})
+	journal := filepath.Join(t.TempDir(), "journal.jsonl")
+	var out, errOut bytes.Buffer
+	args := []string{
+		"run", "--duration", "1s", "--seed", "1", "--journal", journal, "--entry", strings.Join(f.URLs(), ","),
+		"--stream", "name=scans,team=crews,queue=steps,rate=30,run=fixed:5ms,own_ids=true,key_file=" + f.KeyFile("crews"),
+	}
+	assert.Equal(t, run(context.Background(), args, &out, &errOut), exitDone, errOut.String())
+	var report load.Report
+	assert.NilError(t, json.Unmarshal(out.Bytes(), &report))
+	assert.Assert(t, report.Total.Requests > 0)
+	assert.Equal(t, report.Total.Codes["ok"], report.Total.Requests)
+
+	args = []string{"judge", "--journal", journal, "--platform", f.PlatformURL(), "--complete"}
+	for _, e := range f.Endpoints() {
+		args = append(args, "--endpoint", e.URL())
+	}
+	out.Reset()
+	assert.Equal(t, run(context.Background(), args, &out, &errOut), exitDone, out.String()+errOut.String())
+	for _, violation := range []string{"--zone-out=zone-a=1", "--limit=crews=0"} {
+		out.Reset()
+		assert.Equal(t, run(context.Background(), append(args, violation), &out, &errOut), exitViolation, out.String())
+	}
+}
