--- a/cmd/tmload/judge.go
+++ b/cmd/tmload/judge.go
@@ -25,6 +25,7 @@
 	platform  string
 	limits    []string
 	zones     []string
+	budgets   []string
 	killed    []string
 	complete  bool
 }
@@ -46,8 +47,9 @@
 				return err
 			}
 			found := judge.Check(evidence)
-			if _, err := fmt.Fprintf(cmd.OutOrStdout(), "%d submissions, %d events of endpoints, %d records\n%s",
-				len(evidence.Submissions), len(evidence.Events), len(evidence.Runs), judge.Table(found)); err != nil {
+			if _, err := fmt.Fprintf(cmd.OutOrStdout(), "%d submissions, %d events of endpoints, %d records\n%s%s",
+				len(evidence.Submissions), len(evidence.Events), len(evidence.Runs),
+				judge.Summary(evidence.Submissions), judge.Table(found)); err != nil {
 				return err
 			}
 			if len(found) > 0 {
@@ -63,6 +65,7 @@
 	flags.StringVar(&f.platform, "platform", "", "URL of the platform, for limits and records")
 	flags.StringSliceVar(&f.limits, "limit", nil, "limit of a team as team=tasks, in place of the platform's rows")
 	flags.StringSliceVar(&f.zones, "zone-out", nil, "zone that was taken out as name=unix ms, or name=unix ms-unix ms when it came back")
+	flags.StringArrayVar(&f.budgets, "budget", nil, "availability budget of a pool as pool=instances:endpoint,endpoint,...; may be repeated")
 	flags.StringSliceVar(&f.killed, "killed", nil, "URL of an entry that was killed on purpose, which may cut requests")
 	flags.BoolVar(&f.complete, "complete", false, "the journals have all submissions, so that other tasks are violations")
 	return cmd
@@ -159,9 +162,26 @@
 		}
 		e.Absences = append(e.Absences, absence)
 	}
+	for _, text := range f.budgets {
+		budget, err := parseBudget(text)
+		if err != nil {
+			return err
+		}
+		e.Budgets = append(e.Budgets, budget)
+	}
 	return nil
 }
 
+func parseBudget(text string) (judge.Budget, error) {
+	pool, rest, _ := strings.Cut(text, "=")
+	number, endpoints, found := strings.Cut(rest, ":")
+	most, err := strconv.Atoi(number)
+	if err != nil || pool == "" || !found || most < 0 {
+		return judge.Budget{}, fmt.Errorf("--budget %q, expected pool=instances:endpoint,endpoint", text)
+	}
+	return judge.Budget{Pool: pool, MaxUnavailable: most, Endpoints: strings.Split(endpoints, ",")}, nil
+}
+
 func parseAbsence(text string) (judge.Absence, error) {
 	name, times, _ := strings.Cut(text, "=")
 	first, second, back := strings.Cut(times, "-")
--- /dev/null
+++ b/internal/judge/budget.go
@@ -0,0 +1,67 @@
+package judge
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+)
+
+// Budget is the availability budget of a pool whose endpoints don't change.
+type Budget struct {
+	Pool      string
+	Endpoints []string
+	// MaxUnavailable is how many of them may be out of service on purpose.
+	MaxUnavailable int
+}
+
+// checkBudgets finds the moments at which more endpoints of a pool were drained
+// or rebooting than its budget permits.
+func checkBudgets(e Evidence) []Violation {
+	var all []Violation
+	events := inOrder(e.Events)
+	for _, b := range e.Budgets {
+		out := map[string]bool{}
+		for _, ev := range events {
+			if !slices.Contains(b.Endpoints, ev.Endpoint) {
+				continue
+			}
+			switch ev.Kind {
+			case "drain", "reboot":
+				if out[ev.Endpoint] {
+					continue
+				}
+				out[ev.Endpoint] = true
+				if len(out) > b.MaxUnavailable {
+					all = append(all, Violation{Rule: BelowBudget, Detail: fmt.Sprintf(
+						"%d endpoints of pool %s out of service at %d, at most %d permitted",
+						len(out), b.Pool, ev.AtMs, b.MaxUnavailable)})
+				}
+			case "undrain", "boot":
+				delete(out, ev.Endpoint)
+			}
+		}
+	}
+	return all
+}
+
+// Summary returns how many submissions ended in each way, one on a line.
+func Summary(list []Submission) string {
+	counts := map[string]int{}
+	for _, s := range list {
+		switch {
+		case s.Code == CodeOK:
+			counts["done"]++
+		case s.Outcome == NotRun:
+			counts["refused as not run"]++
+		case s.Outcome == Ran:
+			counts["ran and failed"]++
+		default:
+			counts["outcome unknown"]++
+		}
+	}
+	var b strings.Builder
+	for _, kind := range []string{"done", "refused as not run", "ran and failed", "outcome unknown"} {
+		fmt.Fprintf(&b, "%-18s %d\n", kind, counts[kind])
+	}
+	return b.String()
+}
--- a/internal/judge/judge.go
+++ b/internal/judge/judge.go
@@ -29,11 +29,12 @@
 	ZoneOut     Rule = "zone_out"
 	OtherAnswer Rule = "other_answer"
 	CutRequest  Rule = "cut_request"
+	BelowBudget Rule = "below_budget"
 )
 
 // Rules returns all rules in the order of the report.
 func Rules() []Rule {
-	return []Rule{RunTwice, NotRunRan, WrongTeam, AboveLimit, ZoneOut, OtherAnswer, CutRequest}
+	return []Rule{RunTwice, NotRunRan, WrongTeam, AboveLimit, ZoneOut, OtherAnswer, CutRequest, BelowBudget}
 }
 
 // Violation is one broken promise.
@@ -73,6 +74,7 @@
 	Absences    []Absence
 	Limits      []Limit
 	Runs        []Run
+	Budgets     []Budget
 	// Killed are the URLs of entries that were killed on purpose. Requests cut
 	// there are no violation.
 	Killed []string
@@ -97,6 +99,7 @@
 		checkZones,
 		checkAnswers,
 		checkCut,
+		checkBudgets,
 	} {
 		all = append(all, check(e)...)
 	}
--- a/internal/standin/tmfakeendpoint/endpoint.go
+++ b/internal/standin/tmfakeendpoint/endpoint.go
@@ -183,6 +183,7 @@
 	if e.state == rebooting && !now.Before(e.bootAt) {
 		e.state = serving
 		e.boots++
+		e.record(Event{Kind: "boot"})
 	}
 	for t := range e.tasks {
 		if at, reason := t.due(); !now.Before(at) {
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -2,7 +2,8 @@
 # The caller sets BIN (folder of the programs) and DIR (an empty folder).
 
 PLATFORM=
-PORT=$((20000 + $$ % 20000))
+# The ports stay below those that the system gives to outgoing connections.
+PORT=$((18000 + $$ % 300 * 40))
 PIDS=
 
 # launch NAME COMMAND... runs a program in the background with its output in DIR.
@@ -63,7 +64,7 @@
 	until "$BIN/turmericmoor" dump --operator "http://127.0.0.1:$1" 2>/dev/null | tr -d ' \n' |
 		grep -q '"fresh":true'; do
 		tries=$((tries + 1))
-		[ $tries -lt 200 ] || { echo "no entry is ready at port $1" >&2; return 1; }
+		[ $tries -lt 200 ] || { echo "no entry is ready at port $1" >&2; tail -n 3 "$DIR"/entry-*.err >&2; return 1; }
 		sleep 0.1
 	done
 }
