io/tmwaves, io/tmentry: reports of the pools of a wave only; more tests of waves

Cause: a leader asked all endpoints of the fleet for reports, also those of pools that the wave does not touch; stopping a wave, the number of rows kept and the judge of cut tasks had no test. Change: the leader asks the endpoints of the pools of its wave.

--- a/io/tmentry/wave_test.go
+++ b/io/tmentry/wave_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
 	"sync"
 	"testing"
@@ -17,6 +18,7 @@
 	"turmericmoor/internal/standin/tmfakeplatform"
 	"turmericmoor/io/tmentry"
 	"turmericmoor/io/tmoperator"
+	"turmericmoor/io/tmstore"
 	"turmericmoor/io/tmwaves"
 )
 
@@ -85,7 +87,7 @@
 	// The wave reaches the first rack first. Its tasks keep it draining.
 	var tasks sync.WaitGroup
 	for _, name := range []string{"scans-00", "scans-01"} {
-		tasks.Go(func() { f.occupy(name, 5*tmclock.Second) })
+		tasks.Go(func() { assert.Check(t, f.occupy(name, 5*tmclock.Second)) })
 		f.eventually(time.Second, name+" runs a task", func() bool { return f.running(name) > 0 })
 	}
 	f.startWave(0, "kernel", "scans")
@@ -224,6 +226,26 @@
 	})
 }
 
+// Negative control: when endpoints seem to run no task, a wave cuts one, and
+// its caller and the journal show it.
+func TestCutTaskIsFound(t *testing.T) {
+	t.Parallel()
+	f := newWaveFleet(t, []string{"scans"}, 1, 1, func(o *tmentry.Options) {
+		o.WrapWaves(func(p tmwaves.Parts) tmwaves.Parts {
+			p.Endpoints = idle{p.Endpoints}
+			return p
+		})
+	})
+	cut := make(chan error, 1)
+	go func() { cut <- f.occupy("scans-00", 8*tmclock.Second) }()
+	f.eventually(time.Second, "the task runs", func() bool { return f.running("scans-00") > 0 })
+	f.startWave(0, "kernel", "scans")
+	f.eventually(5*time.Second, "the journal has the cut", func() bool {
+		return slices.ContainsFunc(f.endpoints["scans-00"].Journal(), func(ev tmfakeendpoint.Event) bool { return ev.Kind == "stop" })
+	})
+	assert.Assert(t, <-cut != nil)
+}
+
 // Guards against a name that two waves get, and a wave without instances.
 func TestWaveRequestIsChecked(t *testing.T) {
 	t.Parallel()
@@ -242,3 +264,49 @@
 	assert.Equal(t, len(waves), 1)
 	assert.Equal(t, waves[0].Total, 4)
 }
+
+// Guards against a stopped wave that takes further instances or leaves some
+// out of service, and against rows that are kept for ever or deleted too early.
+func TestStoppedAndOldWaves(t *testing.T) {
+	t.Parallel()
+	f := newWaveFleet(t, []string{"scans"}, 1, 1, nil)
+	ctx := context.Background()
+	old := make([]tmstore.Wave, tmwave.RowsKept+3)
+	var add, end tmstore.Txn
+	for i := range old {
+		old[i] = tmstore.Wave{Name: fmt.Sprintf("old-%02d", i), Created: tmclock.Millis(i)}
+		add.AddWave(old[i])
+	}
+	revision, err := f.store.Commit(ctx, &add)
+	assert.NilError(t, err)
+	for _, w := range old {
+		w.Revision = revision
+		end.CloseWave(w)
+	}
+	_, err = f.store.Commit(ctx, &end)
+	assert.NilError(t, err)
+	f.startWave(0, "kernel", "scans")
+	waves, err := f.entries[1].Waves(ctx)
+	assert.NilError(t, err)
+	assert.Equal(t, len(waves), tmwave.RowsKept)
+	assert.Equal(t, waves[0].Name, "kernel")
+	assert.Equal(t, waves[len(waves)-1].Name, "old-04")
+	f.eventually(10*time.Second, "an instance is out of service", func() bool {
+		return len(f.row("kernel").Progress.Marks().Keys()) > f.row("kernel").Progress.Count(tmwave.Waiting)
+	})
+	_, err = f.entries[2].StopWave(ctx, "kernel")
+	assert.NilError(t, err)
+	f.eventually(10*time.Second, "the wave has ended", func() bool {
+		status, err := f.entries[1].Wave(ctx, "kernel")
+		return err == nil && status.Phase == tmoperator.WaveStopped && f.row("kernel").Progress.Ended()
+	})
+	spans, breach := f.judge()
+	assert.NilError(t, breach)
+	assert.Assert(t, len(spans) >= 1 && len(spans) < 4, "%d instances were taken out of service", len(spans))
+	f.checkJournals(0, 1, spans)
+	state, _, err := f.store.State(ctx)
+	assert.NilError(t, err)
+	for name, in := range state.Config().Instances().All() {
+		assert.Equal(t, in.Duty(), tmfleet.Serving, name)
+	}
+}
--- a/io/tmentry/wavefleet_test.go
+++ b/io/tmentry/wavefleet_test.go
@@ -119,9 +119,9 @@
 	delete(f.endpoints, name)
 }
 
-// occupy runs one task at an endpoint, without an entry, and fails the test
-// when it is cut.
-func (f *waveFleet) occupy(name string, run tmclock.Span) {
+// occupy runs one task at an endpoint, without an entry. It returns an error
+// when the task is cut.
+func (f *waveFleet) occupy(name string, run tmclock.Span) error {
 	client := tmendpoint.New(tmendpoint.Options{})
 	defer client.Close()
 	ctx := context.Background()
@@ -132,9 +132,7 @@
 			Team: "crews", Queue: "scans", Timeout: 2 * run, Size: 1, Body: fmt.Appendf(nil, `{"run_ms":%d}`, run),
 		})
 	}
-	if err != nil {
-		f.t.Errorf("task at %s: %v", name, err)
-	}
+	return err
 }
 
 // load submits requests through one entry until stop is called, and fails the
--- a/io/tmwaves/reports.go
+++ b/io/tmwaves/reports.go
@@ -46,11 +46,20 @@
 	return &reports{Parts: parts, rows: map[string]report{}}
 }
 
-// due returns the instances of cfg whose report is old.
-func (r *reports) due(cfg tmfleet.Config) []string {
+// due returns the instances whose report is old, in the pools that the wave
+// has instances in.
+func (r *reports) due(cfg tmfleet.Config, p tmwave.Progress) []string {
+	pools := map[string]bool{}
+	for name := range p.Marks().All() {
+		in, _ := cfg.Instances().Get(name)
+		pools[in.Pool()] = true
+	}
 	now := r.Clock.Now()
 	var names []string
-	for name := range cfg.Instances().All() {
+	for name, in := range cfg.Instances().All() {
+		if !pools[in.Pool()] {
+			continue
+		}
 		row, ok := r.rows[name]
 		if !ok || row.failedSince != 0 || now.Sub(row.at) >= reportEvery {
 			names = append(names, name)
--- a/io/tmwaves/turn.go
+++ b/io/tmwaves/turn.go
@@ -78,7 +78,7 @@
 // take that reboot for its own.
 func (k *Keeper) decide(ctx context.Context, w *watch, state tmfleet.State) (tmwave.Progress, []tmwave.Step) {
 	read := k.Clock.Now()
-	k.reports.refresh(ctx, state, union(k.reports.due(state.Config()), activeOf(w.row)))
+	k.reports.refresh(ctx, state, union(k.reports.due(state.Config(), w.row.Progress), activeOf(w.row)))
 	for {
 		next, steps := w.runner.Next(w.row.Progress, tmwave.View{
 			Config:    state.Config(),
