core/tmadmit: refuse work that can't end before its deadline

Ruled out: shorter queues (the queue bound was never reached). Change: an estimate of run times by team and queue; a request is refused on arrival when its queue is longer than its timeout, and before its start when the time left is too short.

--- a/io/tmentry/job.go
+++ b/io/tmentry/job.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 
+	"turmericmoor/core/tmadmit"
 	"turmericmoor/core/tmclock"
 	"turmericmoor/core/tmonce"
 	"turmericmoor/core/tmrequest"
@@ -65,6 +66,11 @@
 	}
 }
 
+// kind returns the kind of work whose run times are alike.
+func (j *job) kind() tmadmit.Kind {
+	return tmadmit.Kind{Team: j.team, Queue: j.req.Queue()}
+}
+
 // outcome returns what may be said about the request if it is given up now.
 func (j *job) outcome() tmonce.Outcome {
 	o := j.attempts.Outcome()
--- a/io/tmentry/promise_test.go
+++ b/io/tmentry/promise_test.go
@@ -23,8 +23,8 @@
 	"turmericmoor/io/tmoperator"
 )
 
-// withinSeconds is the bound for "within seconds" and "a few seconds".
-const withinSeconds = 5 * time.Second
+// shortBound is the bound for "within seconds" and "a few seconds".
+const shortBound = 5 * time.Second
 
 // loadTimeout keeps a request that can't start from holding up the test.
 const loadTimeout = 3 * tmclock.Second
@@ -146,7 +146,7 @@
 	status, err := f.entries[0].Apply(context.Background(), tmoperator.ChangeRequest{ID: uuid.NewString(), Changes: []tmchange.Change{change}})
 	assert.NilError(t, err)
 	assert.Assert(t, status.InForce)
-	deadline := time.Now().Add(withinSeconds)
+	deadline := time.Now().Add(shortBound)
 	time.Sleep(time.Until(deadline.Add(1500 * time.Millisecond)))
 	l.end()
 	return f.startsAfter(deadline, match)
@@ -277,7 +277,7 @@
 	c.entry.Store(&name)
 	f.platform.SetControl(tmfakeplatform.Control{ListLagMs: lag.Milliseconds()})
 	f.platform.SetInstance(tmfakeplatform.Instance{Name: "ep-0", Zone: "a", Rack: "r-ep-0", Address: f.addresses["ep-0"], State: "leaving"})
-	deadline := time.Now().Add(lag + withinSeconds)
+	deadline := time.Now().Add(lag + shortBound)
 	time.Sleep(time.Until(deadline.Add(time.Second)))
 	l.end()
 	return f.startsAfter(deadline, func(ev tmfakeendpoint.Event) bool { return ev.Endpoint == "ep-0" })
--- a/io/tmentry/tables.go
+++ b/io/tmentry/tables.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"sync"
 
+	"turmericmoor/core/tmadmit"
 	"turmericmoor/core/tmclock"
 	"turmericmoor/core/tmfleet"
 	"turmericmoor/core/tmonce"
@@ -43,6 +44,7 @@
 	ramps   *tmroute.Ramps
 	picker  *tmroute.Picker
 	retries *tmroute.RetryBudget
+	admit   *tmadmit.Estimator
 
 	jobs     map[string]*job
 	recorded map[string]*job
@@ -87,6 +89,7 @@
 		health:   tmroute.NewHealth(e.clock, rng),
 		ramps:    tmroute.NewRamps(e.clock),
 		retries:  tmroute.NewRetryBudget(),
+		admit:    tmadmit.NewEstimator(),
 		jobs:     map[string]*job{},
 		recorded: map[string]*job{},
 		leases:   map[string]*lease{},
@@ -160,6 +163,9 @@
 			return duplicateOf(other, j)
 		}
 	}
+	if fail := t.overloadedLocked(j); fail != nil {
+		return fail
+	}
 	if err := t.queue.Push(j.queueItem()); err != nil {
 		return tmrequest.Refuse(tmrequest.Overloaded, "%v", err).WithRetryAfter(tmclock.Second)
 	}
@@ -174,6 +180,20 @@
 	return nil
 }
 
+// overloadedLocked refuses a request that would most likely wait until its
+// timeout. Urgent requests go ahead of the queue.
+func (t *tables) overloadedLocked(j *job) *tmrequest.Error {
+	if j.req.Urgent() {
+		return nil
+	}
+	load := t.queue.Demand().Get(j.pool, j.team)
+	if t.admit.WorthQueueing(j.kind(), j.req.Timeout(), load.Queued, load.Running) {
+		return nil
+	}
+	return tmrequest.Refuse(tmrequest.Overloaded, "%d requests of team %s wait for pool %s, longer than the timeout",
+		load.Queued, j.team, j.pool).WithRetryAfter(tmclock.Second)
+}
+
 func duplicateOf(other, j *job) *tmrequest.Error {
 	if other.record.digest != j.record.digest {
 		return tmrequest.NewError(tmrequest.IDReused, tmonce.Unknown, "request id %s belongs to a request with other content", j.req.ID())
--- a/io/tmentry/worker.go
+++ b/io/tmentry/worker.go
@@ -69,6 +69,9 @@
 			return assignment{}, false
 		}
 		if a, ok := t.nextLocked(); ok {
+			if a.job == nil {
+				continue
+			}
 			// There may be more to start than the one signal that woke this
 			// worker.
 			t.ready.Signal()
@@ -93,6 +96,8 @@
 	return assignment{}, false
 }
 
+// assignLocked returns an assignment, or one without a job when a request was
+// given up in its place. It returns false when nothing can start in the pool.
 func (t *tables) assignLocked(pool string) (assignment, bool) {
 	r, ok := t.queue.Next(pool, t.sliceView())
 	if !ok {
@@ -100,6 +105,11 @@
 	}
 	j := r.Value
 	j.queued = false
+	if !j.resumed && !t.admit.WorthStarting(j.kind(), j.deadline.Sub(t.clock.Now())) {
+		t.queue.Finished(pool, j.team)
+		t.finishLocked(j, j.fail(tmrequest.Deadline, "the time left is shorter than tasks of this kind take"))
+		return assignment{}, true
+	}
 	name, ok := t.picker.Pick(tmroute.Want{
 		Pool:       pool,
 		Zone:       t.e.opts.Zone,
@@ -151,7 +161,11 @@
 		return
 	}
 	answer, err := e.attempt(a, s)
-	e.tables.settle(a, e.judge(a, s, answer, err))
+	v := e.judge(a, s, answer, err)
+	if v.ended && v.doubt == nil || v.stopped {
+		v.ran = e.clock.Now().Sub(s.sent)
+	}
+	e.tables.settle(a, v)
 }
 
 // permit takes the nonce first and checks after that, so that a start that is
@@ -218,6 +232,10 @@
 	// says what.
 	ended  bool
 	failed bool
+	// stopped is set when the endpoint stopped the task at its timeout.
+	stopped bool
+	// ran is the time that the task ran, 0 when it is not known.
+	ran tmclock.Span
 	// doubt keeps the unit of the team's limit until it is certain that the
 	// task no longer runs.
 	doubt *tmslice.Attempt
@@ -280,7 +298,7 @@
 	j.attempts.Finish(tmonce.Answered)
 	if failure.Code == tmendpoint.CodeStopped {
 		r := j.fail(tmrequest.Deadline, "the task was stopped at its timeout")
-		return verdict{result: r, final: true}
+		return verdict{result: r, final: true, stopped: true}
 	}
 	v := e.retry(a)
 	v.ended, v.failed = true, true
@@ -348,6 +366,9 @@
 	t.tasks.Remove(j.attempt)
 	j.attempt, j.address, j.zone = "", "", ""
 	t.queue.Finished(j.pool, j.team)
+	if v.ran > 0 && !j.resumed {
+		t.admit.Observe(j.kind(), v.ran)
+	}
 	if v.doubt != nil {
 		t.ledger.Quarantine(*v.doubt)
 	} else {
