--- a/cmd/tmload/main_test.go
+++ b/cmd/tmload/main_test.go
@@ -83,6 +83,9 @@
 		_, err := readPlan(write(t, "load.ini", strings.Replace(good, from, to, 1)))
 		assert.ErrorContains(t, err, want)
 	}
+	example, err := readPlan("../../docs/load.example.ini")
+	assert.NilError(t, err)
+	assert.NilError(t, example.Check())
 	_, err = parseStream("name=a,queue")
 	assert.ErrorContains(t, err, "key=value")
 }
--- a/internal/harness/fleet.go
+++ b/internal/harness/fleet.go
@@ -5,6 +5,9 @@
 // The programs come from the directory that TM_BIN names, which `make build`
 // fills. Every process ends when the fleet is closed, and when the process that
 // started it ends.
+//
+// Endpoints are in the platform's list of instances from the start. Entries are
+// only after SetEntryInstance.
 package harness
 
 import (
