cmd/turmericmoor, io/tmoperator: clearer help and errors

Help texts name both listeners, say what waves, moves and zones do, and show no usage line for commands that only group others. A change that found no connection is no longer reported as possibly stored. Unknown paths of the operator listener are answered in JSON, and messages have the package prefix once.

--- a/cmd/turmericmoor/command_test.go
+++ b/cmd/turmericmoor/command_test.go
@@ -7,6 +7,7 @@
 	"encoding/hex"
 	"encoding/json"
 	"io"
+	"net"
 	"net/http/httptest"
 	"os"
 	"path/filepath"
@@ -150,6 +151,19 @@
 	assert.Equal(t, state.Version(), uint64(1))
 }
 
+// Guards against a doubt about changes that never left the machine, which
+// would make operators look for a change that nobody has.
+func TestNoConnection(t *testing.T) {
+	c := newConsole(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	url := "http://" + listener.Addr().String()
+	assert.NilError(t, listener.Close())
+	_, text := c.run(exitFailed, "", "zone out z0 --operator "+url)
+	assert.Assert(t, strings.Contains(text, "nothing was sent"), text)
+	assert.Assert(t, !strings.Contains(text, "may have been stored"), text)
+}
+
 const answersExample = "../../docs/answers.example.ini"
 
 // Guards against answers that lead to another configuration than the file that
--- a/cmd/turmericmoor/connection.go
+++ b/cmd/turmericmoor/connection.go
@@ -6,6 +6,7 @@
 	"crypto/x509"
 	"errors"
 	"fmt"
+	"net"
 	"net/http"
 	"os"
 	"strings"
@@ -130,11 +131,16 @@
 	if err != nil {
 		return tmoperator.ChangeStatus{}, err
 	}
+	sent := false
 	for n := 1; ; n++ {
 		status, err := call(client, id)
 		if err == nil || refused(err) {
 			return status, err
 		}
+		sent = sent || !unconnected(err)
+		if n == attempts && !sent {
+			return status, fmt.Errorf("no connection to the entry, nothing was sent: %w", err)
+		}
 		if n == attempts {
 			return status, fmt.Errorf("%w, repeat it with --change-id %s: %w", errUnknownOutcome, id, err)
 		}
@@ -146,6 +152,13 @@
 	}
 }
 
+// unconnected reports whether err says that no connection was opened, so that
+// nothing was sent.
+func unconnected(err error) bool {
+	var failed *net.OpError
+	return errors.As(err, &failed) && failed.Op == "dial"
+}
+
 // refused reports whether err says for certain that nothing was stored.
 func refused(err error) bool {
 	var api *tmoperator.APIError
--- a/cmd/turmericmoor/group.go
+++ b/cmd/turmericmoor/group.go
@@ -43,6 +43,13 @@
 	})
 }
 
+// explain gives a command a longer text, which replaces the short one in its own
+// help.
+func explain(cmd *cobra.Command, text string) *cobra.Command {
+	cmd.Long = text
+	return cmd
+}
+
 // require marks flags as required. The flags exist, so no error is possible.
 func require(cmd *cobra.Command, flags ...string) {
 	for _, f := range flags {
--- a/cmd/turmericmoor/instance.go
+++ b/cmd/turmericmoor/instance.go
@@ -26,16 +26,24 @@
 	},
 }
 
+const leaveHelp = `Mark an instance as leaving. It gets no new work after 5 s, and its tasks may end.
+The budget of its pool has to permit one more unavailable instance. Remove it
+afterwards with "turmericmoor instance remove".`
+
+const serveHelp = `Return an instance to service that leaves, drains or reboots, whatever the reason,
+or cancel its move to another pool. An instance of a running wave is better
+returned by "turmericmoor wave stop".`
+
 func newInstanceCommand() *cobra.Command {
 	o := &operator{}
-	return o.newGroup("instance", "Add, remove and list instances",
+	return o.newGroup("instance", "Add, remove and list instances, take them out of service and back",
 		o.newInstanceAdd(),
 		o.newNameCommand("remove NAME", "Remove an instance that leaves or is not live", "instance remove worker-7",
 			func(name string) tmchange.Change { return tmchange.RemoveInstance{Name: name} }),
-		o.newNameCommand("leave NAME", "Stop new work on an instance that is taken away", "instance leave worker-7",
-			func(name string) tmchange.Change { return tmchange.MarkLeaving{Name: name} }),
-		o.newNameCommand("serve NAME", "Return an instance to service and end its move", "instance serve worker-7",
-			func(name string) tmchange.Change { return tmchange.MarkServing{Name: name} }),
+		explain(o.newNameCommand("leave NAME", "Stop new work on an instance that is taken away", "instance leave worker-7",
+			func(name string) tmchange.Change { return tmchange.MarkLeaving{Name: name} }), leaveHelp),
+		explain(o.newNameCommand("serve NAME", "Return an instance to service, or cancel its move", "instance serve worker-7",
+			func(name string) tmchange.Change { return tmchange.MarkServing{Name: name} }), serveHelp),
 		o.newListCommand("instances", instanceListing))
 }
 
--- a/cmd/turmericmoor/pool.go
+++ b/cmd/turmericmoor/pool.go
@@ -33,7 +33,7 @@
 		o.newPoolSetBudget(),
 		o.newListCommand("pools; UNAVAILABLE leaves out instances that are not live", poolListing),
 		o.newPoolMove(),
-		o.newNameCommand("finish-move INSTANCE", "Put a drained instance into the pool it moves to", "pool finish-move worker-7",
+		o.newNameCommand("finish-move INSTANCE", "Finish a move at once, which entries do when no task runs", "pool finish-move worker-7",
 			func(name string) tmchange.Change { return tmchange.FinishMove{Name: name} }))
 }
 
@@ -44,7 +44,7 @@
 			pool.Name = name
 			return pool
 		})
-	cmd.Flags().IntVar(&pool.MaxUnavailable, "max-unavailable", 0, "availability budget: instances that may be unavailable at a time")
+	cmd.Flags().IntVar(&pool.MaxUnavailable, "max-unavailable", 0, "availability budget: how many instances may be unavailable at a time, 1 or more for maintenance")
 	require(cmd, "max-unavailable")
 	return cmd
 }
@@ -62,7 +62,9 @@
 		Use:   "move INSTANCE POOL",
 		Short: "Move an instance to another pool",
 		Long: `Move an instance to another pool. The instance gets no new work from now on. It
-joins the pool when it runs no task.`,
+joins the pool when it runs no task, without a further command. The budget of its
+present pool has to permit one more unavailable instance. "turmericmoor instance
+serve" cancels the move.`,
 		Example: "  turmericmoor pool move worker-7 spares",
 		Args:    cobra.ExactArgs(2),
 		RunE: func(cmd *cobra.Command, args []string) error {
--- a/cmd/turmericmoor/questionnaire.go
+++ b/cmd/turmericmoor/questionnaire.go
@@ -30,7 +30,7 @@
 	}
 	o.addFlags(cmd)
 	cmd.PreRunE = o.checkOutput
-	cmd.Flags().StringVar(&path, "answers", "", "INI file with one line key = answer for each question")
+	cmd.Flags().StringVar(&path, "answers", "", "INI file with one line key = answer for each question; docs/answers.example.ini has all")
 	cmd.Flags().BoolVar(&apply, "apply", false, "send the generated changes")
 	return cmd
 }
--- a/cmd/turmericmoor/root.go
+++ b/cmd/turmericmoor/root.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"strings"
 
 	"github.com/spf13/cobra"
 )
@@ -37,16 +38,24 @@
 		Use:   "turmericmoor",
 		Short: "Manage fleet capacity and maintenance",
 		Long: `turmericmoor manages the capacity and the maintenance of a fleet that several
-teams share.
+teams share. The command entry runs one of its processes, submit sends work
+through one, and all others are for operators.
 
-Commands for operators need the address of any entry and the operator key:
+Commands for operators need the operator listener of any entry and the operator
+key, by flags or by the environment:
 
   export TURMERICMOOR_OPERATOR=http://127.0.0.1:8401
-  export TURMERICMOOR_OPERATOR_KEY_FILE=operator.key`,
+  export TURMERICMOOR_OPERATOR_KEY_FILE=operator.key
+  export TURMERICMOOR_OPERATOR_CA_FILE=ca.pem     # with TLS and an own authority
+
+The command submit needs the caller listener of any entry and a key of a team:
+
+  export TURMERICMOOR_ENTRY=http://127.0.0.1:8400
+  export TURMERICMOOR_KEY_FILE=crews.key`,
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.SetUsageTemplate(root.UsageTemplate() + "\n" + exitCodeHelp + "\n")
+	root.SetUsageTemplate(usageTemplate(root))
 	root.AddCommand(
 		newConfigCommand(),
 		newTeamCommand(),
@@ -66,6 +75,13 @@
 	return root
 }
 
+// usageTemplate adds the exit codes, and leaves out the usage of a command that
+// only groups others: it is runnable only to refuse unknown commands.
+func usageTemplate(root *cobra.Command) string {
+	text := strings.Replace(root.UsageTemplate(), "{{if .Runnable}}", "{{if and .Runnable (not .HasAvailableSubCommands)}}", 1)
+	return text + "\n" + exitCodeHelp + "\n"
+}
+
 // run executes the command line and returns the exit code.
 func run(args []string, in io.Reader, out, errOut io.Writer) int {
 	root := newRoot()
--- a/cmd/turmericmoor/submit.go
+++ b/cmd/turmericmoor/submit.go
@@ -31,7 +31,8 @@
 		Short: "Submit one request to a queue and print its answer",
 		Long: `submit sends one request through an entry and prints the answer. A request
 without an answer prints its code and what is known about its run: not_run, ran
-or unknown. A request that is not idempotent is safe to repeat when it has an id.`,
+or unknown. A request that is not idempotent is safe to repeat when it has an id:
+repeat it with the same --id, queue and --body within 10 minutes.`,
 		Example: `  turmericmoor submit scans --entry http://127.0.0.1:8400 --key-file crews.key --body '{"step":7}'`,
 		Args:    cobra.ExactArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
@@ -40,21 +41,21 @@
 		},
 	}
 	flags := cmd.Flags()
-	flags.StringVar(&s.entry, "entry", os.Getenv("TURMERICMOOR_ENTRY"), "URL of an entry's listener for callers, or TURMERICMOOR_ENTRY")
-	flags.StringVar(&s.keyFile, "key-file", os.Getenv("TURMERICMOOR_KEY_FILE"), "file with the team's key, or TURMERICMOOR_KEY_FILE; none for open queues")
+	flags.StringVar(&s.entry, "entry", os.Getenv("TURMERICMOOR_ENTRY"), "URL of the caller listener of any entry [$TURMERICMOOR_ENTRY]")
+	flags.StringVar(&s.keyFile, "key-file", os.Getenv("TURMERICMOOR_KEY_FILE"), "file with a key of the team, none for open queues [$TURMERICMOOR_KEY_FILE]")
 	flags.StringVar(&s.body, "body", "", "body of the request; - reads the standard input")
 	flags.StringVar(&s.params.ID, "id", "", "request id (a UUID of version 7) under which the request may be repeated")
 	flags.BoolVar(&s.params.Idempotent, "idempotent", false, "the request may run more than once")
-	flags.BoolVar(&s.params.Urgent, "urgent", false, "the request goes ahead of others")
+	flags.BoolVar(&s.params.Urgent, "urgent", false, "the request goes ahead of others; only for teams with urgent work")
 	flags.BoolVar(&s.params.Preemptible, "preemptible", false, "the task may be checkpointed for others")
 	flags.IntVar(&s.params.Size, "size", 0, "declared size in cores")
-	flags.DurationVar(&s.timeout, "timeout", 30*time.Second, "time after which the answer is no longer wanted")
+	flags.DurationVar(&s.timeout, "timeout", 30*time.Second, "time after which the answer is no longer wanted, at most 5m")
 	return cmd
 }
 
 func (s *submission) run(ctx context.Context, in io.Reader, out io.Writer) error {
 	if s.entry == "" {
-		return fmt.Errorf("%w: --entry or TURMERICMOOR_ENTRY is required", errUsage)
+		return fmt.Errorf("%w: no entry URL, expected --entry or $TURMERICMOOR_ENTRY", errUsage)
 	}
 	key, err := readKeyFile(s.keyFile)
 	if err != nil {
--- a/cmd/turmericmoor/team.go
+++ b/cmd/turmericmoor/team.go
@@ -38,7 +38,7 @@
 			team.Name = name
 			return team
 		})
-	cmd.Flags().IntVar(&team.Share, "share", 0, "weight of the team when all is full")
+	cmd.Flags().IntVar(&team.Share, "share", 0, "weight of the team when the fleet is full, relative to the other teams")
 	cmd.Flags().IntVar(&team.Limit, "limit", 0, "largest number of tasks at a time in the whole fleet")
 	cmd.Flags().BoolVar(&team.Urgent, "urgent", false, "the team may mark requests as urgent")
 	require(cmd, "share", "limit")
@@ -52,7 +52,7 @@
 			n, err := parseNumber("SHARE", args[1])
 			return tmchange.SetShare{Team: args[0], Share: n}, err
 		})
-	return o.newGroup("share", "Set shares of teams", set)
+	return o.newGroup("share", "Set the shares of teams, their weights on a full fleet", set)
 }
 
 func newLimitCommand() *cobra.Command {
@@ -62,7 +62,7 @@
 			n, err := parseNumber("LIMIT", args[1])
 			return tmchange.SetLimit{Team: args[0], Limit: n}, err
 		})
-	return o.newGroup("limit", "Set upper limits of teams", set)
+	return o.newGroup("limit", "Set the upper limits of teams, in tasks at a time", set)
 }
 
 func parseNumber(name, value string) (int, error) {
--- a/cmd/turmericmoor/wave.go
+++ b/cmd/turmericmoor/wave.go
@@ -21,6 +21,17 @@
 	Note   string   `json:"note"`
 }
 
+const waveStartHelp = `Start a maintenance wave: entries drain and reboot each instance of the pools and
+return it to service, within the budget of each pool. A few instances go first,
+and the others follow when these have come back. The wave pauses while failed
+instances use up a budget, and stops when too many do not come back. The command
+returns at once; follow the wave with "turmericmoor wave status". To start the
+same wave again changes nothing.`
+
+const waveStopHelp = `Let a wave take no further instances. Those that have not yet started to reboot
+return to service, the others finish. A stopped wave can't go on; start another
+one under a new name.`
+
 func newWaveCommand() *cobra.Command {
 	o := &operator{}
 	return o.newGroup("wave", "Start, stop and follow maintenance waves", o.newWaveStart(), o.newWaveStop(), o.newWaveStatus())
@@ -31,6 +42,7 @@
 	cmd := &cobra.Command{
 		Use:     "start NAME",
 		Short:   "Start a maintenance wave over all instances of some pools",
+		Long:    waveStartHelp,
 		Example: "  turmericmoor wave start kernel-6 --pool steps --pool spares --reason 'kernel update'",
 		Args:    cobra.ExactArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
@@ -50,6 +62,7 @@
 	return &cobra.Command{
 		Use:     "stop NAME",
 		Short:   "Let a wave take no further instances",
+		Long:    waveStopHelp,
 		Example: "  turmericmoor wave stop kernel-6",
 		Args:    cobra.ExactArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
--- a/cmd/turmericmoor/zone.go
+++ b/cmd/turmericmoor/zone.go
@@ -19,13 +19,18 @@
 	},
 }
 
+const zoneOutHelp = `Take an availability zone out of service. No task starts there after 5 s, and
+tasks that run there may end. Its instances count as unavailable, so that waves
+and moves pause where the budgets are used up. Zones of entries are not
+concerned: entries in the zone go on serving callers.`
+
 func newZoneCommand() *cobra.Command {
 	o := &operator{}
 	return o.newGroup("zone", "Add availability zones, take them out and put them back",
 		o.newZoneAdd(),
-		o.newNameCommand("out NAME", "Take a zone out at once, whatever the budgets say", "zone out zone-a",
-			func(name string) tmchange.Change { return tmchange.ZoneOut{Name: name} }),
-		o.newNameCommand("in NAME", "Put a zone back", "zone in zone-a",
+		explain(o.newNameCommand("out NAME", "Take a zone out at once, whatever the budgets say", "zone out zone-a",
+			func(name string) tmchange.Change { return tmchange.ZoneOut{Name: name} }), zoneOutHelp),
+		o.newNameCommand("in NAME", "Put a zone back into service", "zone in zone-a",
 			func(name string) tmchange.Change { return tmchange.ZoneIn{Name: name} }),
 		o.newListCommand("availability zones", zoneListing))
 }
--- a/io/tmoperator/server.go
+++ b/io/tmoperator/server.go
@@ -54,6 +54,14 @@
 	s.handle("POST /v1/waves/{name}/stop", s.stopWave)
 	s.handle("GET /v1/dump", s.getDump)
 	s.mux.Handle("GET /metrics", s.backend.Metrics())
+	s.mux.HandleFunc("/", s.unknownPath)
+}
+
+// unknownPath answers in the form of the protocol, which the default of
+// http.ServeMux doesn't have.
+func (s *server) unknownPath(w http.ResponseWriter, r *http.Request) {
+	message := fmt.Sprintf("no %s %s here", r.Method, r.URL.Path)
+	s.fail(w, http.StatusNotFound, wireError{Code: "not_found", Message: message})
 }
 
 // ServeHTTP implements http.Handler.
@@ -122,24 +130,30 @@
 	case errors.As(err, &invalid):
 		s.fail(w, http.StatusBadRequest, wireError{Code: "invalid", Message: "the request is refused", Problems: encodeProblems(invalid.Problems)})
 	case errors.As(err, &conflict):
-		s.fail(w, http.StatusConflict, wireError{Code: "conflict", Message: err.Error(), Version: conflict.Version})
+		s.fail(w, http.StatusConflict, wireError{Code: "conflict", Message: messageOf(err), Version: conflict.Version})
 	case errors.As(err, &large):
 		message := fmt.Sprintf("the body is larger than %d bytes", large.Limit)
 		s.fail(w, http.StatusRequestEntityTooLarge, wireError{Code: "too_large", Message: message})
 	case errors.Is(err, ErrExists):
-		s.fail(w, http.StatusConflict, wireError{Code: "exists", Message: err.Error()})
+		s.fail(w, http.StatusConflict, wireError{Code: "exists", Message: messageOf(err)})
 	case errors.Is(err, ErrNotFound):
-		s.fail(w, http.StatusNotFound, wireError{Code: "not_found", Message: err.Error()})
+		s.fail(w, http.StatusNotFound, wireError{Code: "not_found", Message: messageOf(err)})
 	case errors.Is(err, ErrStoreUnavailable):
-		s.fail(w, http.StatusServiceUnavailable, wireError{Code: "store_unavailable", Message: err.Error()})
+		s.fail(w, http.StatusServiceUnavailable, wireError{Code: "store_unavailable", Message: messageOf(err)})
 	case errors.Is(err, ErrNotFresh):
-		s.fail(w, http.StatusServiceUnavailable, wireError{Code: "not_fresh", Message: err.Error()})
+		s.fail(w, http.StatusServiceUnavailable, wireError{Code: "not_fresh", Message: messageOf(err)})
 	default:
 		s.log.Error("operator request failed", "method", r.Method, "path", r.URL.Path, "error", err)
 		s.fail(w, http.StatusInternalServerError, wireError{Code: "internal", Message: err.Error()})
 	}
 }
 
+// messageOf returns the text of an error without the prefix of this package,
+// which the client adds again.
+func messageOf(err error) string {
+	return strings.TrimPrefix(err.Error(), "tmoperator: ")
+}
+
 func readBody(r *http.Request) ([]byte, error) {
 	data, err := io.ReadAll(r.Body)
 	if err != nil {
--- a/io/tmoperator/server_test.go
+++ b/io/tmoperator/server_test.go
@@ -66,6 +66,19 @@
 	assert.Equal(t, state.Version(), uint64(0))
 }
 
+// Guards against answers to unknown calls that are not in the form of the
+// protocol, and against messages with the prefix of the package twice.
+func TestUnknownCalls(t *testing.T) {
+	_, client, url := start(t)
+	for _, path := range []string{"/v1/nope", "/v1/config", "/"} {
+		code, body := post(t, url+path, key, nil)
+		assert.Equal(t, code, http.StatusNotFound, path)
+		assert.Assert(t, strings.Contains(body, `{"error":{"code":"not_found","message":"no POST `+path), body)
+	}
+	_, err := client.ChangeStatus(context.Background(), "c")
+	assert.Error(t, err, "tmoperator: not found (not_found, HTTP 404)")
+}
+
 // Guards against a body that fills the memory of an entry.
 func TestBodyTooLarge(t *testing.T) {
 	_, _, url := start(t)
