--- a/internal/harness/entry.go
+++ b/internal/harness/entry.go
@@ -115,11 +115,21 @@
 	return nil
 }
 
+// AddEntry adds an entry with a new name, which doesn't run until RestartEntry.
+// It must not be called concurrently with other methods.
+func (f *Fleet) AddEntry() (*Entry, error) {
+	e, err := f.addEntry(len(f.entries) + 1)
+	if err == nil {
+		f.entries = append(f.entries, e)
+	}
+	return e, err
+}
+
 // RestartEntry starts an entry whose process has ended. It does not wait until
 // the entry is ready.
 func (f *Fleet) RestartEntry(number int) error {
 	e := f.entries[number-1]
-	if e.process.Running() {
+	if e.process != nil && e.process.Running() {
 		return fmt.Errorf("harness: %s is still running", e.Name)
 	}
 	return f.startEntry(e)
--- a/internal/judge/journal.go
+++ b/internal/judge/journal.go
@@ -54,6 +54,8 @@
 const (
 	CodeOK      = "ok"
 	CodeNotSent = "not_sent"
+	// CodeGivenUp is that of a request whose caller went away.
+	CodeGivenUp = "given_up"
 )
 
 // Outcomes of a Submission.
--- a/internal/load/plan.go
+++ b/internal/load/plan.go
@@ -86,6 +86,9 @@
 	// reached.
 	Retries   int
 	RetryWait time.Duration
+	// GiveUp is the time after which callers go away from a request that isn't
+	// answered, 0 for never. Such a request isn't sent again.
+	GiveUp time.Duration
 }
 
 // Plan is a load.
@@ -100,6 +103,10 @@
 	Open int
 	// Conns bounds the connections to one entry.
 	Conns int
+	// Usable reports whether callers may use an entry now, for example because
+	// its health check passes. All are used when it is nil, or when it refuses
+	// every one. It is called concurrently.
+	Usable func(entry string) bool
 }
 
 // Check sets the defaults and returns an error that lists every problem.
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -91,7 +91,7 @@
 			intended: next,
 			echo:     fmt.Sprintf("%s-%d-%d", r.name, index, n),
 			runTime:  stream.RunTime.draw(rng),
-			entry:    rng.IntN(len(r.clients)),
+			entry:    r.usable(rng.IntN(len(r.clients))),
 			other:    rng.IntN(max(1, len(r.clients)-1)),
 		}
 		if stream.OwnIDs {
@@ -138,10 +138,24 @@
 		}
 		intended = time.Now().Add(q.stream.RetryWait)
 		sleepUntil(context.Background(), intended)
-		q.entry = another(q.entry, q.other, len(r.clients))
+		q.entry = r.usable(another(q.entry, q.other, len(r.clients)))
 	}
 }
 
+// usable returns the first usable entry from n on.
+func (r *runner) usable(n int) int {
+	if r.plan.Usable == nil {
+		return n
+	}
+	for i := range r.clients {
+		entry := (n + i) % len(r.clients)
+		if r.plan.Usable(r.plan.Entries[entry]) {
+			return entry
+		}
+	}
+	return n
+}
+
 // another returns an entry other than the last one, if there is one.
 func another(last, step, n int) int {
 	return (last + 1 + step) % max(1, n)
@@ -152,8 +166,10 @@
 	stream := q.stream
 	s := q.submission(r.plan.Entries[q.entry], n, intended)
 	body := fmt.Appendf(nil, `{"run_ms":%d,"echo":%q}`, q.runTime.Milliseconds(), q.echo)
+	ctx, cancel := stream.callContext()
+	defer cancel()
 	sent := time.Now()
-	reply := r.clients[q.entry].Call(context.Background(), stream.Key, tmrequest.New(tmrequest.Params{
+	reply := r.clients[q.entry].Call(ctx, stream.Key, tmrequest.New(tmrequest.Params{
 		ID:          q.id,
 		OwnID:       stream.OwnIDs,
 		Queue:       stream.Queue,
@@ -169,6 +185,10 @@
 	if reply.RequestID != "" {
 		s.RequestID = reply.RequestID
 	}
+	if reply.Fail != nil && ctx.Err() != nil {
+		s.Code, s.Outcome = judge.CodeGivenUp, judge.Unknown
+		return s, false
+	}
 	s.Cut = reply.Cut
 	if fail := reply.Fail; fail != nil {
 		s.Code, s.Outcome, s.Message = string(fail.Code()), fail.Outcome().String(), fail.Message()
@@ -186,6 +206,14 @@
 	return s, false
 }
 
+// callContext returns the context of one submission.
+func (s *Stream) callContext() (context.Context, context.CancelFunc) {
+	if s.GiveUp <= 0 {
+		return context.WithCancel(context.Background())
+	}
+	return context.WithTimeout(context.Background(), s.GiveUp)
+}
+
 func (q *request) submission(entry string, n int, intended time.Time) judge.Submission {
 	return judge.Submission{
 		Stream:     q.stream.Name,
