--- a/cmd/turmericmoor/config.go
+++ b/cmd/turmericmoor/config.go
@@ -189,11 +189,15 @@
 		for _, c := range r.Changes {
 			ops = append(ops, c.Op())
 		}
+		change := r.ChangeID
+		if len(ops) == 0 {
+			change, ops = "-", []string{"(entries joined or left)"}
+		}
 		written := "-"
 		if r.Written > 0 {
 			written = time.UnixMilli(int64(r.Written)).UTC().Format(time.RFC3339)
 		}
-		rows = append(rows, []string{strconv.FormatUint(r.Version, 10), written, r.ChangeID, strings.Join(ops, " ")})
+		rows = append(rows, []string{strconv.FormatUint(r.Version, 10), written, change, strings.Join(ops, " ")})
 	}
 	return rows
 }
--- a/cmd/turmericmoor/pool.go
+++ b/cmd/turmericmoor/pool.go
@@ -44,7 +44,7 @@
 			pool.Name = name
 			return pool
 		})
-	cmd.Flags().IntVar(&pool.MaxUnavailable, "max-unavailable", 0, "availability budget: how many instances may be unavailable at a time, 1 or more for maintenance")
+	cmd.Flags().IntVar(&pool.MaxUnavailable, "max-unavailable", 0, "availability budget: how many instances may be unavailable at a time, at least 1")
 	require(cmd, "max-unavailable")
 	return cmd
 }
