--- a/cmd/turmericmoor/pool.go
+++ b/cmd/turmericmoor/pool.go
@@ -33,7 +33,7 @@
 		o.newPoolSetBudget(),
 		o.newListCommand("pools; UNAVAILABLE leaves out instances that are not live", poolListing),
 		o.newPoolMove(),
-		o.newNameCommand("finish-move INSTANCE", "Finish a move at once, which entries do when no task runs", "pool finish-move worker-7",
+		o.newNameCommand("finish-move INSTANCE", "Finish a move at once, even while tasks run; entries do it when none runs", "pool finish-move worker-7",
 			func(name string) tmchange.Change { return tmchange.FinishMove{Name: name} }))
 }
 
