--- a/cmd/turmericmoor/zone.go
+++ b/cmd/turmericmoor/zone.go
@@ -21,8 +21,8 @@
 
 const zoneOutHelp = `Take an availability zone out of service. No task starts there after 5 s, and
 tasks that run there may end. Its instances count as unavailable, so that waves
-and moves pause where the budgets are used up. Zones of entries are not
-concerned: entries in the zone go on serving callers.`
+and moves pause where the budgets are used up. Entries in the zone go on serving
+callers.`
 
 func newZoneCommand() *cobra.Command {
 	o := &operator{}
