core/tmroute: reports of other entries save failures at a bad endpoint

Cause: each entry needs three failures of its own before it sets an endpoint aside, so a worker that fails everything costs 27 tasks at 9 entries.

Change: while another entry reports an endpoint as set aside, one own failure with the usual blame is enough, before or after the report. An entry repeats no report that it has not confirmed with evidence of its own. Passed probes disprove a report until it has been withdrawn, and at most half of a pool is set aside as before.

--- a/core/tmroute/health.go
+++ b/core/tmroute/health.go
@@ -18,6 +18,8 @@
 	endpoints map[string]*record
 	pools     map[string]*poolHealth
 	kinds     map[Kind]*tally
+	// reports are the endpoints that other entries have set aside, by entry.
+	reports map[string][]string
 }
 
 // Kind is the kind of work whose failures are compared across endpoints.
@@ -42,6 +44,10 @@
 	until   tmclock.Millis
 	strikes int
 	passed  int
+	// onReport is whether the endpoint was set aside with the help of a report,
+	// disproved whether probes have passed since it was reported.
+	onReport  bool
+	disproved bool
 }
 
 type outcome struct {
@@ -77,6 +83,7 @@
 		endpoints: map[string]*record{},
 		pools:     map[string]*poolHealth{},
 		kinds:     map[Kind]*tally{},
+		reports:   map[string][]string{},
 	}
 }
 
@@ -93,10 +100,15 @@
 	r.add(outcome{kind: kind, failed: failed, at: now})
 	if r.aside {
 		h.judgeTrial(r, kind, failed, now)
+		r.disproved = !r.aside && h.reported(endpoint)
 		return r.aside
 	}
-	if failed && h.guilty(r, now) {
-		r.failing = true
+	if !failed || !h.mayLose(r.pool) {
+		return false
+	}
+	guilty := h.guilty(r, now)
+	if guilty || h.confirms(endpoint, r, kind, now) {
+		r.failing, r.onReport = true, !guilty
 		h.setAside(r, now)
 	}
 	return r.aside
@@ -195,12 +207,14 @@
 	return p
 }
 
+// mayLose reports whether one more endpoint of the pool may be set aside.
+func (h *Health) mayLose(pool string) bool {
+	p := h.pool(pool)
+	return 2*(p.aside+1) <= p.size
+}
+
 // guilty weighs the last outcomes by how well their kinds do elsewhere.
 func (h *Health) guilty(r *record, now tmclock.Millis) bool {
-	p := h.pool(r.pool)
-	if 2*(p.aside+1) > p.size {
-		return false
-	}
 	row, rowBlame, total := 0, 0.0, 0.0
 	inRow := true
 	for i := range min(r.count, outcomesKept) {
@@ -245,6 +259,7 @@
 		r.passed++
 	case h.rateElsewhere(r, kind, now) < 0.5:
 		r.passed = 0
+		r.onReport = false
 		r.strikes++
 		r.until = now.Add(h.backoff.Delay(r.strikes, h.rng))
 	}
@@ -263,6 +278,7 @@
 // failures set it aside for longer.
 func (h *Health) restore(r *record) {
 	r.aside, r.failing, r.trial, r.passed = false, false, false, 0
+	r.onReport = false
 	r.count = 0
 	r.strikes = max(0, r.strikes-1)
 	h.pool(r.pool).aside--
