internal/standin/tmfakeendpoint: events carry the wall clock of the machine

Cause: the time of an event was the sum of a wall clock and a monotonic clock, both cut to whole ms, so two processes could disagree by up to 1 ms.

--- a/internal/standin/tmfakeendpoint/journal.go
+++ b/internal/standin/tmfakeendpoint/journal.go
@@ -52,8 +52,19 @@
 	return slices.Clone(e.journal)
 }
 
+// wall returns the time of an event. Endpoints of several processes read the
+// same wall clock, so that an end and the start that it made possible elsewhere
+// are never in the wrong order. The sum of a whole ms of the epoch and a whole
+// ms of a monotonic clock is off by up to 1 ms in each process.
+func (e *Endpoint) wall() int64 {
+	if _, real := e.clock.(*tmclock.System); real {
+		return int64(tmclock.Wall())
+	}
+	return int64(e.epoch + e.clock.Now())
+}
+
 func (e *Endpoint) record(ev Event) {
-	ev.AtMs = int64(e.epoch + e.clock.Now())
+	ev.AtMs = e.wall()
 	ev.Endpoint = e.opts.Name
 	ev.Zone = e.opts.Zone
 	ev.Running = len(e.tasks)
