--- a/internal/scenario/scenario.go
+++ b/internal/scenario/scenario.go
@@ -83,7 +83,7 @@
 		do    command
 	}{
 		"fleet":           {"entries=N endpoints=N zones=N spares=N teams=NAME:LIMIT,...", (*run).startFleet},
-		"load":            {"TEAM[/LABEL] rate=N run=fixed:50ms idempotent=BOOL ids=own|entry retries=N give-up=DURATION callers=healthy|any", (*run).load},
+		"load":            {"TEAM[/LABEL] rate=N run=fixed:50ms idempotent=BOOL ids=own|entry retries=N give-up=DURATION callers=healthy|any arrivals=constant|random", (*run).load},
 		"unload":          {"[TEAM/LABEL...]", (*run).unload},
 		"phase":           {"NAME DURATION", (*run).phase},
 		"crash":           {"entry-N...", (*run).kill},
