io/tmcaller, io/tmdaemon: settings that had no effect, refusals by form

Cause: max_body and the connect timeout were read and not used; a recorded request refused for its form said not_run of its id. Change: max_body bounds the body; the connect timeout is gone from the settings; the rule about recorded requests stands once, in core/tmrequest; errors of the HTTP servers are logged as JSON. Conclusion: two tests added.

--- a/core/tmrequest/error.go
+++ b/core/tmrequest/error.go
@@ -74,6 +74,20 @@
 	return &c
 }
 
+// About returns what may be said to the submitter of r. NotRun becomes Unknown
+// for a request whose id its caller chose and whose runs are recorded: NotRun
+// would speak of the id, and another submission under the same id may have run
+// or may still run. The caller repeats the request under the same id.
+func (e *Error) About(r Request) *Error {
+	if !r.NeedsRecord() || e.outcome != tmonce.NotRun {
+		return e
+	}
+	c := *e
+	c.outcome = tmonce.Unknown
+	c.message += "; another submission of this id may have run"
+	return &c
+}
+
 // Error returns code, outcome and message.
 func (e *Error) Error() string {
 	return fmt.Sprintf("tmrequest: %s (%s): %s", e.code, e.outcome, e.message)
--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -29,7 +29,7 @@
 }
 
 func entry(t *testing.T, submit func(r tmrequest.Request) (tmrequest.Answer, *tmrequest.Error)) string {
-	server := httptest.NewServer(tmcaller.NewHandler(backend{submit}))
+	server := httptest.NewServer(tmcaller.NewHandler(backend{submit}, 0))
 	t.Cleanup(server.Close)
 	return server.URL
 }
--- a/io/tmcaller/handler.go
+++ b/io/tmcaller/handler.go
@@ -42,12 +42,17 @@
 // Handler serves callers.
 type Handler struct {
 	backend Backend
+	maxBody int64
 	mux     *http.ServeMux
 }
 
-// NewHandler returns a Handler that hands requests to backend.
-func NewHandler(backend Backend) *Handler {
-	h := &Handler{backend: backend, mux: http.NewServeMux()}
+// NewHandler returns a Handler that hands requests with bodies of at most
+// maxBody bytes to backend. With 0 that is tmrequest.MaxBodyBytes.
+func NewHandler(backend Backend, maxBody int64) *Handler {
+	if maxBody <= 0 {
+		maxBody = tmrequest.MaxBodyBytes
+	}
+	h := &Handler{backend: backend, maxBody: maxBody, mux: http.NewServeMux()}
 	h.mux.HandleFunc("POST /v1/queues/{queue}/requests", h.serveRequest)
 	h.mux.HandleFunc("/", h.serveUnknown)
 	return h
@@ -64,9 +69,9 @@
 }
 
 func (h *Handler) serveRequest(w http.ResponseWriter, r *http.Request) {
-	req, fail := readRequest(w, r)
+	req, fail := h.readRequest(w, r)
 	if fail != nil {
-		writeError(w, req.ID(), fail)
+		writeError(w, req.ID(), fail.About(req))
 		return
 	}
 	answer, fail := h.backend.Submit(r.Context(), req)
@@ -88,7 +93,7 @@
 	_, _ = w.Write(answer.Body())
 }
 
-func readRequest(w http.ResponseWriter, r *http.Request) (tmrequest.Request, *tmrequest.Error) {
+func (h *Handler) readRequest(w http.ResponseWriter, r *http.Request) (tmrequest.Request, *tmrequest.Error) {
 	p := tmrequest.Params{
 		ID:          r.Header.Get(HeaderRequestID),
 		Queue:       r.PathValue("queue"),
@@ -109,7 +114,7 @@
 		return tmrequest.New(p), fail
 	}
 	p.KeyHash = hash
-	body, fail := readBody(w, r)
+	body, fail := readBody(w, r, h.maxBody)
 	if fail != nil {
 		return tmrequest.New(p), fail
 	}
@@ -183,12 +188,12 @@
 	return tmrequest.HashKey(key), nil
 }
 
-func readBody(w http.ResponseWriter, r *http.Request) ([]byte, *tmrequest.Error) {
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, tmrequest.MaxBodyBytes))
+func readBody(w http.ResponseWriter, r *http.Request, most int64) ([]byte, *tmrequest.Error) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, most))
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
-		return nil, tmrequest.Refuse(tmrequest.TooLarge, "the body has more than %d bytes", tmrequest.MaxBodyBytes)
+		return nil, tmrequest.Refuse(tmrequest.TooLarge, "the body has more than %d bytes", most)
 	case err != nil:
 		return nil, tmrequest.Refuse(tmrequest.BadRequest, "the body was cut short")
 	}
--- a/io/tmcaller/handler_test.go
+++ b/io/tmcaller/handler_test.go
@@ -26,7 +26,7 @@
 }
 
 func Example() {
-	server := httptest.NewServer(tmcaller.NewHandler(&echoBackend{}))
+	server := httptest.NewServer(tmcaller.NewHandler(&echoBackend{}, 0))
 	defer server.Close()
 	client := tmcaller.NewClient(server.URL)
 	defer client.Close()
@@ -61,7 +61,7 @@
 				r.Header.Set(c.header, c.value)
 			}
 			w := httptest.NewRecorder()
-			tmcaller.NewHandler(backend).ServeHTTP(w, r)
+			tmcaller.NewHandler(backend, 0).ServeHTTP(w, r)
 			assert.Equal(t, w.Code, c.status)
 			var got struct {
 				Error struct{ Code, Outcome string }
@@ -79,6 +79,25 @@
 	backend := &echoBackend{}
 	r := httptest.NewRequest(http.MethodPost, "/v1/queues/q/requests", strings.NewReader("x"))
 	r.Header.Set("Authorization", "Bearer secret")
-	tmcaller.NewHandler(backend).ServeHTTP(httptest.NewRecorder(), r)
+	tmcaller.NewHandler(backend, 0).ServeHTTP(httptest.NewRecorder(), r)
 	assert.Equal(t, backend.got[0].KeyHash(), tmrequest.HashKey("secret"))
 }
+
+// Guards against a refusal that says not_run of an id under which an earlier
+// submission may have run.
+func TestRefusalOfRecordedRequestIsUnknown(t *testing.T) {
+	r := httptest.NewRequest(http.MethodPost, "/v1/queues/q/requests", strings.NewReader("x"))
+	r.Header.Set(tmcaller.HeaderRequestID, "01a23fea-3586-74ec-b15f-41e59a40cb89")
+	r.Header.Set(tmcaller.HeaderSize, "x")
+	w := httptest.NewRecorder()
+	tmcaller.NewHandler(&echoBackend{}, 0).ServeHTTP(w, r)
+	assert.Equal(t, w.Header().Get(tmcaller.HeaderOutcome), tmonce.Unknown.String())
+}
+
+// Guards against a bound of the settings that has no effect.
+func TestBodyBound(t *testing.T) {
+	r := httptest.NewRequest(http.MethodPost, "/v1/queues/q/requests", strings.NewReader("four"))
+	w := httptest.NewRecorder()
+	tmcaller.NewHandler(&echoBackend{}, 3).ServeHTTP(w, r)
+	assert.Equal(t, w.Code, http.StatusRequestEntityTooLarge)
+}
--- a/io/tmdaemon/daemon.go
+++ b/io/tmdaemon/daemon.go
@@ -85,7 +85,7 @@
 		callers:  callers.Addr().String(),
 		admins:   operators.Addr().String(),
 	}
-	d.serve(callers, closing(entry, tmcaller.NewHandler(entry)))
+	d.serve(callers, closing(entry, tmcaller.NewHandler(entry, settings.BodyBytes())))
 	d.serve(operators, admin)
 	logger.Info("listening", "callers", d.callers, "operators", d.admins, "peers", settings.PeerListen())
 	return d, nil
@@ -120,6 +120,7 @@
 		ReadTimeout:       bodyTimeout,
 		IdleTimeout:       d.settings.IdleTimeout().Duration(),
 		MaxHeaderBytes:    maxHeader,
+		ErrorLog:          d.log.StandardLog(log.StandardLogOptions{ForceLevel: log.WarnLevel}),
 	}
 	d.servers = append(d.servers, server)
 	d.serving.Go(func() {
--- a/io/tmentry/submit.go
+++ b/io/tmentry/submit.go
@@ -7,7 +7,6 @@
 
 	"turmericmoor/core/tmclock"
 	"turmericmoor/core/tmfleet"
-	"turmericmoor/core/tmonce"
 	"turmericmoor/core/tmrequest"
 )
 
@@ -31,11 +30,11 @@
 func (e *Entry) serve(ctx context.Context, r tmrequest.Request, forwarded bool) (tmrequest.Answer, *tmrequest.Error) {
 	if !e.fresh() {
 		fail := tmrequest.Refuse(tmrequest.NotFresh, "entry %s is cut off from the table service and its peers", e.opts.Name)
-		return tmrequest.Answer{}, aboutID(r, fail.WithRetryAfter(tmclock.Second))
+		return tmrequest.Answer{}, fail.WithRetryAfter(tmclock.Second).About(r)
 	}
 	team, queue, fail := authorize(e.tracker.State(), r)
 	if fail != nil {
-		return tmrequest.Answer{}, aboutID(r, fail)
+		return tmrequest.Answer{}, fail.About(r)
 	}
 	j := &job{
 		id:       uuid.NewString(),
@@ -54,31 +53,19 @@
 		}
 	}
 	if fail := e.tables.add(j); fail != nil {
-		return tmrequest.Answer{}, aboutID(r, fail)
+		return tmrequest.Answer{}, fail.About(r)
 	}
 	res, ok := j.wait(ctx)
 	if !ok {
 		outcome := e.tables.abandon(j)
-		return tmrequest.Answer{}, aboutID(r, tmrequest.NewError(tmrequest.Cancelled, outcome, "the caller has gone"))
+		return tmrequest.Answer{}, tmrequest.NewError(tmrequest.Cancelled, outcome, "the caller has gone").About(r)
 	}
 	if res.fail != nil {
-		return tmrequest.Answer{}, aboutID(r, res.fail)
+		return tmrequest.Answer{}, res.fail.About(r)
 	}
 	return res.answer, nil
 }
 
-// aboutID turns NotRun into Unknown for a request whose id its caller chose
-// and whose runs are recorded. NotRun speaks of the id then, and an earlier
-// submission under the same id may have run or may still run through another
-// entry. The caller repeats the request under the same id.
-func aboutID(r tmrequest.Request, fail *tmrequest.Error) *tmrequest.Error {
-	if !r.NeedsRecord() || fail.Outcome() != tmonce.NotRun {
-		return fail
-	}
-	return tmrequest.NewError(fail.Code(), tmonce.Unknown, "%s; another submission of this id may have run", fail.Message()).
-		WithRetryAfter(fail.RetryAfter())
-}
-
 // authorize returns the team and the queue of a request, by the given State.
 func authorize(state tmfleet.State, r tmrequest.Request) (tmfleet.Team, tmfleet.Queue, *tmrequest.Error) {
 	config := state.Config()
--- a/io/tmsettings/settings.go
+++ b/io/tmsettings/settings.go
@@ -57,7 +57,6 @@
 	operatorKeyHash string
 
 	platformTimeout tmclock.Span
-	connectTimeout  tmclock.Span
 	idleTimeout     tmclock.Span
 	shutdownTimeout tmclock.Span
 
@@ -99,9 +98,6 @@
 // PlatformTimeout returns the limit for one call to the platform.
 func (s Settings) PlatformTimeout() tmclock.Span { return s.platformTimeout }
 
-// ConnectTimeout returns the limit for connecting to an endpoint or entry.
-func (s Settings) ConnectTimeout() tmclock.Span { return s.connectTimeout }
-
 // IdleTimeout returns after what time idle connections of clients are closed.
 func (s Settings) IdleTimeout() tmclock.Span { return s.idleTimeout }
 
@@ -157,7 +153,6 @@
 		operatorKeyHash: r.hash("operators", "operator_key_hash"),
 		platformURL:     r.url("platform", "url"),
 		platformTimeout: r.span("platform", 2*tmclock.Second),
-		connectTimeout:  r.span("connect", tmclock.Second),
 		idleTimeout:     r.span("idle", tmclock.Minute),
 		shutdownTimeout: r.span("shutdown", 30*tmclock.Second),
 		queueRequests:   r.count("queue", "max_requests", 10_000),
