io/tmentry: exact versions of stored changes, a race on limits is no error

A change whose answer was lost was reported with the present version in place of its own; and a change of a limit that read the slices after another one had been written failed with 'rows add up to 12, expected 30'. Ruled out: a reverted change (the history had it, one version earlier). Change: the version is looked up in the history by the change id; slices that don't add up count as a lost race. Test of confirmation with negative control.

--- a/io/tmentry/operator.go
+++ b/io/tmentry/operator.go
@@ -46,7 +46,7 @@
 			return 0, fmt.Errorf("%w: %w", tmoperator.ErrStoreUnavailable, err)
 		}
 		if state.HasChange(req.ID) {
-			return state.Version(), nil
+			return e.versionOf(ctx, req.ID, state)
 		}
 		if revision == 0 {
 			return 0, tmoperator.ErrNotFresh
@@ -72,6 +72,21 @@
 	return 0, &tmoperator.ConflictError{Version: e.tracker.State().Version()}
 }
 
+// versionOf returns the version that a stored change was made by. When the
+// history no longer has it, it is that of the given State, which includes it.
+func (e *Entry) versionOf(ctx context.Context, id string, state tmfleet.State) (uint64, error) {
+	history, err := e.store.History(ctx)
+	if err != nil {
+		return 0, fmt.Errorf("%w: %w", tmoperator.ErrStoreUnavailable, err)
+	}
+	for _, r := range history {
+		if r.ChangeID == id {
+			return r.Version, nil
+		}
+	}
+	return state.Version(), nil
+}
+
 func (e *Entry) tryChange(ctx context.Context, state tmfleet.State, revision uint64, req tmoperator.ChangeRequest) (uint64, error) {
 	config, err := tmchange.Apply(state, e.tables.liveness(), req.Changes)
 	if err != nil {
@@ -86,6 +101,11 @@
 			return 0, err
 		}
 		rewritten, err := rewriteLimits(rows, limits)
+		var mismatch *tmslice.LimitError
+		if errors.As(err, &mismatch) {
+			// The rows were read after another change of the limit was written.
+			return 0, fmt.Errorf("%w: %w", tmstore.ErrConflict, err)
+		}
 		if err != nil {
 			return 0, err
 		}
@@ -168,7 +188,10 @@
 	if !state.HasChange(id) {
 		return tmoperator.ChangeStatus{}, tmoperator.ErrNotFound
 	}
-	version := state.Version()
+	version, err := e.versionOf(ctx, id, state)
+	if err != nil {
+		return tmoperator.ChangeStatus{}, err
+	}
 	return tmoperator.ChangeStatus{ID: id, Version: version, InForce: e.tracker.InForceVersion() >= version}, nil
 }
 
--- a/io/tmentry/promise_test.go
+++ b/io/tmentry/promise_test.go
@@ -378,3 +378,47 @@
 	assert.Equal(t, wrong.Load(), int64(0))
 	assert.Assert(t, answered.Load() > 0)
 }
+
+// behindCase applies a change through one entry while another one is cut off,
+// and counts how often a fresh entry has an older version after the change was
+// accepted.
+func behindCase(t *testing.T, disable ...tmentry.Mechanism) int {
+	t.Helper()
+	c := &cut{}
+	f := newFleetWith(t, 3, c.filter)
+	f.configure(24)
+	for _, m := range disable {
+		f.entries[0].Disable(m)
+	}
+	f.isolate(c, 2)
+	status, err := f.entries[0].Apply(context.Background(), tmoperator.ChangeRequest{
+		ID: uuid.NewString(), Changes: []tmchange.Change{tmchange.SetShare{Team: "crews", Share: 3}},
+	})
+	assert.NilError(t, err)
+	assert.Assert(t, status.InForce)
+	behind := 0
+	for end := time.Now().Add(3 * time.Second); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		for _, e := range f.entries {
+			state, err := e.State(context.Background())
+			assert.NilError(t, err)
+			if state.Version() < status.Version && e.Ready() {
+				behind++
+			}
+		}
+	}
+	return behind
+}
+
+// Promise: an accepted configuration is in force everywhere. Fault: an entry
+// is cut off when the change is made.
+func TestAcceptedChangeIsInForce(t *testing.T) {
+	t.Parallel()
+	assert.Equal(t, behindCase(t), 0)
+}
+
+// Negative control: without the wait for confirmation the entry that is cut off
+// still acts on the old version.
+func TestAcceptedChangeNeedsConfirmation(t *testing.T) {
+	t.Parallel()
+	assert.Assert(t, behindCase(t, tmentry.Confirmation) > 0)
+}
