io/tmpeer, io/tmentry: heartbeats name the endpoints set aside

A worker that fails everything was judged by each entry alone. Heartbeats now carry the endpoints that an entry has set aside by its own evidence, and the receiver gives them to tmroute.Health; they are forgotten with the demand of the peer, after 3 s of silence or when it is no member any more.

--- a/io/tmentry/demand.go
+++ b/io/tmentry/demand.go
@@ -70,6 +70,24 @@
 	t.usage.Report(incarnation, running)
 }
 
+// aside returns the endpoints that this entry has set aside by evidence of its
+// own.
+func (t *tables) aside() []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.health.Failing()
+}
+
+// peerSetAside takes the endpoints that a peer has set aside. They are
+// forgotten together with its demand.
+func (t *tables) peerSetAside(incarnation string, endpoints []string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if _, ok := t.peers[incarnation]; ok {
+		t.health.Reported(incarnation, endpoints)
+	}
+}
+
 // peerUnchanged reports whether d is what the peer said last, and if so renews
 // that report, so that its tables need not be built anew.
 func (t *tables) peerUnchanged(incarnation string, d tmpeer.Demand) bool {
--- a/io/tmentry/peer.go
+++ b/io/tmentry/peer.go
@@ -22,6 +22,7 @@
 	// own questions, so the time of the question is left out.
 	h.e.tracker.HeartbeatAnswered(from.Incarnation, 0, hb.Version)
 	h.e.tables.peerReported(from.Incarnation, hb.Demand)
+	h.e.tables.peerSetAside(from.Incarnation, hb.Aside)
 	return tmpeer.HeartbeatAnswer{
 		Version:     h.e.tracker.State().Version(),
 		Incarnation: h.e.self.Incarnation(),
--- a/io/tmentry/tables.go
+++ b/io/tmentry/tables.go
@@ -147,6 +147,7 @@
 func (t *tables) dropPeerLocked(incarnation string) {
 	delete(t.peers, incarnation)
 	t.usage.Forget(incarnation)
+	t.health.Reported(incarnation, nil)
 }
 
 // add queues a new job.
--- a/io/tmpeer/call.go
+++ b/io/tmpeer/call.go
@@ -45,7 +45,7 @@
 	}
 	var answer wireHeartbeatAnswer
 	update := l.demand.next(hb.Demand)
-	question := wireHeartbeat{Version: hb.Version, Demand: update.wire, Leaving: hb.Leaving}
+	question := wireHeartbeat{Version: hb.Version, Demand: update.wire, Aside: hb.Aside, Leaving: hb.Leaving}
 	err = p.call(ctx, l, methodHeartbeat, question, &answer)
 	l.demand.done(update, err == nil)
 	if err != nil {
--- a/io/tmpeer/demand.go
+++ b/io/tmpeer/demand.go
@@ -29,6 +29,7 @@
 type wireHeartbeat struct {
 	Version uint64     `json:"version"`
 	Demand  wireUpdate `json:"demand"`
+	Aside   []string   `json:"aside,omitempty"`
 	Leaving bool       `json:"leaving,omitempty"`
 }
 
--- a/io/tmpeer/message.go
+++ b/io/tmpeer/message.go
@@ -53,6 +53,9 @@
 type Heartbeat struct {
 	Version uint64
 	Demand  Demand
+	// Aside are the endpoints that the asking entry has set aside by evidence
+	// of its own.
+	Aside   []string
 	Leaving bool
 }
 
--- a/io/tmpeer/node_test.go
+++ b/io/tmpeer/node_test.go
@@ -39,6 +39,9 @@
 }
 
 func (f *fakeEntry) Heartbeat(_ context.Context, from Identity, hb Heartbeat) (HeartbeatAnswer, error) {
+	if len(hb.Aside) > 0 {
+		return HeartbeatAnswer{}, fmt.Errorf("aside %v", hb.Aside)
+	}
 	return HeartbeatAnswer{Version: hb.Version, Incarnation: f.name + "-1", Demand: hb.Demand, Leaving: from.Entry == "leaver"}, nil
 }
 
@@ -120,9 +123,12 @@
 	hb, err := a.Heartbeat(t.Context(), mb, Heartbeat{Version: 7, Demand: demand})
 	assert.NilError(t, err)
 	assert.DeepEqual(t, hb, HeartbeatAnswer{Version: 7, Incarnation: "b-1", Demand: demand})
+	var remote *RemoteError
+	_, err = a.Heartbeat(t.Context(), mb, Heartbeat{Aside: []string{"w1", "w2"}})
+	assert.Assert(t, errors.As(err, &remote))
+	assert.Equal(t, remote.Message, "aside [w1 w2]")
 
 	_, err = a.Fetch(t.Context(), mb)
-	var remote *RemoteError
 	assert.Assert(t, errors.As(err, &remote))
 	assert.Equal(t, remote.Message, "no state")
 	version, err := a.Push(t.Context(), mb, tmfleet.State{}.Next("c1", tmfleet.Config{}))
--- a/io/tmpeer/serve.go
+++ b/io/tmpeer/serve.go
@@ -264,7 +264,7 @@
 	if err != nil {
 		return wireHeartbeatAnswer{}, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: err.Error()}
 	}
-	question := Heartbeat{Version: w.Version, Demand: demand, Leaving: w.Leaving}
+	question := Heartbeat{Version: w.Version, Demand: demand, Aside: w.Aside, Leaving: w.Leaving}
 	a, err := in.node.opts.Handler.Heartbeat(ctx, in.from, question)
 	return wireHeartbeatAnswer{
 		Version:     a.Version,
