--- a/internal/scenario/options.go
+++ b/internal/scenario/options.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"io"
+	"net/http"
 	"os"
 	"slices"
 	"strconv"
@@ -103,9 +105,24 @@
 		}
 		fmt.Fprintf(&b, "log of %s:\n%s\n", e.Name, data[max(0, len(data)-tailBytes):])
 	}
+	b.WriteString("slices: " + r.sliceRows() + "\n")
 	return b.String()
 }
 
+// sliceRows returns the rows of the table slice.
+func (r *run) sliceRows() string {
+	resp, err := http.Get(r.fleet.PlatformURL() + "/v1/control/rows/slice")
+	if err != nil {
+		return err.Error()
+	}
+	defer func() { _ = resp.Body.Close() }()
+	data, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return err.Error()
+	}
+	return string(data)
+}
+
 // status returns what an entry says about itself in one line.
 func (r *run) status(number int) string {
 	ctx, cancel := context.WithTimeout(r.ctx, healthTimeout)
