internal/standin/tmfakeendpoint: answers kept for crossing are copies

Cause: the race detector found that a crossed answer was written over the one that another task reads. Change: the kept answer is a copy. Conclusion: found in a race run of io/tmentry.

--- a/internal/standin/tmfakeendpoint/fault.go
+++ b/internal/standin/tmfakeendpoint/fault.go
@@ -80,7 +80,8 @@
 	e.mu.Lock()
 	faults := e.faults
 	last := e.last
-	e.last = &ans
+	own := ans
+	e.last = &own
 	e.mu.Unlock()
 	if faults.Cross && last != nil {
 		ans = *last
