core/tmslice: units are spread evenly, also without demand

Cause: the first entry that noticed demand took all free units of a team, and kept what idle entries did not ask for. When it was killed the team had no units until they were reclaimed: in the script half-replaced one killed entry held 10 of 12. Ruled out: the reclaim time (it follows from the grace of tasks). Change: an entry takes at most an equal part of the limit at a time, and gives to entries that hold less than 3 of 4 units of their target.

--- a/core/tmslice/transfer.go
+++ b/core/tmslice/transfer.go
@@ -183,7 +183,7 @@
 		return
 	}
 	targets := p.targets(team, limit)
-	p.takeFree(team, targets[i])
+	p.takeFree(team, targets[i], limit)
 	p.giveFree(team)
 	p.giveSurplus(team, targets)
 }
@@ -198,9 +198,14 @@
 	return tmshare.Apportion(limit, weights)
 }
 
-func (p *plan) takeFree(team string, target int) {
+// takeFree takes at most an equal part of the limit at a time. An entry that
+// learns of its own demand before that of the others would otherwise take all
+// free units, and its death would leave the team without any.
+func (p *plan) takeFree(team string, target, limit int) {
 	free := p.holding(Free, team)
-	n := min(free.Held, target-p.own(team).Held)
+	members := max(1, p.l.state.Members().Len())
+	part := (limit + members - 1) / members
+	n := min(free.Held, target-p.own(team).Held, part)
 	if n <= 0 || !p.hasFree() {
 		return
 	}
@@ -238,8 +243,7 @@
 			own = p.surplus(team, targets[i])
 			continue
 		}
-		wanted := min(targets[i], p.demands[key][team])
-		if lack := wanted - p.holding(key, team).Held; lack > 0 && p.rows[key].revision > 0 {
+		if lack := p.lack(key, team, targets[i]); lack > 0 && p.rows[key].revision > 0 {
 			needs = append(needs, need{key: key, lack: lack})
 		}
 	}
@@ -256,6 +260,24 @@
 	p.setCeiling(team, unmet, targets)
 }
 
+// An entry that holds less than 3 of 4 units of its target lacks the rest even
+// without demand. Otherwise the units stay with the entry that had the last
+// burst, and when that one dies the team has none until they are reclaimed.
+const (
+	evenHeld   = 3
+	evenTarget = 4
+)
+
+// lack returns how many units another entry should get.
+func (p *plan) lack(key, team string, target int) int {
+	held := p.holding(key, team).Held
+	wanted := min(target, p.demands[key][team])
+	if held*evenTarget < target*evenHeld {
+		wanted = target
+	}
+	return wanted - held
+}
+
 // setCeiling lets this entry use no more than its target while others lack
 // units. An entry whose units are all in use would otherwise never have any to
 // give, since each task that ends makes room for the next one.
