--- a/io/tmentry/submit.go
+++ b/io/tmentry/submit.go
@@ -99,8 +99,5 @@
 	if r.Urgent() && !team.Urgent() {
 		return tmfleet.Team{}, tmfleet.Queue{}, tmrequest.Refuse(tmrequest.BadRequest, "team %q may not mark requests as urgent", name)
 	}
-	if team.Limit() == 0 {
-		return tmfleet.Team{}, tmfleet.Queue{}, tmrequest.Refuse(tmrequest.LimitReached, "the limit of team %q is 0", name)
-	}
 	return team, queue, nil
 }
