--- a/core/tmroute/health_test.go
+++ b/core/tmroute/health_test.go
@@ -1,41 +1,25 @@
 package tmroute
 
 import (
-	"flag"
 	"fmt"
 	"math/rand/v2"
-	"os"
-	"strconv"
 	"testing"
-	"time"
 
 	"gotest.tools/v3/assert"
 
 	"turmericmoor/core/tmclock"
+	"turmericmoor/internal/tmseed"
 )
 
 const fixedSeed = 20260204
 
-// seed is fixed, or fresh with TM_FRESH_SEEDS=1.
-var seed = uint64(fixedSeed)
-
-func TestMain(m *testing.M) {
-	flag.Parse()
-	if os.Getenv("TM_FRESH_SEEDS") == "1" {
-		seed = uint64(time.Now().UnixNano())
-	}
-	if flag.Lookup("rapid.seed").Value.String() == "0" {
-		_ = flag.Set("rapid.seed", strconv.FormatUint(seed, 10))
-	}
-	_ = flag.Set("rapid.nofailfile", "true")
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { tmseed.MainFrom(m, fixedSeed) }
 
 // newRand returns a source with the seed, which it prints.
 func newRand(t testing.TB) *rand.Rand {
 	t.Helper()
-	t.Logf("seed %d", seed)
-	return rand.New(rand.NewPCG(seed, 1))
+	t.Logf("seed %d", tmseed.First())
+	return rand.New(rand.NewPCG(tmseed.First(), 1))
 }
 
 // fleet is a picker over one pool in 3 zones, racks of 4.
--- a/core/tmslice/slice_test.go
+++ b/core/tmslice/slice_test.go
@@ -4,13 +4,12 @@
 	"flag"
 	"math/bits"
 	"math/rand/v2"
-	"os"
-	"strconv"
 	"testing"
-	"time"
 
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
+
+	"turmericmoor/internal/tmseed"
 )
 
 const (
@@ -18,20 +17,7 @@
 	fixedSeed   = 20260204
 )
 
-// seed is fixed, or fresh with TM_FRESH_SEEDS=1.
-var seed = uint64(fixedSeed)
-
-func TestMain(m *testing.M) {
-	flag.Parse()
-	if os.Getenv("TM_FRESH_SEEDS") == "1" {
-		seed = uint64(time.Now().UnixNano())
-	}
-	if flag.Lookup("rapid.seed").Value.String() == "0" {
-		_ = flag.Set("rapid.seed", strconv.FormatUint(seed, 10))
-	}
-	_ = flag.Set("rapid.nofailfile", "true")
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { tmseed.MainFrom(m, fixedSeed) }
 
 // TestLimitHolds guards against a team that runs more than its limit under lost
 // answers, doubled and reordered messages, crashes and limit changes.
@@ -65,6 +51,7 @@
 // more crashes and reclaims than those of rapid.
 func TestLimitHoldsOnLongRuns(t *testing.T) {
 	reclaims := 0
+	seed := tmseed.First()
 	t.Logf("seed %d", seed)
 	for run := range uint64(300) {
 		w := randomWorld(seed+run, rules{})
@@ -94,6 +81,7 @@
 	for name, c := range controls {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
+			seed := tmseed.First()
 			t.Logf("seed %d", seed)
 			for run := range uint64(3000) {
 				w := randomWorld(seed+run, c.rules)
--- a/internal/tmseed/seed.go
+++ b/internal/tmseed/seed.go
@@ -29,10 +29,18 @@
 // Main runs the tests of a package. It is called from TestMain and does not
 // return.
 func Main(m *testing.M) {
+	MainFrom(m, fixed)
+}
+
+// MainFrom is Main for a package that has a fixed seed of its own.
+func MainFrom(m *testing.M, own uint64) {
 	flag.Parse()
 	seed := First()
-	if os.Getenv("TM_FRESH_SEEDS") != "" && seed == fixed {
-		seed = rand.Uint64()
+	if seed == fixed {
+		seed = own
+		if os.Getenv("TM_FRESH_SEEDS") != "" {
+			seed = rand.Uint64()
+		}
 	}
 	for name, value := range map[string]string{
 		"rapid.seed":       strconv.FormatUint(seed, 10),
