core/tmslice, io/tmentry: a graceful shutdown returns units at once

Cause: an entry that shut down kept its row of units until it was reclaimed, 15 s after its removal was in force, so a rolling restart took a part of every team's limit out of use each time. Change: after its last request the entry adds its units to the free ones and deletes its row, in one transaction that is planned again after a lost race.

--- a/core/tmslice/ceiling_test.go
+++ b/core/tmslice/ceiling_test.go
@@ -42,3 +42,29 @@
 		}
 	}
 }
+
+// TestReturnOnShutdown guards against units that wait for a reclaim although
+// their holder has shut down gracefully, and against units that are given back
+// while a task uses them.
+func TestReturnOnShutdown(t *testing.T) {
+	team := tmfleet.NewTeam(testTeam, 1, 4, false).WithLimitVersion(1)
+	var s tmfleet.State
+	s = s.Next("", s.Config().WithTeams(tmfleet.Table[string, tmfleet.Team]{}.With(testTeam, team)))
+	rows := []Row{
+		NewRow("a", 2, Row{}.teams.With(testTeam, Holding{Held: 3, LimitVersion: 1})),
+		NewRow(Free, 2, Row{}.teams.With(testTeam, Holding{Held: 1, LimitVersion: 1})),
+	}
+	l := NewLedger(tmclock.NewManual(1), "a", nil)
+	l.Install(s, rows...)
+	assert.Assert(t, l.Acquire(testTeam))
+	_, ok := l.PlanReturn(rows)
+	assert.Assert(t, !ok)
+	l.Release(testTeam)
+	txn, ok := l.PlanReturn(rows)
+	assert.Assert(t, ok)
+	assert.Equal(t, txn.Writes[0].Holding(testTeam).Held, 4)
+	assert.DeepEqual(t, txn.Deletes, []string{"a"})
+	assert.Assert(t, !l.Acquire(testTeam))
+	txn, _ = l.PlanReturn(rows)
+	assert.Equal(t, txn.Writes[0].Holding(testTeam).Held, 4, "planned again after a lost race")
+}
--- a/core/tmslice/reclaim.go
+++ b/core/tmslice/reclaim.go
@@ -37,6 +37,20 @@
 	return reclaim(rows[due], free), true
 }
 
+// PlanReturn returns the transaction by which this entry gives all its units
+// back on a graceful shutdown, when no task uses them. The entry counts on none
+// of them from now on, whatever becomes of the transaction. After a lost race
+// it is planned again from new rows.
+func (l *Ledger) PlanReturn(rows []Row) (Transaction, bool) {
+	free, hasFree := findRow(rows, Free)
+	own, hasOwn := findRow(rows, l.own.key)
+	if !hasFree || !hasOwn || len(l.inUse) > 0 || l.out != nil {
+		return Transaction{}, false
+	}
+	l.own = NewRow(own.key, own.revision, Row{}.teams)
+	return reclaim(own, free), true
+}
+
 // forgetAbsent drops the times of members that are present after all, and of
 // those whose row is gone.
 func (l *Ledger) forgetAbsent(inForce tmfleet.State, rows []Row) {
--- a/io/tmentry/entry.go
+++ b/io/tmentry/entry.go
@@ -207,6 +207,7 @@
 	err := e.tables.drain(ctx)
 	e.leases.releaseAll(ctx)
 	e.runs.flush(ctx)
+	e.returnSlices(ctx)
 	e.members.leave(ctx)
 	e.cancel()
 	e.tables.close()
--- a/io/tmentry/slices.go
+++ b/io/tmentry/slices.go
@@ -170,3 +170,23 @@
 	_, err = e.loadSlices(ctx)
 	return err
 }
+
+// returnSlices gives the units of this entry back on a graceful shutdown. When
+// that fails they are reclaimed after the entry has been removed.
+func (e *Entry) returnSlices(ctx context.Context) {
+	for range sliceTries {
+		rows, err := e.loadSlices(ctx)
+		if err != nil {
+			return
+		}
+		e.tables.mu.Lock()
+		txn, ok := e.tables.ledger.PlanReturn(rows)
+		e.tables.mu.Unlock()
+		if !ok {
+			return
+		}
+		if err := e.commitSlices(ctx, txn, 0); !errors.Is(err, tmstore.ErrConflict) {
+			return
+		}
+	}
+}
