internal/scenario: the goodput before a fault is at most what was sent

The phase before the fault also had the answers of requests that had waited since the fleet started. Ruled out: lost work; after the fault all that was sent was answered. Change: the reference is the lower of the goodput and of what was due in that phase. The bound of 95% is unchanged.

--- a/internal/scenario/check.go
+++ b/internal/scenario/check.go
@@ -271,6 +271,9 @@
 	if err != nil {
 		return err
 	}
+	// Answers beyond what was sent in the phase are of requests that waited
+	// since the start of the fleet. No later phase can reach such a goodput.
+	before = min(before, r.offered(args[5], loads))
 	if before == 0 || now < before*percent/100 {
 		return fmt.Errorf("goodput in %s is %.1f/s, expected at least %g%% of %.1f/s in %s", args[1], now, percent, before, args[5])
 	}
@@ -291,3 +294,16 @@
 	}
 	return float64(n) / p.to.Sub(p.from).Seconds(), nil
 }
+
+// offered returns the requests per second that were due in a phase, without
+// repetitions.
+func (r *run) offered(name string, loads []string) float64 {
+	p := r.phases[name]
+	n := 0
+	for _, s := range r.of(loads) {
+		if due := time.UnixMicro(s.IntendedUs); s.Repetition == 0 && !due.Before(p.from) && due.Before(p.to) {
+			n++
+		}
+	}
+	return float64(n) / p.to.Sub(p.from).Seconds()
+}
