--- /dev/null
+++ b/cmd/turmericmoor/node.go
@@ -0,0 +1,126 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/spf13/cobra"
+
+	"turmericmoor/core/tmclock"
+	"turmericmoor/core/tmcontrol"
+	"turmericmoor/io/tmeventlog"
+	"turmericmoor/io/tmnode"
+	"turmericmoor/io/tmnodesettings"
+	"turmericmoor/io/tmserve"
+	"turmericmoor/platform"
+)
+
+// bootVariable holds the path of the settings file where --config is not given.
+const bootVariable = "TURMERICMOOR_BOOT"
+
+const (
+	// unreadyTime is how long a leaving node still serves after it has reported
+	// that it isn't ready: the balancer asks once a second and goes by the
+	// second refusal.
+	unreadyTime = 2500 * time.Millisecond
+	// closeTime bounds the end of the requests under way.
+	closeTime = 1500 * time.Millisecond
+	logTime   = 200 * time.Millisecond
+	// keyAgeShare is the part of the bound for withdrawn keys after which a node
+	// that hears nothing from the store stops serving callers.
+	keyAgeShare = 0.55
+)
+
+func newNodeCommand() *cobra.Command {
+	var path string
+	cmd := &cobra.Command{
+		Use:   "node [--config FILE]",
+		Short: "Run a node on the users' platform until SIGTERM or SIGINT",
+		Long: `node runs one process of the fleet manager on the users' platform. It writes its
+decisions as JSON lines to the standard output. Without --config the path of the
+settings file is taken from ` + bootVariable + `.`,
+		Example: "  turmericmoor node --config node.ini",
+		Args:    cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			if path == "" {
+				path = os.Getenv(bootVariable)
+			}
+			if path == "" {
+				return fmt.Errorf("%w: --config or %s is needed", errUsage, bootVariable)
+			}
+			return runNode(path, cmd.OutOrStdout())
+		},
+	}
+	cmd.Flags().StringVar(&path, "config", "", "settings file in INI form")
+	return cmd
+}
+
+func runNode(path string, out io.Writer) error {
+	settings, err := tmnodesettings.Load(path)
+	if err != nil {
+		return fmt.Errorf("settings: %w", err)
+	}
+	events := tmeventlog.New(out, settings.Name())
+	defer events.Close(logTime)
+	events.Note("node_starts", "zone", settings.Zone(), "unknown_settings", settings.Unknown())
+	opts := tmnode.Options{
+		Name: settings.Name(), Clock: tmclock.NewSystem(), Bounds: settings.Bounds(),
+		MaxAge:  time.Duration(float64(settings.KeyWithdrawn()) * keyAgeShare),
+		Stagger: float64(xxhash.Sum64String(settings.Name())%1000) / 1000,
+		Note:    func(e tmcontrol.Event) { events.Note(e.Name, e.Fields...) },
+	}
+	defer platform.Connect(settings, &opts)()
+	node := tmnode.New(opts)
+	server, err := serveNode(settings, node)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer cancel()
+	nodeCtx, stop := context.WithCancel(context.Background())
+	stopped := make(chan struct{})
+	go func() {
+		defer close(stopped)
+		node.Run(nodeCtx)
+	}()
+	<-ctx.Done()
+	events.Note("node_stops")
+	node.Leave()
+	time.Sleep(min(unreadyTime, settings.Shutdown()/2))
+	err = server.Close(closeTime)
+	stop()
+	<-stopped
+	return err
+}
+
+func serveNode(settings tmnodesettings.Settings, node *tmnode.Node) (*tmserve.Server, error) {
+	server := &tmserve.Server{}
+	front := platform.NewFront(node)
+	if err := server.Add(settings.Callers(), front); err != nil {
+		return nil, err
+	}
+	if err := server.Add(settings.Health(), http.HandlerFunc(front.Ready)); err != nil {
+		return nil, err
+	}
+	if settings.Metrics() == "" {
+		return server, nil
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /dump", func(w http.ResponseWriter, _ *http.Request) { writeDump(w, node) })
+	return server, server.Add(settings.Metrics(), mux)
+}
+
+func writeDump(w http.ResponseWriter, node *tmnode.Node) {
+	dump, owner := node.Dump()
+	w.Header().Set("Content-Type", "application/json")
+	// An error here means that the reader has gone.
+	_ = json.NewEncoder(w).Encode(map[string]any{"owner": owner, "state": dump})
+}
--- a/cmd/turmericmoor/root.go
+++ b/cmd/turmericmoor/root.go
@@ -70,6 +70,7 @@
 		newDumpCommand(),
 		newQuestionnaireCommand(),
 		newEntryCommand(),
+		newNodeCommand(),
 		newSubmitCommand(),
 	)
 	return root
--- /dev/null
+++ b/core/tmcontrol/dump.go
@@ -0,0 +1,112 @@
+package tmcontrol
+
+import "slices"
+
+// ToHold returns the endpoints that need a hold and are not in held.
+func (c *Controller) ToHold(held map[string]bool) []string {
+	var ids []string
+	for id, e := range c.endpoints {
+		if !held[id] && !e.gone && e.info.Address != "" && (e.listed || len(e.runs) > 0) {
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// Paced takes in the answer to a pace order.
+func (c *Controller) Paced(o PaceOrder, a Answer) {
+	if a == Fenced {
+		c.Fence(o.Ref.Endpoint)
+		return
+	}
+	e := c.endpoints[o.Ref.Endpoint]
+	if e == nil || a == Accepted {
+		return
+	}
+	if r := e.runs[runKey{o.Ref.Task, o.Ref.Run}]; r != nil {
+		// The next look decides anew.
+		r.paced = 0
+	}
+}
+
+// dumpLimit bounds each list of a dump.
+const dumpLimit = 200
+
+// Dump is the state of a controller for operators. Lists are bounded.
+type Dump struct {
+	Token     int64
+	Rules     int64
+	Jobs      int
+	Open      []JobDump
+	Endpoints []EndpointDump
+	Waves     []WaveDump
+}
+
+// JobDump is one job of a dump.
+type JobDump struct {
+	ID, Queue, Team string
+	Waiting, Active int
+	Done, Tasks     int
+}
+
+// EndpointDump is one endpoint of a dump.
+type EndpointDump struct {
+	ID, Service, Zone          string
+	Answering, Fenced, Drained bool
+	Runs                       int
+	FreeCPU                    int64
+}
+
+// WaveDump is one wave of a dump.
+type WaveDump struct {
+	Name        string
+	Done, Total int
+}
+
+// Dump returns the state of the controller.
+func (c *Controller) Dump() Dump {
+	d := Dump{Token: c.token, Rules: c.rules.Version, Jobs: len(c.jobs)}
+	for _, j := range c.order[:min(len(c.order), dumpLimit)] {
+		d.Open = append(d.Open, j.dump())
+	}
+	for id, e := range c.endpoints {
+		if len(d.Endpoints) == dumpLimit {
+			break
+		}
+		d.Endpoints = append(d.Endpoints, EndpointDump{
+			ID: id, Service: e.info.Service, Zone: e.info.Zone, Answering: e.answering,
+			Fenced: e.fenced, Drained: e.info.Draining, Runs: len(e.runs), FreeCPU: e.free().CPU,
+		})
+	}
+	for _, w := range c.fleet.waves {
+		wd := WaveDump{Name: w.Name, Total: len(w.items)}
+		for _, it := range w.items {
+			if it.state == dutyDone {
+				wd.Done++
+			}
+		}
+		d.Waves = append(d.Waves, wd)
+	}
+	return d
+}
+
+func (j *job) dump() JobDump {
+	d := JobDump{ID: j.spec.ID, Queue: j.spec.Queue, Team: j.spec.Team}
+	for _, o := range j.occurrences {
+		for _, s := range o.steps {
+			for _, t := range s.tasks {
+				d.Tasks++
+				switch {
+				case t.done:
+					d.Done++
+				case len(t.active) > 0:
+					d.Active++
+				default:
+					d.Waiting++
+				}
+			}
+		}
+	}
+	return d
+}
--- /dev/null
+++ b/core/tmcontrol/fleet.go
@@ -0,0 +1,403 @@
+package tmcontrol
+
+import (
+	"cmp"
+	"slices"
+
+	"turmericmoor/core/tmclock"
+	"turmericmoor/core/tmjob"
+)
+
+// InstanceState is where an instance is in its life.
+type InstanceState int
+
+// States of an instance.
+const (
+	InstanceUp InstanceState = iota
+	InstanceMoving
+	InstanceUpkeep
+	InstanceDown
+)
+
+// Instance is an instance as the platform lists it.
+type Instance struct {
+	ID, Pool, Zone string
+	State          InstanceState
+	Labels         []string
+	Capacity       tmjob.Amount
+	// Endpoint is the identifier of the process that runs on it, or "".
+	Endpoint string
+}
+
+// Wave is a request for the maintenance of instances.
+type Wave struct {
+	Name      string
+	Number    int64
+	Instances []string
+	// Within is the time that the wave may take.
+	Within tmclock.Span
+	// Bound is how many instances may be down for it at once.
+	Bound int
+}
+
+// Directive is everything that the operator has directed, as of one moment.
+type Directive struct {
+	Rules    Rules
+	ZonesOut []string
+	Waves    []Wave
+}
+
+// InstanceOrder starts the maintenance of an instance, or moves it.
+type InstanceOrder struct {
+	Instance string
+	Token    int64
+	// Pool is where the instance moves, "" for maintenance.
+	Pool string
+	// Wave is the number of the wave that asks for maintenance.
+	Wave int64
+}
+
+// WaveReport says that the state of a wave changed.
+type WaveReport struct {
+	Wave      string
+	Completed bool
+}
+
+// duty is where an instance is in a wave.
+type duty int
+
+const (
+	dutyDue duty = iota
+	// dutyDraining: the instance gets no new tasks.
+	dutyDraining
+	// dutyOrdered: the order was sent and its answer is awaited.
+	dutyOrdered
+	// dutyDown: the maintenance has begun.
+	dutyDown
+	dutyDone
+)
+
+type waveItem struct {
+	id    string
+	state duty
+	since tmclock.Millis
+	// doubt says that an order got no answer, so that the maintenance may begin
+	// at any time.
+	doubt bool
+}
+
+type wave struct {
+	Wave
+	items    []*waveItem
+	began    tmclock.Millis
+	reported bool
+	done     bool
+}
+
+// fleet is what the controller knows of instances, waves and moves.
+type fleet struct {
+	instances map[string]Instance
+	listedAt  tmclock.Millis
+	known     bool
+	waves     map[string]*wave
+	orders    []InstanceOrder
+	reports   []WaveReport
+	// startAt is the earliest time of an order about an instance: an earlier
+	// owner may have given one just before.
+	startAt tmclock.Millis
+}
+
+const (
+	// drainTime is how long tasks on an instance may go on before maintenance
+	// ends them.
+	drainTime = 2500 * tmclock.Millisecond
+	// orderAgain is the time after which an order without an answer is sent
+	// again.
+	orderAgain = 700 * tmclock.Millisecond
+)
+
+func newFleet() fleet {
+	return fleet{instances: map[string]Instance{}, waves: map[string]*wave{}}
+}
+
+// Apply takes in what the operator has directed.
+func (c *Controller) Apply(d Directive, now tmclock.Millis) {
+	if c.fleet.startAt == 0 {
+		c.fleet.startAt = now.Add(c.bounds.TurnTime)
+	}
+	c.SetRules(d.Rules)
+	out := map[string]bool{}
+	for _, z := range d.ZonesOut {
+		out[z] = true
+		c.SetZoneOut(z, true)
+	}
+	for z := range c.zonesOut {
+		if !out[z] {
+			c.SetZoneOut(z, false)
+		}
+	}
+	for _, w := range d.Waves {
+		if c.fleet.waves[w.Name] == nil {
+			c.addWave(w, now)
+		}
+	}
+}
+
+func (c *Controller) addWave(w Wave, now tmclock.Millis) {
+	added := &wave{Wave: w, began: now}
+	for _, id := range w.Instances {
+		added.items = append(added.items, &waveItem{id: id})
+	}
+	c.fleet.waves[w.Name] = added
+	c.event("wave_begins", "wave", w.Name, "instances", len(w.Instances), "bound", w.Bound, "within_ms", int64(w.Within))
+}
+
+// NeedsInstances reports whether the list of instances is of use now.
+func (c *Controller) NeedsInstances() bool {
+	if !c.fleet.known {
+		return true
+	}
+	for _, w := range c.fleet.waves {
+		if !w.done {
+			return true
+		}
+	}
+	return false
+}
+
+// SetInstances takes in the list of instances that was asked for at sentAt.
+func (c *Controller) SetInstances(list []Instance, sentAt tmclock.Millis) {
+	c.fleet.instances = make(map[string]Instance, len(list))
+	for _, i := range list {
+		c.fleet.instances[i.ID] = i
+	}
+	c.fleet.listedAt, c.fleet.known = sentAt, true
+	for _, w := range c.fleet.waves {
+		for _, it := range w.items {
+			c.checkBack(it, sentAt)
+		}
+	}
+}
+
+func (c *Controller) checkBack(it *waveItem, sentAt tmclock.Millis) {
+	if it.state != dutyDown || !sentAt.After(it.since) {
+		return
+	}
+	if i, ok := c.fleet.instances[it.id]; !ok || i.State == InstanceUp {
+		it.state = dutyDone
+		c.event("upkeep_done", "instance", it.id)
+	}
+}
+
+// TakeInstanceOrders returns the orders and reports that came up since the last
+// call.
+func (c *Controller) TakeInstanceOrders() ([]InstanceOrder, []WaveReport) {
+	orders, reports := c.fleet.orders, c.fleet.reports
+	c.fleet.orders, c.fleet.reports = nil, nil
+	return orders, reports
+}
+
+// InstanceOrdered takes in the answer to an order.
+func (c *Controller) InstanceOrdered(o InstanceOrder, a Answer, now tmclock.Millis) {
+	c.event("instance_order", "instance", o.Instance, "wave", o.Wave, "pool", o.Pool, "answer", a.String(), "token", o.Token)
+	for _, w := range c.fleet.waves {
+		if w.Number != o.Wave || o.Pool != "" {
+			continue
+		}
+		for _, it := range w.items {
+			if it.id == o.Instance && it.state == dutyOrdered {
+				c.upkeepAnswer(it, a, now)
+			}
+		}
+	}
+}
+
+func (c *Controller) upkeepAnswer(it *waveItem, a Answer, now tmclock.Millis) {
+	it.since = now
+	switch a {
+	case Accepted:
+		it.state = dutyDown
+		if e := c.endpointOn(it.id); e != nil {
+			c.endLife(e, "maintenance")
+		}
+	case Refused:
+		// There is no such instance any more.
+		it.state = dutyDone
+		c.unreserve(it.id)
+	case Fenced:
+		c.Fence(it.id)
+	case NoAnswer:
+		it.doubt = true
+		it.state = dutyDraining
+	default:
+		it.state = dutyDraining
+	}
+}
+
+// endpointOn returns the endpoint that lives on an instance, or nil.
+func (c *Controller) endpointOn(instance string) *endpoint {
+	for _, e := range c.endpoints {
+		if e.info.Instance == instance && e.listed && !e.gone {
+			return e
+		}
+	}
+	return nil
+}
+
+func (c *Controller) unreserve(instance string) {
+	if e := c.endpointOn(instance); e != nil {
+		e.reserved = false
+	}
+}
+
+// planFleet carries on with the waves.
+func (c *Controller) planFleet(now tmclock.Millis, _ int64) {
+	if !c.fleet.known || now.Before(c.fleet.startAt) {
+		return
+	}
+	for _, w := range c.fleet.waves {
+		if !w.done {
+			c.planWave(w, now)
+		}
+	}
+}
+
+func (c *Controller) planWave(w *wave, now tmclock.Millis) {
+	if !w.reported {
+		w.reported = true
+		c.fleet.reports = append(c.fleet.reports, WaveReport{Wave: w.Name})
+	}
+	down, draining, open := 0, 0, 0
+	for _, it := range w.items {
+		switch it.state {
+		case dutyOrdered, dutyDown:
+			down++
+		case dutyDraining:
+			draining++
+			if it.doubt {
+				down++
+			}
+		case dutyDue, dutyDone:
+		}
+		if it.state != dutyDone {
+			open++
+		}
+	}
+	if open == 0 {
+		w.done = true
+		c.event("wave_done", "wave", w.Name, "took_ms", int64(now.Sub(w.began)))
+		c.fleet.reports = append(c.fleet.reports, WaveReport{Wave: w.Name, Completed: true})
+		return
+	}
+	for _, it := range c.nextDue(w) {
+		if down+draining >= max(w.Bound, 1) {
+			break
+		}
+		if c.beginDrain(it, now) {
+			draining++
+		}
+	}
+	for _, it := range w.items {
+		if it.state == dutyDraining && c.mayTakeDown(it, w, down, now) {
+			it.state = dutyOrdered
+			if !it.doubt {
+				down++
+			}
+			it.since = now
+			c.fleet.orders = append(c.fleet.orders, InstanceOrder{Instance: it.id, Token: c.token, Wave: w.Number})
+		}
+	}
+}
+
+// nextDue returns the items whose turn has not come, those with the least work
+// on them first.
+func (c *Controller) nextDue(w *wave) []*waveItem {
+	var due []*waveItem
+	load := map[*waveItem]int64{}
+	for _, it := range w.items {
+		if it.state != dutyDue {
+			continue
+		}
+		due = append(due, it)
+		if e := c.endpointOn(it.id); e != nil {
+			load[it] = e.used.CPU
+		}
+	}
+	slices.SortStableFunc(due, func(a, b *waveItem) int { return cmp.Compare(load[a], load[b]) })
+	return due
+}
+
+func (c *Controller) beginDrain(it *waveItem, now tmclock.Millis) bool {
+	i, ok := c.fleet.instances[it.id]
+	if !ok {
+		it.state = dutyDone
+		return false
+	}
+	if i.State != InstanceUp {
+		return false
+	}
+	e := c.endpointOn(it.id)
+	if e != nil && !c.mayEndAll(e) {
+		return false
+	}
+	it.state, it.since = dutyDraining, now
+	if e != nil {
+		e.reserved = true
+	}
+	return true
+}
+
+func (c *Controller) mayTakeDown(it *waveItem, w *wave, down int, now tmclock.Millis) bool {
+	if it.doubt {
+		return now.Sub(it.since) >= orderAgain
+	}
+	if down >= max(w.Bound, 1) {
+		return false
+	}
+	e := c.endpointOn(it.id)
+	if e == nil {
+		return true
+	}
+	return (c.onlyLongRunning(e) || now.Sub(it.since) >= drainTime) && c.mayEndAll(e)
+}
+
+func (c *Controller) onlyLongRunning(e *endpoint) bool {
+	for _, r := range e.runs {
+		if !r.task.step.spec.LongRunning {
+			return false
+		}
+	}
+	return true
+}
+
+// mayEndAll reports whether ending all runs of an endpoint leaves every
+// long-running step within the number of tasks that may be away.
+func (c *Controller) mayEndAll(e *endpoint) bool {
+	ending := map[*step]int{}
+	for _, r := range e.runs {
+		if r.task.step.spec.MayMiss > 0 {
+			ending[r.task.step]++
+		}
+	}
+	for s, n := range ending {
+		if n+c.away(s, e) > s.spec.MayMiss {
+			return false
+		}
+	}
+	return true
+}
+
+// away counts the tasks of a step that are not at work, without those at e.
+func (c *Controller) away(s *step, e *endpoint) int {
+	n := 0
+	for _, t := range s.tasks {
+		here := false
+		for _, r := range t.active {
+			here = here || r.ep == e
+		}
+		if !here && !t.atWork() {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/core/tmcontrol/look.go
@@ -0,0 +1,350 @@
+package tmcontrol
+
+import (
+	"turmericmoor/core/tmclock"
+	"turmericmoor/core/tmjob"
+)
+
+// waitTime is how long a hold may wait at the endpoint for the end of a task.
+const waitTime = 1000 * tmclock.Millisecond
+
+// SetEndpoint takes in an entry of the list of endpoints.
+func (c *Controller) SetEndpoint(l Listing, now tmclock.Millis) {
+	e := c.endpoints[l.ID]
+	if e == nil {
+		e = newEndpoint(l)
+		c.endpoints[l.ID] = e
+		c.event("endpoint_listed", "endpoint", l.ID, "service", l.Service, "instance", l.Instance, "zone", l.Zone)
+		c.replaceOn(l, now)
+		return
+	}
+	if l.Born > e.info.Born && e.info.Born != 0 {
+		c.reborn(e, l.Born)
+	}
+	if l.Draining && !e.info.Draining {
+		c.event("endpoint_draining", "endpoint", l.ID)
+	}
+	if !e.listed && e.info.Service == "" {
+		c.event("endpoint_listed", "endpoint", l.ID, "service", l.Service, "instance", l.Instance, "zone", l.Zone)
+	}
+	e.info = l
+	e.listed = true
+}
+
+// replaceOn ends the earlier lifetimes on the instance of a new endpoint: an
+// instance has one endpoint at a time.
+func (c *Controller) replaceOn(l Listing, _ tmclock.Millis) {
+	if l.Instance == "" {
+		return
+	}
+	for _, old := range c.endpoints {
+		if old.info.Instance == l.Instance && old.info.ID != l.ID && old.info.Born <= l.Born {
+			c.endLife(old, "instance has a new endpoint")
+		}
+	}
+}
+
+// RemoveEndpoint takes in that an endpoint left the list. Its runs stay until
+// their lease has surely lapsed.
+func (c *Controller) RemoveEndpoint(id string) {
+	if e := c.endpoints[id]; e != nil && e.listed {
+		e.listed = false
+		c.event("endpoint_unlisted", "endpoint", id, "runs", len(e.runs))
+	}
+}
+
+// reborn ends the runs of the earlier lifetime of an endpoint that started
+// again under its id.
+func (c *Controller) reborn(e *endpoint, born int64) {
+	c.loseRuns(e, "endpoint restarted")
+	e.info.Born = born
+	e.fenced, e.answering = false, false
+	e.seen, e.acked, e.clock, e.strange, e.lapse = 0, 0, 0, 0, 0
+}
+
+func (c *Controller) endLife(e *endpoint, cause string) {
+	if e.gone {
+		return
+	}
+	e.gone, e.listed, e.answering = true, false, false
+	c.loseRuns(e, cause)
+}
+
+func (c *Controller) loseRuns(e *endpoint, cause string) {
+	for _, r := range e.runs {
+		c.stats.Lost++
+		c.event("run_lost", "task", r.task.id.String(), "run", r.n, "endpoint", e.info.ID, "cause", cause)
+		c.release(r)
+	}
+}
+
+// Hold returns what the next call to an endpoint carries. It reports false
+// once the endpoint is of no interest.
+func (c *Controller) Hold(id string, now tmclock.Millis) (Hold, bool) {
+	e := c.endpoints[id]
+	if e == nil || e.gone || (!e.listed && len(e.runs) == 0) || e.info.Address == "" {
+		return Hold{}, false
+	}
+	h := Hold{Address: e.info.Address, Token: c.token, Seen: e.acked}
+	if e.fenced {
+		h.Until = e.grant(c.bounds.Lease, now)
+	}
+	if e.fenced && e.seen == e.acked {
+		h.Wait = waitTime
+	}
+	return h, true
+}
+
+// Looked takes in the answer to a Hold that was sent at sentAt.
+func (c *Controller) Looked(id string, l Look, sentAt, now tmclock.Millis) {
+	e := c.endpoints[id]
+	if e == nil || e.gone {
+		return
+	}
+	if l.Born > e.info.Born && e.info.Born != 0 || e.fenced && l.Clock < e.clock {
+		c.event("endpoint_restarted", "endpoint", id, "born", l.Born)
+		c.reborn(e, max(l.Born, e.info.Born))
+	}
+	if l.Clock > e.clock {
+		e.clock, e.clockAt = l.Clock, now
+	}
+	if !e.answering {
+		c.event("endpoint_answers", "endpoint", id, "runs", len(l.Active), "ends", len(l.Ended))
+	}
+	e.fenced, e.answering = true, true
+	listed := map[runKey]bool{}
+	for _, end := range l.Ended {
+		listed[runKey{end.Task, end.Run}] = true
+		if end.Number > e.seen {
+			e.seen = end.Number
+			c.ended(e, end, now)
+		}
+	}
+	e.strange = 0
+	for _, a := range l.Active {
+		key := runKey{a.Task, a.Run}
+		listed[key] = true
+		if r := e.runs[key]; r != nil {
+			c.running(r, a, now)
+		} else {
+			c.stopStrange(e, a, now)
+		}
+	}
+	for key, r := range e.runs {
+		if !listed[key] {
+			c.unlisted(r, sentAt, now)
+		}
+	}
+}
+
+// Silent takes in that a call to an endpoint got no answer.
+func (c *Controller) Silent(id string, cause string) {
+	e := c.endpoints[id]
+	if e == nil || !e.answering {
+		return
+	}
+	e.answering = false
+	c.event("endpoint_silent", "endpoint", id, "runs", len(e.runs), "cause", cause)
+}
+
+// Fence takes in that an endpoint has seen a higher token: another process
+// owns the fleet.
+func (c *Controller) Fence(id string) {
+	if !c.deposed {
+		c.deposed = true
+		c.event("owner_deposed", "endpoint", id, "token", c.token)
+	}
+}
+
+func (c *Controller) running(r *run, a Active, now tmclock.Millis) {
+	if r.phase != active {
+		r.phase = active
+		if r.began == 0 {
+			r.began = now
+		}
+	}
+	r.settled, r.doubt = now, false
+	r.percent, r.usage = a.Percent, a.Usage
+	t := r.task
+	if a.Saved != "" && a.Saved != t.saved {
+		t.saved = a.Saved
+	}
+	if r.stop {
+		c.sendStop(r, now)
+	}
+}
+
+func (c *Controller) stopStrange(e *endpoint, a Active, now tmclock.Millis) {
+	e.strange++
+	ref := RunRef{Task: a.Task, Run: a.Run, Endpoint: e.info.ID, SentAt: now}
+	c.event("run_unexplained", "task", a.Task.String(), "run", a.Run, "endpoint", e.info.ID)
+	c.stops = append(c.stops, StopOrder{Ref: ref, Address: e.info.Address, Token: c.token})
+}
+
+// unlisted decides about a run that an endpoint doesn't list, by a list that
+// was asked for at sentAt.
+func (c *Controller) unlisted(r *run, sentAt, now tmclock.Millis) {
+	switch {
+	case r.phase == planned || r.inFlight || !sentAt.After(r.settled):
+		return
+	case r.phase == doubtful, r.phase == active, r.stopped:
+		c.stats.Lost++
+		c.event("run_gone", "task", r.task.id.String(), "run", r.n, "endpoint", r.ep.info.ID, "cause", "not listed by its endpoint")
+		c.release(r)
+	case r.stop:
+		c.sendStop(r, now)
+	case r.doubt:
+		c.retryStart(r, now)
+	}
+}
+
+func (c *Controller) ended(e *endpoint, end Ended, now tmclock.Millis) {
+	r := e.runs[runKey{end.Task, end.Run}]
+	t := c.findTask(end.Task)
+	c.event("run_ended", "task", end.Task.String(), "run", end.Run, "endpoint", e.info.ID, "how", end.How.String(), "number", end.Number)
+	if r != nil && r.began != 0 && end.How == EndDone {
+		c.learn(r, now)
+	}
+	if t == nil {
+		if r != nil {
+			c.release(r)
+		}
+		return
+	}
+	j := t.step.occ.job
+	if end.Saved != "" {
+		t.saved = end.Saved
+	}
+	if !j.final && !t.done {
+		c.takeEnd(t, e, end, now)
+	}
+	if r != nil {
+		if t.step.spec.LongRunning && t.lostAt == 0 {
+			t.lostAt = now
+		}
+		c.release(r)
+	}
+}
+
+func (c *Controller) findTask(id tmjob.TaskID) *task {
+	if j := c.jobs[id.Job]; j != nil {
+		return j.task(id)
+	}
+	return nil
+}
+
+// takeEnd counts the end of a run for its task.
+func (c *Controller) takeEnd(t *task, e *endpoint, end Ended, now tmclock.Millis) {
+	j := t.step.occ.job
+	c.touch(j)
+	switch end.How {
+	case EndDone:
+		c.stats.Done++
+		e.failures = 0
+		if t.step.spec.LongRunning {
+			return
+		}
+		if t.step.spec.Gang {
+			for _, member := range t.step.tasks {
+				c.markDone(member)
+			}
+		} else {
+			c.markDone(t)
+		}
+		c.closeOccurrence(t.step.occ)
+	case EndFailed:
+		c.stats.Failed++
+		e.failures++
+		if e.failures >= failuresToAvoid {
+			e.avoid = now.Add(failingAvoidTime)
+			c.event("endpoint_avoided", "endpoint", e.info.ID, "failures", e.failures, "for_ms", int64(failingAvoidTime))
+		}
+		if t.step.spec.LongRunning {
+			return
+		}
+		t.failures++
+		limit := c.rules.Queues[j.spec.Queue].Attempts
+		if limit > 0 && t.failures >= limit {
+			c.finish(j, tmjob.Failed, "task "+t.id.String()+" failed too often")
+		}
+	case EndStopped, EndLapsed, EndBroken, EndAlone:
+	}
+}
+
+const (
+	// failuresToAvoid is how many runs in a row fail at an endpoint before it
+	// gets nothing new for failingAvoidTime.
+	failuresToAvoid  = 3
+	failingAvoidTime = 4 * tmclock.Second
+)
+
+func (c *Controller) markDone(t *task) {
+	if t.done {
+		return
+	}
+	t.done = true
+	t.step.left--
+	if t.step.left == 0 {
+		t.step.occ.left--
+	}
+	for _, r := range append([]*run(nil), t.active...) {
+		// The copies of a speculative task, and the members of a gang that
+		// have not reported yet, end by themselves or are stopped.
+		if t.step.spec.Speculative {
+			c.stopRun(r, "another copy is done")
+		}
+	}
+}
+
+// closeOccurrence drops an occurrence that is done, and with the last one
+// completes the job.
+func (c *Controller) closeOccurrence(o *occurrence) {
+	if o.left > 0 {
+		return
+	}
+	j := o.job
+	c.event("occurrence_done", "job", j.spec.ID, "occurrence", o.k)
+	for k := range j.spec.Occurrences() {
+		if k >= j.next {
+			return
+		}
+		if open := j.occurrences[k]; open != nil && open.left > 0 {
+			return
+		}
+	}
+	c.finish(j, tmjob.Completed, "all tasks are done")
+}
+
+// Tick takes in the passing of time: leases that have surely lapsed, orders to
+// repeat, and occurrences that have come due.
+func (c *Controller) Tick(now tmclock.Millis, wall int64) {
+	for id, e := range c.endpoints {
+		if len(e.runs) > 0 && !e.answering && now.After(e.lapse) {
+			c.loseRuns(e, "lease lapsed")
+		}
+		if !e.listed && len(e.runs) == 0 {
+			delete(c.endpoints, id)
+			continue
+		}
+		for _, r := range e.runs {
+			if r.stop {
+				c.sendStop(r, now)
+			}
+		}
+	}
+	for _, j := range c.order {
+		c.openDue(j, wall)
+	}
+}
+
+func (c *Controller) openDue(j *job, wall int64) {
+	for j.next < j.spec.Occurrences() {
+		if j.spec.Repeats > 0 && wall < j.spec.Due(j.next) {
+			return
+		}
+		j.open(j.next)
+		if j.spec.Repeats > 0 {
+			c.touch(j)
+		}
+	}
+}
--- /dev/null
+++ b/core/tmcontrol/plan.go
@@ -0,0 +1,289 @@
+package tmcontrol
+
+import (
+	"cmp"
+	"slices"
+
+	"turmericmoor/core/tmclock"
+	"turmericmoor/core/tmjob"
+)
+
+// restartPause is the time before a long-running task that ended starts again.
+const restartPause = 20 * tmclock.Millisecond
+
+// rank orders occurrences for placement, smaller first.
+type rank struct {
+	occ *occurrence
+	// long-running work goes first: it has to be restarted however full the
+	// pool is.
+	long bool
+	// hopeless occurrences can no longer meet their objective.
+	hopeless bool
+	priority int
+	work     float64
+	due      int64
+}
+
+func compareRanks(a, b rank) int {
+	if a.long != b.long {
+		return boolOrder(a.long)
+	}
+	if a.hopeless != b.hopeless {
+		return -boolOrder(a.hopeless)
+	}
+	return cmp.Or(cmp.Compare(a.priority, b.priority), cmp.Compare(a.work, b.work), cmp.Compare(a.due, b.due))
+}
+
+func boolOrder(first bool) int {
+	if first {
+		return -1
+	}
+	return 1
+}
+
+// pool is the endpoints of one service that may get new tasks.
+type pool struct {
+	service   string
+	endpoints []*endpoint
+}
+
+// Plan places waiting tasks. Placements become orders once they are stored.
+func (c *Controller) Plan(now tmclock.Millis, wall int64) {
+	if !c.loaded || c.deposed || c.rules.Version == 0 {
+		return
+	}
+	c.planFleet(now, wall)
+	pools := c.pools(now)
+	if len(pools) == 0 {
+		return
+	}
+	byService := map[string][]rank{}
+	for _, j := range c.order {
+		q, ok := c.rules.Queues[j.spec.Queue]
+		if !ok || pools[q.Service] == nil {
+			continue
+		}
+		for _, o := range j.occurrences {
+			if o.hasWaiting(now) {
+				byService[q.Service] = append(byService[q.Service], c.rank(o, q, wall))
+			}
+		}
+	}
+	for service, ranks := range byService {
+		slices.SortStableFunc(ranks, compareRanks)
+		for _, r := range ranks {
+			c.placeOccurrence(r.occ, pools[service], now)
+		}
+	}
+}
+
+func (c *Controller) pools(now tmclock.Millis) map[string]*pool {
+	pools := map[string]*pool{}
+	for _, e := range c.endpoints {
+		if !e.usable(now) || c.zonesOut[e.info.Zone] {
+			continue
+		}
+		p := pools[e.info.Service]
+		if p == nil {
+			p = &pool{service: e.info.Service}
+			pools[e.info.Service] = p
+		}
+		p.endpoints = append(p.endpoints, e)
+	}
+	for _, p := range pools {
+		slices.SortFunc(p.endpoints, func(a, b *endpoint) int { return cmp.Compare(a.info.ID, b.info.ID) })
+	}
+	return pools
+}
+
+func (o *occurrence) hasWaiting(now tmclock.Millis) bool {
+	for _, s := range o.steps {
+		if s.left > 0 && s.ready() {
+			for _, t := range s.tasks {
+				if t.waiting(now) {
+					return true
+				}
+			}
+		}
+	}
+	return false
+}
+
+func (c *Controller) rank(o *occurrence, q Queue, wall int64) rank {
+	j := o.job
+	out := c.outlook(o)
+	objective := float64(j.spec.Due(o.k)) + q.Stretch*out.total + float64(q.Objective)
+	return rank{
+		occ: o, long: j.long, priority: q.Priority, work: out.work, due: j.spec.Due(o.k),
+		hopeless: !j.long && float64(wall)+out.chain > objective,
+	}
+}
+
+func (c *Controller) placeOccurrence(o *occurrence, p *pool, now tmclock.Millis) {
+	for _, s := range o.steps {
+		if s.left == 0 || !s.ready() {
+			continue
+		}
+		if s.spec.Gang {
+			c.placeGang(s, p, now)
+			continue
+		}
+		for _, t := range s.tasks {
+			if t.waiting(now) && !c.place(t, p, now) {
+				break
+			}
+		}
+	}
+}
+
+// place finds an endpoint for a task. It reports false when there is none.
+func (c *Controller) place(t *task, p *pool, now tmclock.Millis) bool {
+	if !c.withinLimit(t.step, 1) {
+		return false
+	}
+	e := c.choose(t.step, p, now)
+	if e == nil {
+		return false
+	}
+	c.assign(t, e, t.runs+1)
+	return true
+}
+
+func (c *Controller) assign(t *task, e *endpoint, n int) {
+	r := c.addRun(t, e, n)
+	t.runs = n
+	if tk, ok := t.step.advice.tickets[e.info.ID]; ok {
+		r.ticket = tk
+	}
+	j := t.step.occ.job
+	j.begun = true
+	c.touch(j)
+	c.event("task_placed", "task", t.id.String(), "run", n, "endpoint", e.info.ID,
+		"free_cpu", e.free().CPU, "queue", j.spec.Queue, "team", j.spec.Team, "rules", c.rules.Version)
+}
+
+// withinLimit reports whether the team of the step's job may run n more of its
+// tasks.
+func (c *Controller) withinLimit(s *step, n int64) bool {
+	name := s.occ.job.spec.Team
+	team, ok := c.rules.Teams[name]
+	if !ok {
+		return true
+	}
+	size := s.spec.Size
+	more := tmjob.Amount{CPU: size.CPU * n, Mem: size.Mem * n, GPU: size.GPU * n}
+	return c.teams[name].Add(more).Within(team.Limit)
+}
+
+// choose returns the endpoint with the most free processor share among those
+// that may run a task of the step, those near its data first.
+func (c *Controller) choose(s *step, p *pool, now tmclock.Millis) *endpoint {
+	var best *endpoint
+	var bestScore float64
+	advised := c.adviceFor(s, p, now)
+	for _, e := range p.endpoints {
+		if !c.allows(s, e) || !advised(e) {
+			continue
+		}
+		score := c.score(s, e)
+		if best == nil || score > bestScore {
+			best, bestScore = e, score
+		}
+	}
+	return best
+}
+
+// allows reports whether one more task of the step may run at e.
+func (c *Controller) allows(s *step, e *endpoint) bool {
+	spec := s.spec
+	if spec.Label != "" && !e.info.hasLabel(spec.Label) {
+		return false
+	}
+	if !spec.Room().Fits(e.free()) {
+		return false
+	}
+	return spec.PerEndpoint == 0 || e.stepRuns(s) < spec.PerEndpoint
+}
+
+// rackPreference outweighs any difference in load.
+const rackPreference = 10.0
+
+func (c *Controller) score(s *step, e *endpoint) float64 {
+	capacity := float64(max(e.info.Capacity.CPU, 1))
+	score := float64(e.free().CPU) / capacity
+	if s.spec.DataRack != "" && e.info.hasLabel(s.spec.DataRack) {
+		score += rackPreference
+	}
+	if s.spec.Fills || s.spec.Target > 0 {
+		score -= float64(c.disturbers(e, s.spec.Fills))
+	}
+	return score
+}
+
+// disturbers counts the tasks at e that a filling task would disturb, or that
+// would disturb a task that serves users.
+func (c *Controller) disturbers(e *endpoint, fills bool) int {
+	n := 0
+	for _, r := range e.runs {
+		other := r.task.step.spec
+		if fills && other.Target > 0 || !fills && other.Fills {
+			n++
+		}
+	}
+	return n
+}
+
+// placeGang places all tasks of a gang at once, or none.
+func (c *Controller) placeGang(s *step, p *pool, now tmclock.Millis) {
+	n := 0
+	for _, t := range s.tasks {
+		if !t.waiting(now) {
+			return
+		}
+		n = max(n, t.runs)
+	}
+	if !c.withinLimit(s, int64(len(s.tasks))) {
+		return
+	}
+	if s.spec.SameRack {
+		for _, rack := range racksOf(p) {
+			if c.tryGang(s, &pool{service: p.service, endpoints: rack}, n+1, now) {
+				return
+			}
+		}
+	}
+	c.tryGang(s, p, n+1, now)
+}
+
+func racksOf(p *pool) [][]*endpoint {
+	byRack := map[string][]*endpoint{}
+	var names []string
+	for _, e := range p.endpoints {
+		if byRack[e.info.Rack] == nil {
+			names = append(names, e.info.Rack)
+		}
+		byRack[e.info.Rack] = append(byRack[e.info.Rack], e)
+	}
+	slices.Sort(names)
+	racks := make([][]*endpoint, 0, len(names))
+	for _, name := range names {
+		racks = append(racks, byRack[name])
+	}
+	return racks
+}
+
+func (c *Controller) tryGang(s *step, p *pool, n int, now tmclock.Millis) bool {
+	for i, t := range s.tasks {
+		e := c.choose(s, p, now)
+		if e == nil {
+			for _, placed := range s.tasks[:i] {
+				for _, r := range append([]*run(nil), placed.active...) {
+					c.release(r)
+				}
+			}
+			return false
+		}
+		c.assign(t, e, n)
+	}
+	return true
+}
--- /dev/null
+++ b/io/tmelection/election.go
@@ -0,0 +1,240 @@
+// Package tmelection decides which node owns the fleet, by conditional writes
+// of one row. Every change of owner raises the fencing token in the row, so an
+// owner that was paused can do no harm: endpoints and the store refuse it.
+package tmelection
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"turmericmoor/core/tmclock"
+	"turmericmoor/io/tmrecord"
+	"turmericmoor/io/tmtable"
+)
+
+const (
+	// renewEvery is the time between two renewals by the owner.
+	renewEvery = 500 * time.Millisecond
+	// takeAfter is how long the row must stand still, while the store answers,
+	// before another node takes over.
+	takeAfter = 1800 * time.Millisecond
+	// callTimeout bounds one call to the store.
+	callTimeout = 900 * time.Millisecond
+	// retryPause is the pause after a failed call.
+	retryPause = 100 * time.Millisecond
+	// feedWait is how long a call waits for the row to change.
+	feedWait = 700 * tmclock.Millisecond
+	// maxStagger spreads the nodes that take over at the same moment.
+	maxStagger = 250 * time.Millisecond
+)
+
+// Candidate is one node in the election. It is safe for concurrent use.
+type Candidate struct {
+	Store tmtable.Store
+	// Name is unique among nodes.
+	Name string
+	// Stagger, from 0 to 1, orders the candidates when the owner is gone.
+	Stagger float64
+	// Lead runs while the node owns the fleet and returns when ctx ends, or
+	// earlier if it finds that another node has taken over.
+	Lead func(ctx context.Context, token int64)
+	// Status returns what the owner publishes.
+	Status func() (waiting map[string]int, counted bool)
+	// Seen hears of every version of the row.
+	Seen func(o tmrecord.Owner)
+	// Note hears of every change of role.
+	Note func(event string, fields ...any)
+
+	mu      sync.Mutex
+	row     tmrecord.Owner
+	version int64
+	changed time.Time
+	known   bool
+	contact time.Time
+}
+
+// Run takes part in the election until ctx ends, and resigns then.
+func (c *Candidate) Run(ctx context.Context) {
+	var following sync.WaitGroup
+	followCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
+	following.Go(func() { c.follow(followCtx) })
+	defer func() {
+		stop()
+		following.Wait()
+	}()
+	for ctx.Err() == nil {
+		if token, ok := c.tryTake(ctx); ok {
+			c.lead(ctx, token)
+			continue
+		}
+		sleep(ctx, retryPause)
+	}
+}
+
+func (c *Candidate) follow(ctx context.Context) {
+	f := tmtable.Follower{
+		Store: c.Store, Table: tmrecord.OwnerTable, Parts: []string{""}, Wait: feedWait,
+		Snapshot: func(rows []tmtable.Row) {
+			c.take(rows)
+			c.mu.Lock()
+			c.known = true
+			c.mu.Unlock()
+		},
+		Changed: c.take,
+		Contact: func(time.Time) {
+			c.mu.Lock()
+			c.contact = time.Now()
+			c.mu.Unlock()
+		},
+	}
+	f.Run(ctx)
+}
+
+func (c *Candidate) take(rows []tmtable.Row) {
+	for _, row := range rows {
+		if row.Key != tmrecord.OwnerKey() || row.Deleted {
+			continue
+		}
+		o, err := tmrecord.DecodeOwner(row.Value)
+		if err != nil {
+			c.Note("row_unreadable", "table", row.Table, "key", row.Key.Key, "cause", err.Error())
+			continue
+		}
+		c.learn(o, row.Version)
+	}
+}
+
+func (c *Candidate) learn(o tmrecord.Owner, version int64) {
+	c.mu.Lock()
+	newer := version > c.version
+	if newer {
+		if o.Holder != c.row.Holder || o.Token != c.row.Token {
+			c.Note("owner_seen", "holder", o.Holder, "token", o.Token, "version", version)
+		}
+		c.row, c.version, c.changed = o, version, time.Now()
+	}
+	c.mu.Unlock()
+	if newer {
+		c.Seen(o)
+	}
+}
+
+// vacant reports whether the row may be taken: the owner has resigned or has
+// not renewed for takeAfter although the store answers.
+func (c *Candidate) vacant() (tmrecord.Owner, int64, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.known || time.Since(c.contact) > takeAfter {
+		return c.row, c.version, false
+	}
+	stagger := time.Duration(c.Stagger * float64(maxStagger))
+	if c.version == 0 || c.row.Holder == "" || c.row.Holder == c.Name {
+		return c.row, c.version, c.changed.IsZero() || time.Since(c.changed) > stagger
+	}
+	return c.row, c.version, time.Since(c.changed) > takeAfter+stagger
+}
+
+func (c *Candidate) tryTake(ctx context.Context) (int64, bool) {
+	row, version, ok := c.vacant()
+	if !ok {
+		return 0, false
+	}
+	next := tmrecord.Owner{Holder: c.Name, Token: row.Token + 1}
+	if _, err := c.write(ctx, next, version); err != nil {
+		return 0, false
+	}
+	c.Note("owner_won", "token", next.Token, "before", row.Holder)
+	return next.Token, true
+}
+
+// write replaces the row at a version and learns the new one.
+func (c *Candidate) write(ctx context.Context, o tmrecord.Owner, version int64) (int64, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	key := tmrecord.OwnerKey()
+	res, err := c.Store.Write(ctx, tmtable.Txn{
+		Expects: []tmtable.Expect{{Key: key, Version: version}},
+		Puts:    []tmtable.Put{{Key: key, Value: tmrecord.EncodeOwner(o)}},
+	})
+	var conflict *tmtable.ConflictError
+	if errors.As(err, &conflict) {
+		c.take(conflict.Rows)
+		return 0, err
+	}
+	if err != nil {
+		return 0, err
+	}
+	c.learn(o, res.Version)
+	return res.Version, nil
+}
+
+func (c *Candidate) lead(ctx context.Context, token int64) {
+	leadCtx, stop := context.WithCancel(ctx)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		c.Lead(leadCtx, token)
+	}()
+	c.renew(leadCtx, token, done)
+	stop()
+	<-done
+	if ctx.Err() != nil {
+		c.resign(token)
+	}
+	c.Note("owner_ended", "token", token)
+}
+
+// renew keeps the row fresh until ctx or the leading ends, or another node has
+// taken over.
+func (c *Candidate) renew(ctx context.Context, token int64, done <-chan struct{}) {
+	tick := time.NewTicker(renewEvery)
+	defer tick.Stop()
+	beat := int64(0)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-done:
+			return
+		case <-tick.C:
+		}
+		c.mu.Lock()
+		row, version := c.row, c.version
+		c.mu.Unlock()
+		if row.Token > token {
+			return
+		}
+		beat++
+		waiting, counted := c.Status()
+		next := tmrecord.Owner{Holder: c.Name, Token: token, Beat: beat, Waiting: waiting, Counted: counted}
+		if _, err := c.write(ctx, next, version); err != nil && ctx.Err() == nil {
+			c.Note("renewal_failed", "token", token, "cause", err.Error())
+		}
+	}
+}
+
+// resign leaves the row without a holder, so that another node need not wait.
+func (c *Candidate) resign(token int64) {
+	c.mu.Lock()
+	row, version := c.row, c.version
+	c.mu.Unlock()
+	if row.Token != token || row.Holder != c.Name {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	defer cancel()
+	if _, err := c.write(ctx, tmrecord.Owner{Token: token}, version); err != nil {
+		c.Note("resignation_failed", "token", token, "cause", err.Error())
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
--- /dev/null
+++ b/io/tmeventlog/eventlog.go
@@ -0,0 +1,115 @@
+// Package tmeventlog writes the decision log: JSON lines on one writer, through
+// a bounded buffer. A slow writer loses lines, which are counted; it never
+// delays the process.
+package tmeventlog
+
+import (
+	"io"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/charmbracelet/log"
+)
+
+const (
+	// bufferLines bounds the lines that wait for the writer.
+	bufferLines = 4096
+	// maxPerSecond bounds the lines of one event in a second; the rest is summed
+	// up in one line.
+	maxPerSecond = 1000
+)
+
+type line struct {
+	name   string
+	fields []any
+}
+
+// Log is a decision log. It is safe for concurrent use.
+type Log struct {
+	out     *log.Logger
+	lines   chan line
+	dropped atomic.Int64
+	total   atomic.Int64
+	done    chan struct{}
+
+	mu     sync.Mutex
+	second int64
+	counts map[string]int
+	closed bool
+}
+
+// New returns a log that writes to w, with the name of the node in each line.
+func New(w io.Writer, node string) *Log {
+	l := &Log{
+		out: log.NewWithOptions(w, log.Options{
+			Formatter: log.JSONFormatter, ReportTimestamp: true, TimeFormat: time.RFC3339Nano,
+		}).With("node", node),
+		lines: make(chan line, bufferLines), done: make(chan struct{}), counts: map[string]int{},
+	}
+	go l.write()
+	return l
+}
+
+// Note writes one event with pairs of a name and a value.
+func (l *Log) Note(name string, fields ...any) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.closed {
+		return
+	}
+	if now := time.Now().Unix(); now != l.second {
+		for event, n := range l.counts {
+			if n > maxPerSecond {
+				l.send(line{"lines_left_out", []any{"event", event, "count", n - maxPerSecond}})
+			}
+		}
+		l.second = now
+		clear(l.counts)
+	}
+	l.counts[name]++
+	if l.counts[name] <= maxPerSecond {
+		l.send(line{name, fields})
+	}
+}
+
+func (l *Log) send(n line) {
+	select {
+	case l.lines <- n:
+		l.total.Add(1)
+	default:
+		l.dropped.Add(1)
+	}
+}
+
+// Dropped returns the number of lines that the writer was too slow for.
+func (l *Log) Dropped() int64 { return l.dropped.Load() }
+
+// Written returns the number of lines handed to the writer.
+func (l *Log) Written() int64 { return l.total.Load() }
+
+func (l *Log) write() {
+	defer close(l.done)
+	reported := int64(0)
+	for n := range l.lines {
+		l.out.Info(n.name, n.fields...)
+		if d := l.dropped.Load(); d > reported && len(l.lines) == 0 {
+			l.out.Warn("lines_dropped", "count", d-reported)
+			reported = d
+		}
+	}
+}
+
+// Close writes the lines that wait, for at most that long.
+func (l *Log) Close(limit time.Duration) {
+	l.mu.Lock()
+	if !l.closed {
+		l.closed = true
+		close(l.lines)
+	}
+	l.mu.Unlock()
+	select {
+	case <-l.done:
+	case <-time.After(limit):
+	}
+}
--- /dev/null
+++ b/io/tmintake/intake.go
@@ -0,0 +1,226 @@
+// Package tmintake accepts jobs from callers, tells their state and cancels
+// them. It works on the stored rows alone, so every entry can serve every job,
+// whoever owns the fleet at that moment.
+package tmintake
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"turmericmoor/core/tmjob"
+	"turmericmoor/io/tmrecord"
+	"turmericmoor/io/tmtable"
+)
+
+// Errors of an Intake.
+var (
+	// ErrNotAccepted means that nothing was stored: the job never runs, unless
+	// it is submitted again.
+	ErrNotAccepted = errors.New("tmintake: not accepted")
+	// ErrUnknown means that the outcome is unknown: the same request may be
+	// sent again.
+	ErrUnknown = errors.New("tmintake: outcome unknown")
+	// ErrNoJob means that there is no such job.
+	ErrNoJob = errors.New("tmintake: no such job")
+	// ErrNotReady means that the answer can't be given now.
+	ErrNotReady = errors.New("tmintake: not ready")
+)
+
+const (
+	// callTimeout bounds one call to the store.
+	callTimeout = 900 * time.Millisecond
+	// retryPause is the time between two calls to the store.
+	retryPause = 40 * time.Millisecond
+	// countAge is how old the published numbers of waiting jobs may be.
+	countAge = 1500 * time.Millisecond
+)
+
+// Intake is safe for concurrent use.
+type Intake struct {
+	store tmtable.Store
+
+	mu      sync.Mutex
+	waiting map[string]int
+	counted time.Time
+}
+
+// New returns an Intake on a store.
+func New(store tmtable.Store) *Intake { return &Intake{store: store} }
+
+// SetOwner takes in the newest row of the owner, which holds the numbers of
+// waiting jobs.
+func (in *Intake) SetOwner(o tmrecord.Owner, at time.Time) {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	if o.Counted {
+		in.waiting, in.counted = o.Waiting, at
+	}
+}
+
+// Waiting returns how many accepted jobs of a queue have not begun.
+func (in *Intake) Waiting(queue string) (int, error) {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	if in.counted.IsZero() || time.Since(in.counted) > countAge {
+		return 0, fmt.Errorf("%w: no owner has published the number", ErrNotReady)
+	}
+	return in.waiting[queue], nil
+}
+
+// Submit stores a job. A job with the same id that was accepted before is left
+// as it is, and the call succeeds.
+func (in *Intake) Submit(ctx context.Context, j tmjob.Job) error {
+	txn := tmtable.Txn{
+		Expects: []tmtable.Expect{{Key: tmrecord.JobKey(j.ID)}, {Key: tmrecord.OutcomeKey(j.ID)}},
+		Puts:    []tmtable.Put{{Key: tmrecord.JobKey(j.ID), Value: tmrecord.EncodeJob(j)}},
+	}
+	doubt := false
+	for {
+		err := in.write(ctx, txn)
+		var conflict *tmtable.ConflictError
+		switch {
+		case err == nil:
+			return nil
+		case errors.As(err, &conflict):
+			// The job is there already, by this call or by an earlier one.
+			return nil
+		case errors.Is(err, tmtable.ErrUnknown):
+			doubt = true
+		case errors.Is(err, tmtable.ErrInvalid):
+			return fmt.Errorf("%w: %w", ErrNotAccepted, err)
+		}
+		if !sleep(ctx, retryPause) || !doubt {
+			if doubt {
+				return fmt.Errorf("%w: %w", ErrUnknown, err)
+			}
+			return fmt.Errorf("%w: %w", ErrNotAccepted, err)
+		}
+	}
+}
+
+func (in *Intake) write(ctx context.Context, t tmtable.Txn) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	_, err := in.store.Write(ctx, t)
+	return err
+}
+
+// rows is what the store has of a job.
+type rows struct {
+	live      *tmjob.Job
+	version   int64
+	outcome   *tmrecord.Outcome
+	cancelled bool
+}
+
+func (in *Intake) read(ctx context.Context, id string) (rows, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	page, err := in.store.Read(ctx, tmrecord.JobRange(id))
+	if err != nil {
+		return rows{}, fmt.Errorf("%w: %w", ErrNotReady, err)
+	}
+	var r rows
+	for _, row := range page.Rows {
+		kind, _ := tmrecord.KindOf(row.Key.Key)
+		switch kind {
+		case tmrecord.CancelRow:
+			r.cancelled = true
+		case tmrecord.OutcomeRow:
+			o, err := tmrecord.DecodeOutcome(row.Value)
+			if err != nil {
+				return rows{}, fmt.Errorf("%w: %w", ErrNotReady, err)
+			}
+			r.outcome = &o
+		case tmrecord.JobRow:
+			j, err := tmrecord.DecodeJob(id, row.Value)
+			if err != nil {
+				return rows{}, fmt.Errorf("%w: %w", ErrNotReady, err)
+			}
+			r.live, r.version = &j, row.Version
+		}
+	}
+	return r, nil
+}
+
+// queue returns the queue of the job, or "" if there is no job.
+func (r rows) queue() string {
+	switch {
+	case r.outcome != nil:
+		return r.outcome.Queue
+	case r.live != nil:
+		return r.live.Queue
+	}
+	return ""
+}
+
+// State returns the state of a job of a queue.
+func (in *Intake) State(ctx context.Context, queue, id string) (tmjob.State, error) {
+	r, err := in.read(ctx, id)
+	if err != nil {
+		return tmjob.Pending, err
+	}
+	switch {
+	case r.queue() != queue:
+		return tmjob.Pending, ErrNoJob
+	case r.outcome != nil:
+		return r.outcome.State, nil
+	case r.cancelled:
+		return tmjob.Cancelled, nil
+	}
+	return in.begun(ctx, id)
+}
+
+func (in *Intake) begun(ctx context.Context, id string) (tmjob.State, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	key := tmrecord.RunKey(id)
+	page, err := in.store.Read(ctx, tmtable.Range{Table: key.Table, Part: key.Part, From: id, To: id + "\x00", Limit: 1})
+	if err != nil {
+		return tmjob.Pending, fmt.Errorf("%w: %w", ErrNotReady, err)
+	}
+	if len(page.Rows) == 0 {
+		return tmjob.Pending, nil
+	}
+	return tmjob.Running, nil
+}
+
+// Cancel stores the cancellation of a job. It succeeds also if the job was
+// cancelled before, and returns ErrNoJob if it has ended otherwise.
+func (in *Intake) Cancel(ctx context.Context, queue, id string) error {
+	for {
+		r, err := in.read(ctx, id)
+		if err == nil {
+			if r.queue() != queue || r.outcome != nil && r.outcome.State != tmjob.Cancelled {
+				return ErrNoJob
+			}
+			if r.cancelled || r.outcome != nil {
+				return nil
+			}
+			err = in.write(ctx, tmtable.Txn{
+				Expects: []tmtable.Expect{{Key: tmrecord.JobKey(id), Version: r.version}},
+				Puts:    []tmtable.Put{{Key: tmrecord.CancelKey(id), Value: []byte("{}")}},
+			})
+			if err == nil {
+				return nil
+			}
+		}
+		if !sleep(ctx, retryPause) {
+			return fmt.Errorf("%w: %w", ErrUnknown, err)
+		}
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
--- /dev/null
+++ b/io/tmowner/call.go
@@ -0,0 +1,162 @@
+package tmowner
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"turmericmoor/core/tmclock"
+	"turmericmoor/core/tmcontrol"
+)
+
+const (
+	// orderTimeout bounds one order to an endpoint.
+	orderTimeout = 800 * time.Millisecond
+	// holdSlack is how much longer than its wait a hold may take.
+	holdSlack = 700 * time.Millisecond
+	// holdPause is the pause after a hold that brought ends, so that the ends
+	// that follow gather.
+	holdPause = 15 * time.Millisecond
+	// holdRetry is the pause after a hold that failed.
+	holdRetry = 150 * time.Millisecond
+	// storedPause is how long a hold waits for ends to be stored.
+	storedPause = 400 * time.Millisecond
+	// adviceTimeout bounds a question to the placement policy.
+	adviceTimeout = 2 * time.Second
+)
+
+func (o *Owner) sendStart(ctx context.Context, s tmcontrol.StartOrder) {
+	callCtx, cancel := context.WithTimeout(ctx, orderTimeout)
+	began := time.Now()
+	a := o.opts.Endpoints.Start(callCtx, s)
+	cancel()
+	o.observeAnswer("start", began, a)
+	now := o.opts.Clock.Now()
+	o.mu.Lock()
+	o.ctl.Started(s.Ref, a, now)
+	o.mu.Unlock()
+	if a != tmcontrol.Accepted {
+		o.plan()
+	}
+}
+
+func (o *Owner) sendStop(ctx context.Context, s tmcontrol.StopOrder) {
+	callCtx, cancel := context.WithTimeout(ctx, orderTimeout)
+	began := time.Now()
+	a := o.opts.Endpoints.Stop(callCtx, s)
+	cancel()
+	o.observeAnswer("stop", began, a)
+	now := o.opts.Clock.Now()
+	o.mu.Lock()
+	o.ctl.Stopped(s.Ref, a, now)
+	o.mu.Unlock()
+}
+
+func (o *Owner) sendPace(ctx context.Context, p tmcontrol.PaceOrder) {
+	callCtx, cancel := context.WithTimeout(ctx, orderTimeout)
+	began := time.Now()
+	a := o.opts.Endpoints.Pace(callCtx, p)
+	cancel()
+	o.observeAnswer("pace", began, a)
+	o.mu.Lock()
+	o.ctl.Paced(p, a)
+	o.mu.Unlock()
+}
+
+func (o *Owner) observeAnswer(what string, began time.Time, a tmcontrol.Answer) {
+	if o.opts.Observe == nil {
+		return
+	}
+	var err error
+	if a != tmcontrol.Accepted {
+		err = errors.New(a.String())
+	}
+	o.opts.Observe(what, time.Since(began), err)
+}
+
+func (o *Owner) ask(ctx context.Context, q tmcontrol.Question) {
+	callCtx, cancel := context.WithTimeout(ctx, adviceTimeout)
+	defer cancel()
+	asked := o.opts.Clock.Now()
+	tickets, valid, err := o.opts.Advisor.Advise(callCtx, q.Step, q.Endpoints)
+	if err != nil {
+		o.note("advice_failed", "step", q.Step, "cause", err.Error())
+		pause(ctx, holdRetry)
+	}
+	o.mu.Lock()
+	o.ctl.Advised(q, tickets, valid, asked)
+	o.mu.Unlock()
+	o.plan()
+}
+
+// hold keeps the lease of one endpoint and brings in its runs and ends, until
+// the controller has no more interest in it.
+func (o *Owner) hold(ctx context.Context, id string) {
+	defer func() {
+		o.mu.Lock()
+		delete(o.holding, id)
+		o.mu.Unlock()
+	}()
+	for ctx.Err() == nil {
+		sent := o.opts.Clock.Now()
+		o.mu.Lock()
+		h, ok := o.ctl.Hold(id, sent)
+		o.mu.Unlock()
+		if !ok {
+			return
+		}
+		callCtx, cancel := context.WithTimeout(ctx, h.Wait.Duration()+holdSlack)
+		look, err := o.opts.Endpoints.Hold(callCtx, id, h)
+		cancel()
+		if ctx.Err() != nil {
+			return
+		}
+		if err != nil {
+			o.holdFailed(ctx, id, err)
+			continue
+		}
+		stored := o.looked(id, look, sent)
+		if len(look.Ended) > 0 {
+			o.awaitStored(ctx, stored)
+		}
+	}
+}
+
+// looked passes a look on and returns the channel that the next stored flush
+// closes.
+func (o *Owner) looked(id string, look tmcontrol.Look, sent tmclock.Millis) <-chan struct{} {
+	now := o.opts.Clock.Now()
+	o.mu.Lock()
+	o.ctl.Looked(id, look, sent, now)
+	stored := o.storedCh
+	o.mu.Unlock()
+	o.plan()
+	return stored
+}
+
+func (o *Owner) holdFailed(ctx context.Context, id string, err error) {
+	o.mu.Lock()
+	if errors.Is(err, ErrFenced) {
+		o.ctl.Fence(id)
+	} else {
+		o.ctl.Silent(id, err.Error())
+	}
+	o.mu.Unlock()
+	o.plan()
+	pause(ctx, holdRetry)
+}
+
+// awaitStored waits until a flush that may hold the newest ends is stored, but
+// no longer than the lease can do without.
+func (o *Owner) awaitStored(ctx context.Context, stored <-chan struct{}) {
+	if !pause(ctx, holdPause) {
+		return
+	}
+	t := time.NewTimer(storedPause)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-stored:
+	case <-t.C:
+	}
+}
--- /dev/null
+++ b/io/tmowner/owner.go
@@ -0,0 +1,340 @@
+package tmowner
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"turmericmoor/core/tmclock"
+	"turmericmoor/core/tmcontrol"
+	"turmericmoor/io/tmrecord"
+	"turmericmoor/io/tmtable"
+)
+
+// Options are what an Owner works with.
+type Options struct {
+	Store     tmtable.Store
+	Endpoints EndpointClient
+	Instances InstanceClient
+	Advisor   Advisor
+	Directory Directory
+	Clock     tmclock.Clock
+	Bounds    tmcontrol.Bounds
+	// Holder is the name of this node in orders about instances.
+	Holder string
+	Note   func(tmcontrol.Event)
+	// Observe, if set, is told how long a step of the work took.
+	Observe func(what string, took time.Duration, err error)
+}
+
+const (
+	// planPause is the least time between two passes of the planner.
+	planPause = 5 * time.Millisecond
+	// tickEvery is the longest time between two passes.
+	tickEvery = 100 * time.Millisecond
+	// flushPause is the least time between two flushes, so that changes gather.
+	flushPause = 15 * time.Millisecond
+)
+
+// Owner is the running owner of the fleet. Its mutex guards the controller;
+// no call to another party is made while it is held.
+type Owner struct {
+	opts  Options
+	token int64
+
+	mu       sync.Mutex
+	ctl      *tmcontrol.Controller
+	holding  map[string]bool
+	storedCh chan struct{}
+	loaded   bool
+
+	kickPlan  chan struct{}
+	kickFlush chan struct{}
+	work      sync.WaitGroup
+	// fences are the versions of the guards of all parts, used by the flusher
+	// alone.
+	fences map[string]int64
+	stop   context.CancelFunc
+}
+
+// New returns an owner with a fencing token. Run starts it.
+func New(opts Options, token int64) *Owner {
+	return &Owner{
+		opts: opts, token: token,
+		ctl:       tmcontrol.New(opts.Bounds, token, opts.Note),
+		holding:   map[string]bool{},
+		storedCh:  make(chan struct{}),
+		kickPlan:  make(chan struct{}, 1),
+		kickFlush: make(chan struct{}, 1),
+		fences:    map[string]int64{},
+	}
+}
+
+// Apply takes in what the operator has directed.
+func (o *Owner) Apply(d tmcontrol.Directive) {
+	o.mu.Lock()
+	o.ctl.Apply(d, o.opts.Clock.Now())
+	o.mu.Unlock()
+	o.plan()
+}
+
+// Status returns the numbers of waiting jobs by queue, and whether all stored
+// jobs are known.
+func (o *Owner) Status() (map[string]int, bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.ctl.Waiting(), o.loaded
+}
+
+// Dump returns the state of the controller for operators.
+func (o *Owner) Dump() tmcontrol.Dump {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.ctl.Dump()
+}
+
+// Run owns the fleet until ctx ends or another owner is found.
+func (o *Owner) Run(ctx context.Context) {
+	ctx, o.stop = context.WithCancel(ctx)
+	defer o.work.Wait()
+	defer o.stop()
+	if !o.fenceParts(ctx) {
+		return
+	}
+	o.work.Go(func() { o.followEndpoints(ctx) })
+	o.work.Go(func() { o.followJobs(ctx) })
+	o.work.Go(func() { o.flushLoop(ctx) })
+	if o.opts.Instances != nil {
+		o.work.Go(func() { o.instanceLoop(ctx) })
+	}
+	o.planLoop(ctx)
+}
+
+func (o *Owner) plan()  { kick(o.kickPlan) }
+func (o *Owner) flush() { kick(o.kickFlush) }
+
+func kick(ch chan struct{}) {
+	select {
+	case ch <- struct{}{}:
+	default:
+	}
+}
+
+func (o *Owner) planLoop(ctx context.Context) {
+	timer := time.NewTimer(tickEvery)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-o.kickPlan:
+		case <-timer.C:
+		}
+		timer.Reset(tickEvery)
+		o.pass(ctx)
+		if !pause(ctx, planPause) {
+			return
+		}
+	}
+}
+
+// pass lets the controller decide and sends its orders.
+func (o *Owner) pass(ctx context.Context) {
+	now := o.opts.Clock.Now()
+	wall := time.Now().UnixMilli()
+	o.mu.Lock()
+	if o.ctl.Deposed() {
+		o.mu.Unlock()
+		o.stop()
+		return
+	}
+	o.ctl.Tick(now, wall)
+	o.ctl.Plan(now, wall)
+	starts, stops, paces := o.ctl.TakeOrders(now)
+	questions := o.ctl.TakeQuestions()
+	instanceOrders, reports := o.ctl.TakeInstanceOrders()
+	ids := o.ctl.ToHold(o.holding)
+	for _, id := range ids {
+		o.holding[id] = true
+	}
+	o.mu.Unlock()
+	o.flush()
+	for _, s := range starts {
+		o.work.Go(func() { o.sendStart(ctx, s) })
+	}
+	for _, s := range stops {
+		o.work.Go(func() { o.sendStop(ctx, s) })
+	}
+	for _, p := range paces {
+		o.work.Go(func() { o.sendPace(ctx, p) })
+	}
+	for _, i := range instanceOrders {
+		o.work.Go(func() { o.sendInstanceOrder(ctx, i) })
+	}
+	for _, r := range reports {
+		o.work.Go(func() { o.report(ctx, r) })
+	}
+	for _, q := range questions {
+		o.work.Go(func() { o.ask(ctx, q) })
+	}
+	for _, id := range ids {
+		o.work.Go(func() { o.hold(ctx, id) })
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
+
+func (o *Owner) note(name string, fields ...any) {
+	o.opts.Note(tmcontrol.Event{Name: name, Fields: fields})
+}
+
+func (o *Owner) followEndpoints(ctx context.Context) {
+	known := map[string]bool{}
+	f := tmtable.Follower{
+		Store: o.opts.Store, Table: o.opts.Directory.EndpointTable(), Parts: []string{""},
+		Snapshot: func(rows []tmtable.Row) {
+			present := map[string]bool{}
+			for _, row := range rows {
+				present[row.Key.Key] = true
+			}
+			for id := range known {
+				if !present[id] {
+					o.setEndpoint(known, tmtable.Row{Key: tmtable.Key{Key: id}, Deleted: true})
+				}
+			}
+			for _, row := range rows {
+				o.setEndpoint(known, row)
+			}
+			o.plan()
+		},
+		Changed: func(rows []tmtable.Row) {
+			for _, row := range rows {
+				o.setEndpoint(known, row)
+			}
+			o.plan()
+		},
+		Trouble: func(err error) { o.note("store_failed", "what", "list of endpoints", "cause", err.Error()) },
+	}
+	f.Run(ctx)
+}
+
+func (o *Owner) setEndpoint(known map[string]bool, row tmtable.Row) {
+	now := o.opts.Clock.Now()
+	id := row.Key.Key
+	if row.Deleted {
+		delete(known, id)
+		o.mu.Lock()
+		o.ctl.RemoveEndpoint(id)
+		o.mu.Unlock()
+		return
+	}
+	l, err := o.opts.Directory.Endpoint(row)
+	if err != nil {
+		o.note("row_unreadable", "table", row.Table, "key", id, "cause", err.Error())
+		return
+	}
+	known[id] = true
+	o.mu.Lock()
+	o.ctl.SetEndpoint(l, now)
+	o.mu.Unlock()
+}
+
+func (o *Owner) followJobs(ctx context.Context) {
+	f := tmtable.Follower{
+		Store: o.opts.Store, Table: tmrecord.JobTable, Parts: tmrecord.Parts(),
+		Snapshot: func(rows []tmtable.Row) {
+			o.takeJobs(rows)
+			if !o.isLoaded() {
+				o.restore(ctx)
+			}
+		},
+		Changed: func(rows []tmtable.Row) {
+			o.takeJobs(rows)
+			o.plan()
+		},
+		Trouble: func(err error) { o.note("store_failed", "what", "jobs", "cause", err.Error()) },
+	}
+	f.Run(ctx)
+}
+
+func (o *Owner) isLoaded() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.loaded
+}
+
+func (o *Owner) takeJobs(rows []tmtable.Row) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for _, row := range rows {
+		kind, id := tmrecord.KindOf(row.Key.Key)
+		if row.Deleted {
+			if kind == tmrecord.JobRow {
+				o.ctl.Removed(id)
+			}
+			continue
+		}
+		switch kind {
+		case tmrecord.JobRow:
+			j, err := tmrecord.DecodeJob(id, row.Value)
+			if err != nil {
+				o.note("row_unreadable", "table", row.Table, "key", row.Key.Key, "cause", err.Error())
+				continue
+			}
+			o.ctl.Submitted(j)
+		case tmrecord.CancelRow:
+			o.ctl.Cancelled(id)
+		case tmrecord.OutcomeRow:
+		}
+	}
+}
+
+// restore reads the progress of all live jobs. The parts are guarded already,
+// so no earlier owner can change it any more.
+func (o *Owner) restore(ctx context.Context) {
+	for _, part := range tmrecord.Parts() {
+		for {
+			page, err := tmtable.ReadAll(ctx, o.opts.Store, tmtable.Range{Table: tmrecord.RunTable, Part: part})
+			if err == nil {
+				o.restoreRows(page.Rows)
+				break
+			}
+			o.note("store_failed", "what", "progress of jobs", "cause", err.Error())
+			if !pause(ctx, tickEvery) {
+				return
+			}
+		}
+	}
+	o.mu.Lock()
+	o.loaded = true
+	o.ctl.Loaded()
+	o.mu.Unlock()
+	o.note("owner_loaded", "token", o.token)
+	o.plan()
+}
+
+func (o *Owner) restoreRows(rows []tmtable.Row) {
+	now := o.opts.Clock.Now()
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for _, row := range rows {
+		if tmrecord.IsFence(row.Key.Key) {
+			continue
+		}
+		p, err := tmrecord.DecodeProgress(row.Key.Key, row.Value)
+		if err != nil {
+			o.note("row_unreadable", "table", row.Table, "key", row.Key.Key, "cause", err.Error())
+			continue
+		}
+		o.ctl.Restore(p, now)
+	}
+}
--- /dev/null
+++ b/io/tmrecord/codec.go
@@ -0,0 +1,254 @@
+package tmrecord
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+
+	"turmericmoor/core/tmclock"
+	"turmericmoor/core/tmjob"
+)
+
+// ErrUnreadable is the cause of every error of a decoder.
+var ErrUnreadable = errors.New("tmrecord: row can't be read")
+
+func decode(what string, data []byte, into any) error {
+	if err := json.Unmarshal(data, into); err != nil {
+		return fmt.Errorf("%w: %s: %w", ErrUnreadable, what, err)
+	}
+	return nil
+}
+
+func encode(v any) []byte {
+	data, err := json.Marshal(v)
+	if err != nil {
+		// The row types hold only texts, numbers, lists and maps of them.
+		panic("tmrecord: " + err.Error())
+	}
+	return data
+}
+
+type stepRow struct {
+	Count       int    `json:"n"`
+	CPU         int64  `json:"c,omitempty"`
+	Mem         int64  `json:"m,omitempty"`
+	GPU         int64  `json:"g,omitempty"`
+	Estimate    int64  `json:"e,omitempty"`
+	After       []int  `json:"a,omitempty"`
+	Checkpoint  bool   `json:"ck,omitempty"`
+	Gang        bool   `json:"ga,omitempty"`
+	SameRack    bool   `json:"sr,omitempty"`
+	Label       string `json:"l,omitempty"`
+	DataRack    string `json:"dr,omitempty"`
+	PerEndpoint int    `json:"pe,omitempty"`
+	Speculative bool   `json:"sp,omitempty"`
+	LongRunning bool   `json:"lr,omitempty"`
+	Image       string `json:"i,omitempty"`
+	Target      int64  `json:"t,omitempty"`
+	Fills       bool   `json:"f,omitempty"`
+	MayMiss     int    `json:"mm,omitempty"`
+}
+
+type jobRow struct {
+	Queue    string    `json:"q"`
+	Team     string    `json:"t,omitempty"`
+	Spec     string    `json:"s,omitempty"`
+	Steps    []stepRow `json:"st"`
+	Repeats  int       `json:"r,omitempty"`
+	StartAt  int64     `json:"sa,omitempty"`
+	Accepted int64     `json:"ac"`
+	Interval int64     `json:"iv,omitempty"`
+}
+
+// EncodeJob returns the row of a live job.
+func EncodeJob(j tmjob.Job) []byte {
+	row := jobRow{
+		Queue: j.Queue, Team: j.Team, Spec: j.Spec, Repeats: j.Repeats,
+		StartAt: j.StartAt, Accepted: j.Accepted, Interval: int64(j.Interval),
+	}
+	for _, s := range j.Steps {
+		row.Steps = append(row.Steps, stepRow{
+			Count: s.Count, CPU: s.Size.CPU, Mem: s.Size.Mem, GPU: s.Size.GPU,
+			Estimate: int64(s.Estimate), After: s.After, Checkpoint: s.Checkpoint,
+			Gang: s.Gang, SameRack: s.SameRack, Label: s.Label, DataRack: s.DataRack,
+			PerEndpoint: s.PerEndpoint, Speculative: s.Speculative,
+			LongRunning: s.LongRunning, Image: s.Image, Target: int64(s.Target),
+			Fills: s.Fills, MayMiss: s.MayMiss,
+		})
+	}
+	return encode(row)
+}
+
+// DecodeJob reads the row of a live job.
+func DecodeJob(id string, data []byte) (tmjob.Job, error) {
+	var row jobRow
+	if err := decode("job "+id, data, &row); err != nil {
+		return tmjob.Job{}, err
+	}
+	j := tmjob.Job{
+		ID: id, Queue: row.Queue, Team: row.Team, Spec: row.Spec, Repeats: row.Repeats,
+		StartAt: row.StartAt, Accepted: row.Accepted, Interval: tmclock.Span(row.Interval),
+	}
+	for _, s := range row.Steps {
+		j.Steps = append(j.Steps, tmjob.Step{
+			Count: s.Count, Size: tmjob.Amount{CPU: s.CPU, Mem: s.Mem, GPU: s.GPU},
+			Estimate: tmclock.Span(s.Estimate), After: s.After, Checkpoint: s.Checkpoint,
+			Gang: s.Gang, SameRack: s.SameRack, Label: s.Label, DataRack: s.DataRack,
+			PerEndpoint: s.PerEndpoint, Speculative: s.Speculative,
+			LongRunning: s.LongRunning, Image: s.Image, Target: tmclock.Span(s.Target),
+			Fills: s.Fills, MayMiss: s.MayMiss,
+		})
+	}
+	if err := j.Check(); err != nil {
+		return tmjob.Job{}, fmt.Errorf("%w: job %s: %w", ErrUnreadable, id, err)
+	}
+	return j, nil
+}
+
+// placeRow is [run, endpoint, born].
+type placeRow struct {
+	Run      int    `json:"r"`
+	Endpoint string `json:"e"`
+	Born     int64  `json:"b,omitempty"`
+}
+
+type taskRow struct {
+	Occurrence int        `json:"k,omitempty"`
+	Step       int        `json:"s,omitempty"`
+	Index      int        `json:"i,omitempty"`
+	Runs       int        `json:"n,omitempty"`
+	Failures   int        `json:"f,omitempty"`
+	Done       bool       `json:"d,omitempty"`
+	Saved      string     `json:"c,omitempty"`
+	Places     []placeRow `json:"p,omitempty"`
+}
+
+type progressRow struct {
+	Tasks []taskRow `json:"t"`
+}
+
+// EncodeProgress returns the row of the progress of a job.
+func EncodeProgress(p tmjob.Progress) []byte {
+	var row progressRow
+	for _, t := range p.Tasks {
+		tr := taskRow{
+			Occurrence: t.Occurrence, Step: t.Step, Index: t.Index, Runs: t.Runs,
+			Failures: t.Failures, Done: t.Done, Saved: t.Saved,
+		}
+		for _, place := range t.Places {
+			tr.Places = append(tr.Places, placeRow(place))
+		}
+		row.Tasks = append(row.Tasks, tr)
+	}
+	return encode(row)
+}
+
+// DecodeProgress reads the row of the progress of a job.
+func DecodeProgress(id string, data []byte) (tmjob.Progress, error) {
+	var row progressRow
+	if err := decode("progress of job "+id, data, &row); err != nil {
+		return tmjob.Progress{}, err
+	}
+	p := tmjob.Progress{ID: id}
+	for _, t := range row.Tasks {
+		rec := tmjob.TaskRecord{
+			Occurrence: t.Occurrence, Step: t.Step, Index: t.Index, Runs: t.Runs,
+			Failures: t.Failures, Done: t.Done, Saved: t.Saved,
+		}
+		for _, place := range t.Places {
+			rec.Places = append(rec.Places, tmjob.Place(place))
+		}
+		p.Tasks = append(p.Tasks, rec)
+	}
+	return p, nil
+}
+
+// Outcome is the final state of a job.
+type Outcome struct {
+	State       tmjob.State
+	Queue, Team string
+	// At is when the job became final, in milliseconds since the Unix epoch.
+	At int64
+}
+
+type outcomeRow struct {
+	State string `json:"s"`
+	Queue string `json:"q"`
+	Team  string `json:"t,omitempty"`
+	At    int64  `json:"at"`
+}
+
+// EncodeOutcome returns the row of an outcome.
+func EncodeOutcome(o Outcome) []byte {
+	return encode(outcomeRow{State: o.State.String(), Queue: o.Queue, Team: o.Team, At: o.At})
+}
+
+// DecodeOutcome reads the row of an outcome.
+func DecodeOutcome(data []byte) (Outcome, error) {
+	var row outcomeRow
+	if err := decode("outcome", data, &row); err != nil {
+		return Outcome{}, err
+	}
+	state, ok := tmjob.ParseState(row.State)
+	if !ok || !state.Final() {
+		return Outcome{}, fmt.Errorf("%w: outcome %q, expected a final state", ErrUnreadable, row.State)
+	}
+	return Outcome{State: state, Queue: row.Queue, Team: row.Team, At: row.At}, nil
+}
+
+// Owner is who decides for the fleet.
+type Owner struct {
+	// Holder is the name of the node, "" when it has resigned.
+	Holder string
+	// Token is the fencing token; it rises with every change of owner.
+	Token int64
+	// Beat counts the renewals of the holder.
+	Beat int64
+	// Waiting is the number of jobs not begun by queue; Counted says that the
+	// owner has read all jobs, so that the numbers hold.
+	Waiting map[string]int
+	Counted bool
+}
+
+type ownerRow struct {
+	Holder  string         `json:"h,omitempty"`
+	Token   int64          `json:"t"`
+	Beat    int64          `json:"b"`
+	Waiting map[string]int `json:"w,omitempty"`
+	Counted bool           `json:"c,omitempty"`
+}
+
+// EncodeOwner returns the row of the owner.
+func EncodeOwner(o Owner) []byte { return encode(ownerRow(o)) }
+
+// DecodeOwner reads the row of the owner.
+func DecodeOwner(data []byte) (Owner, error) {
+	var row ownerRow
+	if err := decode("owner", data, &row); err != nil {
+		return Owner{}, err
+	}
+	return Owner(row), nil
+}
+
+// Fence is the owner's guard of one part: it changes with every write of the
+// owner, so that a write which is carried out late fails its condition.
+type Fence struct {
+	Token, Flush int64
+}
+
+type fenceRow struct {
+	Token int64 `json:"t"`
+	Flush int64 `json:"f"`
+}
+
+// EncodeFence returns the row of a guard.
+func EncodeFence(f Fence) []byte { return encode(fenceRow(f)) }
+
+// DecodeFence reads the row of a guard.
+func DecodeFence(data []byte) (Fence, error) {
+	var row fenceRow
+	if err := decode("fence", data, &row); err != nil {
+		return Fence{}, err
+	}
+	return Fence(row), nil
+}
--- /dev/null
+++ b/io/tmtable/follow.go
@@ -0,0 +1,124 @@
+package tmtable
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"turmericmoor/core/tmclock"
+)
+
+const (
+	// retryPause is the pause after a failed call of Follow.
+	retryPause = 150 * time.Millisecond
+	// defaultWait is how long a feed call waits for a change.
+	defaultWait = 1000 * tmclock.Millisecond
+	// callSlack is how much longer than its wait a feed call may take.
+	callSlack = 700 * time.Millisecond
+	// readTimeout bounds the reading of a whole part.
+	readTimeout = 5 * time.Second
+)
+
+// Follower says what to follow and whom to tell. The functions are called from
+// one goroutine.
+type Follower struct {
+	Store Store
+	Table string
+	// Parts are the parts that hold rows of interest.
+	Parts []string
+	// Wait is how long one call waits for a change; 0 is one second.
+	Wait tmclock.Span
+	// Snapshot gets all rows at the start and whenever history was lost.
+	Snapshot func(rows []Row)
+	// Changed gets the rows that changed since, in order.
+	Changed func(rows []Row)
+	// Contact, if set, hears of each answer: the rows passed on before hold
+	// everything that was written before sentAt.
+	Contact func(sentAt time.Time)
+	// Trouble, if set, hears of each failed call.
+	Trouble func(err error)
+	// Now, if set, replaces the clock that Contact is given.
+	Now func() time.Time
+}
+
+// Run follows the table until ctx ends.
+func (f *Follower) Run(ctx context.Context) {
+	if f.Wait == 0 {
+		f.Wait = defaultWait
+	}
+	if f.Now == nil {
+		f.Now = time.Now
+	}
+	version, known := int64(0), false
+	for ctx.Err() == nil {
+		var err error
+		if known {
+			version, err = f.feed(ctx, version)
+		} else {
+			version, err = f.snapshot(ctx)
+			known = err == nil
+		}
+		if err == nil {
+			continue
+		}
+		if errors.Is(err, ErrHistory) {
+			known = false
+			continue
+		}
+		if f.Trouble != nil && ctx.Err() == nil {
+			f.Trouble(err)
+		}
+		pause(ctx, retryPause)
+	}
+}
+
+func (f *Follower) snapshot(ctx context.Context) (int64, error) {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	sent := f.Now()
+	var rows []Row
+	var version int64
+	for i, part := range f.Parts {
+		page, err := ReadAll(ctx, f.Store, Range{Table: f.Table, Part: part})
+		if err != nil {
+			return 0, err
+		}
+		if i == 0 {
+			version = page.Version
+		}
+		rows = append(rows, page.Rows...)
+	}
+	f.Snapshot(rows)
+	f.contact(sent)
+	return version, nil
+}
+
+func (f *Follower) feed(ctx context.Context, after int64) (int64, error) {
+	ctx, cancel := context.WithTimeout(ctx, f.Wait.Duration()+callSlack)
+	defer cancel()
+	sent := f.Now()
+	page, err := f.Store.Feed(ctx, f.Table, after, f.Wait)
+	if err != nil {
+		return after, err
+	}
+	if len(page.Rows) > 0 {
+		f.Changed(page.Rows)
+	}
+	f.contact(sent)
+	return max(page.Version, after), nil
+}
+
+func (f *Follower) contact(sent time.Time) {
+	if f.Contact != nil {
+		f.Contact(sent)
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
