--- /dev/null
+++ b/core/tmcontrol/controller_test.go
@@ -0,0 +1,157 @@
+package tmcontrol
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"turmericmoor/core/tmclock"
+	"turmericmoor/core/tmjob"
+)
+
+// fixture is a controller with one service of endpoints e1, e2, ... on
+// instances i1, i2, ..., and the queue q.
+type fixture struct {
+	t    *testing.T
+	c    *Controller
+	now  tmclock.Millis
+	ends map[string]int64
+	run  map[string][]Active
+}
+
+func testBounds() Bounds {
+	return Bounds{Lease: 5000, Stop: 400, RackPenalty: 2, TurnTime: 0, Harm: 4000, Move: 1500, Upkeep: 2000, Notice: 4500, DutiesPerSecond: 64}
+}
+
+func testRules(version int64) Rules {
+	return Rules{
+		Version:  version,
+		Queues:   map[string]Queue{"q": {Name: "q", Service: "s", Attempts: 2, Stretch: 1.6, Objective: 600}},
+		Services: map[string]Service{"s": {Name: "s"}},
+		Teams:    map[string]Team{"t": {Name: "t", Weight: 1}},
+	}
+}
+
+func newFixture(t *testing.T, endpoints int) *fixture {
+	t.Helper()
+	f := &fixture{t: t, now: 1000, ends: map[string]int64{}, run: map[string][]Active{}}
+	f.c = f.newController(1)
+	for i := range endpoints {
+		f.c.SetEndpoint(f.listing(i+1), f.now)
+	}
+	f.c.Loaded()
+	for i := range endpoints {
+		f.look(f.listing(i+1).ID)
+	}
+	return f
+}
+
+func (f *fixture) newController(token int64) *Controller {
+	c := New(testBounds(), token, func(e Event) { f.t.Log(f.now, e.Name, e.Fields) })
+	c.Apply(Directive{Rules: testRules(1)}, f.now)
+	return c
+}
+
+func (f *fixture) listing(i int) Listing {
+	n := string(rune('0' + i))
+	return Listing{
+		ID: "e" + n, Service: "s", Address: "10.0.0." + n + ":1", Zone: "z", Instance: "i" + n,
+		Capacity: tmjob.Amount{CPU: 8000, Mem: 8000}, Born: 5,
+	}
+}
+
+// step lets the controller plan and stores what it wants stored, then returns
+// its start orders, all of which are accepted.
+func (f *fixture) step(d tmclock.Span) []StartOrder {
+	f.now = f.now.Add(d)
+	f.c.Tick(f.now, int64(f.now))
+	f.c.Plan(f.now, int64(f.now))
+	for flush := f.c.TakeFlush(); flush != nil; flush = f.c.TakeFlush() {
+		f.c.Stored(flush, f.now)
+	}
+	starts, _, _ := f.c.TakeOrders(f.now)
+	for _, s := range starts {
+		f.c.Started(s.Ref, Accepted, f.now)
+		f.run[s.Ref.Endpoint] = append(f.run[s.Ref.Endpoint], Active{Task: s.Ref.Task, Run: s.Ref.Run, Percent: 100})
+	}
+	return starts
+}
+
+// look answers a hold of an endpoint with its runs and the ends given.
+func (f *fixture) look(endpoint string, ends ...Ended) {
+	f.now++
+	f.c.Looked(endpoint, Look{Clock: int64(f.now), Born: 5, Active: f.run[endpoint], Ended: ends}, f.now, f.now+1)
+	f.now++
+}
+
+// end ends a run of an endpoint.
+func (f *fixture) end(endpoint string, task tmjob.TaskID, run int, how End) {
+	f.ends[endpoint]++
+	for i, a := range f.run[endpoint] {
+		if a.Task == task && a.Run == run {
+			f.run[endpoint] = append(f.run[endpoint][:i:i], f.run[endpoint][i+1:]...)
+			break
+		}
+	}
+	f.look(endpoint, Ended{Number: f.ends[endpoint], Task: task, Run: run, How: how})
+}
+
+func oneTask(id string) tmjob.Job {
+	return tmjob.Job{ID: id, Queue: "q", Team: "t", Spec: "x", Accepted: 1000, Steps: []tmjob.Step{
+		{Count: 1, Size: tmjob.Amount{CPU: 1000, Mem: 100}, Estimate: 500},
+	}}
+}
+
+// A new owner that asked endpoints for their ends before it knew the stored jobs
+// acknowledged ends that it had not counted, and ran finished tasks again.
+func TestNoHoldBeforeJobsAreLoaded(t *testing.T) {
+	f := newFixture(t, 1)
+	c := f.newController(2)
+	c.SetEndpoint(f.listing(1), f.now)
+	assert.Equal(t, len(c.ToHold(map[string]bool{})), 0)
+	c.Loaded()
+	assert.Equal(t, len(c.ToHold(map[string]bool{})), 1)
+}
+
+// Two instances that hold tasks of one long-running step were taken down in one
+// pass although only one of its tasks may be away.
+func TestWaveKeepsAvailabilityBudget(t *testing.T) {
+	f := newFixture(t, 3)
+	f.c.Submitted(tmjob.Job{ID: "j", Queue: "q", Accepted: 1000, Steps: []tmjob.Step{{
+		Count: 3, Size: tmjob.Amount{CPU: 1000}, LongRunning: true, MayMiss: 1, PerEndpoint: 1,
+	}}})
+	assert.Equal(t, len(f.step(10)), 3)
+	for _, e := range []string{"e1", "e2", "e3"} {
+		f.look(e)
+	}
+	var list []Instance
+	for _, id := range []string{"i1", "i2", "i3"} {
+		list = append(list, Instance{ID: id, Pool: "s", State: InstanceUp})
+	}
+	f.c.SetInstances(list, f.now)
+	wave := Wave{Name: "1", Number: 1, Instances: []string{"i1", "i2", "i3"}, Within: 20000, Bound: 3}
+	f.c.Apply(Directive{Rules: testRules(1), Waves: []Wave{wave}}, f.now)
+	f.step(10)
+	f.step(10)
+	orders, _ := f.c.TakeInstanceOrders()
+	assert.Equal(t, len(orders), 1)
+}
+
+// The next step starts only when all tasks before it are done, and the job is
+// complete after the last one.
+func TestStepsRunInOrder(t *testing.T) {
+	f := newFixture(t, 2)
+	j := oneTask("j")
+	j.Steps = append(j.Steps, tmjob.Step{Count: 1, Size: tmjob.Amount{CPU: 1000}, After: []int{0}})
+	f.c.Submitted(j)
+	first := f.step(10)
+	assert.Equal(t, len(first), 1)
+	assert.Equal(t, len(f.step(10)), 0)
+	f.end(first[0].Ref.Endpoint, first[0].Ref.Task, 1, EndDone)
+	second := f.step(10)
+	assert.Equal(t, len(second), 1)
+	assert.Equal(t, second[0].Ref.Task.Step, 1)
+	f.end(second[0].Ref.Endpoint, second[0].Ref.Task, 1, EndDone)
+	f.step(10)
+	assert.Equal(t, len(f.c.jobs), 0)
+}
--- a/core/tmcontrol/dump.go
+++ b/core/tmcontrol/dump.go
@@ -2,9 +2,14 @@
 
 import "slices"
 
-// ToHold returns the endpoints that need a hold and are not in held.
+// ToHold returns the endpoints that need a hold and are not in held. There are
+// none before all stored jobs are known: the ends that an endpoint lists would
+// be acknowledged without having been counted.
 func (c *Controller) ToHold(held map[string]bool) []string {
 	var ids []string
+	if !c.loaded {
+		return nil
+	}
 	for id, e := range c.endpoints {
 		if !held[id] && !e.gone && e.info.Address != "" && (e.listed || len(e.runs) > 0) {
 			ids = append(ids, id)
--- a/core/tmcontrol/endpoint.go
+++ b/core/tmcontrol/endpoint.go
@@ -41,6 +41,8 @@
 	// reserved keeps new tasks away because the instance is about to be taken
 	// down or moved.
 	reserved bool
+	// ending says that an order that ends everything here was sent.
+	ending bool
 	// failures counts consecutive runs that failed here.
 	failures int
 	gone     bool
--- a/core/tmcontrol/fleet.go
+++ b/core/tmcontrol/fleet.go
@@ -231,6 +231,9 @@
 		it.state = dutyDraining
 	default:
 		it.state = dutyDraining
+		if e := c.endpointOn(it.id); e != nil && !it.doubt {
+			e.ending = false
+		}
 	}
 }
 
@@ -304,6 +307,9 @@
 				down++
 			}
 			it.since = now
+			if e := c.endpointOn(it.id); e != nil {
+				e.ending = true
+			}
 			c.fleet.orders = append(c.fleet.orders, InstanceOrder{Instance: it.id, Token: c.token, Wave: w.Number})
 		}
 	}
@@ -337,9 +343,6 @@
 		return false
 	}
 	e := c.endpointOn(it.id)
-	if e != nil && !c.mayEndAll(e) {
-		return false
-	}
 	it.state, it.since = dutyDraining, now
 	if e != nil {
 		e.reserved = true
@@ -387,15 +390,17 @@
 	return true
 }
 
-// away counts the tasks of a step that are not at work, without those at e.
+// away counts the tasks of a step, without those at e, that are not at work or
+// are about to be ended.
 func (c *Controller) away(s *step, e *endpoint) int {
 	n := 0
 	for _, t := range s.tasks {
-		here := false
+		here, ending := false, false
 		for _, r := range t.active {
 			here = here || r.ep == e
+			ending = ending || r.ep.ending
 		}
-		if !here && !t.atWork() {
+		if !here && (ending || !t.atWork()) {
 			n++
 		}
 	}
