core/tmcontrol: an accepted upkeep order is no proof, progress of waves is stored

Cause: an order for maintenance that was done before is accepted too; a new owner took the endpoint for dead and started its tasks again. Change: only the list of instances shows that an endpoint is gone; the progress of a wave is stored, so a new owner does not drain instances that are done. Ruled out: late orders, leases.

--- a/core/tmcontrol/controller_test.go
+++ b/core/tmcontrol/controller_test.go
@@ -41,7 +41,7 @@
 	}
 	f.c.Loaded()
 	for i := range endpoints {
-		f.look(f.listing(i+1).ID)
+		f.look(f.listing(i + 1).ID)
 	}
 	return f
 }
@@ -155,3 +155,28 @@
 	f.step(10)
 	assert.Equal(t, len(f.c.jobs), 0)
 }
+
+// An order for maintenance that was done before is accepted too. A new owner
+// took the endpoint for dead then and started its tasks a second time.
+func TestRepeatedUpkeepOrderEndsNothing(t *testing.T) {
+	f := newFixture(t, 1)
+	f.c.Submitted(tmjob.Job{ID: "j", Queue: "q", Accepted: 1000, Steps: []tmjob.Step{{
+		Count: 1, Size: tmjob.Amount{CPU: 1000}, LongRunning: true,
+	}}})
+	assert.Equal(t, len(f.step(10)), 1)
+	f.look("e1")
+	list := []Instance{{ID: "i1", Pool: "s", State: InstanceUp, Endpoint: "e1"}}
+	f.c.SetInstances(list, f.now)
+	wave := Wave{Name: "1", Number: 1, Instances: []string{"i1"}, Within: 20000, Bound: 1}
+	f.c.Apply(Directive{Rules: testRules(1), Waves: []Wave{wave}}, f.now)
+	f.step(10)
+	f.step(10)
+	orders, _ := f.c.TakeInstanceOrders()
+	assert.Equal(t, len(orders), 1)
+	f.c.InstanceOrdered(orders[0], Accepted, f.now)
+	f.c.SetInstances(list, f.now+1)
+	assert.Equal(t, len(f.step(10)), 0)
+	assert.Equal(t, len(f.c.endpoints["e1"].runs), 1)
+	_, reports := f.c.TakeInstanceOrders()
+	assert.Equal(t, reports[len(reports)-1].Completed, true)
+}
--- a/core/tmcontrol/fleet.go
+++ b/core/tmcontrol/fleet.go
@@ -61,6 +61,8 @@
 type WaveReport struct {
 	Wave      string
 	Completed bool
+	// Done lists the instances whose maintenance is done.
+	Done []string
 }
 
 // duty is where an instance is in a wave.
@@ -88,10 +90,11 @@
 
 type wave struct {
 	Wave
-	items    []*waveItem
-	began    tmclock.Millis
-	reported bool
-	done     bool
+	items []*waveItem
+	began tmclock.Millis
+	// changed says that the progress is to be reported.
+	changed bool
+	done    bool
 }
 
 // fleet is what the controller knows of instances, waves and moves.
@@ -100,6 +103,7 @@
 	listedAt  tmclock.Millis
 	known     bool
 	waves     map[string]*wave
+	restored  map[string]WaveReport
 	orders    []InstanceOrder
 	reports   []WaveReport
 	// startAt is the earliest time of an order about an instance: an earlier
@@ -117,7 +121,7 @@
 )
 
 func newFleet() fleet {
-	return fleet{instances: map[string]Instance{}, waves: map[string]*wave{}}
+	return fleet{instances: map[string]Instance{}, waves: map[string]*wave{}, restored: map[string]WaveReport{}}
 }
 
 // Apply takes in what the operator has directed.
@@ -144,14 +148,48 @@
 }
 
 func (c *Controller) addWave(w Wave, now tmclock.Millis) {
-	added := &wave{Wave: w, began: now}
+	added := &wave{Wave: w, began: now, changed: true}
 	for _, id := range w.Instances {
 		added.items = append(added.items, &waveItem{id: id})
 	}
+	if r, ok := c.fleet.restored[w.Name]; ok {
+		added.restore(r)
+	}
 	c.fleet.waves[w.Name] = added
 	c.event("wave_begins", "wave", w.Name, "instances", len(w.Instances), "bound", w.Bound, "within_ms", int64(w.Within))
 }
 
+func (w *wave) report() WaveReport {
+	r := WaveReport{Wave: w.Name, Completed: w.done}
+	for _, it := range w.items {
+		if it.state == dutyDone {
+			r.Done = append(r.Done, it.id)
+		}
+	}
+	return r
+}
+
+// RestoreWave takes in the stored progress of a wave.
+func (c *Controller) RestoreWave(r WaveReport) {
+	c.fleet.restored[r.Wave] = r
+	if w := c.fleet.waves[r.Wave]; w != nil {
+		w.restore(r)
+	}
+}
+
+func (w *wave) restore(r WaveReport) {
+	w.done = r.Completed
+	done := map[string]bool{}
+	for _, id := range r.Done {
+		done[id] = true
+	}
+	for _, it := range w.items {
+		if done[it.id] || r.Completed {
+			it.state = dutyDone
+		}
+	}
+}
+
 // NeedsInstances reports whether the list of instances is of use now.
 func (c *Controller) NeedsInstances() bool {
 	if !c.fleet.known {
@@ -174,19 +212,33 @@
 	c.fleet.listedAt, c.fleet.known = sentAt, true
 	for _, w := range c.fleet.waves {
 		for _, it := range w.items {
-			c.checkBack(it, sentAt)
+			c.checkBack(w, it, sentAt)
 		}
 	}
 }
 
-func (c *Controller) checkBack(it *waveItem, sentAt tmclock.Millis) {
+// checkBack finds out from the list of instances whether the maintenance of an
+// instance still goes on. An order is also accepted when the maintenance was
+// done before, so only the list shows that the endpoint on it is gone.
+func (c *Controller) checkBack(w *wave, it *waveItem, sentAt tmclock.Millis) {
 	if it.state != dutyDown || !sentAt.After(it.since) {
 		return
 	}
-	if i, ok := c.fleet.instances[it.id]; !ok || i.State == InstanceUp {
-		it.state = dutyDone
-		c.event("upkeep_done", "instance", it.id)
+	i, ok := c.fleet.instances[it.id]
+	e := c.endpointOn(it.id)
+	up := ok && i.State == InstanceUp
+	if e != nil && (!up || i.Endpoint != "" && i.Endpoint != e.info.ID) {
+		c.endLife(e, "maintenance")
+	}
+	if ok && !up {
+		return
+	}
+	it.state = dutyDone
+	w.changed = true
+	if e != nil && !e.gone {
+		e.reserved, e.ending = false, false
 	}
+	c.event("upkeep_done", "instance", it.id, "wave", w.Name)
 }
 
 // TakeInstanceOrders returns the orders and reports that came up since the last
@@ -217,9 +269,6 @@
 	switch a {
 	case Accepted:
 		it.state = dutyDown
-		if e := c.endpointOn(it.id); e != nil {
-			c.endLife(e, "maintenance")
-		}
 	case Refused:
 		// There is no such instance any more.
 		it.state = dutyDone
@@ -266,10 +315,6 @@
 }
 
 func (c *Controller) planWave(w *wave, now tmclock.Millis) {
-	if !w.reported {
-		w.reported = true
-		c.fleet.reports = append(c.fleet.reports, WaveReport{Wave: w.Name})
-	}
 	down, draining, open := 0, 0, 0
 	for _, it := range w.items {
 		switch it.state {
@@ -289,9 +334,13 @@
 	if open == 0 {
 		w.done = true
 		c.event("wave_done", "wave", w.Name, "took_ms", int64(now.Sub(w.began)))
-		c.fleet.reports = append(c.fleet.reports, WaveReport{Wave: w.Name, Completed: true})
+		c.fleet.reports = append(c.fleet.reports, w.report())
 		return
 	}
+	if w.changed {
+		w.changed = false
+		c.fleet.reports = append(c.fleet.reports, w.report())
+	}
 	for _, it := range c.nextDue(w) {
 		if down+draining >= max(w.Bound, 1) {
 			break
--- a/core/tmcontrol/look.go
+++ b/core/tmcontrol/look.go
@@ -205,25 +205,18 @@
 	if r != nil && r.began != 0 && end.How == EndDone {
 		c.learn(r, now)
 	}
+	if r != nil {
+		c.release(r)
+	}
 	if t == nil {
-		if r != nil {
-			c.release(r)
-		}
 		return
 	}
-	j := t.step.occ.job
 	if end.Saved != "" {
 		t.saved = end.Saved
 	}
-	if !j.final && !t.done {
+	if !t.step.occ.job.final && !t.done {
 		c.takeEnd(t, e, end, now)
 	}
-	if r != nil {
-		if t.step.spec.LongRunning && t.lostAt == 0 {
-			t.lostAt = now
-		}
-		c.release(r)
-	}
 }
 
 func (c *Controller) findTask(id tmjob.TaskID) *task {
--- a/io/tmowner/instance.go
+++ b/io/tmowner/instance.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"turmericmoor/core/tmcontrol"
+	"turmericmoor/io/tmrecord"
 	"turmericmoor/io/tmtable"
 )
 
@@ -19,7 +20,12 @@
 // instanceLoop reads the list of instances while it is of use, and sends orders
 // about them.
 func (o *Owner) instanceLoop(ctx context.Context) {
-	for pause(ctx, listEvery) {
+	for ctx.Err() == nil {
+		select {
+		case <-ctx.Done():
+		case <-o.kickList:
+		case <-time.After(listEvery):
+		}
 		o.mu.Lock()
 		needed := o.ctl.NeedsInstances()
 		o.mu.Unlock()
@@ -58,15 +64,19 @@
 	o.mu.Lock()
 	o.ctl.InstanceOrdered(order, a, now)
 	o.mu.Unlock()
+	kick(o.kickList)
 	o.plan()
 }
 
 // report stores the state of a wave, however often it takes.
 func (o *Owner) report(ctx context.Context, r tmcontrol.WaveReport) {
-	put := o.opts.Directory.WaveStatus(r.Wave, r.Completed)
+	puts := []tmtable.Put{
+		o.opts.Directory.WaveStatus(r.Wave, r.Completed),
+		{Key: tmrecord.WaveKey(r.Wave), Value: tmrecord.EncodeWave(tmrecord.Wave{Done: r.Done, Completed: r.Completed})},
+	}
 	for ctx.Err() == nil {
 		callCtx, cancel := context.WithTimeout(ctx, writeTimeout)
-		_, err := o.opts.Store.Write(callCtx, tmtable.Txn{Puts: []tmtable.Put{put}})
+		_, err := o.opts.Store.Write(callCtx, tmtable.Txn{Puts: puts})
 		cancel()
 		if err == nil {
 			return
@@ -75,3 +85,22 @@
 		pause(ctx, writePause)
 	}
 }
+
+// restoreWaves reads the stored progress of waves.
+func (o *Owner) restoreWaves(ctx context.Context) error {
+	page, err := tmtable.ReadAll(ctx, o.opts.Store, tmrecord.WaveRange())
+	if err != nil {
+		return err
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for _, row := range page.Rows {
+		w, err := tmrecord.DecodeWave(row.Value)
+		if err != nil {
+			o.note("row_unreadable", "table", row.Table, "key", row.Key.Key, "cause", err.Error())
+			continue
+		}
+		o.ctl.RestoreWave(tmcontrol.WaveReport{Wave: tmrecord.WaveName(row.Key.Key), Done: w.Done, Completed: w.Completed})
+	}
+	return nil
+}
--- a/io/tmowner/owner.go
+++ b/io/tmowner/owner.go
@@ -50,6 +50,7 @@
 
 	kickPlan  chan struct{}
 	kickFlush chan struct{}
+	kickList  chan struct{}
 	work      sync.WaitGroup
 	// fences are the versions of the guards of all parts, used by the flusher
 	// alone.
@@ -66,6 +67,7 @@
 		storedCh:  make(chan struct{}),
 		kickPlan:  make(chan struct{}, 1),
 		kickFlush: make(chan struct{}, 1),
+		kickList:  make(chan struct{}, 1),
 		fences:    map[string]int64{},
 	}
 }
@@ -302,18 +304,14 @@
 // so no earlier owner can change it any more.
 func (o *Owner) restore(ctx context.Context) {
 	for _, part := range tmrecord.Parts() {
-		for {
-			page, err := tmtable.ReadAll(ctx, o.opts.Store, tmtable.Range{Table: tmrecord.RunTable, Part: part})
-			if err == nil {
-				o.restoreRows(page.Rows)
-				break
-			}
-			o.note("store_failed", "what", "progress of jobs", "cause", err.Error())
-			if !pause(ctx, tickEvery) {
-				return
-			}
+		read := func() error { return o.restorePart(ctx, part) }
+		if !o.untilDone(ctx, "progress of jobs", read) {
+			return
 		}
 	}
+	if !o.untilDone(ctx, "progress of waves", func() error { return o.restoreWaves(ctx) }) {
+		return
+	}
 	o.mu.Lock()
 	o.loaded = true
 	o.ctl.Loaded()
@@ -322,6 +320,29 @@
 	o.plan()
 }
 
+// untilDone repeats a read until it succeeds. It reports false when ctx ends.
+func (o *Owner) untilDone(ctx context.Context, what string, read func() error) bool {
+	for {
+		err := read()
+		if err == nil {
+			return true
+		}
+		o.note("store_failed", "what", what, "cause", err.Error())
+		if !pause(ctx, tickEvery) {
+			return false
+		}
+	}
+}
+
+func (o *Owner) restorePart(ctx context.Context, part string) error {
+	page, err := tmtable.ReadAll(ctx, o.opts.Store, tmtable.Range{Table: tmrecord.RunTable, Part: part})
+	if err != nil {
+		return err
+	}
+	o.restoreRows(page.Rows)
+	return nil
+}
+
 func (o *Owner) restoreRows(rows []tmtable.Row) {
 	now := o.opts.Clock.Now()
 	o.mu.Lock()
--- a/io/tmrecord/codec.go
+++ b/io/tmrecord/codec.go
@@ -252,3 +252,27 @@
 	}
 	return Fence(row), nil
 }
+
+// Wave is the progress of a maintenance wave.
+type Wave struct {
+	// Done lists the instances that need no more orders.
+	Done      []string
+	Completed bool
+}
+
+type waveRow struct {
+	Done      []string `json:"d"`
+	Completed bool     `json:"c"`
+}
+
+// EncodeWave returns the row of the progress of a wave.
+func EncodeWave(w Wave) []byte { return encode(waveRow(w)) }
+
+// DecodeWave reads the row of the progress of a wave.
+func DecodeWave(data []byte) (Wave, error) {
+	var row waveRow
+	if err := decode("wave", data, &row); err != nil {
+		return Wave{}, err
+	}
+	return Wave(row), nil
+}
--- a/io/tmrecord/layout.go
+++ b/io/tmrecord/layout.go
@@ -71,6 +71,20 @@
 // OwnerKey returns the row that says who owns the fleet.
 func OwnerKey() tmtable.Key { return tmtable.Key{Table: OwnerTable, Key: "owner"} }
 
+// waveKey begins the rows with the progress of waves in the table of the owner.
+const waveKey = "wave/"
+
+// WaveKey returns the row with the progress of a wave.
+func WaveKey(name string) tmtable.Key { return tmtable.Key{Table: OwnerTable, Key: waveKey + name} }
+
+// WaveName returns the wave of such a row.
+func WaveName(key string) string { return strings.TrimPrefix(key, waveKey) }
+
+// WaveRange returns the range of all such rows.
+func WaveRange() tmtable.Range {
+	return tmtable.Range{Table: OwnerTable, From: waveKey, To: "wave0"}
+}
+
 // JobRange returns the range of all rows of a job in the table of jobs.
 func JobRange(job string) tmtable.Range {
 	return tmtable.Range{Table: JobTable, Part: PartOf(job), From: job, To: job + afterSuffixes}
