core/tmcontrol: a failure is counted once across owners

Cause: an end that was stored but not acknowledged is listed to the next owner again; its failure counted twice and jobs were shown as failed too early (LOST). Change: a failure counts only for a run that is held as open. Ruled out: late writes of the earlier owner.

--- a/core/tmcontrol/controller_test.go
+++ b/core/tmcontrol/controller_test.go
@@ -180,3 +180,27 @@
 	_, reports := f.c.TakeInstanceOrders()
 	assert.Equal(t, reports[len(reports)-1].Completed, true)
 }
+
+// A failure that was stored but not yet acknowledged to its endpoint is listed to
+// the next owner again. It was counted twice, and jobs failed too early.
+func TestFailureIsCountedOnceAcrossOwners(t *testing.T) {
+	f := newFixture(t, 1)
+	f.c.Submitted(oneTask("j"))
+	starts := f.step(10)
+	assert.Equal(t, len(starts), 1)
+	ref := starts[0].Ref
+	f.run["e1"] = nil
+	failed := Ended{Number: 1, Task: ref.Task, Run: 1, How: EndFailed}
+	f.look("e1", failed)
+	flush := f.c.TakeFlush()
+	assert.Equal(t, flush.Changes[0].Progress.Tasks[0].Failures, 1)
+
+	f.c = f.newController(2)
+	f.c.SetEndpoint(f.listing(1), f.now)
+	f.c.Submitted(oneTask("j"))
+	f.c.Restore(*flush.Changes[0].Progress, f.now)
+	f.c.Loaded()
+	f.look("e1", failed)
+	assert.Equal(t, len(f.c.order), 1)
+	assert.Equal(t, f.c.order[0].task(ref.Task).failures, 1)
+}
--- a/core/tmcontrol/look.go
+++ b/core/tmcontrol/look.go
@@ -214,7 +214,10 @@
 	if end.Saved != "" {
 		t.saved = end.Saved
 	}
-	if !t.step.occ.job.final && !t.done {
+	// A run that the controller does not hold was settled before: its failure
+	// is counted in what an earlier owner stored. That it is done is always
+	// true.
+	if !t.step.occ.job.final && !t.done && (r != nil || end.How == EndDone) {
 		c.takeEnd(t, e, end, now)
 	}
 }
