core/tmcontrol: a silent endpoint gets no longer lease

Cause: each hold without an answer moved the end of the lease that may be in force, so tasks of a dead endpoint were never started elsewhere (LOST). Ruled out: the list of endpoints (the entry was removed in time).

--- a/core/tmcontrol/controller_test.go
+++ b/core/tmcontrol/controller_test.go
@@ -204,3 +204,23 @@
 	assert.Equal(t, len(f.c.order), 1)
 	assert.Equal(t, f.c.order[0].task(ref.Task).failures, 1)
 }
+
+// Holds that an endpoint did not answer kept moving the end of its lease, so the
+// tasks of a dead endpoint never started elsewhere.
+func TestSilentEndpointLapses(t *testing.T) {
+	f := newFixture(t, 2)
+	f.c.Submitted(oneTask("j"))
+	first := f.step(10)
+	assert.Equal(t, len(first), 1)
+	dead := first[0].Ref.Endpoint
+	f.look(dead)
+	_, ok := f.c.Hold(dead, f.now)
+	assert.Assert(t, ok)
+	f.c.Silent(dead, "test")
+	granted := f.now
+	for f.now.Sub(granted) < tmclock.Span(float64(testBounds().Lease)/slowestClock)+2*lapseMargin {
+		_, _ = f.c.Hold(dead, f.now)
+		f.step(100)
+	}
+	assert.Equal(t, len(f.c.endpoints[dead].runs), 0)
+}
--- a/core/tmcontrol/look.go
+++ b/core/tmcontrol/look.go
@@ -86,7 +86,9 @@
 		return Hold{}, false
 	}
 	h := Hold{Address: e.info.Address, Token: c.token, Seen: e.acked}
-	if e.fenced {
+	// An endpoint that doesn't answer gets no longer lease: a call without an
+	// answer may be carried out, so its runs could never be taken for ended.
+	if e.fenced && e.answering {
 		h.Until = e.grant(c.bounds.Lease, now)
 	}
 	if e.fenced && e.seen == e.acked {
