core/tmcontrol: tasks of silent endpoints are away, restored runs of cancelled jobs stop

Cause: a task counted as at work by the last answer of an endpoint that had died since (AVAIL); a job cancelled before its progress was read had its runs restored without a stop (UNASKED). Ruled out: late upkeep orders.

--- a/core/tmcontrol/controller.go
+++ b/core/tmcontrol/controller.go
@@ -175,6 +175,9 @@
 	e.coverUntil(now.Add(tmclock.Span(float64(c.bounds.Lease)/slowestClock) + lapseMargin))
 	r := c.addRun(t, e, place.Run)
 	r.phase = doubtful
+	if t.step.occ.job.final {
+		c.stopRun(r, "job "+t.step.occ.job.state.String())
+	}
 }
 
 // Loaded says that all stored jobs were taken in, so that placements may begin.
--- a/core/tmcontrol/controller_test.go
+++ b/core/tmcontrol/controller_test.go
@@ -224,3 +224,38 @@
 	}
 	assert.Equal(t, len(f.c.endpoints[dead].runs), 0)
 }
+
+// A task on an endpoint that no longer answered counted as at work, and
+// maintenance ended another one of its step.
+func TestTaskOnSilentEndpointIsAway(t *testing.T) {
+	f := newFixture(t, 2)
+	f.c.Submitted(tmjob.Job{ID: "j", Queue: "q", Accepted: 1000, Steps: []tmjob.Step{{
+		Count: 2, Size: tmjob.Amount{CPU: 1000}, LongRunning: true, MayMiss: 1, PerEndpoint: 1,
+	}}})
+	f.step(10)
+	f.look("e1")
+	f.look("e2")
+	assert.Assert(t, f.c.mayEndAll(f.c.endpoints["e1"]))
+	f.c.Silent("e2", "test")
+	assert.Assert(t, !f.c.mayEndAll(f.c.endpoints["e1"]))
+}
+
+// A job that was cancelled before the next owner had read its progress was final
+// without its tasks being stopped.
+func TestRestoredRunOfCancelledJobStops(t *testing.T) {
+	f := newFixture(t, 1)
+	f.c.Submitted(oneTask("j"))
+	starts := f.step(10)
+	progress := f.c.jobs["j"].progress()
+
+	f.c = f.newController(2)
+	f.c.SetEndpoint(f.listing(1), f.now)
+	f.c.Submitted(oneTask("j"))
+	f.c.Cancelled("j")
+	f.c.Restore(progress, f.now)
+	f.c.Loaded()
+	f.look("e1")
+	_, stops, _ := f.c.TakeOrders(f.now)
+	assert.Equal(t, len(stops), 1)
+	assert.Equal(t, stops[0].Ref.Task, starts[0].Ref.Task)
+}
--- a/core/tmcontrol/job.go
+++ b/core/tmcontrol/job.go
@@ -164,10 +164,11 @@
 	return !t.done && len(t.active) == 0 && !now.Before(t.notBefore)
 }
 
-// atWork reports whether a long-running task serves its users.
+// atWork reports whether a long-running task serves its users, as far as its
+// endpoint still answers.
 func (t *task) atWork() bool {
 	for _, r := range t.active {
-		if r.phase == active && !r.stop && r.percent >= 100 {
+		if r.phase == active && !r.stop && r.percent >= 100 && r.ep.answering {
 			return true
 		}
 	}
