core/tmcontrol: pools sized by demand, idle instances parked, tasks make way for maintenance

Cause: each queue asks in turn for more than its pool holds, while the other pools and the standby pool stand idle; an instance with more tasks of a step than may be away was never taken down.

--- a/core/tmcontrol/controller_test.go
+++ b/core/tmcontrol/controller_test.go
@@ -259,3 +259,32 @@
 	assert.Equal(t, len(stops), 1)
 	assert.Equal(t, stops[0].Ref.Task, starts[0].Ref.Task)
 }
+
+// An instance with more tasks of a step than may be away was never taken down,
+// and its wave stayed open.
+func TestWaveRelocatesTasks(t *testing.T) {
+	f := newFixture(t, 1)
+	f.c.Submitted(tmjob.Job{ID: "j", Queue: "q", Accepted: 1000, Steps: []tmjob.Step{{
+		Count: 2, Size: tmjob.Amount{CPU: 1000}, LongRunning: true, MayMiss: 1,
+	}}})
+	assert.Equal(t, len(f.step(10)), 2)
+	f.look("e1")
+	f.c.SetEndpoint(f.listing(2), f.now)
+	f.look("e2")
+	f.c.SetInstances([]Instance{{ID: "i1", Pool: "s", State: InstanceUp, Endpoint: "e1"}}, f.now)
+	f.c.Apply(Directive{Rules: testRules(1), Waves: []Wave{{Name: "1", Number: 1, Instances: []string{"i1"}, Bound: 1}}}, f.now)
+	f.now += 10
+	f.c.Tick(f.now, int64(f.now))
+	f.c.Plan(f.now, int64(f.now))
+	_, stops, _ := f.c.TakeOrders(f.now)
+	assert.Equal(t, len(stops), 1)
+	f.c.Stopped(stops[0].Ref, Accepted, f.now)
+	f.end("e1", stops[0].Ref.Task, 1, EndStopped)
+	starts := f.step(10)
+	assert.Equal(t, len(starts), 1)
+	assert.Equal(t, starts[0].Ref.Endpoint, "e2")
+	f.look("e2")
+	f.step(10)
+	orders, _ := f.c.TakeInstanceOrders()
+	assert.Equal(t, len(orders), 1)
+}
--- a/core/tmcontrol/fleet.go
+++ b/core/tmcontrol/fleet.go
@@ -104,6 +104,11 @@
 	known     bool
 	waves     map[string]*wave
 	restored  map[string]WaveReport
+	moves     map[string]*move
+	moveAfter map[string]tmclock.Millis
+	barred    map[barredMove]bool
+	demands   map[string]*demand
+	sizedAt   tmclock.Millis
 	orders    []InstanceOrder
 	reports   []WaveReport
 	// startAt is the earliest time of an order about an instance: an earlier
@@ -121,7 +126,11 @@
 )
 
 func newFleet() fleet {
-	return fleet{instances: map[string]Instance{}, waves: map[string]*wave{}, restored: map[string]WaveReport{}}
+	return fleet{
+		instances: map[string]Instance{}, waves: map[string]*wave{}, restored: map[string]WaveReport{},
+		moves: map[string]*move{}, moveAfter: map[string]tmclock.Millis{},
+		barred: map[barredMove]bool{}, demands: map[string]*demand{},
+	}
 }
 
 // Apply takes in what the operator has directed.
@@ -195,6 +204,9 @@
 	if !c.fleet.known {
 		return true
 	}
+	if c.standby() != "" || len(c.fleet.moves) > 0 {
+		return true
+	}
 	for _, w := range c.fleet.waves {
 		if !w.done {
 			return true
@@ -210,6 +222,9 @@
 		c.fleet.instances[i.ID] = i
 	}
 	c.fleet.listedAt, c.fleet.known = sentAt, true
+	for _, m := range c.fleet.moves {
+		c.checkMove(m, sentAt)
+	}
 	for _, w := range c.fleet.waves {
 		for _, it := range w.items {
 			c.checkBack(w, it, sentAt)
@@ -252,8 +267,12 @@
 // InstanceOrdered takes in the answer to an order.
 func (c *Controller) InstanceOrdered(o InstanceOrder, a Answer, now tmclock.Millis) {
 	c.event("instance_order", "instance", o.Instance, "wave", o.Wave, "pool", o.Pool, "answer", a.String(), "token", o.Token)
+	if o.Pool != "" {
+		c.moveAnswer(o, a, now)
+		return
+	}
 	for _, w := range c.fleet.waves {
-		if w.Number != o.Wave || o.Pool != "" {
+		if w.Number != o.Wave {
 			continue
 		}
 		for _, it := range w.items {
@@ -302,7 +321,7 @@
 	}
 }
 
-// planFleet carries on with the waves.
+// planFleet carries on with the waves and the sizes of pools.
 func (c *Controller) planFleet(now tmclock.Millis, _ int64) {
 	if !c.fleet.known || now.Before(c.fleet.startAt) {
 		return
@@ -312,6 +331,7 @@
 			c.planWave(w, now)
 		}
 	}
+	c.planPools(now)
 }
 
 func (c *Controller) planWave(w *wave, now tmclock.Millis) {
@@ -350,6 +370,9 @@
 		}
 	}
 	for _, it := range w.items {
+		if it.state == dutyDraining && !it.doubt {
+			c.relocate(it.id)
+		}
 		if it.state == dutyDraining && c.mayTakeDown(it, w, down, now) {
 			it.state = dutyOrdered
 			if !it.doubt {
@@ -439,6 +462,38 @@
 	return true
 }
 
+// relocate stops long-running tasks on an instance that has more of one step
+// than may be ended at once. They start again elsewhere, one by one.
+func (c *Controller) relocate(instance string) {
+	e := c.endpointOn(instance)
+	if e == nil {
+		return
+	}
+	here := map[*step]int{}
+	for _, r := range e.runs {
+		if r.task.step.spec.MayMiss > 0 {
+			here[r.task.step]++
+		}
+	}
+	for _, r := range sortedRuns(e) {
+		s := r.task.step
+		if here[s] <= s.spec.MayMiss || r.stop || c.away(s, nil) >= s.spec.MayMiss {
+			continue
+		}
+		here[s]--
+		c.stopRun(r, "makes way for maintenance")
+	}
+}
+
+func sortedRuns(e *endpoint) []*run {
+	runs := make([]*run, 0, len(e.runs))
+	for _, r := range e.runs {
+		runs = append(runs, r)
+	}
+	slices.SortFunc(runs, func(a, b *run) int { return cmp.Compare(a.task.id.String(), b.task.id.String()) })
+	return runs
+}
+
 // away counts the tasks of a step, without those at e, that are not at work or
 // are about to be ended.
 func (c *Controller) away(s *step, e *endpoint) int {
--- a/core/tmcontrol/look.go
+++ b/core/tmcontrol/look.go
@@ -331,16 +331,16 @@
 		}
 	}
 	for _, j := range c.order {
-		c.openDue(j, wall)
+		c.openDue(j, now, wall)
 	}
 }
 
-func (c *Controller) openDue(j *job, wall int64) {
+func (c *Controller) openDue(j *job, now tmclock.Millis, wall int64) {
 	for j.next < j.spec.Occurrences() {
 		if j.spec.Repeats > 0 && wall < j.spec.Due(j.next) {
 			return
 		}
-		j.open(j.next)
+		c.arrived(j.open(j.next), now)
 		if j.spec.Repeats > 0 {
 			c.touch(j)
 		}
--- a/core/tmcontrol/plan.go
+++ b/core/tmcontrol/plan.go
@@ -175,8 +175,8 @@
 	return c.teams[name].Add(more).Within(team.Limit)
 }
 
-// choose returns the endpoint with the most free processor share among those
-// that may run a task of the step, those near its data first.
+// choose returns the endpoint with the best score among those that may run a
+// task of the step.
 func (c *Controller) choose(s *step, p *pool, now tmclock.Millis) *endpoint {
 	var best *endpoint
 	var bestScore float64
@@ -205,12 +205,27 @@
 	return spec.PerEndpoint == 0 || e.stepRuns(s) < spec.PerEndpoint
 }
 
-// rackPreference outweighs any difference in load.
-const rackPreference = 10.0
+// rackPreference and spreadPenalty outweigh any difference in load.
+const (
+	rackPreference = 10.0
+	spreadPenalty  = 5.0
+	// anchorPreference draws work to endpoints that long-running tasks keep in
+	// their pool anyway, so that others stay idle and can be lent.
+	anchorPreference = 1.0
+)
 
+// score says how well a task of the step would be placed at e. Fuller endpoints
+// are better: large tasks find room, and idle instances can serve other pools.
 func (c *Controller) score(s *step, e *endpoint) float64 {
 	capacity := float64(max(e.info.Capacity.CPU, 1))
-	score := float64(e.free().CPU) / capacity
+	score := -float64(e.free().CPU) / capacity
+	if e.longCPU() > 0 {
+		score += anchorPreference
+	}
+	if s.spec.LongRunning {
+		// Maintenance may end only so many tasks of the step at once.
+		score -= spreadPenalty * float64(e.stepRuns(s)/max(s.spec.MayMiss, 1))
+	}
 	if s.spec.DataRack != "" && e.info.hasLabel(s.spec.DataRack) {
 		score += rackPreference
 	}
--- /dev/null
+++ b/core/tmcontrol/pool.go
@@ -0,0 +1,340 @@
+package tmcontrol
+
+import (
+	"cmp"
+	"math"
+	"slices"
+
+	"turmericmoor/core/tmclock"
+)
+
+const (
+	// demandMemory is the time constant of the demand of a pool.
+	demandMemory = 800 * tmclock.Millisecond
+	// backlogTime is within what time a pool should work off what waits.
+	backlogTime = 1500 * tmclock.Millisecond
+	// headroom is how much more than the demand of jobs a pool is sized for.
+	headroom = 1.15
+	// shrinkAfter is how long a pool must have had too many instances before it
+	// gives one away.
+	shrinkAfter = 1500 * tmclock.Millisecond
+	// sizeEvery is the time between two decisions about the sizes of pools.
+	sizeEvery = 100 * tmclock.Millisecond
+	// moveRetry is the time after which an instance that could not be moved is
+	// tried again.
+	moveRetry = 2 * tmclock.Second
+	// minPool is how many instances a pool keeps at least.
+	minPool = 2
+)
+
+// demand is the work that jobs bring to a pool.
+type demand struct {
+	// rate is in thousandths of a core, an exponential mean.
+	rate float64
+	at   tmclock.Millis
+	// needed is when the pool last needed all the instances it has.
+	needed tmclock.Millis
+}
+
+func (d *demand) decay(now tmclock.Millis) {
+	d.rate *= math.Exp(-float64(now.Sub(d.at)) / float64(demandMemory))
+	d.at = now
+}
+
+// add takes in work in thousandths of a core times ms.
+func (d *demand) add(work float64, now tmclock.Millis) {
+	d.decay(now)
+	d.rate += work / float64(demandMemory)
+}
+
+// move is an instance on its way to another pool.
+type move struct {
+	instance, pool string
+	ordered        tmclock.Millis
+	accepted       bool
+	inFlight       bool
+}
+
+// poolSize is what a decision about one pool rests on.
+type poolSize struct {
+	service string
+	have    int
+	want    int
+	// idle are the endpoints that could leave the pool at once.
+	idle []*endpoint
+}
+
+func (c *Controller) demandOf(service string) *demand {
+	d := c.fleet.demands[service]
+	if d == nil {
+		d = &demand{}
+		c.fleet.demands[service] = d
+	}
+	return d
+}
+
+// arrived counts the work of a new occurrence for its pool.
+func (c *Controller) arrived(o *occurrence, now tmclock.Millis) {
+	q, ok := c.rules.Queues[o.job.spec.Queue]
+	if ok && !o.job.long {
+		c.demandOf(q.Service).add(c.outlook(o).work, now)
+	}
+}
+
+// standby returns the pool whose instances are off, or "".
+func (c *Controller) standby() string {
+	name := ""
+	for _, s := range c.rules.Services {
+		if s.Standby && (name == "" || s.Name < name) {
+			name = s.Name
+		}
+	}
+	return name
+}
+
+// planPools moves instances to the pools that need them, and those that no pool
+// needs to the standby pool.
+func (c *Controller) planPools(now tmclock.Millis) {
+	if now.Sub(c.fleet.sizedAt) < sizeEvery {
+		return
+	}
+	c.fleet.sizedAt = now
+	c.repeatMoves(now)
+	sizes := c.poolSizes(now)
+	for i := range sizes {
+		for sizes[i].have < sizes[i].want && c.grow(&sizes[i], sizes, now) {
+			sizes[i].have++
+		}
+	}
+	standby := c.standby()
+	if standby == "" {
+		return
+	}
+	for i := range sizes {
+		c.shrink(&sizes[i], standby, now)
+	}
+}
+
+func (c *Controller) poolSizes(now tmclock.Millis) []poolSize {
+	backlog := c.backlogs()
+	var sizes []poolSize
+	for _, s := range c.rules.Services {
+		if s.Standby {
+			continue
+		}
+		size := poolSize{service: s.Name}
+		var capacity, long int64
+		for _, e := range c.endpoints {
+			if e.info.Service != s.Name || e.gone || !e.listed || e.info.Draining || c.zonesOut[e.info.Zone] {
+				continue
+			}
+			size.have++
+			capacity += e.info.Capacity.CPU
+			long += e.longCPU()
+			if e.answering && !e.reserved && len(e.runs) == 0 && e.info.Instance != "" {
+				size.idle = append(size.idle, e)
+			}
+		}
+		if size.have == 0 {
+			continue
+		}
+		d := c.demandOf(s.Name)
+		d.decay(now)
+		each := float64(capacity) / float64(size.have)
+		need := float64(long) + headroom*d.rate + backlog[s.Name]/float64(backlogTime)
+		size.want = max(minPool, int(math.Ceil(need/math.Max(each, 1)))+1)
+		for _, m := range c.fleet.moves {
+			if m.pool == s.Name {
+				size.have++
+			}
+		}
+		if size.want >= size.have {
+			d.needed = now
+		}
+		slices.SortFunc(size.idle, func(a, b *endpoint) int { return cmp.Compare(a.info.ID, b.info.ID) })
+		sizes = append(sizes, size)
+	}
+	slices.SortFunc(sizes, func(a, b poolSize) int { return cmp.Compare(a.service, b.service) })
+	return sizes
+}
+
+func (e *endpoint) longCPU() int64 {
+	var n int64
+	for _, r := range e.runs {
+		if r.task.step.spec.LongRunning {
+			n += r.room.CPU
+		}
+	}
+	return n
+}
+
+// backlogs returns the work of the tasks that wait, by pool, in thousandths of a
+// core times ms.
+func (c *Controller) backlogs() map[string]float64 {
+	out := map[string]float64{}
+	for _, j := range c.order {
+		if j.long {
+			continue
+		}
+		service := c.rules.Queues[j.spec.Queue].Service
+		for _, o := range j.occurrences {
+			for _, s := range o.steps {
+				if s.left == 0 {
+					continue
+				}
+				took := c.estimate(j.spec.Queue, s.spec)
+				for _, t := range s.tasks {
+					if !t.done && len(t.active) == 0 {
+						out[service] += took * float64(s.spec.Size.CPU)
+					}
+				}
+			}
+		}
+	}
+	return out
+}
+
+// grow finds one instance for a pool: from the standby pool, else an idle one of
+// the pool that has most to spare.
+func (c *Controller) grow(to *poolSize, sizes []poolSize, now tmclock.Millis) bool {
+	if id := c.parked(to.service, now); id != "" {
+		c.startMove(id, to.service, now)
+		return true
+	}
+	var from *poolSize
+	for i := range sizes {
+		s := &sizes[i]
+		if s.service != to.service && s.have > s.want && len(s.idle) > 0 &&
+			(from == nil || s.have-s.want > from.have-from.want) {
+			from = s
+		}
+	}
+	if from == nil {
+		return false
+	}
+	for len(from.idle) > 0 {
+		e := from.idle[0]
+		from.idle = from.idle[1:]
+		if c.movable(e.info.Instance, to.service, now) {
+			from.have--
+			c.startMove(e.info.Instance, to.service, now)
+			return true
+		}
+	}
+	return false
+}
+
+// shrink parks an idle instance of a pool that has had too many for a while.
+func (c *Controller) shrink(s *poolSize, standby string, now tmclock.Millis) {
+	if now.Sub(c.demandOf(s.service).needed) < shrinkAfter {
+		return
+	}
+	for s.have > s.want && len(s.idle) > 0 {
+		e := s.idle[0]
+		s.idle = s.idle[1:]
+		if c.movable(e.info.Instance, standby, now) {
+			s.have--
+			c.startMove(e.info.Instance, standby, now)
+		}
+	}
+}
+
+// parked returns an instance of a standby pool that may move to a pool, or "".
+func (c *Controller) parked(pool string, now tmclock.Millis) string {
+	best := ""
+	for id, i := range c.fleet.instances {
+		if c.rules.Services[i.Pool].Standby && (best == "" || id < best) && c.movable(id, pool, now) {
+			best = id
+		}
+	}
+	return best
+}
+
+// movable reports whether an instance can be ordered to a pool now.
+func (c *Controller) movable(id, pool string, now tmclock.Millis) bool {
+	i, ok := c.fleet.instances[id]
+	if !ok || i.State != InstanceUp || i.Pool == pool || c.zonesOut[i.Zone] || c.fleet.moves[id] != nil ||
+		c.fleet.barred[barredMove{id, pool}] || now.Before(c.fleet.moveAfter[id]) {
+		return false
+	}
+	for _, w := range c.fleet.waves {
+		for _, it := range w.items {
+			if it.id == id && it.state != dutyDue && it.state != dutyDone {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// barredMove is a move that the platform refused for good.
+type barredMove struct{ instance, pool string }
+
+func (c *Controller) startMove(id, pool string, now tmclock.Millis) {
+	m := &move{instance: id, pool: pool}
+	c.fleet.moves[id] = m
+	if e := c.endpointOn(id); e != nil {
+		e.reserved, e.ending = true, true
+	}
+	c.event("instance_moves", "instance", id, "from", c.fleet.instances[id].Pool, "to", pool)
+	c.orderMove(m, now)
+}
+
+func (c *Controller) orderMove(m *move, now tmclock.Millis) {
+	m.ordered, m.inFlight = now, true
+	c.fleet.orders = append(c.fleet.orders, InstanceOrder{Instance: m.instance, Token: c.token, Pool: m.pool})
+}
+
+// repeatMoves sends orders without an answer again: a move that is done is
+// accepted once more.
+func (c *Controller) repeatMoves(now tmclock.Millis) {
+	for _, m := range c.fleet.moves {
+		if !m.accepted && !m.inFlight && now.Sub(m.ordered) >= orderAgain {
+			c.orderMove(m, now)
+		}
+	}
+}
+
+// moveAnswer takes in the answer to the order of a move.
+func (c *Controller) moveAnswer(o InstanceOrder, a Answer, now tmclock.Millis) {
+	m := c.fleet.moves[o.Instance]
+	if m == nil || m.pool != o.Pool {
+		return
+	}
+	m.inFlight = false
+	switch a {
+	case Accepted:
+		m.accepted, m.ordered = true, now
+	case NoAnswer:
+	case Fenced:
+		c.Fence(o.Instance)
+	default:
+		if a == Refused {
+			c.fleet.barred[barredMove{m.instance, m.pool}] = true
+		}
+		c.fleet.moveAfter[m.instance] = now.Add(moveRetry)
+		c.endMove(m)
+	}
+}
+
+func (c *Controller) endMove(m *move) {
+	delete(c.fleet.moves, m.instance)
+	if e := c.endpointOn(m.instance); e != nil {
+		e.reserved, e.ending = false, false
+	}
+}
+
+// checkMove finds out from the list of instances how far a move is.
+func (c *Controller) checkMove(m *move, sentAt tmclock.Millis) {
+	if !m.accepted || !sentAt.After(m.ordered) {
+		return
+	}
+	i, ok := c.fleet.instances[m.instance]
+	e := c.endpointOn(m.instance)
+	if e != nil && e.info.Service != m.pool && (!ok || i.State != InstanceUp || i.Pool == m.pool) {
+		c.endLife(e, "moved to another pool")
+	}
+	if !ok || i.State == InstanceUp || i.State == InstanceDown {
+		c.endMove(m)
+	}
+}
