io/tmrecord, io/tmowner: one part for the owner, sixteen for jobs, outcomes moved later

Cause: with a slow store each transaction holds its parts for 240 ms; the owner's writes over four parts and the submissions waited for each other. Ruled out: reads (they go on in parallel). Change: a flush is one transaction in a part of the owner's own; submissions are spread over 16 parts; outcomes replace their jobs in a later round; parts are read in parallel.

--- a/core/tmcontrol/controller.go
+++ b/core/tmcontrol/controller.go
@@ -115,6 +115,15 @@
 	c.finish(j, tmjob.Cancelled, "cancelled by the caller")
 }
 
+// Finished takes in that an earlier owner has stored the outcome of a job.
+func (c *Controller) Finished(id string) {
+	c.past[id] = true
+	if j := c.jobs[id]; j != nil {
+		c.dropOrder(j)
+		delete(c.jobs, id)
+	}
+}
+
 // Removed takes in that the row of a job is gone: it is final.
 func (c *Controller) Removed(id string) {
 	if j := c.jobs[id]; j == nil || !j.final {
@@ -237,13 +246,17 @@
 			}
 		}
 	}
+	c.dropOrder(j)
+	c.touch(j)
+}
+
+func (c *Controller) dropOrder(j *job) {
 	for i, have := range c.order {
 		if have == j {
 			c.order = append(c.order[:i], c.order[i+1:]...)
-			break
+			return
 		}
 	}
-	c.touch(j)
 }
 
 // forgetIfIdle drops a final job that is stored and has no runs left.
--- a/io/tmintake/intake.go
+++ b/io/tmintake/intake.go
@@ -163,29 +163,48 @@
 	if err != nil {
 		return tmjob.Pending, err
 	}
-	switch {
-	case r.queue() != queue:
+	if r.queue() != queue {
 		return tmjob.Pending, ErrNoJob
-	case r.outcome != nil:
+	}
+	if r.outcome != nil {
 		return r.outcome.State, nil
+	}
+	begun, outcome, err := in.readRun(ctx, id)
+	switch {
+	case err != nil:
+		return tmjob.Pending, err
+	case outcome != nil:
+		return outcome.State, nil
 	case r.cancelled:
 		return tmjob.Cancelled, nil
+	case begun:
+		return tmjob.Running, nil
 	}
-	return in.begun(ctx, id)
+	return tmjob.Pending, nil
 }
 
-func (in *Intake) begun(ctx context.Context, id string) (tmjob.State, error) {
+// readRun reads what the owner has stored of a live job: whether it has begun,
+// and its outcome if that was not moved to the table of jobs yet.
+func (in *Intake) readRun(ctx context.Context, id string) (bool, *tmrecord.Outcome, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	key := tmrecord.RunKey(id)
-	page, err := in.store.Read(ctx, tmtable.Range{Table: key.Table, Part: key.Part, From: id, To: id + "\x00", Limit: 1})
+	page, err := in.store.Read(ctx, tmrecord.RunRange(id))
 	if err != nil {
-		return tmjob.Pending, fmt.Errorf("%w: %w", ErrNotReady, err)
+		return false, nil, fmt.Errorf("%w: %w", ErrNotReady, err)
 	}
-	if len(page.Rows) == 0 {
-		return tmjob.Pending, nil
+	begun := false
+	for _, row := range page.Rows {
+		if kind, _ := tmrecord.KindOf(row.Key.Key); kind != tmrecord.OutcomeRow {
+			begun = true
+			continue
+		}
+		o, err := tmrecord.DecodeOutcome(row.Value)
+		if err != nil {
+			return false, nil, fmt.Errorf("%w: %w", ErrNotReady, err)
+		}
+		return true, &o, nil
 	}
-	return tmjob.Running, nil
+	return begun, nil, nil
 }
 
 // Cancel stores the cancellation of a job. It succeeds also if the job was
@@ -200,6 +219,12 @@
 			if r.cancelled || r.outcome != nil {
 				return nil
 			}
+			var done *tmrecord.Outcome
+			if _, done, err = in.readRun(ctx, id); err == nil && done != nil {
+				return ErrNoJob
+			}
+		}
+		if err == nil {
 			err = in.write(ctx, tmtable.Txn{
 				Expects: []tmtable.Expect{{Key: tmrecord.JobKey(id), Version: r.version}},
 				Puts:    []tmtable.Put{{Key: tmrecord.CancelKey(id), Value: []byte("{}")}},
--- a/io/tmowner/flush.go
+++ b/io/tmowner/flush.go
@@ -17,14 +17,12 @@
 	writePause = 60 * time.Millisecond
 )
 
-// fenceParts makes the writes of all earlier owners fail. It reports false if
+// takeGuard makes the writes of all earlier owners fail. It reports false if
 // ctx ended or a later owner was found.
-func (o *Owner) fenceParts(ctx context.Context) bool {
+func (o *Owner) takeGuard(ctx context.Context) bool {
 	for ctx.Err() == nil {
-		txn := tmtable.Txn{}
-		for _, part := range tmrecord.Parts() {
-			o.guard(&txn, part, 0)
-		}
+		var txn tmtable.Txn
+		o.guard(&txn, 0)
 		done, later := o.write(ctx, txn)
 		if later {
 			return false
@@ -36,13 +34,12 @@
 	return false
 }
 
-// guard adds the condition and the new value of the guard of a part.
-func (o *Owner) guard(txn *tmtable.Txn, part string, flush int64) {
-	key := tmrecord.FenceKey(part)
-	txn.Expects = append(txn.Expects, tmtable.Expect{Key: key, Version: o.fences[part]})
-	txn.Puts = append(txn.Puts, tmtable.Put{
-		Key: key, Value: tmrecord.EncodeFence(tmrecord.Fence{Token: o.token, Flush: flush}),
-	})
+// guard adds the condition and the new value of the guard.
+func (o *Owner) guard(txn *tmtable.Txn, flush int64) {
+	key := tmrecord.GuardKey()
+	txn.Expects = append(txn.Expects, tmtable.Expect{Key: key, Version: o.guardVersion})
+	value := tmrecord.EncodeGuard(tmrecord.Guard{Token: o.token, Flush: flush})
+	txn.Puts = append(txn.Puts, tmtable.Put{Key: key, Value: value})
 }
 
 // write tries a guarded transaction once. It reports whether the transaction is
@@ -58,9 +55,7 @@
 	var conflict *tmtable.ConflictError
 	switch {
 	case err == nil:
-		for _, e := range txn.Expects {
-			o.fences[e.Part] = res.Version
-		}
+		o.guardVersion = res.Version
 		return true, false
 	case errors.As(err, &conflict):
 		return o.resolve(txn, conflict.Rows)
@@ -72,42 +67,27 @@
 	return false, false
 }
 
-// resolve finds out from the present guards what became of a transaction whose
+// resolve finds out from the present guard what became of a transaction whose
 // condition did not hold: it may have been carried out by an earlier try.
 func (o *Owner) resolve(txn tmtable.Txn, rows []tmtable.Row) (done, later bool) {
-	mine := map[string]string{}
-	for _, p := range txn.Puts {
-		if tmrecord.IsFence(p.Key.Key) {
-			mine[p.Part] = string(p.Value)
-		}
-	}
-	done = true
-	seen := map[string]bool{}
 	for _, row := range rows {
-		if row.Deleted || row.Version == 0 {
+		if row.Deleted || row.Version == 0 || row.Key != tmrecord.GuardKey() {
 			continue
 		}
-		f, err := tmrecord.DecodeFence(row.Value)
+		g, err := tmrecord.DecodeGuard(row.Value)
 		if err != nil {
 			o.note("row_unreadable", "table", row.Table, "key", row.Key.Key, "cause", err.Error())
 			continue
 		}
-		if f.Token > o.token {
-			o.note("owner_deposed", "token", o.token, "by", f.Token, "part", row.Part)
+		if g.Token > o.token {
+			o.note("owner_deposed", "token", o.token, "by", g.Token)
 			return false, true
 		}
-		seen[row.Part] = true
-		o.fences[row.Part] = row.Version
-		if string(row.Value) != mine[row.Part] {
-			done = false
-		}
-	}
-	for part := range mine {
-		if !seen[part] {
-			done = false
-		}
+		o.guardVersion = row.Version
+		return string(row.Value) == string(txn.Puts[0].Value), false
 	}
-	return done, false
+	o.guardVersion = 0
+	return false, false
 }
 
 func (o *Owner) flushLoop(ctx context.Context) {
@@ -136,8 +116,10 @@
 // storeFlush stores a flush, however often it takes. It reports false if the
 // owner's time is over.
 func (o *Owner) storeFlush(ctx context.Context, f *tmcontrol.Flush) bool {
+	txn, outcomes := o.transaction(f)
 	for len(f.Changes) > 0 {
-		done, later := o.write(ctx, o.transaction(f))
+		txn.Expects[0].Version = o.guardVersion
+		done, later := o.write(ctx, txn)
 		if later || ctx.Err() != nil {
 			o.stop()
 			return false
@@ -146,6 +128,7 @@
 			break
 		}
 	}
+	o.settle(outcomes)
 	now := o.opts.Clock.Now()
 	o.mu.Lock()
 	o.ctl.Stored(f, now)
@@ -156,22 +139,26 @@
 	return true
 }
 
-func (o *Owner) transaction(f *tmcontrol.Flush) tmtable.Txn {
+// transaction returns what a flush writes, with the guard as its first condition
+// and its first row, and the outcomes in it.
+func (o *Owner) transaction(f *tmcontrol.Flush) (tmtable.Txn, map[string]tmrecord.Outcome) {
 	var txn tmtable.Txn
-	guarded := map[string]bool{}
+	outcomes := map[string]tmrecord.Outcome{}
+	o.guard(&txn, f.Number)
 	for _, c := range f.Changes {
-		part := tmrecord.PartOf(c.Job)
-		if !guarded[part] {
-			guarded[part] = true
-			o.guard(&txn, part, f.Number)
-		}
 		if c.Progress != nil {
 			txn.Puts = append(txn.Puts, tmtable.Put{Key: tmrecord.RunKey(c.Job), Value: tmrecord.EncodeProgress(*c.Progress)})
 			continue
 		}
 		out := tmrecord.Outcome{State: c.Final, Queue: c.Queue, Team: c.Team, At: time.Now().UnixMilli()}
-		txn.Puts = append(txn.Puts, tmtable.Put{Key: tmrecord.OutcomeKey(c.Job), Value: tmrecord.EncodeOutcome(out)})
-		txn.Removes = append(txn.Removes, tmrecord.JobKey(c.Job), tmrecord.CancelKey(c.Job), tmrecord.RunKey(c.Job))
+		outcomes[c.Job] = out
+		txn.Puts = append(txn.Puts, tmtable.Put{Key: tmrecord.FreshOutcomeKey(c.Job), Value: tmrecord.EncodeOutcome(out)})
+		txn.Removes = append(txn.Removes, tmrecord.RunKey(c.Job))
+	}
+	if len(f.Changes) > 0 {
+		for _, job := range o.moved() {
+			txn.Removes = append(txn.Removes, tmrecord.FreshOutcomeKey(job))
+		}
 	}
-	return txn
+	return txn, outcomes
 }
--- a/io/tmowner/owner.go
+++ b/io/tmowner/owner.go
@@ -52,10 +52,14 @@
 	kickFlush chan struct{}
 	kickList  chan struct{}
 	work      sync.WaitGroup
-	// fences are the versions of the guards of all parts, used by the flusher
-	// alone.
-	fences map[string]int64
-	stop   context.CancelFunc
+	// guardVersion is the version of the guard, used by the flusher alone.
+	guardVersion int64
+	stop         context.CancelFunc
+
+	// settleMu guards what follows. No other mutex is taken while it is held.
+	settleMu    sync.Mutex
+	outcomes    map[string]tmrecord.Outcome
+	settledJobs []settled
 }
 
 // New returns an owner with a fencing token. Run starts it.
@@ -68,7 +72,7 @@
 		kickPlan:  make(chan struct{}, 1),
 		kickFlush: make(chan struct{}, 1),
 		kickList:  make(chan struct{}, 1),
-		fences:    map[string]int64{},
+		outcomes:  map[string]tmrecord.Outcome{},
 	}
 }
 
@@ -100,12 +104,13 @@
 	ctx, o.stop = context.WithCancel(ctx)
 	defer o.work.Wait()
 	defer o.stop()
-	if !o.fenceParts(ctx) {
+	if !o.takeGuard(ctx) {
 		return
 	}
 	o.work.Go(func() { o.followEndpoints(ctx) })
 	o.work.Go(func() { o.followJobs(ctx) })
 	o.work.Go(func() { o.flushLoop(ctx) })
+	o.work.Go(func() { o.settleLoop(ctx) })
 	if o.opts.Instances != nil {
 		o.work.Go(func() { o.instanceLoop(ctx) })
 	}
@@ -300,14 +305,11 @@
 	}
 }
 
-// restore reads the progress of all live jobs. The parts are guarded already,
-// so no earlier owner can change it any more.
+// restore reads the progress of all live jobs. The guard is taken already, so no
+// earlier owner can change it any more.
 func (o *Owner) restore(ctx context.Context) {
-	for _, part := range tmrecord.Parts() {
-		read := func() error { return o.restorePart(ctx, part) }
-		if !o.untilDone(ctx, "progress of jobs", read) {
-			return
-		}
+	if !o.untilDone(ctx, "progress of jobs", func() error { return o.restoreRuns(ctx) }) {
+		return
 	}
 	if !o.untilDone(ctx, "progress of waves", func() error { return o.restoreWaves(ctx) }) {
 		return
@@ -334,28 +336,41 @@
 	}
 }
 
-func (o *Owner) restorePart(ctx context.Context, part string) error {
-	page, err := tmtable.ReadAll(ctx, o.opts.Store, tmtable.Range{Table: tmrecord.RunTable, Part: part})
+func (o *Owner) restoreRuns(ctx context.Context) error {
+	page, err := tmtable.ReadAll(ctx, o.opts.Store, tmtable.Range{Table: tmrecord.RunTable, Part: tmrecord.OwnerPart()})
 	if err != nil {
 		return err
 	}
-	o.restoreRows(page.Rows)
-	return nil
-}
-
-func (o *Owner) restoreRows(rows []tmtable.Row) {
 	now := o.opts.Clock.Now()
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	for _, row := range rows {
-		if tmrecord.IsFence(row.Key.Key) {
+	for _, row := range page.Rows {
+		if tmrecord.IsGuard(row.Key.Key) {
 			continue
 		}
-		p, err := tmrecord.DecodeProgress(row.Key.Key, row.Value)
-		if err != nil {
+		if err := o.restoreRow(row, now); err != nil {
 			o.note("row_unreadable", "table", row.Table, "key", row.Key.Key, "cause", err.Error())
-			continue
 		}
-		o.ctl.Restore(p, now)
 	}
+	return nil
+}
+
+// restoreRow takes in the progress or the outcome of a job. The mutex is held.
+func (o *Owner) restoreRow(row tmtable.Row, now tmclock.Millis) error {
+	kind, id := tmrecord.KindOf(row.Key.Key)
+	if kind == tmrecord.OutcomeRow {
+		out, err := tmrecord.DecodeOutcome(row.Value)
+		if err != nil {
+			return err
+		}
+		o.ctl.Finished(id)
+		o.settle(map[string]tmrecord.Outcome{id: out})
+		return nil
+	}
+	p, err := tmrecord.DecodeProgress(id, row.Value)
+	if err != nil {
+		return err
+	}
+	o.ctl.Restore(p, now)
+	return nil
 }
--- a/io/tmrecord/codec.go
+++ b/io/tmrecord/codec.go
@@ -230,27 +230,27 @@
 	return Owner(row), nil
 }
 
-// Fence is the owner's guard of one part: it changes with every write of the
-// owner, so that a write which is carried out late fails its condition.
-type Fence struct {
+// Guard changes with every flush of the owner, so that a write which is carried
+// out late, or which is a deposed owner's, fails its condition.
+type Guard struct {
 	Token, Flush int64
 }
 
-type fenceRow struct {
+type guardRow struct {
 	Token int64 `json:"t"`
 	Flush int64 `json:"f"`
 }
 
-// EncodeFence returns the row of a guard.
-func EncodeFence(f Fence) []byte { return encode(fenceRow(f)) }
+// EncodeGuard returns the row of a guard.
+func EncodeGuard(g Guard) []byte { return encode(guardRow(g)) }
 
-// DecodeFence reads the row of a guard.
-func DecodeFence(data []byte) (Fence, error) {
-	var row fenceRow
-	if err := decode("fence", data, &row); err != nil {
-		return Fence{}, err
+// DecodeGuard reads the row of a guard.
+func DecodeGuard(data []byte) (Guard, error) {
+	var row guardRow
+	if err := decode("guard", data, &row); err != nil {
+		return Guard{}, err
 	}
-	return Fence(row), nil
+	return Guard(row), nil
 }
 
 // Wave is the progress of a maintenance wave.
--- a/io/tmrecord/layout.go
+++ b/io/tmrecord/layout.go
@@ -2,13 +2,16 @@
 // of the fleet are stored, and their codecs. Field names in rows are short
 // because every row is read again by a new owner.
 //
-// A live job is a row KEY in the table of jobs; a cancellation lies beside it
-// as KEY.c, and the outcome replaces both as KEY.d. The progress of a live job
-// is in a table of its own, which only the owner writes and nobody follows.
-// All rows of one job lie in the same part.
+// A live job is a row KEY in the table of jobs, spread over many parts so that
+// submissions do not wait for each other; a cancellation lies beside it as KEY.c.
+// What the owner writes lies in one part of a table of its own, so that a flush is
+// one transaction in one part: the progress of a job as KEY, and its outcome as
+// KEY.d. Later the owner moves the outcome to the table of jobs, where it replaces
+// the job.
 package tmrecord
 
 import (
+	"fmt"
 	"strings"
 
 	"github.com/cespare/xxhash/v2"
@@ -28,17 +31,28 @@
 	outcomeSuffix = ".d"
 	// afterSuffixes sorts after all rows of one job and before all of the next.
 	afterSuffixes = "/"
-	// ownerKey is the row that the owner writes with every change in a part.
-	ownerKey = "!owner"
+	// guardKey is the row that the owner writes with every flush.
+	guardKey = "!owner"
+	// ownerPart is the part that only the owner writes to.
+	ownerPart = "own"
 	// parts is how many parts the jobs are spread over. All processes of an
 	// installation have to agree on it.
-	parts = 4
+	parts = 16
 )
 
-var partNames = [parts]string{"p0", "p1", "p2", "p3"}
+var partNames = func() []string {
+	names := make([]string, parts)
+	for i := range names {
+		names[i] = fmt.Sprintf("p%02d", i)
+	}
+	return names
+}()
 
 // Parts returns the names of all parts that hold jobs.
-func Parts() []string { return partNames[:] }
+func Parts() []string { return partNames }
+
+// OwnerPart returns the part of the progress table that the owner writes to.
+func OwnerPart() string { return ownerPart }
 
 // PartOf returns the part that holds a job.
 func PartOf(job string) string { return partNames[xxhash.Sum64String(job)%parts] }
@@ -53,19 +67,25 @@
 	return tmtable.Key{Table: JobTable, Part: PartOf(job), Key: job + cancelSuffix}
 }
 
-// OutcomeKey returns the row of the outcome of a job.
+// OutcomeKey returns the row of the outcome of a job in the table of jobs.
 func OutcomeKey(job string) tmtable.Key {
 	return tmtable.Key{Table: JobTable, Part: PartOf(job), Key: job + outcomeSuffix}
 }
 
 // RunKey returns the row of the progress of a job.
 func RunKey(job string) tmtable.Key {
-	return tmtable.Key{Table: RunTable, Part: PartOf(job), Key: job}
+	return tmtable.Key{Table: RunTable, Part: ownerPart, Key: job}
+}
+
+// FreshOutcomeKey returns the row of an outcome that the owner has not moved to
+// the table of jobs yet.
+func FreshOutcomeKey(job string) tmtable.Key {
+	return tmtable.Key{Table: RunTable, Part: ownerPart, Key: job + outcomeSuffix}
 }
 
-// FenceKey returns the row by which the owner guards its writes to a part.
-func FenceKey(part string) tmtable.Key {
-	return tmtable.Key{Table: RunTable, Part: part, Key: ownerKey}
+// GuardKey returns the row by which the owner guards its writes.
+func GuardKey() tmtable.Key {
+	return tmtable.Key{Table: RunTable, Part: ownerPart, Key: guardKey}
 }
 
 // OwnerKey returns the row that says who owns the fleet.
@@ -90,17 +110,23 @@
 	return tmtable.Range{Table: JobTable, Part: PartOf(job), From: job, To: job + afterSuffixes}
 }
 
-// Kind is what a row of the table of jobs holds.
+// RunRange returns the range of what the owner has of a job.
+func RunRange(job string) tmtable.Range {
+	return tmtable.Range{Table: RunTable, Part: ownerPart, From: job, To: job + afterSuffixes}
+}
+
+// Kind is what a row of the table of jobs, or of the progress table, holds.
 type Kind int
 
 // Kinds of rows.
 const (
+	// JobRow is a job, or its progress in the progress table.
 	JobRow Kind = iota
 	CancelRow
 	OutcomeRow
 )
 
-// KindOf returns what a row of the table of jobs holds, and of which job.
+// KindOf returns what a row holds, and of which job.
 func KindOf(key string) (Kind, string) {
 	if job, ok := strings.CutSuffix(key, cancelSuffix); ok {
 		return CancelRow, job
@@ -111,5 +137,5 @@
 	return JobRow, key
 }
 
-// IsFence reports whether a key of the progress table is the owner's guard.
-func IsFence(key string) bool { return key == ownerKey }
+// IsGuard reports whether a key of the progress table is no job but the owner's.
+func IsGuard(key string) bool { return strings.HasPrefix(key, "!") }
--- a/io/tmtable/follow.go
+++ b/io/tmtable/follow.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"time"
 
 	"turmericmoor/core/tmclock"
@@ -76,16 +77,16 @@
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
 	sent := f.Now()
+	pages, err := f.readParts(ctx)
+	if err != nil {
+		return 0, err
+	}
+	// The feed is read from the oldest of the pages on: what it repeats is known
+	// already, but nothing is missed.
+	version := pages[0].Version
 	var rows []Row
-	var version int64
-	for i, part := range f.Parts {
-		page, err := ReadAll(ctx, f.Store, Range{Table: f.Table, Part: part})
-		if err != nil {
-			return 0, err
-		}
-		if i == 0 {
-			version = page.Version
-		}
+	for _, page := range pages {
+		version = min(version, page.Version)
 		rows = append(rows, page.Rows...)
 	}
 	f.Snapshot(rows)
@@ -93,6 +94,20 @@
 	return version, nil
 }
 
+// readParts reads all parts at once, since each call to a slow store takes long.
+func (f *Follower) readParts(ctx context.Context) ([]Page, error) {
+	pages := make([]Page, len(f.Parts))
+	errs := make([]error, len(f.Parts))
+	var reads sync.WaitGroup
+	for i, part := range f.Parts {
+		reads.Go(func() {
+			pages[i], errs[i] = ReadAll(ctx, f.Store, Range{Table: f.Table, Part: part})
+		})
+	}
+	reads.Wait()
+	return pages, errors.Join(errs...)
+}
+
 func (f *Follower) feed(ctx context.Context, after int64) (int64, error) {
 	ctx, cancel := context.WithTimeout(ctx, f.Wait.Duration()+callSlack)
 	defer cancel()
