--- a/core/tmcontrol/fleet.go
+++ b/core/tmcontrol/fleet.go
@@ -109,8 +109,11 @@
 	barred    map[barredMove]bool
 	demands   map[string]*demand
 	sizedAt   tmclock.Millis
-	orders    []InstanceOrder
-	reports   []WaveReport
+	// starved holds the pools in which a long-running task found no place since
+	// the last sizing.
+	starved map[string]bool
+	orders  []InstanceOrder
+	reports []WaveReport
 	// startAt is the earliest time of an order about an instance: an earlier
 	// owner may have given one just before.
 	startAt tmclock.Millis
@@ -130,6 +133,7 @@
 		instances: map[string]Instance{}, waves: map[string]*wave{}, restored: map[string]WaveReport{},
 		moves: map[string]*move{}, moveAfter: map[string]tmclock.Millis{},
 		barred: map[barredMove]bool{}, demands: map[string]*demand{},
+		starved: map[string]bool{},
 	}
 }
 
@@ -371,7 +375,7 @@
 	}
 	for _, it := range w.items {
 		if it.state == dutyDraining && !it.doubt {
-			c.relocate(it.id)
+			c.relocate(it.id, now)
 		}
 		if it.state == dutyDraining && c.mayTakeDown(it, w, down, now) {
 			it.state = dutyOrdered
@@ -464,7 +468,7 @@
 
 // relocate stops long-running tasks on an instance that has more of one step
 // than may be ended at once. They start again elsewhere, one by one.
-func (c *Controller) relocate(instance string) {
+func (c *Controller) relocate(instance string, now tmclock.Millis) {
 	e := c.endpointOn(instance)
 	if e == nil {
 		return
@@ -475,8 +479,13 @@
 			here[r.task.step]++
 		}
 	}
+	p := c.pools(now)[e.info.Service]
 	for _, r := range sortedRuns(e) {
 		s := r.task.step
+		if p == nil || c.choose(s, p, now) == nil {
+			c.fleet.starved[e.info.Service] = true
+			continue
+		}
 		if here[s] <= s.spec.MayMiss || r.stop || c.away(s, nil) >= s.spec.MayMiss {
 			continue
 		}
--- a/core/tmcontrol/plan.go
+++ b/core/tmcontrol/plan.go
@@ -143,6 +143,9 @@
 	}
 	e := c.choose(t.step, p, now)
 	if e == nil {
+		if t.step.spec.LongRunning {
+			c.fleet.starved[p.service] = true
+		}
 		return false
 	}
 	c.assign(t, e, t.runs+1)
@@ -219,12 +222,12 @@
 func (c *Controller) score(s *step, e *endpoint) float64 {
 	capacity := float64(max(e.info.Capacity.CPU, 1))
 	score := -float64(e.free().CPU) / capacity
-	if e.longCPU() > 0 {
+	if e.longRoom() != (tmjob.Amount{}) {
 		score += anchorPreference
 	}
 	if s.spec.LongRunning {
-		// Maintenance may end only so many tasks of the step at once.
-		score -= spreadPenalty * float64(e.stepRuns(s)/max(s.spec.MayMiss, 1))
+		// The loss of one endpoint should leave half of the step at work.
+		score -= spreadPenalty * float64(e.stepRuns(s)/((s.spec.Count+1)/2))
 	}
 	if s.spec.DataRack != "" && e.info.hasLabel(s.spec.DataRack) {
 		score += rackPreference
--- a/core/tmcontrol/pool.go
+++ b/core/tmcontrol/pool.go
@@ -6,18 +6,17 @@
 	"slices"
 
 	"turmericmoor/core/tmclock"
+	"turmericmoor/core/tmjob"
 )
 
 const (
 	// demandMemory is the time constant of the demand of a pool.
 	demandMemory = 800 * tmclock.Millisecond
-	// backlogTime is within what time a pool should work off what waits.
-	backlogTime = 1500 * tmclock.Millisecond
 	// headroom is how much more than the demand of jobs a pool is sized for.
 	headroom = 1.15
 	// shrinkAfter is how long a pool must have had too many instances before it
 	// gives one away.
-	shrinkAfter = 1500 * tmclock.Millisecond
+	shrinkAfter = 3000 * tmclock.Millisecond
 	// sizeEvery is the time between two decisions about the sizes of pools.
 	sizeEvery = 100 * tmclock.Millisecond
 	// moveRetry is the time after which an instance that could not be moved is
@@ -116,21 +115,21 @@
 }
 
 func (c *Controller) poolSizes(now tmclock.Millis) []poolSize {
-	backlog := c.backlogs()
+	present := c.present()
 	var sizes []poolSize
 	for _, s := range c.rules.Services {
 		if s.Standby {
 			continue
 		}
 		size := poolSize{service: s.Name}
-		var capacity, long int64
+		var capacity, need tmjob.Amount
 		for _, e := range c.endpoints {
 			if e.info.Service != s.Name || e.gone || !e.listed || e.info.Draining || c.zonesOut[e.info.Zone] {
 				continue
 			}
 			size.have++
-			capacity += e.info.Capacity.CPU
-			long += e.longCPU()
+			capacity = capacity.Add(e.info.Capacity)
+			need = need.Add(e.longRoom())
 			if e.answering && !e.reserved && len(e.runs) == 0 && e.info.Instance != "" {
 				size.idle = append(size.idle, e)
 			}
@@ -140,9 +139,14 @@
 		}
 		d := c.demandOf(s.Name)
 		d.decay(now)
-		each := float64(capacity) / float64(size.have)
-		need := float64(long) + headroom*d.rate + backlog[s.Name]/float64(backlogTime)
-		size.want = max(minPool, int(math.Ceil(need/math.Max(each, 1)))+1)
+		rising := tmjob.Amount{CPU: need.CPU + int64(headroom*d.rate)}
+		need = need.Add(present[s.Name])
+		size.want = max(minPool, 1+max(instances(need, capacity, size.have), instances(rising, capacity, size.have)))
+		if c.fleet.starved[s.Name] {
+			// A long-running task found no place, for a reason that the sums
+			// don't show.
+			size.want = max(size.want, size.have+1)
+		}
 		for _, m := range c.fleet.moves {
 			if m.pool == s.Name {
 				size.have++
@@ -155,37 +159,52 @@
 		sizes = append(sizes, size)
 	}
 	slices.SortFunc(sizes, func(a, b poolSize) int { return cmp.Compare(a.service, b.service) })
+	clear(c.fleet.starved)
 	return sizes
 }
 
-func (e *endpoint) longCPU() int64 {
-	var n int64
+// instances returns how many instances of the mean size hold an amount.
+func instances(need, capacity tmjob.Amount, have int) int {
+	n := 0.0
+	for _, part := range [][2]int64{{need.CPU, capacity.CPU}, {need.Mem, capacity.Mem}, {need.GPU, capacity.GPU}} {
+		if part[1] > 0 {
+			n = math.Max(n, float64(part[0])*float64(have)/float64(part[1]))
+		}
+	}
+	return int(math.Ceil(n))
+}
+
+// longRoom returns the room that long-running tasks take.
+func (e *endpoint) longRoom() tmjob.Amount {
+	var sum tmjob.Amount
 	for _, r := range e.runs {
 		if r.task.step.spec.LongRunning {
-			n += r.room.CPU
+			sum = sum.Add(r.room)
 		}
 	}
-	return n
+	return sum
 }
 
-// backlogs returns the work of the tasks that wait, by pool, in thousandths of a
-// core times ms.
-func (c *Controller) backlogs() map[string]float64 {
-	out := map[string]float64{}
+// present returns what the tasks that run or could start now take, by pool. Tasks
+// beyond the limit of their team count for nothing.
+func (c *Controller) present() map[string]tmjob.Amount {
+	out := map[string]tmjob.Amount{}
+	waiting := map[string]int64{}
 	for _, j := range c.order {
-		if j.long {
-			continue
-		}
 		service := c.rules.Queues[j.spec.Queue].Service
 		for _, o := range j.occurrences {
 			for _, s := range o.steps {
-				if s.left == 0 {
+				if s.left == 0 || !s.ready() {
 					continue
 				}
-				took := c.estimate(j.spec.Queue, s.spec)
 				for _, t := range s.tasks {
-					if !t.done && len(t.active) == 0 {
-						out[service] += took * float64(s.spec.Size.CPU)
+					switch {
+					case t.done, len(t.active) > 0 && s.spec.LongRunning:
+					case len(t.active) > 0:
+						out[service] = out[service].Add(s.spec.Room())
+					case c.roomFor(j.spec.Team, waiting[j.spec.Team]+s.spec.Size.CPU):
+						waiting[j.spec.Team] += s.spec.Size.CPU
+						out[service] = out[service].Add(s.spec.Room())
 					}
 				}
 			}
@@ -194,6 +213,12 @@
 	return out
 }
 
+// roomFor reports whether a team may run more of that processor share.
+func (c *Controller) roomFor(team string, more int64) bool {
+	limit := c.rules.Teams[team].Limit.CPU
+	return limit == 0 || c.teams[team].CPU+more <= limit
+}
+
 // grow finds one instance for a pool: from the standby pool, else an idle one of
 // the pool that has most to spare.
 func (c *Controller) grow(to *poolSize, sizes []poolSize, now tmclock.Millis) bool {
