core/tmcontrol: maintenance waits for tasks while there is time

Cause: a task of 8 s was ended by maintenance after 2.5 s of draining though the wave had 15 s left; its job took 25 s.

--- a/core/tmcontrol/fleet.go
+++ b/core/tmcontrol/fleet.go
@@ -120,9 +120,12 @@
 }
 
 const (
-	// drainTime is how long tasks on an instance may go on before maintenance
-	// ends them.
+	// drainTime is how long tasks on an instance may go on at least before
+	// maintenance ends them.
 	drainTime = 2500 * tmclock.Millisecond
+	// upkeepSlack is how much longer than the maintenance itself an instance is
+	// away, with the time until the next one is ordered.
+	upkeepSlack = 1000 * tmclock.Millisecond
 	// orderAgain is the time after which an order without an answer is sent
 	// again.
 	orderAgain = 700 * tmclock.Millisecond
@@ -437,7 +440,22 @@
 	if e == nil {
 		return true
 	}
-	return (c.onlyLongRunning(e) || now.Sub(it.since) >= drainTime) && c.mayEndAll(e)
+	drained := c.onlyLongRunning(e) || now.Sub(it.since) >= drainTime && c.pressed(w, now)
+	return drained && c.mayEndAll(e)
+}
+
+// pressed reports whether a wave would be late if it waited for tasks to end.
+func (c *Controller) pressed(w *wave, now tmclock.Millis) bool {
+	open := 0
+	for _, it := range w.items {
+		if it.state != dutyDone {
+			open++
+		}
+	}
+	bound := max(w.Bound, 1)
+	rounds := (open + bound - 1) / bound
+	need := tmclock.Span(rounds)*(c.bounds.Upkeep+upkeepSlack) + drainTime
+	return now.Add(need).After(w.began.Add(w.Within))
 }
 
 func (c *Controller) onlyLongRunning(e *endpoint) bool {
