core/tmcontrol, io/tmowner: dead instances seen in the list, orders about instances stored

Cause: the tasks of a dead endpoint waited 5 s for its lease, and a new owner waited 3 s before its first order about any instance. Change: an instance that is down, or runs another endpoint, ends the old one at once; orders about instances are stored before they are given, so the next owner keeps its distance only from those of the last 3 s.

--- a/core/tmcontrol/controller_test.go
+++ b/core/tmcontrol/controller_test.go
@@ -66,7 +66,7 @@
 	f.now = f.now.Add(d)
 	f.c.Tick(f.now, int64(f.now))
 	f.c.Plan(f.now, int64(f.now))
-	for flush := f.c.TakeFlush(); flush != nil; flush = f.c.TakeFlush() {
+	for flush := f.c.TakeFlush(f.now); flush != nil; flush = f.c.TakeFlush(f.now) {
 		f.c.Stored(flush, f.now)
 	}
 	starts, _, _ := f.c.TakeOrders(f.now)
@@ -133,6 +133,7 @@
 	f.c.Apply(Directive{Rules: testRules(1), Waves: []Wave{wave}}, f.now)
 	f.step(10)
 	f.step(10)
+	f.step(10)
 	orders, _ := f.c.TakeInstanceOrders()
 	assert.Equal(t, len(orders), 1)
 }
@@ -171,6 +172,7 @@
 	f.c.Apply(Directive{Rules: testRules(1), Waves: []Wave{wave}}, f.now)
 	f.step(10)
 	f.step(10)
+	f.step(10)
 	orders, _ := f.c.TakeInstanceOrders()
 	assert.Equal(t, len(orders), 1)
 	f.c.InstanceOrdered(orders[0], Accepted, f.now)
@@ -192,7 +194,7 @@
 	f.run["e1"] = nil
 	failed := Ended{Number: 1, Task: ref.Task, Run: 1, How: EndFailed}
 	f.look("e1", failed)
-	flush := f.c.TakeFlush()
+	flush := f.c.TakeFlush(f.now)
 	assert.Equal(t, flush.Changes[0].Progress.Tasks[0].Failures, 1)
 
 	f.c = f.newController(2)
@@ -288,3 +290,35 @@
 	orders, _ := f.c.TakeInstanceOrders()
 	assert.Equal(t, len(orders), 1)
 }
+
+// The tasks of a dead endpoint waited for its lease although the list of
+// instances showed that it was down.
+func TestInstanceDownEndsItsTasks(t *testing.T) {
+	f := newFixture(t, 2)
+	f.c.Submitted(oneTask("j"))
+	first := f.step(10)[0].Ref
+	i := f.c.endpoints[first.Endpoint].info.Instance
+	f.c.SetInstances([]Instance{{ID: i, Pool: "s", State: InstanceDown}}, f.now)
+	second := f.step(10)
+	assert.Equal(t, len(second), 1)
+	assert.Assert(t, second[0].Ref.Endpoint != first.Endpoint)
+}
+
+// Two owners gave orders about one instance shortly after each other.
+func TestNextOwnerKeepsItsDistance(t *testing.T) {
+	f := newFixture(t, 1)
+	f.c.bounds.TurnTime = 3000
+	f.c.RestoreOrders([]string{"i1"}, f.now)
+	f.c.SetInstances([]Instance{{ID: "i1", Pool: "s", State: InstanceUp, Endpoint: "e1"}}, f.now)
+	f.c.Apply(Directive{Rules: testRules(1), Waves: []Wave{{Name: "1", Number: 1, Instances: []string{"i1"}, Bound: 1}}}, f.now)
+	for range 20 {
+		f.step(100)
+	}
+	orders, _ := f.c.TakeInstanceOrders()
+	assert.Equal(t, len(orders), 0)
+	for range 20 {
+		f.step(100)
+	}
+	orders, _ = f.c.TakeInstanceOrders()
+	assert.Equal(t, len(orders), 1)
+}
--- a/core/tmcontrol/endpoint.go
+++ b/core/tmcontrol/endpoint.go
@@ -21,6 +21,8 @@
 type endpoint struct {
 	info   Listing
 	listed bool
+	// listedAt is when this lifetime was first seen in the list.
+	listedAt tmclock.Millis
 	// fenced is true once this owner's fencing token was accepted, and
 	// answering while calls are answered.
 	fenced, answering bool
--- a/core/tmcontrol/fleet.go
+++ b/core/tmcontrol/fleet.go
@@ -114,9 +114,13 @@
 	starved map[string]bool
 	orders  []InstanceOrder
 	reports []WaveReport
-	// startAt is the earliest time of an order about an instance: an earlier
-	// owner may have given one just before.
-	startAt tmclock.Millis
+	// unstored are orders that wait until it is stored that they are given, so
+	// that the next owner keeps its distance; ordered is when each was given.
+	unstored []InstanceOrder
+	ordered  map[string]tmclock.Millis
+	// orderAfter is the earliest time of an order about an instance about which
+	// an earlier owner may have given one just before.
+	orderAfter map[string]tmclock.Millis
 }
 
 const (
@@ -136,15 +140,13 @@
 		instances: map[string]Instance{}, waves: map[string]*wave{}, restored: map[string]WaveReport{},
 		moves: map[string]*move{}, moveAfter: map[string]tmclock.Millis{},
 		barred: map[barredMove]bool{}, demands: map[string]*demand{},
-		starved: map[string]bool{},
+		starved: map[string]bool{}, ordered: map[string]tmclock.Millis{},
+		orderAfter: map[string]tmclock.Millis{},
 	}
 }
 
 // Apply takes in what the operator has directed.
 func (c *Controller) Apply(d Directive, now tmclock.Millis) {
-	if c.fleet.startAt == 0 {
-		c.fleet.startAt = now.Add(c.bounds.TurnTime)
-	}
 	c.SetRules(d.Rules)
 	out := map[string]bool{}
 	for _, z := range d.ZonesOut {
@@ -214,6 +216,11 @@
 	if c.standby() != "" || len(c.fleet.moves) > 0 {
 		return true
 	}
+	for _, e := range c.endpoints {
+		if !e.answering && len(e.runs) > 0 {
+			return true
+		}
+	}
 	for _, w := range c.fleet.waves {
 		if !w.done {
 			return true
@@ -229,6 +236,9 @@
 		c.fleet.instances[i.ID] = i
 	}
 	c.fleet.listedAt, c.fleet.known = sentAt, true
+	for _, e := range c.endpoints {
+		c.checkAlive(e, sentAt)
+	}
 	for _, m := range c.fleet.moves {
 		c.checkMove(m, sentAt)
 	}
@@ -239,6 +249,21 @@
 	}
 }
 
+// checkAlive ends the life of an endpoint whose instance is down, or runs
+// another endpoint: that is known long before its lease has lapsed.
+func (c *Controller) checkAlive(e *endpoint, sentAt tmclock.Millis) {
+	i, ok := c.fleet.instances[e.info.Instance]
+	if !ok || e.gone || !sentAt.After(e.listedAt) {
+		return
+	}
+	switch {
+	case i.State == InstanceDown:
+		c.endLife(e, "instance is down")
+	case i.State == InstanceUp && i.Endpoint != "" && i.Endpoint != e.info.ID:
+		c.endLife(e, "instance has a new endpoint")
+	}
+}
+
 // checkBack finds out from the list of instances whether the maintenance of an
 // instance still goes on. An order is also accepted when the maintenance was
 // done before, so only the list shows that the endpoint on it is gone.
@@ -263,6 +288,34 @@
 	c.event("upkeep_done", "instance", it.id, "wave", w.Name)
 }
 
+// RestoreOrders takes in the instances about which the earlier owner has given
+// orders of late.
+func (c *Controller) RestoreOrders(instances []string, now tmclock.Millis) {
+	for _, id := range instances {
+		c.fleet.orderAfter[id] = now.Add(c.bounds.TurnTime)
+	}
+}
+
+// orderInstance queues an order until it is stored that it is given.
+func (c *Controller) orderInstance(o InstanceOrder, now tmclock.Millis) {
+	c.fleet.ordered[o.Instance] = now
+	c.fleet.unstored = append(c.fleet.unstored, o)
+}
+
+// recentOrders returns the instances about which orders were given of late.
+func (c *Controller) recentOrders(now tmclock.Millis) []string {
+	ids := []string{}
+	for id, at := range c.fleet.ordered {
+		if now.Sub(at) > c.bounds.TurnTime {
+			delete(c.fleet.ordered, id)
+			continue
+		}
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	return ids
+}
+
 // TakeInstanceOrders returns the orders and reports that came up since the last
 // call.
 func (c *Controller) TakeInstanceOrders() ([]InstanceOrder, []WaveReport) {
@@ -330,7 +383,7 @@
 
 // planFleet carries on with the waves and the sizes of pools.
 func (c *Controller) planFleet(now tmclock.Millis, _ int64) {
-	if !c.fleet.known || now.Before(c.fleet.startAt) {
+	if !c.fleet.known {
 		return
 	}
 	for _, w := range c.fleet.waves {
@@ -389,7 +442,7 @@
 			if e := c.endpointOn(it.id); e != nil {
 				e.ending = true
 			}
-			c.fleet.orders = append(c.fleet.orders, InstanceOrder{Instance: it.id, Token: c.token, Wave: w.Number})
+			c.orderInstance(InstanceOrder{Instance: it.id, Token: c.token, Wave: w.Number}, now)
 		}
 	}
 }
@@ -430,6 +483,9 @@
 }
 
 func (c *Controller) mayTakeDown(it *waveItem, w *wave, down int, now tmclock.Millis) bool {
+	if now.Before(c.fleet.orderAfter[it.id]) {
+		return false
+	}
 	if it.doubt {
 		return now.Sub(it.since) >= orderAgain
 	}
--- a/core/tmcontrol/look.go
+++ b/core/tmcontrol/look.go
@@ -13,13 +13,18 @@
 	e := c.endpoints[l.ID]
 	if e == nil {
 		e = newEndpoint(l)
+		e.listedAt = now
 		c.endpoints[l.ID] = e
 		c.event("endpoint_listed", "endpoint", l.ID, "service", l.Service, "instance", l.Instance, "zone", l.Zone)
 		c.replaceOn(l, now)
 		return
 	}
+	if e.gone && l.Born <= e.info.Born {
+		return
+	}
 	if l.Born > e.info.Born && e.info.Born != 0 {
 		c.reborn(e, l.Born)
+		e.listedAt = now
 	}
 	if l.Draining && !e.info.Draining {
 		c.event("endpoint_draining", "endpoint", l.ID)
@@ -60,6 +65,7 @@
 	e.info.Born = born
 	e.fenced, e.answering = false, false
 	e.seen, e.acked, e.clock, e.strange, e.lapse = 0, 0, 0, 0, 0
+	e.gone, e.reserved, e.ending, e.failures = false, false, false, 0
 }
 
 func (c *Controller) endLife(e *endpoint, cause string) {
--- a/core/tmcontrol/message.go
+++ b/core/tmcontrol/message.go
@@ -161,7 +161,11 @@
 type Flush struct {
 	Number  int64
 	Changes []Change
+	// Orders are the instances about which orders are given of late, nil if
+	// there is nothing new.
+	Orders []string
 
+	given  []InstanceOrder
 	starts []*run
 	acks   map[string]int64
 }
--- a/core/tmcontrol/order.go
+++ b/core/tmcontrol/order.go
@@ -157,9 +157,13 @@
 
 // TakeFlush returns the changes that are to be stored next, or nil if there is
 // nothing to store. One flush is under way at a time.
-func (c *Controller) TakeFlush() *Flush {
+func (c *Controller) TakeFlush(now tmclock.Millis) *Flush {
 	n := min(len(c.dirty), maxChanges)
 	f := &Flush{}
+	if len(c.fleet.unstored) > 0 {
+		f.given, c.fleet.unstored = c.fleet.unstored, nil
+		f.Orders = c.recentOrders(now)
+	}
 	for _, j := range c.dirty[:n] {
 		j.dirty = false
 		change := Change{Job: j.spec.ID, Queue: j.spec.Queue, Team: j.spec.Team}
@@ -191,7 +195,7 @@
 			}
 		}
 	}
-	if n == 0 && len(f.acks) == 0 {
+	if n == 0 && len(f.acks) == 0 && f.Orders == nil {
 		return nil
 	}
 	c.flushes++
@@ -217,6 +221,7 @@
 		}
 		c.sendStart(r, now)
 	}
+	c.fleet.orders = append(c.fleet.orders, f.given...)
 	for _, change := range f.Changes {
 		if j := c.jobs[change.Job]; j != nil {
 			c.forgetIfIdle(j)
--- a/core/tmcontrol/pool.go
+++ b/core/tmcontrol/pool.go
@@ -279,7 +279,7 @@
 func (c *Controller) movable(id, pool string, now tmclock.Millis) bool {
 	i, ok := c.fleet.instances[id]
 	if !ok || i.State != InstanceUp || i.Pool == pool || c.zonesOut[i.Zone] || c.fleet.moves[id] != nil ||
-		c.fleet.barred[barredMove{id, pool}] || now.Before(c.fleet.moveAfter[id]) {
+		c.fleet.barred[barredMove{id, pool}] || now.Before(c.fleet.moveAfter[id]) || now.Before(c.fleet.orderAfter[id]) {
 		return false
 	}
 	for _, w := range c.fleet.waves {
@@ -307,7 +307,7 @@
 
 func (c *Controller) orderMove(m *move, now tmclock.Millis) {
 	m.ordered, m.inFlight = now, true
-	c.fleet.orders = append(c.fleet.orders, InstanceOrder{Instance: m.instance, Token: c.token, Pool: m.pool})
+	c.orderInstance(InstanceOrder{Instance: m.instance, Token: c.token, Pool: m.pool}, now)
 }
 
 // repeatMoves sends orders without an answer again: a move that is done is
--- a/io/tmowner/flush.go
+++ b/io/tmowner/flush.go
@@ -98,7 +98,7 @@
 		case <-o.kickFlush:
 		}
 		o.mu.Lock()
-		f := o.ctl.TakeFlush()
+		f := o.ctl.TakeFlush(o.opts.Clock.Now())
 		o.mu.Unlock()
 		if f == nil {
 			continue
@@ -117,7 +117,7 @@
 // owner's time is over.
 func (o *Owner) storeFlush(ctx context.Context, f *tmcontrol.Flush) bool {
 	txn, outcomes := o.transaction(f)
-	for len(f.Changes) > 0 {
+	for len(txn.Puts) > 1 {
 		txn.Expects[0].Version = o.guardVersion
 		done, later := o.write(ctx, txn)
 		if later || ctx.Err() != nil {
@@ -155,6 +155,9 @@
 		txn.Puts = append(txn.Puts, tmtable.Put{Key: tmrecord.FreshOutcomeKey(c.Job), Value: tmrecord.EncodeOutcome(out)})
 		txn.Removes = append(txn.Removes, tmrecord.RunKey(c.Job))
 	}
+	if f.Orders != nil {
+		txn.Puts = append(txn.Puts, tmtable.Put{Key: tmrecord.OrdersKey(), Value: tmrecord.EncodeOrders(f.Orders)})
+	}
 	if len(f.Changes) > 0 {
 		for _, job := range o.moved() {
 			txn.Removes = append(txn.Removes, tmrecord.FreshOutcomeKey(job))
--- a/io/tmowner/owner.go
+++ b/io/tmowner/owner.go
@@ -345,9 +345,6 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	for _, row := range page.Rows {
-		if tmrecord.IsGuard(row.Key.Key) {
-			continue
-		}
 		if err := o.restoreRow(row, now); err != nil {
 			o.note("row_unreadable", "table", row.Table, "key", row.Key.Key, "cause", err.Error())
 		}
@@ -355,8 +352,16 @@
 	return nil
 }
 
-// restoreRow takes in the progress or the outcome of a job. The mutex is held.
+// restoreRow takes in a row of the owner's part. The mutex is held.
 func (o *Owner) restoreRow(row tmtable.Row, now tmclock.Millis) error {
+	switch row.Key {
+	case tmrecord.GuardKey():
+		return nil
+	case tmrecord.OrdersKey():
+		instances, err := tmrecord.DecodeOrders(row.Value)
+		o.ctl.RestoreOrders(instances, now)
+		return err
+	}
 	kind, id := tmrecord.KindOf(row.Key.Key)
 	if kind == tmrecord.OutcomeRow {
 		out, err := tmrecord.DecodeOutcome(row.Value)
--- a/io/tmrecord/codec.go
+++ b/io/tmrecord/codec.go
@@ -276,3 +276,19 @@
 	}
 	return Wave(row), nil
 }
+
+type ordersRow struct {
+	Instances []string `json:"i"`
+}
+
+// EncodeOrders returns the row with the instances of recent orders.
+func EncodeOrders(instances []string) []byte { return encode(ordersRow{Instances: instances}) }
+
+// DecodeOrders reads the row with the instances of recent orders.
+func DecodeOrders(data []byte) ([]string, error) {
+	var row ordersRow
+	if err := decode("orders", data, &row); err != nil {
+		return nil, err
+	}
+	return row.Instances, nil
+}
--- a/io/tmrecord/layout.go
+++ b/io/tmrecord/layout.go
@@ -33,6 +33,8 @@
 	afterSuffixes = "/"
 	// guardKey is the row that the owner writes with every flush.
 	guardKey = "!owner"
+	// ordersKey is the row with the instances about which orders were given.
+	ordersKey = "!orders"
 	// ownerPart is the part that only the owner writes to.
 	ownerPart = "own"
 	// parts is how many parts the jobs are spread over. All processes of an
@@ -137,5 +139,8 @@
 	return JobRow, key
 }
 
-// IsGuard reports whether a key of the progress table is no job but the owner's.
-func IsGuard(key string) bool { return strings.HasPrefix(key, "!") }
+// OrdersKey returns the row with the instances about which the owner has given
+// orders of late.
+func OrdersKey() tmtable.Key {
+	return tmtable.Key{Table: RunTable, Part: ownerPart, Key: ordersKey}
+}
