core/tmcontrol: instances on their way out of a pool don't count

Cause: the next decision, 100 ms later, counted them as there and gave away more; on the grown site one pool was left without instances and got none back. Ruled out: refused moves (all were accepted).

--- a/core/tmcontrol/pool.go
+++ b/core/tmcontrol/pool.go
@@ -124,7 +124,8 @@
 		size := poolSize{service: s.Name}
 		var capacity, need tmjob.Amount
 		for _, e := range c.endpoints {
-			if e.info.Service != s.Name || e.gone || !e.listed || e.info.Draining || c.zonesOut[e.info.Zone] {
+			// Instances that are about to leave, or to go down, don't count.
+			if e.info.Service != s.Name || e.gone || !e.listed || e.info.Draining || e.ending || c.zonesOut[e.info.Zone] {
 				continue
 			}
 			size.have++
@@ -134,9 +135,6 @@
 				size.idle = append(size.idle, e)
 			}
 		}
-		if size.have == 0 {
-			continue
-		}
 		d := c.demandOf(s.Name)
 		d.decay(now)
 		rising := tmjob.Amount{CPU: need.CPU + int64(headroom*d.rate)}
@@ -165,6 +163,9 @@
 
 // instances returns how many instances of the mean size hold an amount.
 func instances(need, capacity tmjob.Amount, have int) int {
+	if have == 0 {
+		return 0
+	}
 	n := 0.0
 	for _, part := range [][2]int64{{need.CPU, capacity.CPU}, {need.Mem, capacity.Mem}, {need.GPU, capacity.GPU}} {
 		if part[1] > 0 {
