core/tmcontrol: a new owner counts the instances its predecessor took down

Cause: with orders about instances allowed at once after a change of owner, the instances that were down already did not count (LIMIT 7).

--- a/core/tmcontrol/controller_test.go
+++ b/core/tmcontrol/controller_test.go
@@ -347,3 +347,23 @@
 	}
 	assert.Equal(t, moved, 6-minPool)
 }
+
+// A new owner did not count the instances that its predecessor had taken down, and
+// more than the bound of the wave were down at once.
+func TestNextOwnerCountsInstancesThatAreDown(t *testing.T) {
+	f := newFixture(t, 3)
+	f.c.bounds.TurnTime = 3000
+	f.c.RestoreOrders([]string{"i1"}, f.now)
+	f.c.SetInstances([]Instance{
+		{ID: "i1", Pool: "s", State: InstanceUp, Endpoint: "e1"},
+		{ID: "i2", Pool: "s", State: InstanceUpkeep, Endpoint: "e2"},
+		{ID: "i3", Pool: "s", State: InstanceUp, Endpoint: "e3"},
+	}, f.now)
+	wave := Wave{Name: "1", Number: 1, Instances: []string{"i1", "i2", "i3"}, Bound: 2}
+	f.c.Apply(Directive{Rules: testRules(1), Waves: []Wave{wave}}, f.now)
+	for range 20 {
+		f.step(100)
+	}
+	orders, _ := f.c.TakeInstanceOrders()
+	assert.Equal(t, len(orders), 0)
+}
--- a/core/tmcontrol/fleet.go
+++ b/core/tmcontrol/fleet.go
@@ -405,7 +405,12 @@
 			if it.doubt {
 				down++
 			}
-		case dutyDue, dutyDone:
+		case dutyDue:
+			// An earlier owner may have ordered it.
+			if c.fleet.instances[it.id].State == InstanceUpkeep || now.Before(c.fleet.orderAfter[it.id]) {
+				down++
+			}
+		case dutyDone:
 		}
 		if it.state != dutyDone {
 			open++
