core/tmcontrol: stalled tasks move, slow endpoints are avoided, draining ones left, filling tasks paced

Cause: tasks that stand still or run on a slow endpoint held their jobs up; long-running tasks stayed on a draining endpoint until it was gone; nothing slowed tasks that fill; the fleet was handed over only when a leaving node ended.

--- a/cmd/turmericmoor/node.go
+++ b/cmd/turmericmoor/node.go
@@ -31,9 +31,10 @@
 	// that it isn't ready: the balancer asks once a second and goes by the
 	// second refusal.
 	unreadyTime = 2500 * time.Millisecond
-	// closeTime bounds the end of the requests under way.
-	closeTime = 1500 * time.Millisecond
-	logTime   = 200 * time.Millisecond
+	// closeMargin is kept back from the time until SIGKILL for the end of the
+	// process.
+	closeMargin = 600 * time.Millisecond
+	logTime     = 200 * time.Millisecond
 	// keyAgeShare is the part of the bound for withdrawn keys after which a node
 	// that hears nothing from the store stops serving callers.
 	keyAgeShare = 0.55
@@ -94,8 +95,9 @@
 	<-ctx.Done()
 	events.Note("node_stops")
 	node.Leave()
-	time.Sleep(min(unreadyTime, settings.Shutdown()/2))
-	err = server.Close(closeTime)
+	unready := min(unreadyTime, settings.Shutdown()/2)
+	time.Sleep(unready)
+	err = server.Close(settings.Shutdown() - unready - closeMargin)
 	stop()
 	<-stopped
 	return err
--- a/core/tmcontrol/controller_test.go
+++ b/core/tmcontrol/controller_test.go
@@ -367,3 +367,86 @@
 	orders, _ := f.c.TakeInstanceOrders()
 	assert.Equal(t, len(orders), 0)
 }
+
+// Tasks that fill are slowed while a task beside them misses its target, and get
+// their share back afterwards.
+func TestFillingTasksAreSlowed(t *testing.T) {
+	f := newFixture(t, 1)
+	long := tmjob.Step{Count: 1, Size: tmjob.Amount{CPU: 1000}, LongRunning: true}
+	serve, fill := long, long
+	serve.Target, fill.Fills = 100, true
+	f.c.Submitted(tmjob.Job{ID: "j", Queue: "q", Accepted: 1000, Steps: []tmjob.Step{serve, fill}})
+	assert.Equal(t, len(f.step(10)), 2)
+	usage := func(ms int64) []PaceOrder {
+		f.now = f.now.Add(paceEvery)
+		for i, a := range f.run["e1"] {
+			if a.Task.Step == 0 {
+				f.run["e1"][i].Usage = ms
+			}
+		}
+		f.look("e1")
+		_, _, paces := f.c.TakeOrders(f.now)
+		return paces
+	}
+	paces := usage(150)
+	assert.Equal(t, len(paces), 1)
+	assert.Equal(t, paces[0].Percent, 40)
+	assert.Equal(t, paces[0].Ref.Task.Step, 1)
+	usage(150)
+	assert.Equal(t, usage(150)[0].Percent, 0)
+	assert.Equal(t, usage(20)[0].Percent, 20)
+	assert.Equal(t, len(usage(80)), 0)
+}
+
+// A task that stands still on a sick endpoint held its job up for good.
+func TestStalledTaskMoves(t *testing.T) {
+	f := newFixture(t, 2)
+	f.c.Submitted(oneTask("j"))
+	first := f.step(10)[0].Ref
+	f.run[first.Endpoint][0].Percent = 30
+	stopped := false
+	for range 30 {
+		f.now = f.now.Add(100)
+		f.look(first.Endpoint)
+		_, stops, _ := f.c.TakeOrders(f.now)
+		for _, s := range stops {
+			stopped = true
+			f.c.Stopped(s.Ref, Accepted, f.now)
+			f.end(first.Endpoint, first.Task, 1, EndStopped)
+		}
+	}
+	assert.Assert(t, stopped)
+	second := f.step(10)
+	assert.Equal(t, len(second), 1)
+	assert.Assert(t, second[0].Ref.Endpoint != first.Endpoint)
+}
+
+// The long-running tasks of a draining endpoint stayed until it was gone.
+func TestLongRunningTaskLeavesDrainingEndpoint(t *testing.T) {
+	f := newFixture(t, 2)
+	f.c.Submitted(tmjob.Job{ID: "j", Queue: "q", Accepted: 1000, Steps: []tmjob.Step{{
+		Count: 1, Size: tmjob.Amount{CPU: 1000}, LongRunning: true, MayMiss: 1,
+	}}})
+	first := f.step(10)[0].Ref
+	f.look(first.Endpoint)
+	l := f.c.endpoints[first.Endpoint].info
+	l.Draining = true
+	f.c.SetEndpoint(l, f.now)
+	f.c.Tick(f.now, int64(f.now))
+	_, stops, _ := f.c.TakeOrders(f.now)
+	assert.Equal(t, len(stops), 1)
+}
+
+// A speculative task gets a second copy when its endpoint does not answer; of
+// other tasks no two runs may be active.
+func TestSpeculativeTaskGetsCopy(t *testing.T) {
+	for _, speculative := range []bool{true, false} {
+		f := newFixture(t, 2)
+		j := oneTask("j")
+		j.Steps[0].Speculative = speculative
+		f.c.Submitted(j)
+		first := f.step(10)[0].Ref
+		f.c.Silent(first.Endpoint, "test")
+		assert.Equal(t, len(f.step(10)) == 1, speculative)
+	}
+}
--- a/core/tmcontrol/estimate.go
+++ b/core/tmcontrol/estimate.go
@@ -15,7 +15,7 @@
 	trust = 2.0
 )
 
-// runTime is the moving mean of the run times of a queue's tasks.
+// runTime is a moving mean of run times.
 type runTime struct {
 	mean  float64
 	count int
@@ -34,8 +34,13 @@
 		c.runTimes[queue] = t
 	}
 	took := float64(now.Sub(r.began))
+	s.took.add(took)
+	t.add(took)
+}
+
+func (t *runTime) add(v float64) {
 	t.count++
-	t.mean += (took - t.mean) * math.Max(learnWeight, 1/float64(t.count))
+	t.mean += (v - t.mean) * math.Max(learnWeight, 1/float64(t.count))
 }
 
 // estimate returns the expected run time of a task in ms: the declared one,
--- a/core/tmcontrol/fleet.go
+++ b/core/tmcontrol/fleet.go
@@ -108,7 +108,9 @@
 	moveAfter map[string]tmclock.Millis
 	barred    map[barredMove]bool
 	demands   map[string]*demand
-	sizedAt   tmclock.Millis
+	// paces are the usual ratios of actual to expected run times by pool.
+	paces   map[string]*runTime
+	sizedAt tmclock.Millis
 	// starved holds the pools in which a long-running task found no place since
 	// the last sizing.
 	starved map[string]bool
--- a/core/tmcontrol/job.go
+++ b/core/tmcontrol/job.go
@@ -38,6 +38,8 @@
 	tasks []*task
 	// left counts the tasks that are not done.
 	left int
+	// took is the mean run time of the tasks that are done.
+	took runTime
 	// advice is the answer of the external policy, where the queue needs it.
 	advice advice
 }
@@ -52,8 +54,6 @@
 	active   []*run
 	// notBefore delays the next start after a failure.
 	notBefore tmclock.Millis
-	// lostAt is when the task last stopped being at work.
-	lostAt tmclock.Millis
 }
 
 // phase is where a run is between the decision to start it and its end.
@@ -90,14 +90,16 @@
 	tries    int
 	began    tmclock.Millis
 	percent  int
-	usage    int64
-	pace     int
-	paced    tmclock.Millis
-	ticket   string
-	stop     bool
-	stopAt   tmclock.Millis
-	stopped  bool
-	why      string
+	// moved is when percent last changed.
+	moved   tmclock.Millis
+	usage   int64
+	pace    int
+	paced   tmclock.Millis
+	ticket  string
+	stop    bool
+	stopAt  tmclock.Millis
+	stopped bool
+	why     string
 }
 
 func (r *run) key() runKey { return runKey{task: r.task.id, run: r.n} }
@@ -161,7 +163,14 @@
 }
 
 func (t *task) waiting(now tmclock.Millis) bool {
-	return !t.done && len(t.active) == 0 && !now.Before(t.notBefore)
+	return !t.done && !now.Before(t.notBefore) && (len(t.active) == 0 || t.wantsCopy())
+}
+
+// wantsCopy reports whether a second copy of a task may and should run: the
+// endpoint of the first one does not answer.
+func (t *task) wantsCopy() bool {
+	return t.step.spec.Speculative && !t.step.spec.Gang && len(t.active) == 1 &&
+		t.active[0].phase != planned && !t.active[0].ep.answering
 }
 
 // atWork reports whether a long-running task serves its users, as far as its
--- a/core/tmcontrol/look.go
+++ b/core/tmcontrol/look.go
@@ -99,6 +99,9 @@
 	}
 	if e.fenced && e.seen == e.acked {
 		h.Wait = waitTime
+		if e.shared() {
+			h.Wait = paceWait
+		}
 	}
 	return h, true
 }
@@ -143,6 +146,8 @@
 			c.unlisted(r, sentAt, now)
 		}
 	}
+	c.planPaces(e, now)
+	c.judge(e, now)
 }
 
 // Silent takes in that a call to an endpoint got no answer.
@@ -172,6 +177,9 @@
 		}
 	}
 	r.settled, r.doubt = now, false
+	if a.Percent != r.percent {
+		r.moved = now
+	}
 	r.percent, r.usage = a.Percent, a.Usage
 	t := r.task
 	if a.Saved != "" && a.Saved != t.saved {
@@ -330,6 +338,9 @@
 			delete(c.endpoints, id)
 			continue
 		}
+		if e.info.Draining && e.listed {
+			c.leave(e, now)
+		}
 		for _, r := range e.runs {
 			if r.stop {
 				c.sendStop(r, now)
@@ -341,6 +352,26 @@
 	}
 }
 
+// leave stops the long-running tasks of a draining endpoint that have another
+// place, before the endpoint exits.
+func (c *Controller) leave(e *endpoint, now tmclock.Millis) {
+	if e.longRoom() == (tmjob.Amount{}) {
+		return
+	}
+	p := c.pools(now)[e.info.Service]
+	for _, r := range sortedRuns(e) {
+		s := r.task.step
+		if !s.spec.LongRunning || r.stop || r.phase != active {
+			continue
+		}
+		if p == nil || c.choose(s, p, now) == nil {
+			c.fleet.starved[e.info.Service] = true
+			return
+		}
+		c.stopRun(r, "its endpoint drains")
+	}
+}
+
 func (c *Controller) openDue(j *job, now tmclock.Millis, wall int64) {
 	for j.next < j.spec.Occurrences() {
 		if j.spec.Repeats > 0 && wall < j.spec.Due(j.next) {
--- a/core/tmcontrol/plan.go
+++ b/core/tmcontrol/plan.go
@@ -8,9 +8,6 @@
 	"turmericmoor/core/tmjob"
 )
 
-// restartPause is the time before a long-running task that ended starts again.
-const restartPause = 20 * tmclock.Millisecond
-
 // rank orders occurrences for placement, smaller first.
 type rank struct {
 	occ *occurrence
--- a/io/tmelection/election.go
+++ b/io/tmelection/election.go
@@ -46,6 +46,9 @@
 	Seen func(o tmrecord.Owner)
 	// Note hears of every change of role.
 	Note func(event string, fields ...any)
+	// Leave, when closed, ends the node's part in the election: it resigns, and
+	// goes on only to follow the row.
+	Leave <-chan struct{}
 
 	mu      sync.Mutex
 	row     tmrecord.Owner
@@ -55,7 +58,8 @@
 	contact time.Time
 }
 
-// Run takes part in the election until ctx ends, and resigns then.
+// Run takes part in the election until ctx ends or the node leaves, and resigns
+// then. It returns when ctx ends.
 func (c *Candidate) Run(ctx context.Context) {
 	var following sync.WaitGroup
 	followCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
@@ -64,13 +68,23 @@
 		stop()
 		following.Wait()
 	}()
-	for ctx.Err() == nil {
-		if token, ok := c.tryTake(ctx); ok {
-			c.lead(ctx, token)
+	standing, end := context.WithCancel(ctx)
+	defer end()
+	following.Go(func() {
+		select {
+		case <-c.Leave:
+			end()
+		case <-standing.Done():
+		}
+	})
+	for standing.Err() == nil {
+		if token, ok := c.tryTake(standing); ok {
+			c.lead(standing, token)
 			continue
 		}
-		sleep(ctx, retryPause)
+		sleep(standing, retryPause)
 	}
+	<-ctx.Done()
 }
 
 func (c *Candidate) follow(ctx context.Context) {
@@ -142,7 +156,7 @@
 		return 0, false
 	}
 	next := tmrecord.Owner{Holder: c.Name, Token: row.Token + 1}
-	if _, err := c.write(ctx, next, version); err != nil {
+	if err := c.write(ctx, next, version); err != nil {
 		return 0, false
 	}
 	c.Note("owner_won", "token", next.Token, "before", row.Holder)
@@ -150,7 +164,7 @@
 }
 
 // write replaces the row at a version and learns the new one.
-func (c *Candidate) write(ctx context.Context, o tmrecord.Owner, version int64) (int64, error) {
+func (c *Candidate) write(ctx context.Context, o tmrecord.Owner, version int64) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	key := tmrecord.OwnerKey()
@@ -161,13 +175,12 @@
 	var conflict *tmtable.ConflictError
 	if errors.As(err, &conflict) {
 		c.take(conflict.Rows)
-		return 0, err
 	}
 	if err != nil {
-		return 0, err
+		return err
 	}
 	c.learn(o, res.Version)
-	return res.Version, nil
+	return nil
 }
 
 func (c *Candidate) lead(ctx context.Context, token int64) {
@@ -209,7 +222,7 @@
 		beat++
 		waiting, counted := c.Status()
 		next := tmrecord.Owner{Holder: c.Name, Token: token, Beat: beat, Waiting: waiting, Counted: counted}
-		if _, err := c.write(ctx, next, version); err != nil && ctx.Err() == nil {
+		if err := c.write(ctx, next, version); err != nil && ctx.Err() == nil {
 			c.Note("renewal_failed", "token", token, "cause", err.Error())
 		}
 	}
@@ -225,7 +238,7 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
-	if _, err := c.write(ctx, tmrecord.Owner{Token: token}, version); err != nil {
+	if err := c.write(ctx, tmrecord.Owner{Token: token}, version); err != nil {
 		c.Note("resignation_failed", "token", token, "cause", err.Error())
 	}
 }
--- a/io/tmnode/node.go
+++ b/io/tmnode/node.go
@@ -72,13 +72,14 @@
 	items    map[string]Item
 	fresh    time.Time
 	leaving  bool
+	leave    chan struct{}
 	owner    *tmowner.Owner
 	wasStale bool
 }
 
 // New returns a node. Run starts it.
 func New(opts Options) *Node {
-	return &Node{opts: opts, intake: tmintake.New(opts.Store), items: map[string]Item{}}
+	return &Node{opts: opts, intake: tmintake.New(opts.Store), items: map[string]Item{}, leave: make(chan struct{})}
 }
 
 // Run serves until ctx ends.
@@ -87,7 +88,7 @@
 	work.Go(func() { n.followOperator(ctx) })
 	candidate := &tmelection.Candidate{
 		Store: n.opts.Store, Name: n.opts.Name, Stagger: n.opts.Stagger,
-		Lead: n.lead, Status: n.status,
+		Lead: n.lead, Status: n.status, Leave: n.leave,
 		Seen: func(o tmrecord.Owner) { n.intake.SetOwner(o, time.Now()) },
 		Note: func(event string, fields ...any) { n.note(event, fields...) },
 	}
@@ -99,11 +100,15 @@
 	n.opts.Note(tmcontrol.Event{Name: name, Fields: fields})
 }
 
-// Leave makes the node report that it isn't ready, before it stops.
+// Leave makes the node report that it isn't ready, and hand the fleet over, before
+// it stops. Callers are still served.
 func (n *Node) Leave() {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.leaving = true
+	if !n.leaving {
+		n.leaving = true
+		close(n.leave)
+	}
 }
 
 // Ready reports whether the node takes requests.
