core/tmevent, io/tmmetrics: a closed list of events, metrics of a node

Cause: the decision log had names all over the code, there were no metrics, and the loss of a table was logged at every try.

--- a/cmd/turmericmoor/node.go
+++ b/cmd/turmericmoor/node.go
@@ -11,12 +11,14 @@
 	"syscall"
 	"time"
 
+	"turmericmoor/core/tmevent"
+
 	"github.com/cespare/xxhash/v2"
 	"github.com/spf13/cobra"
 
 	"turmericmoor/core/tmclock"
-	"turmericmoor/core/tmcontrol"
 	"turmericmoor/io/tmeventlog"
+	"turmericmoor/io/tmmetrics"
 	"turmericmoor/io/tmnode"
 	"turmericmoor/io/tmnodesettings"
 	"turmericmoor/io/tmserve"
@@ -71,16 +73,24 @@
 	}
 	events := tmeventlog.New(out, settings.Name())
 	defer events.Close(logTime)
-	events.Note("node_starts", "zone", settings.Zone(), "unknown_settings", settings.Unknown())
+	events.Note(tmevent.NodeStarts, "zone", settings.Zone(), "unknown_settings", settings.Unknown())
 	opts := tmnode.Options{
 		Name: settings.Name(), Clock: tmclock.NewSystem(), Bounds: settings.Bounds(),
 		MaxAge:  time.Duration(float64(settings.KeyWithdrawn()) * keyAgeShare),
 		Stagger: float64(xxhash.Sum64String(settings.Name())%1000) / 1000,
-		Note:    func(e tmcontrol.Event) { events.Note(e.Name, e.Fields...) },
 	}
+	// The metrics show the node and the node counts in them, so they are set
+	// before the node runs.
+	var metrics *tmmetrics.Metrics
+	opts.Note = func(e tmevent.Event) {
+		metrics.Event(e.Name)
+		events.Note(e.Name, e.Fields...)
+	}
+	opts.Observe = func(call string, took time.Duration, err error) { metrics.Observe(call, took, err) }
 	defer platform.Connect(settings, &opts)()
 	node := tmnode.New(opts)
-	server, err := serveNode(settings, node)
+	metrics = tmmetrics.New(node, events.Dropped, events.Written)
+	server, err := serveNode(settings, node, metrics)
 	if err != nil {
 		return err
 	}
@@ -93,7 +103,7 @@
 		node.Run(nodeCtx)
 	}()
 	<-ctx.Done()
-	events.Note("node_stops")
+	events.Note(tmevent.NodeStops)
 	node.Leave()
 	unready := min(unreadyTime, settings.Shutdown()/2)
 	time.Sleep(unready)
@@ -103,7 +113,7 @@
 	return err
 }
 
-func serveNode(settings tmnodesettings.Settings, node *tmnode.Node) (*tmserve.Server, error) {
+func serveNode(settings tmnodesettings.Settings, node *tmnode.Node, metrics *tmmetrics.Metrics) (*tmserve.Server, error) {
 	server := &tmserve.Server{}
 	front := platform.NewFront(node)
 	if err := server.Add(settings.Callers(), front); err != nil {
@@ -116,6 +126,7 @@
 		return server, nil
 	}
 	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", metrics.Handler())
 	mux.HandleFunc("GET /dump", func(w http.ResponseWriter, _ *http.Request) { writeDump(w, node) })
 	return server, server.Add(settings.Metrics(), mux)
 }
--- a/core/tmcontrol/advice.go
+++ b/core/tmcontrol/advice.go
@@ -1,6 +1,9 @@
 package tmcontrol
 
-import "turmericmoor/core/tmclock"
+import (
+	"turmericmoor/core/tmclock"
+	"turmericmoor/core/tmevent"
+)
 
 // maxAdvised bounds the endpoints named in one question to the placement
 // policy.
@@ -66,7 +69,7 @@
 	q.step.advice.asked = false
 	q.step.advice.tickets = tickets
 	q.step.advice.until = asked.Add(valid - ticketMargin)
-	c.event("advice", "step", q.Step, "asked", len(q.Endpoints), "good", len(tickets), "valid_ms", int64(valid))
+	c.event(tmevent.Advice, "step", q.Step, "asked", len(q.Endpoints), "good", len(tickets), "valid_ms", int64(valid))
 }
 
 // ticketMargin is how long before its end a ticket is no longer used: the
--- a/core/tmcontrol/controller.go
+++ b/core/tmcontrol/controller.go
@@ -11,6 +11,7 @@
 
 import (
 	"turmericmoor/core/tmclock"
+	"turmericmoor/core/tmevent"
 	"turmericmoor/core/tmjob"
 )
 
@@ -19,7 +20,7 @@
 	bounds Bounds
 	token  int64
 	rules  Rules
-	note   func(Event)
+	note   func(tmevent.Event)
 
 	jobs map[string]*job
 	// order holds the jobs that are not final in order of arrival.
@@ -53,7 +54,7 @@
 
 // New returns a controller of an owner with that fencing token. note receives
 // every decision.
-func New(bounds Bounds, token int64, note func(Event)) *Controller {
+func New(bounds Bounds, token int64, note func(tmevent.Event)) *Controller {
 	return &Controller{
 		bounds: bounds, token: token, note: note,
 		jobs: map[string]*job{}, endpoints: map[string]*endpoint{}, past: map[string]bool{},
@@ -73,8 +74,8 @@
 // Stats returns what was counted since the controller was made.
 func (c *Controller) Stats() Stats { return c.stats }
 
-func (c *Controller) event(name string, fields ...any) {
-	c.note(Event{Name: name, Fields: fields})
+func (c *Controller) event(name tmevent.Name, fields ...any) {
+	c.note(tmevent.Event{Name: name, Fields: fields})
 }
 
 // SetRules installs a configuration.
@@ -83,7 +84,7 @@
 		return
 	}
 	c.rules = r
-	c.event("rules_installed", "version", r.Version, "queues", len(r.Queues), "teams", len(r.Teams))
+	c.event(tmevent.RulesInstalled, "version", r.Version, "queues", len(r.Queues), "teams", len(r.Teams))
 }
 
 // SetZoneOut takes an availability zone out, or puts it back.
@@ -92,7 +93,7 @@
 		return
 	}
 	c.zonesOut[zone] = out
-	c.event("zone_out", "zone", zone, "out", out)
+	c.event(tmevent.ZoneOut, "zone", zone, "out", out)
 }
 
 // Submitted takes in a stored job. A job that is known is left as it is.
@@ -150,7 +151,7 @@
 		j.open(rec.Occurrence)
 		t := j.task(tmjob.TaskID{Job: p.ID, Occurrence: rec.Occurrence, Step: rec.Step, Index: rec.Index})
 		if t == nil {
-			c.event("record_ignored", "job", p.ID, "step", rec.Step, "index", rec.Index)
+			c.event(tmevent.RecordIgnored, "job", p.ID, "step", rec.Step, "index", rec.Index)
 			continue
 		}
 		j.begun = true
@@ -173,7 +174,7 @@
 	e := c.endpoints[place.Endpoint]
 	if e != nil && place.Born != 0 && e.info.Born > place.Born {
 		// The endpoint has started again since, so the run is gone.
-		c.event("run_gone", "task", t.id.String(), "run", place.Run, "endpoint", place.Endpoint, "cause", "endpoint restarted")
+		c.event(tmevent.RunGone, "task", t.id.String(), "run", place.Run, "endpoint", place.Endpoint, "cause", "endpoint restarted")
 		return
 	}
 	if e == nil {
@@ -236,7 +237,7 @@
 	}
 	j.final, j.state, j.cause = true, state, cause
 	c.past[j.spec.ID] = true
-	c.event("job_final", "job", j.spec.ID, "queue", j.spec.Queue, "team", j.spec.Team, "state", state.String(), "cause", cause)
+	c.event(tmevent.JobFinal, "job", j.spec.ID, "queue", j.spec.Queue, "team", j.spec.Team, "state", state.String(), "cause", cause)
 	for _, o := range j.occurrences {
 		for _, s := range o.steps {
 			for _, t := range s.tasks {
--- a/core/tmcontrol/controller_test.go
+++ b/core/tmcontrol/controller_test.go
@@ -6,6 +6,7 @@
 	"gotest.tools/v3/assert"
 
 	"turmericmoor/core/tmclock"
+	"turmericmoor/core/tmevent"
 	"turmericmoor/core/tmjob"
 )
 
@@ -47,7 +48,7 @@
 }
 
 func (f *fixture) newController(token int64) *Controller {
-	c := New(testBounds(), token, func(e Event) { f.t.Log(f.now, e.Name, e.Fields) })
+	c := New(testBounds(), token, func(e tmevent.Event) { f.t.Log(f.now, e.Name, e.Fields) })
 	c.Apply(Directive{Rules: testRules(1)}, f.now)
 	return c
 }
--- a/core/tmcontrol/dump.go
+++ b/core/tmcontrol/dump.go
@@ -1,6 +1,10 @@
 package tmcontrol
 
-import "slices"
+import (
+	"slices"
+
+	"turmericmoor/core/tmjob"
+)
 
 // ToHold returns the endpoints that need a hold and are not in held. There are
 // none before all stored jobs are known: the ends that an endpoint lists would
@@ -46,6 +50,16 @@
 	Open      []JobDump
 	Endpoints []EndpointDump
 	Waves     []WaveDump
+	// Waiting is the number of jobs not begun by queue, Pools sums up endpoints
+	// by pool, and Teams is what teams have running. They are complete.
+	Waiting map[string]int
+	Pools   map[string]PoolDump
+	Teams   map[string]tmjob.Amount
+}
+
+// PoolDump sums up the endpoints of one pool.
+type PoolDump struct {
+	Answering, Silent, Runs int
 }
 
 // JobDump is one job of a dump.
@@ -71,7 +85,25 @@
 
 // Dump returns the state of the controller.
 func (c *Controller) Dump() Dump {
-	d := Dump{Token: c.token, Rules: c.rules.Version, Jobs: len(c.jobs)}
+	d := Dump{
+		Token: c.token, Rules: c.rules.Version, Jobs: len(c.jobs), Waiting: c.Waiting(),
+		Pools: map[string]PoolDump{}, Teams: map[string]tmjob.Amount{},
+	}
+	for team, used := range c.teams {
+		if team != "" {
+			d.Teams[team] = used
+		}
+	}
+	for _, e := range c.endpoints {
+		p := d.Pools[e.info.Service]
+		p.Runs += len(e.runs)
+		if e.answering {
+			p.Answering++
+		} else {
+			p.Silent++
+		}
+		d.Pools[e.info.Service] = p
+	}
 	for _, j := range c.order[:min(len(c.order), dumpLimit)] {
 		d.Open = append(d.Open, j.dump())
 	}
--- a/core/tmcontrol/fleet.go
+++ b/core/tmcontrol/fleet.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 
+	"turmericmoor/core/tmevent"
+
 	"turmericmoor/core/tmclock"
 	"turmericmoor/core/tmjob"
 )
@@ -108,9 +110,7 @@
 	moveAfter map[string]tmclock.Millis
 	barred    map[barredMove]bool
 	demands   map[string]*demand
-	// paces are the usual ratios of actual to expected run times by pool.
-	paces   map[string]*runTime
-	sizedAt tmclock.Millis
+	sizedAt   tmclock.Millis
 	// starved holds the pools in which a long-running task found no place since
 	// the last sizing.
 	starved map[string]bool
@@ -176,7 +176,7 @@
 		added.restore(r)
 	}
 	c.fleet.waves[w.Name] = added
-	c.event("wave_begins", "wave", w.Name, "instances", len(w.Instances), "bound", w.Bound, "within_ms", int64(w.Within))
+	c.event(tmevent.WaveBegins, "wave", w.Name, "instances", len(w.Instances), "bound", w.Bound, "within_ms", int64(w.Within))
 }
 
 func (w *wave) report() WaveReport {
@@ -287,7 +287,7 @@
 	if e != nil && !e.gone {
 		e.reserved, e.ending = false, false
 	}
-	c.event("upkeep_done", "instance", it.id, "wave", w.Name)
+	c.event(tmevent.UpkeepDone, "instance", it.id, "wave", w.Name)
 }
 
 // RestoreOrders takes in the instances about which the earlier owner has given
@@ -328,7 +328,7 @@
 
 // InstanceOrdered takes in the answer to an order.
 func (c *Controller) InstanceOrdered(o InstanceOrder, a Answer, now tmclock.Millis) {
-	c.event("instance_order", "instance", o.Instance, "wave", o.Wave, "pool", o.Pool, "answer", a.String(), "token", o.Token)
+	c.event(tmevent.InstanceOrder, "instance", o.Instance, "wave", o.Wave, "pool", o.Pool, "answer", a.String(), "token", o.Token)
 	if o.Pool != "" {
 		c.moveAnswer(o, a, now)
 		return
@@ -420,7 +420,7 @@
 	}
 	if open == 0 {
 		w.done = true
-		c.event("wave_done", "wave", w.Name, "took_ms", int64(now.Sub(w.began)))
+		c.event(tmevent.WaveDone, "wave", w.Name, "took_ms", int64(now.Sub(w.began)))
 		c.fleet.reports = append(c.fleet.reports, w.report())
 		return
 	}
--- a/core/tmcontrol/look.go
+++ b/core/tmcontrol/look.go
@@ -2,6 +2,7 @@
 
 import (
 	"turmericmoor/core/tmclock"
+	"turmericmoor/core/tmevent"
 	"turmericmoor/core/tmjob"
 )
 
@@ -15,7 +16,7 @@
 		e = newEndpoint(l)
 		e.listedAt = now
 		c.endpoints[l.ID] = e
-		c.event("endpoint_listed", "endpoint", l.ID, "service", l.Service, "instance", l.Instance, "zone", l.Zone)
+		c.event(tmevent.EndpointListed, "endpoint", l.ID, "service", l.Service, "instance", l.Instance, "zone", l.Zone)
 		c.replaceOn(l, now)
 		return
 	}
@@ -27,10 +28,10 @@
 		e.listedAt = now
 	}
 	if l.Draining && !e.info.Draining {
-		c.event("endpoint_draining", "endpoint", l.ID)
+		c.event(tmevent.EndpointDraining, "endpoint", l.ID)
 	}
 	if !e.listed && e.info.Service == "" {
-		c.event("endpoint_listed", "endpoint", l.ID, "service", l.Service, "instance", l.Instance, "zone", l.Zone)
+		c.event(tmevent.EndpointListed, "endpoint", l.ID, "service", l.Service, "instance", l.Instance, "zone", l.Zone)
 	}
 	e.info = l
 	e.listed = true
@@ -54,7 +55,7 @@
 func (c *Controller) RemoveEndpoint(id string) {
 	if e := c.endpoints[id]; e != nil && e.listed {
 		e.listed = false
-		c.event("endpoint_unlisted", "endpoint", id, "runs", len(e.runs))
+		c.event(tmevent.EndpointUnlisted, "endpoint", id, "runs", len(e.runs))
 	}
 }
 
@@ -73,13 +74,14 @@
 		return
 	}
 	e.gone, e.listed, e.answering = true, false, false
+	c.event(tmevent.EndpointLost, "endpoint", e.info.ID, "runs", len(e.runs), "cause", cause)
 	c.loseRuns(e, cause)
 }
 
 func (c *Controller) loseRuns(e *endpoint, cause string) {
 	for _, r := range e.runs {
 		c.stats.Lost++
-		c.event("run_lost", "task", r.task.id.String(), "run", r.n, "endpoint", e.info.ID, "cause", cause)
+		c.event(tmevent.RunLost, "task", r.task.id.String(), "run", r.n, "endpoint", e.info.ID, "cause", cause)
 		c.release(r)
 	}
 }
@@ -113,14 +115,14 @@
 		return
 	}
 	if l.Born > e.info.Born && e.info.Born != 0 || e.fenced && l.Clock < e.clock {
-		c.event("endpoint_restarted", "endpoint", id, "born", l.Born)
+		c.event(tmevent.EndpointRestarted, "endpoint", id, "born", l.Born)
 		c.reborn(e, max(l.Born, e.info.Born))
 	}
 	if l.Clock > e.clock {
 		e.clock, e.clockAt = l.Clock, now
 	}
 	if !e.answering {
-		c.event("endpoint_answers", "endpoint", id, "runs", len(l.Active), "ends", len(l.Ended))
+		c.event(tmevent.EndpointAnswers, "endpoint", id, "runs", len(l.Active), "ends", len(l.Ended))
 	}
 	e.fenced, e.answering = true, true
 	listed := map[runKey]bool{}
@@ -157,7 +159,7 @@
 		return
 	}
 	e.answering = false
-	c.event("endpoint_silent", "endpoint", id, "runs", len(e.runs), "cause", cause)
+	c.event(tmevent.EndpointSilent, "endpoint", id, "runs", len(e.runs), "cause", cause)
 }
 
 // Fence takes in that an endpoint has seen a higher token: another process
@@ -165,7 +167,7 @@
 func (c *Controller) Fence(id string) {
 	if !c.deposed {
 		c.deposed = true
-		c.event("owner_deposed", "endpoint", id, "token", c.token)
+		c.event(tmevent.OwnerDeposed, "endpoint", id, "token", c.token)
 	}
 }
 
@@ -193,7 +195,7 @@
 func (c *Controller) stopStrange(e *endpoint, a Active, now tmclock.Millis) {
 	e.strange++
 	ref := RunRef{Task: a.Task, Run: a.Run, Endpoint: e.info.ID, SentAt: now}
-	c.event("run_unexplained", "task", a.Task.String(), "run", a.Run, "endpoint", e.info.ID)
+	c.event(tmevent.RunUnexplained, "task", a.Task.String(), "run", a.Run, "endpoint", e.info.ID)
 	c.stops = append(c.stops, StopOrder{Ref: ref, Address: e.info.Address, Token: c.token})
 }
 
@@ -205,7 +207,7 @@
 		return
 	case r.phase == doubtful, r.phase == active, r.stopped:
 		c.stats.Lost++
-		c.event("run_gone", "task", r.task.id.String(), "run", r.n, "endpoint", r.ep.info.ID, "cause", "not listed by its endpoint")
+		c.event(tmevent.RunGone, "task", r.task.id.String(), "run", r.n, "endpoint", r.ep.info.ID, "cause", "not listed by its endpoint")
 		c.release(r)
 	case r.stop:
 		c.sendStop(r, now)
@@ -217,7 +219,7 @@
 func (c *Controller) ended(e *endpoint, end Ended, now tmclock.Millis) {
 	r := e.runs[runKey{end.Task, end.Run}]
 	t := c.findTask(end.Task)
-	c.event("run_ended", "task", end.Task.String(), "run", end.Run, "endpoint", e.info.ID, "how", end.How.String(), "number", end.Number)
+	c.event(tmevent.RunEnded, "task", end.Task.String(), "run", end.Run, "endpoint", e.info.ID, "how", end.How.String(), "number", end.Number)
 	if r != nil && r.began != 0 && end.How == EndDone {
 		c.learn(r, now)
 	}
@@ -269,7 +271,7 @@
 		e.failures++
 		if e.failures >= failuresToAvoid {
 			e.avoid = now.Add(failingAvoidTime)
-			c.event("endpoint_avoided", "endpoint", e.info.ID, "failures", e.failures, "for_ms", int64(failingAvoidTime))
+			c.event(tmevent.EndpointAvoided, "endpoint", e.info.ID, "failures", e.failures, "for_ms", int64(failingAvoidTime))
 		}
 		if t.step.spec.LongRunning {
 			return
@@ -315,7 +317,7 @@
 		return
 	}
 	j := o.job
-	c.event("occurrence_done", "job", j.spec.ID, "occurrence", o.k)
+	c.event(tmevent.OccurrenceDone, "job", j.spec.ID, "occurrence", o.k)
 	for k := range j.spec.Occurrences() {
 		if k >= j.next {
 			return
--- a/core/tmcontrol/message.go
+++ b/core/tmcontrol/message.go
@@ -169,10 +169,3 @@
 	starts []*run
 	acks   map[string]int64
 }
-
-// Event is one line of the decision log.
-type Event struct {
-	Name string
-	// Fields are pairs of a name and a value.
-	Fields []any
-}
--- a/core/tmcontrol/order.go
+++ b/core/tmcontrol/order.go
@@ -1,6 +1,9 @@
 package tmcontrol
 
-import "turmericmoor/core/tmclock"
+import (
+	"turmericmoor/core/tmclock"
+	"turmericmoor/core/tmevent"
+)
 
 const (
 	// stopEvery is the time between two stop orders for one run.
@@ -50,7 +53,7 @@
 	r.inFlight = false
 	if a != Accepted {
 		c.stats.Refused[a]++
-		c.event("start_answer", "task", ref.Task.String(), "run", ref.Run, "endpoint", ref.Endpoint, "answer", a.String(), "try", r.tries)
+		c.event(tmevent.StartAnswer, "task", ref.Task.String(), "run", ref.Run, "endpoint", ref.Endpoint, "answer", a.String(), "try", r.tries)
 	}
 	switch a {
 	case Accepted:
@@ -109,7 +112,7 @@
 	}
 	r.stop, r.why = true, why
 	c.stats.Stopped++
-	c.event("run_stopping", "task", r.task.id.String(), "run", r.n, "endpoint", r.ep.info.ID, "why", why)
+	c.event(tmevent.RunStopping, "task", r.task.id.String(), "run", r.n, "endpoint", r.ep.info.ID, "why", why)
 }
 
 // sendStop emits a stop order unless one was sent recently.
--- a/core/tmcontrol/pace.go
+++ b/core/tmcontrol/pace.go
@@ -1,6 +1,9 @@
 package tmcontrol
 
-import "turmericmoor/core/tmclock"
+import (
+	"turmericmoor/core/tmclock"
+	"turmericmoor/core/tmevent"
+)
 
 const (
 	// paceHigh and paceLow are parts of the target of a serving task: above the
@@ -39,7 +42,7 @@
 			continue
 		}
 		r.pace, r.paced = pace, now
-		c.event("task_paced", "task", r.task.id.String(), "run", r.n, "endpoint", e.info.ID,
+		c.event(tmevent.TaskPaced, "task", r.task.id.String(), "run", r.n, "endpoint", e.info.ID,
 			"percent", pace, "worst_of_target", worst)
 		ref := RunRef{Task: r.task.id, Run: r.n, Endpoint: e.info.ID, SentAt: now}
 		c.paces = append(c.paces, PaceOrder{Ref: ref, Address: e.info.Address, Percent: pace, Token: c.token})
--- a/core/tmcontrol/plan.go
+++ b/core/tmcontrol/plan.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 
+	"turmericmoor/core/tmevent"
+
 	"turmericmoor/core/tmclock"
 	"turmericmoor/core/tmjob"
 )
@@ -158,8 +160,8 @@
 	j := t.step.occ.job
 	j.begun = true
 	c.touch(j)
-	c.event("task_placed", "task", t.id.String(), "run", n, "endpoint", e.info.ID,
-		"free_cpu", e.free().CPU, "queue", j.spec.Queue, "team", j.spec.Team, "rules", c.rules.Version)
+	c.event(tmevent.TaskPlaced, "task", t.id.String(), "run", n, "endpoint", e.info.ID,
+		"free_cpu", e.free().CPU, "queue", j.spec.Queue, "team", j.spec.Team, "rules", c.rules.Version, "work_left", t.step.left)
 }
 
 // withinLimit reports whether the team of the step's job may run n more of its
--- a/core/tmcontrol/pool.go
+++ b/core/tmcontrol/pool.go
@@ -5,6 +5,8 @@
 	"math"
 	"slices"
 
+	"turmericmoor/core/tmevent"
+
 	"turmericmoor/core/tmclock"
 	"turmericmoor/core/tmjob"
 )
@@ -302,7 +304,7 @@
 	if e := c.endpointOn(id); e != nil {
 		e.reserved, e.ending = true, true
 	}
-	c.event("instance_moves", "instance", id, "from", c.fleet.instances[id].Pool, "to", pool)
+	c.event(tmevent.InstanceMoves, "instance", id, "from", c.fleet.instances[id].Pool, "to", pool)
 	c.orderMove(m, now)
 }
 
--- a/core/tmcontrol/progress.go
+++ b/core/tmcontrol/progress.go
@@ -2,6 +2,7 @@
 
 import (
 	"turmericmoor/core/tmclock"
+	"turmericmoor/core/tmevent"
 )
 
 const (
@@ -45,7 +46,7 @@
 		return
 	}
 	if !now.Before(e.avoid) {
-		c.event("endpoint_slow", "endpoint", e.info.ID, "held_up", held, "runs", len(e.runs))
+		c.event(tmevent.EndpointSlow, "endpoint", e.info.ID, "held_up", held, "runs", len(e.runs))
 	}
 	e.avoid = now.Add(troubleTime)
 }
--- a/io/tmelection/election.go
+++ b/io/tmelection/election.go
@@ -9,6 +9,8 @@
 	"sync"
 	"time"
 
+	"turmericmoor/core/tmevent"
+
 	"turmericmoor/core/tmclock"
 	"turmericmoor/io/tmrecord"
 	"turmericmoor/io/tmtable"
@@ -45,7 +47,7 @@
 	// Seen hears of every version of the row.
 	Seen func(o tmrecord.Owner)
 	// Note hears of every change of role.
-	Note func(event string, fields ...any)
+	Note func(event tmevent.Name, fields ...any)
 	// Leave, when closed, ends the node's part in the election: it resigns, and
 	// goes on only to follow the row.
 	Leave <-chan struct{}
@@ -113,7 +115,7 @@
 		}
 		o, err := tmrecord.DecodeOwner(row.Value)
 		if err != nil {
-			c.Note("row_unreadable", "table", row.Table, "key", row.Key.Key, "cause", err.Error())
+			c.Note(tmevent.RowUnreadable, "table", row.Table, "key", row.Key.Key, "cause", err.Error())
 			continue
 		}
 		c.learn(o, row.Version)
@@ -125,7 +127,7 @@
 	newer := version > c.version
 	if newer {
 		if o.Holder != c.row.Holder || o.Token != c.row.Token {
-			c.Note("owner_seen", "holder", o.Holder, "token", o.Token, "version", version)
+			c.Note(tmevent.OwnerSeen, "holder", o.Holder, "token", o.Token, "version", version)
 		}
 		c.row, c.version, c.changed = o, version, time.Now()
 	}
@@ -159,7 +161,7 @@
 	if err := c.write(ctx, next, version); err != nil {
 		return 0, false
 	}
-	c.Note("owner_won", "token", next.Token, "before", row.Holder)
+	c.Note(tmevent.OwnerWon, "token", next.Token, "before", row.Holder)
 	return next.Token, true
 }
 
@@ -196,7 +198,7 @@
 	if ctx.Err() != nil {
 		c.resign(token)
 	}
-	c.Note("owner_ended", "token", token)
+	c.Note(tmevent.OwnerEnded, "token", token)
 }
 
 // renew keeps the row fresh until ctx or the leading ends, or another node has
@@ -223,7 +225,7 @@
 		waiting, counted := c.Status()
 		next := tmrecord.Owner{Holder: c.Name, Token: token, Beat: beat, Waiting: waiting, Counted: counted}
 		if err := c.write(ctx, next, version); err != nil && ctx.Err() == nil {
-			c.Note("renewal_failed", "token", token, "cause", err.Error())
+			c.Note(tmevent.RenewalFailed, "token", token, "cause", err.Error())
 		}
 	}
 }
@@ -239,7 +241,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
 	if err := c.write(ctx, tmrecord.Owner{Token: token}, version); err != nil {
-		c.Note("resignation_failed", "token", token, "cause", err.Error())
+		c.Note(tmevent.ResignationFailed, "token", token, "cause", err.Error())
 	}
 }
 
--- a/io/tmeventlog/eventlog.go
+++ b/io/tmeventlog/eventlog.go
@@ -9,6 +9,8 @@
 	"sync/atomic"
 	"time"
 
+	"turmericmoor/core/tmevent"
+
 	"github.com/charmbracelet/log"
 )
 
@@ -21,7 +23,7 @@
 )
 
 type line struct {
-	name   string
+	name   tmevent.Name
 	fields []any
 }
 
@@ -35,7 +37,7 @@
 
 	mu     sync.Mutex
 	second int64
-	counts map[string]int
+	counts map[tmevent.Name]int
 	closed bool
 }
 
@@ -45,14 +47,14 @@
 		out: log.NewWithOptions(w, log.Options{
 			Formatter: log.JSONFormatter, ReportTimestamp: true, TimeFormat: time.RFC3339Nano,
 		}).With("node", node),
-		lines: make(chan line, bufferLines), done: make(chan struct{}), counts: map[string]int{},
+		lines: make(chan line, bufferLines), done: make(chan struct{}), counts: map[tmevent.Name]int{},
 	}
 	go l.write()
 	return l
 }
 
 // Note writes one event with pairs of a name and a value.
-func (l *Log) Note(name string, fields ...any) {
+func (l *Log) Note(name tmevent.Name, fields ...any) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.closed {
@@ -61,7 +63,7 @@
 	if now := time.Now().Unix(); now != l.second {
 		for event, n := range l.counts {
 			if n > maxPerSecond {
-				l.send(line{"lines_left_out", []any{"event", event, "count", n - maxPerSecond}})
+				l.send(line{tmevent.LinesLeftOut, []any{"event", string(event), "count", n - maxPerSecond}})
 			}
 		}
 		l.second = now
@@ -92,9 +94,9 @@
 	defer close(l.done)
 	reported := int64(0)
 	for n := range l.lines {
-		l.out.Info(n.name, n.fields...)
+		l.out.Info(string(n.name), n.fields...)
 		if d := l.dropped.Load(); d > reported && len(l.lines) == 0 {
-			l.out.Warn("lines_dropped", "count", d-reported)
+			l.out.Warn(string(tmevent.LinesDropped), "count", d-reported)
 			reported = d
 		}
 	}
--- /dev/null
+++ b/io/tmmetrics/metrics.go
@@ -0,0 +1,82 @@
+// Package tmmetrics has the metrics of a node in the Prometheus text format.
+package tmmetrics
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"turmericmoor/core/tmcontrol"
+	"turmericmoor/core/tmevent"
+)
+
+const namespace = "turmericmoor_node"
+
+// Metrics are the metrics of one node. They are safe for concurrent use.
+type Metrics struct {
+	registry *prometheus.Registry
+	events   map[tmevent.Name]prometheus.Counter
+	calls    *prometheus.CounterVec
+	seconds  *prometheus.HistogramVec
+}
+
+// Source gives the state that gauges show. Dump reports false while the node does
+// not own the fleet.
+type Source interface {
+	Dump() (tmcontrol.Dump, bool)
+	Ready() bool
+}
+
+// New returns the metrics of a node. dropped and written count log lines.
+func New(node Source, dropped, written func() int64) *Metrics {
+	m := &Metrics{
+		registry: prometheus.NewRegistry(),
+		events:   map[tmevent.Name]prometheus.Counter{},
+		calls: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: namespace, Name: "calls_total", Help: "Calls by kind and outcome.",
+		}, []string{"call", "outcome"}),
+		seconds: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Namespace: namespace, Name: "call_seconds", Help: "Time of calls by kind.",
+			Buckets: prometheus.ExponentialBuckets(0.002, 2, 12),
+		}, []string{"call"}),
+	}
+	events := prometheus.NewCounterVec(prometheus.CounterOpts{
+		Namespace: namespace, Name: "events_total", Help: "Events of the decision log by name.",
+	}, []string{"event"})
+	for _, name := range tmevent.All {
+		m.events[name] = events.WithLabelValues(string(name))
+	}
+	m.registry.MustRegister(events, m.calls, m.seconds, newStateCollector(node),
+		counterFunc("log_lines_dropped_total", "Log lines that the output was too slow for.", dropped),
+		counterFunc("log_lines_total", "Log lines written.", written))
+	return m
+}
+
+func counterFunc(name, help string, value func() int64) prometheus.Collector {
+	return prometheus.NewCounterFunc(prometheus.CounterOpts{Namespace: namespace, Name: name, Help: help},
+		func() float64 { return float64(value()) })
+}
+
+// Event counts an event of the decision log.
+func (m *Metrics) Event(name tmevent.Name) {
+	if c := m.events[name]; c != nil {
+		c.Inc()
+	}
+}
+
+// Observe counts a call and its time.
+func (m *Metrics) Observe(call string, took time.Duration, err error) {
+	outcome := "ok"
+	if err != nil {
+		outcome = "failed"
+	}
+	m.calls.WithLabelValues(call, outcome).Inc()
+	m.seconds.WithLabelValues(call).Observe(took.Seconds())
+}
+
+// Handler serves the metrics.
+func (m *Metrics) Handler() http.Handler {
+	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
+}
--- a/io/tmnode/node.go
+++ b/io/tmnode/node.go
@@ -9,6 +9,8 @@
 	"sync"
 	"time"
 
+	"turmericmoor/core/tmevent"
+
 	"turmericmoor/core/tmaccess"
 	"turmericmoor/core/tmclock"
 	"turmericmoor/core/tmcontrol"
@@ -58,7 +60,7 @@
 	MaxAge time.Duration
 	// Stagger, from 0 to 1, orders the nodes in the election.
 	Stagger float64
-	Note    func(tmcontrol.Event)
+	Note    func(tmevent.Event)
 	Observe func(what string, took time.Duration, err error)
 }
 
@@ -90,14 +92,14 @@
 		Store: n.opts.Store, Name: n.opts.Name, Stagger: n.opts.Stagger,
 		Lead: n.lead, Status: n.status, Leave: n.leave,
 		Seen: func(o tmrecord.Owner) { n.intake.SetOwner(o, time.Now()) },
-		Note: func(event string, fields ...any) { n.note(event, fields...) },
+		Note: func(event tmevent.Name, fields ...any) { n.note(event, fields...) },
 	}
 	candidate.Run(ctx)
 	work.Wait()
 }
 
-func (n *Node) note(name string, fields ...any) {
-	n.opts.Note(tmcontrol.Event{Name: name, Fields: fields})
+func (n *Node) note(name tmevent.Name, fields ...any) {
+	n.opts.Note(tmevent.Event{Name: name, Fields: fields})
 }
 
 // Leave makes the node report that it isn't ready, and hand the fleet over, before
@@ -131,7 +133,7 @@
 	age := n.opts.Awake().Sub(n.fresh)
 	if stale := age > n.opts.MaxAge; stale != n.wasStale {
 		n.wasStale = stale
-		n.note("access_stale", "stale", stale, "age_ms", age.Milliseconds(), "version", n.access.Version())
+		n.note(tmevent.AccessStale, "stale", stale, "age_ms", age.Milliseconds(), "version", n.access.Version())
 	}
 	if n.wasStale {
 		return nil, fmt.Errorf("%w: the store has not confirmed the configuration for %d ms", ErrNotReady, age.Milliseconds())
@@ -141,36 +143,54 @@
 
 // Submit stores a job.
 func (n *Node) Submit(ctx context.Context, j tmjob.Job) error {
+	began := time.Now()
 	err := n.intake.Submit(ctx, j)
-	n.noteCall("submit", j.ID, j.Queue, err)
+	n.noteCall(tmevent.CallerSubmit, j.ID, j.Queue, began, err)
 	return err
 }
 
 // State returns the state of a job.
 func (n *Node) State(ctx context.Context, queue, id string) (tmjob.State, error) {
+	began := time.Now()
 	s, err := n.intake.State(ctx, queue, id)
 	if err != nil {
-		n.noteCall("state", id, queue, err)
+		n.noteCall(tmevent.CallerState, id, queue, began, err)
 	}
 	return s, err
 }
 
 // Cancel stores the cancellation of a job.
 func (n *Node) Cancel(ctx context.Context, queue, id string) error {
+	began := time.Now()
 	err := n.intake.Cancel(ctx, queue, id)
-	n.noteCall("cancel", id, queue, err)
+	n.noteCall(tmevent.CallerCancel, id, queue, began, err)
 	return err
 }
 
+// Refused logs a call that was refused before it reached a queue.
+func (n *Node) Refused(path string, status int, cause string) {
+	n.mu.Lock()
+	version := int64(0)
+	if n.access != nil {
+		version = n.access.Version()
+	}
+	n.mu.Unlock()
+	n.note(tmevent.CallerRefused, "path", path, "status", status, "cause", cause, "version", version)
+}
+
 // Waiting returns the number of jobs of a queue that have not begun.
 func (n *Node) Waiting(queue string) (int, error) { return n.intake.Waiting(queue) }
 
-func (n *Node) noteCall(what, job, queue string, err error) {
+func (n *Node) noteCall(what tmevent.Name, job, queue string, began time.Time, err error) {
 	outcome := "ok"
 	if err != nil {
 		outcome = err.Error()
 	}
-	n.note("caller_"+what, "job", job, "queue", queue, "outcome", outcome)
+	took := time.Since(began)
+	n.note(what, "job", job, "queue", queue, "outcome", outcome, "took_ms", took.Milliseconds())
+	if n.opts.Observe != nil {
+		n.opts.Observe(string(what), took, err)
+	}
 }
 
 func (n *Node) followOperator(ctx context.Context) {
@@ -183,8 +203,11 @@
 			n.fresh = sent
 			n.mu.Unlock()
 		},
-		Trouble: func(err error) { n.note("store_failed", "what", "operator", "cause", err.Error()) },
-		Now:     n.opts.Awake,
+		Lost: func(err error) { n.note(tmevent.StoreLost, "what", "operator", "cause", err.Error()) },
+		Regained: func(after time.Duration) {
+			n.note(tmevent.StoreRegained, "what", "operator", "lost_ms", after.Milliseconds())
+		},
+		Now: n.opts.Awake,
 	}
 	f.Run(ctx)
 }
@@ -214,14 +237,14 @@
 func (n *Node) takeRow(row tmtable.Row) {
 	item, err := n.opts.Directory.Operator(row)
 	if err != nil {
-		n.note("row_unreadable", "table", row.Table, "key", row.Key.Key, "cause", err.Error())
+		n.note(tmevent.RowUnreadable, "table", row.Table, "key", row.Key.Key, "cause", err.Error())
 		return
 	}
 	if item.Access != nil {
 		if n.access == nil || item.Access.Version() > n.access.Version() {
 			n.access = item.Access
 			n.items[configItem] = item
-			n.note("config_installed", "version", item.Access.Version(), "row_version", row.Version)
+			n.note(tmevent.ConfigInstalled, "version", item.Access.Version(), "row_version", row.Version)
 		}
 		return
 	}
--- a/io/tmowner/call.go
+++ b/io/tmowner/call.go
@@ -5,6 +5,8 @@
 	"errors"
 	"time"
 
+	"turmericmoor/core/tmevent"
+
 	"turmericmoor/core/tmclock"
 	"turmericmoor/core/tmcontrol"
 )
@@ -80,7 +82,7 @@
 	asked := o.opts.Clock.Now()
 	tickets, valid, err := o.opts.Advisor.Advise(callCtx, q.Step, q.Endpoints)
 	if err != nil {
-		o.note("advice_failed", "step", q.Step, "cause", err.Error())
+		o.note(tmevent.AdviceFailed, "step", q.Step, "cause", err.Error())
 		pause(ctx, holdRetry)
 	}
 	o.mu.Lock()
--- a/io/tmowner/flush.go
+++ b/io/tmowner/flush.go
@@ -5,6 +5,8 @@
 	"errors"
 	"time"
 
+	"turmericmoor/core/tmevent"
+
 	"turmericmoor/core/tmcontrol"
 	"turmericmoor/io/tmrecord"
 	"turmericmoor/io/tmtable"
@@ -61,7 +63,7 @@
 		return o.resolve(txn, conflict.Rows)
 	}
 	if ctx.Err() == nil {
-		o.note("store_failed", "what", "write", "cause", err.Error())
+		o.note(tmevent.StoreFailed, "what", "write", "cause", err.Error())
 		pause(ctx, writePause)
 	}
 	return false, false
@@ -76,11 +78,11 @@
 		}
 		g, err := tmrecord.DecodeGuard(row.Value)
 		if err != nil {
-			o.note("row_unreadable", "table", row.Table, "key", row.Key.Key, "cause", err.Error())
+			o.note(tmevent.RowUnreadable, "table", row.Table, "key", row.Key.Key, "cause", err.Error())
 			continue
 		}
 		if g.Token > o.token {
-			o.note("owner_deposed", "token", o.token, "by", g.Token)
+			o.note(tmevent.OwnerDeposed, "token", o.token, "by", g.Token)
 			return false, true
 		}
 		o.guardVersion = row.Version
--- a/io/tmowner/instance.go
+++ b/io/tmowner/instance.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"turmericmoor/core/tmevent"
+
 	"turmericmoor/core/tmcontrol"
 	"turmericmoor/io/tmrecord"
 	"turmericmoor/io/tmtable"
@@ -45,7 +47,7 @@
 		o.opts.Observe("list_instances", time.Since(began), err)
 	}
 	if err != nil {
-		o.note("instances_failed", "what", "list", "cause", err.Error())
+		o.note(tmevent.InstancesFailed, "what", "list", "cause", err.Error())
 		return
 	}
 	o.mu.Lock()
@@ -81,7 +83,7 @@
 		if err == nil {
 			return
 		}
-		o.note("store_failed", "what", "wave report", "cause", err.Error())
+		o.note(tmevent.StoreFailed, "what", "wave report", "cause", err.Error())
 		pause(ctx, writePause)
 	}
 }
@@ -97,7 +99,7 @@
 	for _, row := range page.Rows {
 		w, err := tmrecord.DecodeWave(row.Value)
 		if err != nil {
-			o.note("row_unreadable", "table", row.Table, "key", row.Key.Key, "cause", err.Error())
+			o.note(tmevent.RowUnreadable, "table", row.Table, "key", row.Key.Key, "cause", err.Error())
 			continue
 		}
 		o.ctl.RestoreWave(tmcontrol.WaveReport{Wave: tmrecord.WaveName(row.Key.Key), Done: w.Done, Completed: w.Completed})
--- a/io/tmowner/owner.go
+++ b/io/tmowner/owner.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"turmericmoor/core/tmevent"
+
 	"turmericmoor/core/tmclock"
 	"turmericmoor/core/tmcontrol"
 	"turmericmoor/io/tmrecord"
@@ -22,7 +24,7 @@
 	Bounds    tmcontrol.Bounds
 	// Holder is the name of this node in orders about instances.
 	Holder string
-	Note   func(tmcontrol.Event)
+	Note   func(tmevent.Event)
 	// Observe, if set, is told how long a step of the work took.
 	Observe func(what string, took time.Duration, err error)
 }
@@ -200,8 +202,8 @@
 	}
 }
 
-func (o *Owner) note(name string, fields ...any) {
-	o.opts.Note(tmcontrol.Event{Name: name, Fields: fields})
+func (o *Owner) note(name tmevent.Name, fields ...any) {
+	o.opts.Note(tmevent.Event{Name: name, Fields: fields})
 }
 
 func (o *Owner) followEndpoints(ctx context.Context) {
@@ -229,7 +231,10 @@
 			}
 			o.plan()
 		},
-		Trouble: func(err error) { o.note("store_failed", "what", "list of endpoints", "cause", err.Error()) },
+		Lost: func(err error) { o.note(tmevent.StoreLost, "what", "list of endpoints", "cause", err.Error()) },
+		Regained: func(after time.Duration) {
+			o.note(tmevent.StoreRegained, "what", "list of endpoints", "lost_ms", after.Milliseconds())
+		},
 	}
 	f.Run(ctx)
 }
@@ -246,7 +251,7 @@
 	}
 	l, err := o.opts.Directory.Endpoint(row)
 	if err != nil {
-		o.note("row_unreadable", "table", row.Table, "key", id, "cause", err.Error())
+		o.note(tmevent.RowUnreadable, "table", row.Table, "key", id, "cause", err.Error())
 		return
 	}
 	known[id] = true
@@ -268,7 +273,10 @@
 			o.takeJobs(rows)
 			o.plan()
 		},
-		Trouble: func(err error) { o.note("store_failed", "what", "jobs", "cause", err.Error()) },
+		Lost: func(err error) { o.note(tmevent.StoreLost, "what", "jobs", "cause", err.Error()) },
+		Regained: func(after time.Duration) {
+			o.note(tmevent.StoreRegained, "what", "jobs", "lost_ms", after.Milliseconds())
+		},
 	}
 	f.Run(ctx)
 }
@@ -294,7 +302,7 @@
 		case tmrecord.JobRow:
 			j, err := tmrecord.DecodeJob(id, row.Value)
 			if err != nil {
-				o.note("row_unreadable", "table", row.Table, "key", row.Key.Key, "cause", err.Error())
+				o.note(tmevent.RowUnreadable, "table", row.Table, "key", row.Key.Key, "cause", err.Error())
 				continue
 			}
 			o.ctl.Submitted(j)
@@ -318,7 +326,7 @@
 	o.loaded = true
 	o.ctl.Loaded()
 	o.mu.Unlock()
-	o.note("owner_loaded", "token", o.token)
+	o.note(tmevent.OwnerLoaded, "token", o.token)
 	o.plan()
 }
 
@@ -329,7 +337,7 @@
 		if err == nil {
 			return true
 		}
-		o.note("store_failed", "what", what, "cause", err.Error())
+		o.note(tmevent.StoreFailed, "what", what, "cause", err.Error())
 		if !pause(ctx, tickEvery) {
 			return false
 		}
@@ -346,7 +354,7 @@
 	defer o.mu.Unlock()
 	for _, row := range page.Rows {
 		if err := o.restoreRow(row, now); err != nil {
-			o.note("row_unreadable", "table", row.Table, "key", row.Key.Key, "cause", err.Error())
+			o.note(tmevent.RowUnreadable, "table", row.Table, "key", row.Key.Key, "cause", err.Error())
 		}
 	}
 	return nil
--- a/io/tmowner/settle.go
+++ b/io/tmowner/settle.go
@@ -5,6 +5,8 @@
 	"maps"
 	"time"
 
+	"turmericmoor/core/tmevent"
+
 	"turmericmoor/io/tmrecord"
 	"turmericmoor/io/tmtable"
 )
@@ -90,7 +92,7 @@
 	defer cancel()
 	_, err := o.opts.Store.Write(callCtx, txn)
 	if err != nil && ctx.Err() == nil {
-		o.note("store_failed", "what", "outcomes", "part", part, "cause", err.Error())
+		o.note(tmevent.StoreFailed, "what", "outcomes", "part", part, "cause", err.Error())
 	}
 	o.settleMu.Lock()
 	defer o.settleMu.Unlock()
--- a/io/tmtable/follow.go
+++ b/io/tmtable/follow.go
@@ -36,8 +36,10 @@
 	// Contact, if set, hears of each answer: the rows passed on before hold
 	// everything that was written before sentAt.
 	Contact func(sentAt time.Time)
-	// Trouble, if set, hears of each failed call.
-	Trouble func(err error)
+	// Lost, if set, hears of the first failed call, Regained of the first that
+	// succeeds again, and after what time.
+	Lost     func(err error)
+	Regained func(after time.Duration)
 	// Now, if set, replaces the clock that Contact is given.
 	Now func() time.Time
 }
@@ -51,6 +53,7 @@
 		f.Now = time.Now
 	}
 	version, known := int64(0), false
+	var lost time.Time
 	for ctx.Err() == nil {
 		var err error
 		if known {
@@ -59,18 +62,33 @@
 			version, err = f.snapshot(ctx)
 			known = err == nil
 		}
-		if err == nil {
-			continue
-		}
 		if errors.Is(err, ErrHistory) {
 			known = false
 			continue
 		}
-		if f.Trouble != nil && ctx.Err() == nil {
-			f.Trouble(err)
+		lost = f.noteTrouble(ctx, err, lost)
+		if err != nil {
+			pause(ctx, retryPause)
+		}
+	}
+}
+
+// noteTrouble tells of the first failure and of the first success after it. It
+// returns since when calls fail.
+func (f *Follower) noteTrouble(ctx context.Context, err error, lost time.Time) time.Time {
+	switch {
+	case err == nil && !lost.IsZero():
+		if f.Regained != nil {
+			f.Regained(time.Since(lost))
+		}
+		return time.Time{}
+	case err != nil && lost.IsZero() && ctx.Err() == nil:
+		if f.Lost != nil {
+			f.Lost(err)
 		}
-		pause(ctx, retryPause)
+		return time.Now()
 	}
+	return lost
 }
 
 func (f *Follower) snapshot(ctx context.Context) (int64, error) {
