--- a/cmd/turmericmoor/node.go
+++ b/cmd/turmericmoor/node.go
@@ -37,6 +37,8 @@
 	// process.
 	closeMargin = 600 * time.Millisecond
 	logTime     = 200 * time.Millisecond
+	// settingsEvery is the time between two looks at the settings file.
+	settingsEvery = 2 * time.Second
 	// keyAgeShare is the part of the bound for withdrawn keys after which a node
 	// that hears nothing from the store stops serving callers.
 	keyAgeShare = 0.55
@@ -66,6 +68,11 @@
 	return cmd
 }
 
+// keyAge returns how old the configuration may be for calls to be served.
+func keyAge(s tmnodesettings.Settings) time.Duration {
+	return time.Duration(float64(s.KeyWithdrawn()) * keyAgeShare)
+}
+
 func runNode(path string, out io.Writer) error {
 	settings, err := tmnodesettings.Load(path)
 	if err != nil {
@@ -75,8 +82,7 @@
 	defer events.Close(logTime)
 	events.Note(tmevent.NodeStarts, "zone", settings.Zone(), "unknown_settings", settings.Unknown())
 	opts := tmnode.Options{
-		Name: settings.Name(), Clock: tmclock.NewSystem(), Bounds: settings.Bounds(),
-		MaxAge:  time.Duration(float64(settings.KeyWithdrawn()) * keyAgeShare),
+		Name: settings.Name(), Clock: tmclock.NewSystem(), Bounds: settings.Bounds(), MaxAge: keyAge(settings),
 		Stagger: float64(xxhash.Sum64String(settings.Name())%1000) / 1000,
 	}
 	// The metrics show the node and the node counts in them, so they are set
@@ -94,15 +100,14 @@
 	if err != nil {
 		return err
 	}
-	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-	defer cancel()
 	nodeCtx, stop := context.WithCancel(context.Background())
 	stopped := make(chan struct{})
 	go func() {
 		defer close(stopped)
 		node.Run(nodeCtx)
 	}()
-	<-ctx.Done()
+	reload := func(reason string) { reloadNode(path, reason, settings, node, events) }
+	awaitEnd(path, reload)
 	events.Note(tmevent.NodeStops)
 	node.Leave()
 	unready := min(unreadyTime, settings.Shutdown()/2)
@@ -113,6 +118,54 @@
 	return err
 }
 
+// awaitEnd returns when the process is told to end. Until then it calls reload
+// on SIGHUP and when the settings file has changed.
+func awaitEnd(path string, reload func(reason string)) {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt, syscall.SIGHUP)
+	defer signal.Stop(signals)
+	tick := time.NewTicker(settingsEvery)
+	defer tick.Stop()
+	changed := changeTime(path)
+	for {
+		select {
+		case s := <-signals:
+			if s != syscall.SIGHUP {
+				return
+			}
+			changed = changeTime(path)
+			reload("signal")
+		case <-tick.C:
+			if now := changeTime(path); !now.Equal(changed) {
+				changed = now
+				reload("file changed")
+			}
+		}
+	}
+}
+
+// changeTime returns when a file was last written, or the zero time while it
+// can't be seen.
+func changeTime(path string) time.Time {
+	info, err := os.Stat(path)
+	if err != nil {
+		return time.Time{}
+	}
+	return info.ModTime()
+}
+
+// reloadNode reads the settings again. Bounds take effect at once; addresses need
+// a restart. Settings that are wrong change nothing.
+func reloadNode(path, reason string, old tmnodesettings.Settings, node *tmnode.Node, events *tmeventlog.Log) {
+	settings, err := tmnodesettings.Load(path)
+	if err != nil {
+		events.Note(tmevent.SettingsChanged, "reason", reason, "applied", false, "cause", err.Error())
+		return
+	}
+	node.Configure(settings.Bounds(), keyAge(settings))
+	events.Note(tmevent.SettingsChanged, "reason", reason, "applied", true, "restart_needed", !old.SameAddresses(settings))
+}
+
 func serveNode(settings tmnodesettings.Settings, node *tmnode.Node, metrics *tmmetrics.Metrics) (*tmserve.Server, error) {
 	server := &tmserve.Server{}
 	front := platform.NewFront(node)
--- a/io/tmnode/node.go
+++ b/io/tmnode/node.go
@@ -113,6 +113,13 @@
 	}
 }
 
+// Configure takes in changed bounds. An owner goes by them from its next term on.
+func (n *Node) Configure(bounds tmcontrol.Bounds, maxAge time.Duration) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.opts.Bounds, n.opts.MaxAge = bounds, maxAge
+}
+
 // Ready reports whether the node takes requests.
 func (n *Node) Ready() bool {
 	n.mu.Lock()
@@ -272,10 +279,13 @@
 
 // lead owns the fleet until ctx ends.
 func (n *Node) lead(ctx context.Context, token int64) {
+	n.mu.Lock()
+	bounds := n.opts.Bounds
+	n.mu.Unlock()
 	owner := tmowner.New(tmowner.Options{
 		Store: n.opts.Store, Endpoints: n.opts.Endpoints, Instances: n.opts.Instances,
 		Advisor: n.opts.Advisor, Directory: n.opts.Directory, Clock: n.opts.Clock,
-		Bounds: n.opts.Bounds, Holder: n.opts.Name, Note: n.opts.Note, Observe: n.opts.Observe,
+		Bounds: bounds, Holder: n.opts.Name, Note: n.opts.Note, Observe: n.opts.Observe,
 	}, token)
 	n.mu.Lock()
 	n.owner = owner
--- a/io/tmnodesettings/settings.go
+++ b/io/tmnodesettings/settings.go
@@ -65,6 +65,12 @@
 // Unknown returns the keys that were passed over.
 func (s Settings) Unknown() []string { return s.unknown }
 
+// SameAddresses reports whether nothing has changed that needs a restart.
+func (s Settings) SameAddresses(o Settings) bool {
+	return s.name == o.name && s.callers == o.callers && s.health == o.health && s.metrics == o.metrics &&
+		s.store == o.store && s.instances == o.instances && s.advice == o.advice && s.across == o.across
+}
+
 // Defaults of bounds that an installation leaves out.
 const (
 	defaultShutdown     = 6 * time.Second
