io/tmelection: strong nodes own the fleet; idle endpoints asked every two seconds; gangs placed in one go

Cause: at the grown size an owner on 0.19 cores was far behind; gangs that did not fit were placed and taken back at every pass.

--- a/core/tmcontrol/endpoint.go
+++ b/core/tmcontrol/endpoint.go
@@ -39,6 +39,8 @@
 	// unknown size.
 	strange int
 	used    tmjob.Amount
+	// planned counts the tasks of the gang that is being placed here.
+	planned int
 	avoid   tmclock.Millis
 	// reserved keeps new tasks away because the instance is about to be taken
 	// down or moved.
--- a/core/tmcontrol/look.go
+++ b/core/tmcontrol/look.go
@@ -6,8 +6,12 @@
 	"turmericmoor/core/tmjob"
 )
 
-// waitTime is how long a hold may wait at the endpoint for the end of a task.
-const waitTime = 1000 * tmclock.Millisecond
+const (
+	// waitTime is how long a hold may wait at the endpoint for the end of a task;
+	// an endpoint without tasks is asked less often.
+	waitTime     = 1000 * tmclock.Millisecond
+	idleWaitTime = 2000 * tmclock.Millisecond
+)
 
 // SetEndpoint takes in an entry of the list of endpoints.
 func (c *Controller) SetEndpoint(l Listing, now tmclock.Millis) {
@@ -100,14 +104,21 @@
 		h.Until = e.grant(c.bounds.Lease, now)
 	}
 	if e.fenced && e.seen == e.acked {
-		h.Wait = waitTime
-		if e.shared() {
-			h.Wait = paceWait
-		}
+		h.Wait = e.waitTime()
 	}
 	return h, true
 }
 
+func (e *endpoint) waitTime() tmclock.Span {
+	switch {
+	case len(e.runs) == 0:
+		return idleWaitTime
+	case e.shared():
+		return paceWait
+	}
+	return waitTime
+}
+
 // Looked takes in the answer to a Hold that was sent at sentAt.
 func (c *Controller) Looked(id string, l Look, sentAt, now tmclock.Millis) {
 	e := c.endpoints[id]
--- a/core/tmcontrol/plan.go
+++ b/core/tmcontrol/plan.go
@@ -40,10 +40,22 @@
 	return 1
 }
 
-// pool is the endpoints of one service that may get new tasks.
+// pool is the endpoints of one service that may get new tasks, for one pass.
 type pool struct {
 	service   string
 	endpoints []*endpoint
+	// full holds rooms that no endpoint has any more.
+	full []tmjob.Amount
+}
+
+// hasNoRoom reports whether it is known that no endpoint has that room.
+func (p *pool) hasNoRoom(room tmjob.Amount) bool {
+	for _, f := range p.full {
+		if f.Fits(room) {
+			return true
+		}
+	}
+	return false
 }
 
 // Plan places waiting tasks. Placements become orders once they are stored.
@@ -137,12 +149,19 @@
 
 // place finds an endpoint for a task. It reports false when there is none.
 func (c *Controller) place(t *task, p *pool, now tmclock.Millis) bool {
-	if !c.withinLimit(t.step, 1) {
+	spec := t.step.spec
+	if p.hasNoRoom(spec.Room()) || !c.withinLimit(t.step, 1) {
+		if spec.LongRunning {
+			c.fleet.starved[p.service] = true
+		}
 		return false
 	}
 	e := c.choose(t.step, p, now)
 	if e == nil {
-		if t.step.spec.LongRunning {
+		if !p.anyRoom(spec.Room()) {
+			p.full = append(p.full, spec.Room())
+		}
+		if spec.LongRunning {
 			c.fleet.starved[p.service] = true
 		}
 		return false
@@ -151,6 +170,16 @@
 	return true
 }
 
+// anyRoom reports whether some endpoint has that room, whatever else it lacks.
+func (p *pool) anyRoom(room tmjob.Amount) bool {
+	for _, e := range p.endpoints {
+		if room.Fits(e.free()) {
+			return true
+		}
+	}
+	return false
+}
+
 func (c *Controller) assign(t *task, e *endpoint, n int) {
 	r := c.addRun(t, e, n)
 	t.runs = n
@@ -204,7 +233,7 @@
 	if !spec.Room().Fits(e.free()) {
 		return false
 	}
-	return spec.PerEndpoint == 0 || e.stepRuns(s) < spec.PerEndpoint
+	return spec.PerEndpoint == 0 || e.stepRuns(s)+e.planned < spec.PerEndpoint
 }
 
 // rackPreference and spreadPenalty outweigh any difference in load.
@@ -259,6 +288,9 @@
 		}
 		n = max(n, t.runs)
 	}
+	if p.hasNoRoom(s.spec.Room()) {
+		return
+	}
 	if !c.withinLimit(s, int64(len(s.tasks))) {
 		return
 	}
@@ -289,18 +321,28 @@
 	return racks
 }
 
+// tryGang places a gang on the endpoints of p, if all its tasks fit at once.
 func (c *Controller) tryGang(s *step, p *pool, n int, now tmclock.Millis) bool {
-	for i, t := range s.tasks {
+	room := s.spec.Room()
+	places := make([]*endpoint, 0, len(s.tasks))
+	for range s.tasks {
 		e := c.choose(s, p, now)
 		if e == nil {
-			for _, placed := range s.tasks[:i] {
-				for _, r := range append([]*run(nil), placed.active...) {
-					c.release(r)
-				}
-			}
-			return false
+			break
 		}
-		c.assign(t, e, n)
+		e.used = e.used.Add(room)
+		e.planned++
+		places = append(places, e)
+	}
+	for _, e := range places {
+		e.used = e.used.Sub(room)
+		e.planned--
+	}
+	if len(places) < len(s.tasks) {
+		return false
+	}
+	for i, t := range s.tasks {
+		c.assign(t, places[i], n)
 	}
 	return true
 }
--- a/io/tmelection/election.go
+++ b/io/tmelection/election.go
@@ -28,6 +28,12 @@
 	retryPause = 100 * time.Millisecond
 	// feedWait is how long a call waits for the row to change.
 	feedWait = 700 * tmclock.Millisecond
+	// weakPause is how much longer a node waits that has less than strongShare of
+	// the processor share of the strongest one; firstPause is how long all wait
+	// before the first election, until they know of each other.
+	weakPause   = 600 * time.Millisecond
+	firstPause  = 500 * time.Millisecond
+	strongShare = 0.75
 	// maxStagger spreads the nodes that take over at the same moment.
 	maxStagger = 250 * time.Millisecond
 )
@@ -37,6 +43,9 @@
 	Store tmtable.Store
 	// Name is unique among nodes.
 	Name string
+	// Cores is the processor share of the node: where others have much more, it
+	// lets them go first.
+	Cores float64
 	// Stagger, from 0 to 1, orders the candidates when the owner is gone.
 	Stagger float64
 	// Lead runs while the node owns the fleet and returns when ctx ends, or
@@ -58,11 +67,17 @@
 	changed time.Time
 	known   bool
 	contact time.Time
+	// cores is the processor share of every node that was ever seen.
+	cores map[string]float64
+	began time.Time
 }
 
 // Run takes part in the election until ctx ends or the node leaves, and resigns
 // then. It returns when ctx ends.
 func (c *Candidate) Run(ctx context.Context) {
+	c.began = time.Now()
+	c.cores = map[string]float64{}
+	c.register(ctx)
 	var following sync.WaitGroup
 	followCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
 	following.Go(func() { c.follow(followCtx) })
@@ -89,6 +104,37 @@
 	<-ctx.Done()
 }
 
+// register stores what the node has. A failure only costs the node its turn.
+func (c *Candidate) register(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	put := tmtable.Put{Key: tmrecord.NodeKey(c.Name), Value: tmrecord.EncodeNode(tmrecord.Node{Cores: c.Cores})}
+	if _, err := c.Store.Write(ctx, tmtable.Txn{Puts: []tmtable.Put{put}}); err != nil {
+		c.Note(tmevent.StoreFailed, "what", "registration of the node", "cause", err.Error())
+	}
+}
+
+// weak reports whether a much stronger node is known. The mutex is held.
+func (c *Candidate) weak() bool {
+	for _, cores := range c.cores {
+		if c.Cores < strongShare*cores {
+			return true
+		}
+	}
+	return false
+}
+
+func (c *Candidate) learnNode(row tmtable.Row) {
+	n, err := tmrecord.DecodeNode(row.Value)
+	if err != nil {
+		c.Note(tmevent.RowUnreadable, "table", row.Table, "key", row.Key.Key, "cause", err.Error())
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.cores[row.Key.Key] = n.Cores
+}
+
 func (c *Candidate) follow(ctx context.Context) {
 	f := tmtable.Follower{
 		Store: c.Store, Table: tmrecord.OwnerTable, Parts: []string{""}, Wait: feedWait,
@@ -110,6 +156,10 @@
 
 func (c *Candidate) take(rows []tmtable.Row) {
 	for _, row := range rows {
+		if tmrecord.IsNode(row.Key.Key) && !row.Deleted {
+			c.learnNode(row)
+			continue
+		}
 		if row.Key != tmrecord.OwnerKey() || row.Deleted {
 			continue
 		}
@@ -146,7 +196,13 @@
 		return c.row, c.version, false
 	}
 	stagger := time.Duration(c.Stagger * float64(maxStagger))
-	if c.version == 0 || c.row.Holder == "" || c.row.Holder == c.Name {
+	if c.weak() && c.row.Holder != c.Name {
+		stagger += weakPause
+	}
+	if c.version == 0 {
+		return c.row, 0, time.Since(c.began) > firstPause+stagger
+	}
+	if c.row.Holder == "" || c.row.Holder == c.Name {
 		return c.row, c.version, c.changed.IsZero() || time.Since(c.changed) > stagger
 	}
 	return c.row, c.version, time.Since(c.changed) > takeAfter+stagger
--- a/io/tmnode/node.go
+++ b/io/tmnode/node.go
@@ -58,10 +58,11 @@
 	// MaxAge is how long ago the store must have confirmed the configuration
 	// for calls to be served.
 	MaxAge time.Duration
-	// Stagger, from 0 to 1, orders the nodes in the election.
-	Stagger float64
-	Note    func(tmevent.Event)
-	Observe func(what string, took time.Duration, err error)
+	// Stagger, from 0 to 1, orders the nodes in the election; Cores is the
+	// processor share of the node.
+	Stagger, Cores float64
+	Note           func(tmevent.Event)
+	Observe        func(what string, took time.Duration, err error)
 }
 
 // Node is safe for concurrent use.
@@ -89,7 +90,7 @@
 	var work sync.WaitGroup
 	work.Go(func() { n.followOperator(ctx) })
 	candidate := &tmelection.Candidate{
-		Store: n.opts.Store, Name: n.opts.Name, Stagger: n.opts.Stagger,
+		Store: n.opts.Store, Name: n.opts.Name, Stagger: n.opts.Stagger, Cores: n.opts.Cores,
 		Lead: n.lead, Status: n.status, Leave: n.leave,
 		Seen: func(o tmrecord.Owner) { n.intake.SetOwner(o, time.Now()) },
 		Note: func(event tmevent.Name, fields ...any) { n.note(event, fields...) },
--- a/io/tmnodesettings/settings.go
+++ b/io/tmnodesettings/settings.go
@@ -20,6 +20,7 @@
 	callers, health, metrics string
 	store, instances, advice string
 	across                   bool
+	cores                    float64
 	shutdown                 time.Duration
 	keyWithdrawn             time.Duration
 	bounds                   tmcontrol.Bounds
@@ -32,6 +33,9 @@
 // Zone returns the availability zone of the node.
 func (s Settings) Zone() string { return s.zone }
 
+// Cores returns the processor share of the node in cores.
+func (s Settings) Cores() float64 { return s.cores }
+
 // Callers returns IP:port of the listener for callers.
 func (s Settings) Callers() string { return s.callers }
 
@@ -124,6 +128,7 @@
 	s := Settings{
 		name:         r.text("node.name"),
 		zone:         r.text("node.zone"),
+		cores:        r.number("node.cores", 1),
 		callers:      r.address("listen.callers", true),
 		health:       r.address("listen.health", true),
 		metrics:      r.address("listen.metrics", false),
--- a/io/tmrecord/codec.go
+++ b/io/tmrecord/codec.go
@@ -292,3 +292,25 @@
 	}
 	return row.Instances, nil
 }
+
+// Node is what a node says of itself.
+type Node struct {
+	// Cores is the processor share that it has.
+	Cores float64
+}
+
+type nodeRow struct {
+	Cores float64 `json:"c"`
+}
+
+// EncodeNode returns the row of a node.
+func EncodeNode(n Node) []byte { return encode(nodeRow(n)) }
+
+// DecodeNode reads the row of a node.
+func DecodeNode(data []byte) (Node, error) {
+	var row nodeRow
+	if err := decode("node", data, &row); err != nil {
+		return Node{}, err
+	}
+	return Node(row), nil
+}
--- a/io/tmrecord/layout.go
+++ b/io/tmrecord/layout.go
@@ -93,6 +93,15 @@
 // OwnerKey returns the row that says who owns the fleet.
 func OwnerKey() tmtable.Key { return tmtable.Key{Table: OwnerTable, Key: "owner"} }
 
+// nodeKey begins the rows of the nodes in the table of the owner.
+const nodeKey = "node/"
+
+// NodeKey returns the row in which a node says what it has.
+func NodeKey(name string) tmtable.Key { return tmtable.Key{Table: OwnerTable, Key: nodeKey + name} }
+
+// IsNode reports whether a key of the table of the owner is that of a node.
+func IsNode(key string) bool { return strings.HasPrefix(key, nodeKey) }
+
 // waveKey begins the rows with the progress of waves in the table of the owner.
 const waveKey = "wave/"
 
