io/tmowner: larger flushes, a planner that rests, ends that gather

Cause: at the grown size a flush held 20 jobs, and the planner took 0.8 ms a pass 200 times a second; ends waited longer and longer. Change: 74 rows in a flush, five times as much rest as work, 40 ms for ends to gather.

--- /dev/null
+++ b/core/tmcontrol/bench_test.go
@@ -0,0 +1,60 @@
+package tmcontrol
+
+import (
+	"fmt"
+	"testing"
+
+	"turmericmoor/core/tmclock"
+	"turmericmoor/core/tmevent"
+	"turmericmoor/core/tmjob"
+)
+
+// benchFleet returns a controller with that many endpoints in five pools, full
+// and with a backlog of jobs.
+func benchFleet(endpoints, jobs int) (*Controller, tmclock.Millis) {
+	c := New(testBounds(), 1, func(tmevent.Event) {})
+	rules := Rules{Version: 1, Queues: map[string]Queue{}, Services: map[string]Service{}, Teams: map[string]Team{"t": {Name: "t"}}}
+	for i := range 5 {
+		q := fmt.Sprintf("q%d", i)
+		s := fmt.Sprintf("s%d", i)
+		rules.Queues[q] = Queue{Name: q, Service: s, Attempts: 2, Stretch: 1.6, Objective: 600}
+		rules.Services[s] = Service{Name: s}
+	}
+	now := tmclock.Millis(1000)
+	c.Apply(Directive{Rules: rules}, now)
+	for i := range endpoints {
+		id := fmt.Sprintf("e%d", i)
+		c.SetEndpoint(Listing{
+			ID: id, Service: fmt.Sprintf("s%d", i%5), Address: "10.0.0.1:1", Instance: "i" + id,
+			Capacity: tmjob.Amount{CPU: 64000, Mem: 128000}, Born: 1,
+		}, now)
+	}
+	c.Loaded()
+	for i := range endpoints {
+		c.Looked(fmt.Sprintf("e%d", i), Look{Clock: 1000, Born: 1}, now, now)
+	}
+	for i := range jobs {
+		c.Submitted(tmjob.Job{ID: fmt.Sprintf("j%d", i), Queue: fmt.Sprintf("q%d", i%5), Team: "t", Accepted: 1000, Steps: []tmjob.Step{
+			{Count: 8, Size: tmjob.Amount{CPU: 6000, Mem: 3000}, Estimate: 1000},
+			{Count: 8, Size: tmjob.Amount{CPU: 6000, Mem: 3000}, Estimate: 1000, After: []int{0}},
+		}})
+	}
+	c.Tick(now, 1000)
+	return c, now
+}
+
+func BenchmarkPlan(b *testing.B) {
+	for _, n := range []int{50, 300, 740} {
+		b.Run(fmt.Sprintf("%d_endpoints", n), func(b *testing.B) {
+			c, now := benchFleet(n, 4*n)
+			c.Plan(now, 1000)
+			b.ResetTimer()
+			for range b.N {
+				now++
+				c.Tick(now, int64(now))
+				c.Plan(now, int64(now))
+				c.TakeOrders(now)
+			}
+		})
+	}
+}
--- a/core/tmcontrol/order.go
+++ b/core/tmcontrol/order.go
@@ -155,13 +155,29 @@
 	return starts, stops, paces
 }
 
-// maxChanges bounds the jobs in one flush.
-const maxChanges = 20
+// maxRows bounds the rows that one flush writes or removes: a transaction of the
+// store holds at most 100 entries, and the caller adds some.
+const maxRows = 74
+
+// dirtyJobs returns how many of the changed jobs fit into one flush.
+func (c *Controller) dirtyJobs() int {
+	rows := 0
+	for n, j := range c.dirty {
+		rows++
+		if j.final {
+			rows++
+		}
+		if rows > maxRows {
+			return n
+		}
+	}
+	return len(c.dirty)
+}
 
 // TakeFlush returns the changes that are to be stored next, or nil if there is
 // nothing to store. One flush is under way at a time.
 func (c *Controller) TakeFlush(now tmclock.Millis) *Flush {
-	n := min(len(c.dirty), maxChanges)
+	n := c.dirtyJobs()
 	f := &Flush{}
 	if len(c.fleet.unstored) > 0 {
 		f.given, c.fleet.unstored = c.fleet.unstored, nil
--- a/io/tmowner/call.go
+++ b/io/tmowner/call.go
@@ -18,7 +18,7 @@
 	holdSlack = 700 * time.Millisecond
 	// holdPause is the pause after a hold that brought ends, so that the ends
 	// that follow gather.
-	holdPause = 15 * time.Millisecond
+	holdPause = 40 * time.Millisecond
 	// holdRetry is the pause after a hold that failed.
 	holdRetry = 150 * time.Millisecond
 	// storedPause is how long a hold waits for ends to be stored.
--- a/io/tmowner/owner.go
+++ b/io/tmowner/owner.go
@@ -30,8 +30,10 @@
 }
 
 const (
-	// planPause is the least time between two passes of the planner.
+	// planPause is the least time between two passes of the planner, planRest how
+	// many times as long as a pass it rests at least.
 	planPause = 5 * time.Millisecond
+	planRest  = 5
 	// tickEvery is the longest time between two passes.
 	tickEvery = 100 * time.Millisecond
 	// flushPause is the least time between two flushes, so that changes gather.
@@ -140,8 +142,9 @@
 		case <-timer.C:
 		}
 		timer.Reset(tickEvery)
+		began := time.Now()
 		o.pass(ctx)
-		if !pause(ctx, planPause) {
+		if !pause(ctx, max(planPause, planRest*time.Since(began))) {
 			return
 		}
 	}
