--- a/cmd/turmericmoor/root.go
+++ b/cmd/turmericmoor/root.go
@@ -71,6 +71,7 @@
 		newQuestionnaireCommand(),
 		newEntryCommand(),
 		newNodeCommand(),
+		newExplainCommand(),
 		newSubmitCommand(),
 	)
 	return root
