core/tmcontrol, io/tmelection: bounded starts, weak owners replaced, ends gather by the size of the fleet

Change: at most 200 starts without an answer; a node with much more processor takes over from a weak owner after 3 s; 20 to 120 ms for ends to gather.

--- a/core/tmcontrol/controller.go
+++ b/core/tmcontrol/controller.go
@@ -41,6 +41,8 @@
 	paces     []PaceOrder
 	questions []Question
 	deposed   bool
+	// pending counts the runs whose start was not answered yet.
+	pending int
 
 	fleet fleet
 	stats Stats
@@ -212,6 +214,7 @@
 		return
 	}
 	delete(r.ep.runs, r.key())
+	c.answered(r)
 	r.ep.used = r.ep.used.Sub(r.room)
 	c.teams[r.team] = c.teams[r.team].Sub(r.size)
 	r.task.drop(r)
@@ -223,6 +226,14 @@
 	c.touch(j)
 }
 
+// answered takes a run out of those whose start was not answered.
+func (c *Controller) answered(r *run) {
+	if r.pending {
+		r.pending = false
+		c.pending--
+	}
+}
+
 func (c *Controller) touch(j *job) {
 	if !j.dirty {
 		j.dirty = true
--- a/core/tmcontrol/job.go
+++ b/core/tmcontrol/job.go
@@ -79,6 +79,8 @@
 	size  tmjob.Amount
 	team  string
 	phase phase
+	// pending says that the run counts among those whose start was not answered.
+	pending bool
 	// settled is when the last definite answer about the run arrived. Only
 	// lists asked for later can show that the run is gone.
 	settled tmclock.Millis
--- a/core/tmcontrol/look.go
+++ b/core/tmcontrol/look.go
@@ -189,6 +189,7 @@
 			r.began = now
 		}
 	}
+	c.answered(r)
 	r.settled, r.doubt = now, false
 	if a.Percent != r.percent {
 		r.moved = now
--- a/core/tmcontrol/order.go
+++ b/core/tmcontrol/order.go
@@ -51,6 +51,7 @@
 		return
 	}
 	r.inFlight = false
+	c.answered(r)
 	if a != Accepted {
 		c.stats.Refused[a]++
 		c.event(tmevent.StartAnswer, "task", ref.Task.String(), "run", ref.Run, "endpoint", ref.Endpoint, "answer", a.String(), "try", r.tries)
--- a/core/tmcontrol/plan.go
+++ b/core/tmcontrol/plan.go
@@ -58,6 +58,10 @@
 	return false
 }
 
+// maxPending bounds the runs whose start was not answered yet. More orders at once
+// would wait for the processor until their endpoints take them for late.
+const maxPending = 200
+
 // Plan places waiting tasks. Placements become orders once they are stored.
 func (c *Controller) Plan(now tmclock.Millis, wall int64) {
 	if !c.loaded || c.deposed || c.rules.Version == 0 {
@@ -83,6 +87,9 @@
 	for service, ranks := range byService {
 		slices.SortStableFunc(ranks, compareRanks)
 		for _, r := range ranks {
+			if c.pending >= maxPending {
+				return
+			}
 			c.placeOccurrence(r.occ, pools[service], now)
 		}
 	}
@@ -182,6 +189,8 @@
 
 func (c *Controller) assign(t *task, e *endpoint, n int) {
 	r := c.addRun(t, e, n)
+	r.pending = true
+	c.pending++
 	t.runs = n
 	if tk, ok := t.step.advice.tickets[e.info.ID]; ok {
 		r.ticket = tk
--- a/io/tmelection/election.go
+++ b/io/tmelection/election.go
@@ -34,6 +34,8 @@
 	weakPause   = 600 * time.Millisecond
 	firstPause  = 500 * time.Millisecond
 	strongShare = 0.75
+	// weakTerm is how long a weak owner is left alone by stronger nodes.
+	weakTerm = 3 * time.Second
 	// maxStagger spreads the nodes that take over at the same moment.
 	maxStagger = 250 * time.Millisecond
 )
@@ -67,6 +69,8 @@
 	changed time.Time
 	known   bool
 	contact time.Time
+	// since is when the present term was first seen.
+	since time.Time
 	// cores is the processor share of every node that was ever seen.
 	cores map[string]float64
 	began time.Time
@@ -179,6 +183,9 @@
 		if o.Holder != c.row.Holder || o.Token != c.row.Token {
 			c.Note(tmevent.OwnerSeen, "holder", o.Holder, "token", o.Token, "version", version)
 		}
+		if o.Token != c.row.Token {
+			c.since = time.Now()
+		}
 		c.row, c.version, c.changed = o, version, time.Now()
 	}
 	c.mu.Unlock()
@@ -187,8 +194,9 @@
 	}
 }
 
-// vacant reports whether the row may be taken: the owner has resigned or has
-// not renewed for takeAfter although the store answers.
+// vacant reports whether the row may be taken: the owner has resigned, has not
+// renewed for takeAfter although the store answers, or is much weaker than this
+// node.
 func (c *Candidate) vacant() (tmrecord.Owner, int64, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -205,6 +213,9 @@
 	if c.row.Holder == "" || c.row.Holder == c.Name {
 		return c.row, c.version, c.changed.IsZero() || time.Since(c.changed) > stagger
 	}
+	if c.row.Cores < strongShare*c.Cores && !c.weak() {
+		return c.row, c.version, time.Since(c.since) > weakTerm+stagger
+	}
 	return c.row, c.version, time.Since(c.changed) > takeAfter+stagger
 }
 
@@ -213,7 +224,7 @@
 	if !ok {
 		return 0, false
 	}
-	next := tmrecord.Owner{Holder: c.Name, Token: row.Token + 1}
+	next := tmrecord.Owner{Holder: c.Name, Token: row.Token + 1, Cores: c.Cores}
 	if err := c.write(ctx, next, version); err != nil {
 		return 0, false
 	}
@@ -279,7 +290,7 @@
 		}
 		beat++
 		waiting, counted := c.Status()
-		next := tmrecord.Owner{Holder: c.Name, Token: token, Beat: beat, Waiting: waiting, Counted: counted}
+		next := tmrecord.Owner{Holder: c.Name, Token: token, Beat: beat, Cores: c.Cores, Waiting: waiting, Counted: counted}
 		if err := c.write(ctx, next, version); err != nil && ctx.Err() == nil {
 			c.Note(tmevent.RenewalFailed, "token", token, "cause", err.Error())
 		}
--- a/io/tmowner/call.go
+++ b/io/tmowner/call.go
@@ -17,8 +17,11 @@
 	// holdSlack is how much longer than its wait a hold may take.
 	holdSlack = 700 * time.Millisecond
 	// holdPause is the pause after a hold that brought ends, so that the ends
-	// that follow gather.
-	holdPause = 40 * time.Millisecond
+	// that follow gather. It grows by holdPauseEach for each endpoint, up to
+	// maxHoldPause: a larger fleet has more calls to make.
+	holdPause     = 20 * time.Millisecond
+	holdPauseEach = 250 * time.Microsecond
+	maxHoldPause  = 120 * time.Millisecond
 	// holdRetry is the pause after a hold that failed.
 	holdRetry = 150 * time.Millisecond
 	// storedPause is how long a hold waits for ends to be stored.
@@ -151,7 +154,10 @@
 // awaitStored waits until a flush that may hold the newest ends is stored, but
 // no longer than the lease can do without.
 func (o *Owner) awaitStored(ctx context.Context, stored <-chan struct{}) {
-	if !pause(ctx, holdPause) {
+	o.mu.Lock()
+	gather := min(holdPause+time.Duration(len(o.holding))*holdPauseEach, maxHoldPause)
+	o.mu.Unlock()
+	if !pause(ctx, gather) {
 		return
 	}
 	t := time.NewTimer(storedPause)
--- a/io/tmrecord/codec.go
+++ b/io/tmrecord/codec.go
@@ -202,8 +202,9 @@
 	Holder string
 	// Token is the fencing token; it rises with every change of owner.
 	Token int64
-	// Beat counts the renewals of the holder.
-	Beat int64
+	// Beat counts the renewals of the holder, Cores is its processor share.
+	Beat  int64
+	Cores float64
 	// Waiting is the number of jobs not begun by queue; Counted says that the
 	// owner has read all jobs, so that the numbers hold.
 	Waiting map[string]int
@@ -214,6 +215,7 @@
 	Holder  string         `json:"h,omitempty"`
 	Token   int64          `json:"t"`
 	Beat    int64          `json:"b"`
+	Cores   float64        `json:"p,omitempty"`
 	Waiting map[string]int `json:"w,omitempty"`
 	Counted bool           `json:"c,omitempty"`
 }
