--- /dev/null
+++ b/internal/fleetsim/fleet_test.go
@@ -0,0 +1,228 @@
+package fleetsim
+
+import (
+	"os"
+	"strconv"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"turmericmoor/internal/tmseed"
+)
+
+// fleetSeeds is how many worlds CI runs; TM_FLEET_SEEDS=more runs many.
+const (
+	fleetSeeds     = 12
+	moreFleetSeeds = 150
+	jobs           = 60
+	calmTime       = 5 * time.Second
+	troubleTime    = 25 * time.Second
+)
+
+func seeds() int {
+	if os.Getenv("TM_FLEET_SEEDS") == "more" {
+		return moreFleetSeeds
+	}
+	return fleetSeeds
+}
+
+// fault brings one trouble about, for a while.
+type fault func(w *world)
+
+func killOwner(w *world) {
+	if i := w.owner(); i >= 0 {
+		w.kill(i, 700*time.Millisecond)
+	}
+}
+
+func killAll(w *world) {
+	for i := range w.nodes {
+		p := w.nodes[i]
+		p.mu.Lock()
+		p.dead = true
+		p.mu.Unlock()
+	}
+	for i := range w.nodes {
+		w.kill(i, 200*time.Millisecond)
+	}
+}
+
+func cutOwnerFromStore(w *world) {
+	i := w.owner()
+	if i < 0 {
+		return
+	}
+	p := w.nodes[i]
+	p.setStoreCut(true)
+	w.sleep(5 * time.Second)
+	p.setStoreCut(false)
+}
+
+func loseAnswers(w *world) {
+	w.store.mu.Lock()
+	w.store.lostAnswers = 0.3
+	w.store.mu.Unlock()
+	w.sleep(4 * time.Second)
+	w.store.mu.Lock()
+	w.store.lostAnswers = 0
+	w.store.mu.Unlock()
+}
+
+func slowStore(w *world) {
+	w.store.mu.Lock()
+	w.store.slow = 240 * time.Millisecond
+	w.store.mu.Unlock()
+	w.sleep(4 * time.Second)
+	w.store.mu.Lock()
+	w.store.slow = 0
+	w.store.mu.Unlock()
+}
+
+func loseHistory(w *world) { w.store.dropHistory() }
+
+func (w *world) anyWorker() *worker {
+	for _, k := range w.workers {
+		return k
+	}
+	return nil
+}
+
+func crashWorker(w *world) {
+	w.mu.Lock()
+	k := w.anyWorker()
+	k.crash()
+	w.mu.Unlock()
+	w.sleep(3 * time.Second)
+	w.mu.Lock()
+	k.restart()
+	w.mu.Unlock()
+}
+
+func cutWorker(w *world) {
+	w.mu.Lock()
+	k := w.anyWorker()
+	w.workerCut[k.id] = true
+	w.mu.Unlock()
+	w.sleep(7 * time.Second)
+	w.mu.Lock()
+	delete(w.workerCut, k.id)
+	w.mu.Unlock()
+}
+
+func lateOrders(w *world) {
+	w.mu.Lock()
+	w.lateOrders = 0.2
+	w.mu.Unlock()
+	w.sleep(4 * time.Second)
+	w.mu.Lock()
+	w.lateOrders = 0
+	w.mu.Unlock()
+}
+
+// namedFault is a fault with its name in logs.
+type namedFault struct {
+	name  string
+	bring fault
+}
+
+var faults = []namedFault{
+	{"kill the owner", killOwner},
+	{"kill all nodes", killAll},
+	{"cut the owner from the store", cutOwnerFromStore},
+	{"lose answers", loseAnswers},
+	{"slow store", slowStore},
+	{"lose history", loseHistory},
+	{"crash a worker", crashWorker},
+	{"cut a worker", cutWorker},
+	{"late orders", lateOrders},
+}
+
+// play runs one world and returns what broke.
+func play(t *testing.T, seed uint64, prepare func(w *world)) []string {
+	var broken []string
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, seed)
+		if prepare != nil {
+			prepare(w)
+		}
+		time.Sleep(calmTime)
+		w.work.Go(func() { w.trouble() })
+		for n := range jobs {
+			time.Sleep(time.Duration(w.rng.Int64N(int64(800 * time.Millisecond))))
+			w.submit(n + 1)
+		}
+		time.Sleep(troubleTime / 2)
+		w.awaitAll()
+		w.close()
+		broken = w.judge.broken
+	})
+	return broken
+}
+
+// trouble brings faults about, one or two at a time.
+func (w *world) trouble() {
+	rng := w.store.rng
+	for until := time.Now().Add(troubleTime); time.Now().Before(until); {
+		w.store.mu.Lock()
+		f := w.faults[rng.IntN(len(w.faults))]
+		gap := time.Duration(rng.Int64N(int64(2 * time.Second)))
+		w.store.mu.Unlock()
+		if testing.Verbose() {
+			w.t.Log(time.Since(w.began), "FAULT", f.name)
+		}
+		f.bring(w)
+		if !w.sleep(gap) {
+			return
+		}
+	}
+}
+
+// Whole fleets keep their promises while owners die, are cut off or restarted, the
+// store loses answers and history, and workers crash, are cut or late.
+func TestFleetKeepsItsPromises(t *testing.T) {
+	for i := range uint64(seeds()) {
+		seed := tmseed.First() + i
+		for _, b := range play(t, seed, nil) {
+			t.Errorf("seed %d: %s", seed, b)
+		}
+	}
+}
+
+// Negative controls: without a mechanism the judge must find a violation in one of
+// the seeds.
+func TestJudgeFindsMissingMechanisms(t *testing.T) {
+	controls := map[string]func(w *world){
+		// A late start of a dead owner is what the token keeps out.
+		"workers ignore fencing tokens": func(w *world) {
+			w.ignoreTokens, w.lateOrders = true, 0.5
+			w.faults = []namedFault{{"kill the owner", killOwner}}
+		},
+		"leases last longer than asked": func(w *world) { w.longLeases = true },
+		"the store ignores conditions":  func(w *world) { w.store.ignoreConditions = true },
+	}
+	for name, control := range controls {
+		t.Run(name, func(t *testing.T) {
+			for i := range uint64(4 * fleetSeeds) {
+				if len(play(t, tmseed.First()+i, control)) > 0 {
+					return
+				}
+			}
+			t.Error("no violation was found")
+		})
+	}
+}
+
+// TestOneWorld plays the seed in TM_FLEET_SEED alone, with its log.
+func TestOneWorld(t *testing.T) {
+	text := os.Getenv("TM_FLEET_SEED")
+	if text == "" {
+		t.Skip("TM_FLEET_SEED is not set")
+	}
+	seed, err := strconv.ParseUint(text, 10, 64)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, b := range play(t, seed, nil) {
+		t.Error(b)
+	}
+}
--- /dev/null
+++ b/internal/fleetsim/world_test.go
@@ -0,0 +1,334 @@
+package fleetsim
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	"turmericmoor/core/tmaccess"
+	"turmericmoor/core/tmclock"
+	"turmericmoor/core/tmcontrol"
+	"turmericmoor/core/tmevent"
+	"turmericmoor/core/tmjob"
+	"turmericmoor/io/tmintake"
+	"turmericmoor/io/tmnode"
+	"turmericmoor/io/tmtable"
+)
+
+const (
+	// cancelBound is after what time from its confirmation a cancellation must
+	// have taken effect.
+	cancelBound = 3 * time.Second
+	// finishBound is within what time after the last fault every job is final.
+	finishBound = 30 * time.Second
+	// longTask is the run time of the longest tasks.
+	longTask  = 8 * time.Second
+	operators = "operator"
+	listTable = "workers"
+)
+
+// world is a whole fleet. Its mutex guards workers, judge and jobs.
+type world struct {
+	t     *testing.T
+	began time.Time
+	rng   *rand.Rand
+	store *store
+
+	mu         sync.Mutex
+	workers    map[string]*worker
+	judge      *judge
+	jobs       map[string]*tmjob.Job
+	accepted   []string
+	cancelled  map[string]time.Time
+	workerCut  map[string]bool
+	lateOrders float64
+	// ignoreTokens and longLeases are negative controls.
+	ignoreTokens, longLeases bool
+
+	// faults are those that trouble draws from.
+	faults []namedFault
+	nodes  []*nodeProcess
+	work   sync.WaitGroup
+	ended  chan struct{}
+}
+
+// nodeProcess is a node and its faults.
+type nodeProcess struct {
+	name string
+	node *tmnode.Node
+	mu   sync.Mutex
+	// dead processes reach nobody; storeCut ones don't reach the store.
+	dead, storeCut bool
+	stop           context.CancelFunc
+	done           chan struct{}
+}
+
+func (p *nodeProcess) isDead() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.dead
+}
+
+func (p *nodeProcess) noStore() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.dead || p.storeCut
+}
+
+func (p *nodeProcess) setStoreCut(cut bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.storeCut = cut
+}
+
+func newWorld(t *testing.T, seed uint64) *world {
+	w := &world{
+		t: t, began: time.Now(), rng: rand.New(rand.NewPCG(seed, 1)),
+		workers: map[string]*worker{}, jobs: map[string]*tmjob.Job{}, cancelled: map[string]time.Time{},
+		workerCut: map[string]bool{}, ended: make(chan struct{}), faults: faults,
+	}
+	w.store = newStore(rand.New(rand.NewPCG(seed, 2)))
+	w.judge = newJudge(w)
+	for i := range 6 {
+		k := &worker{
+			w: w, id: fmt.Sprintf("w%d", i), started: time.Now(), born: time.Now().UnixMilli(),
+			capacity: tmjob.Amount{CPU: 8000, Mem: 8000}, runs: map[taskRun]*running{},
+			barred: map[tmjob.TaskID]int{}, wake: make(chan struct{}), rate: 0.98 + 0.02*w.rng.Float64(),
+		}
+		w.workers[k.id] = k
+		w.store.set(listTable, k.id, []byte(k.id))
+	}
+	w.store.set(operators, "config", []byte("1"))
+	for i := range 3 {
+		w.nodes = append(w.nodes, w.startNode(fmt.Sprintf("n%d", i)))
+	}
+	return w
+}
+
+// directory translates the world's own rows.
+type directory struct{ w *world }
+
+func (directory) EndpointTable() string { return listTable }
+func (directory) OperatorTable() string { return operators }
+
+func (d directory) Endpoint(row tmtable.Row) (tmcontrol.Listing, error) {
+	d.w.mu.Lock()
+	defer d.w.mu.Unlock()
+	return listing(d.w.workers[string(row.Value)]), nil
+}
+
+func (directory) WaveStatus(wave string, _ bool) tmtable.Put {
+	return tmtable.Put{Key: tmtable.Key{Table: "status", Key: wave}}
+}
+
+func (directory) Operator(tmtable.Row) (tmnode.Item, error) {
+	rules := tmcontrol.Rules{
+		Version:  1,
+		Queues:   map[string]tmcontrol.Queue{"q": {Name: "q", Service: "pool", Attempts: 4, Stretch: 2, Objective: 600}},
+		Services: map[string]tmcontrol.Service{"pool": {Name: "pool"}},
+		Teams:    map[string]tmcontrol.Team{"t": {Name: "t", Weight: 1}},
+	}
+	return tmnode.Item{Access: tmaccess.NewTable(1, nil, map[string]string{"k": "t"}, 1<<20), Rules: &rules}, nil
+}
+
+func (w *world) startNode(name string) *nodeProcess {
+	p := &nodeProcess{name: name, done: make(chan struct{})}
+	ctx, stop := context.WithCancel(context.Background())
+	p.stop = stop
+	p.node = tmnode.New(tmnode.Options{
+		Name: name, Store: &view{store: w.store, cut: p.noStore}, Endpoints: &caller{w: w, cut: p.isDead},
+		Directory: directory{w}, Clock: tmclock.NewSystem(), Awake: time.Now, MaxAge: 3 * time.Second,
+		Bounds:  tmcontrol.Bounds{Lease: 5000, Stop: 400, RackPenalty: 1, TurnTime: 3000, DutiesPerSecond: 64},
+		Stagger: w.rng.Float64(), Cores: 1,
+		Note: func(e tmevent.Event) {
+			if testing.Verbose() {
+				w.t.Log(time.Since(w.began), name, e.Name, e.Fields)
+			}
+		},
+	})
+	go func() {
+		defer close(p.done)
+		p.node.Run(ctx)
+	}()
+	return p
+}
+
+// kill ends node i at once, without a word to anybody, and starts it again after
+// a while.
+func (w *world) kill(i int, down time.Duration) {
+	p := w.nodes[i]
+	p.mu.Lock()
+	p.dead = true
+	p.mu.Unlock()
+	p.stop()
+	<-p.done
+	w.sleep(down)
+	w.nodes[i] = w.startNode(p.name)
+}
+
+// later runs f under the mutex after a delay, unless the world has ended.
+func (w *world) later(d time.Duration, f func()) {
+	w.work.Go(func() {
+		if w.sleep(d) {
+			w.mu.Lock()
+			defer w.mu.Unlock()
+			f()
+		}
+	})
+}
+
+func (w *world) sleep(d time.Duration) bool {
+	select {
+	case <-w.ended:
+		return false
+	case <-time.After(d):
+		return true
+	}
+}
+
+func (w *world) step(t tmjob.TaskID) *tmjob.Step { return &w.jobs[t.Job].Steps[t.Step] }
+
+// taskTime is the run time of a task, the same for every run. Some tasks outlast
+// the lease of a worker that is cut off.
+func (w *world) taskTime(t tmjob.TaskID) time.Duration {
+	var h uint64
+	for _, c := range t.String() {
+		h = h*131 + uint64(c)
+	}
+	if h%12 == 0 {
+		return longTask
+	}
+	return 200*time.Millisecond + time.Duration(h%1300)*time.Millisecond
+}
+
+// owner returns the node that owns the fleet, or -1.
+func (w *world) owner() int {
+	for i, p := range w.nodes {
+		if _, ok := p.node.Dump(); ok && !p.isDead() {
+			return i
+		}
+	}
+	return -1
+}
+
+// submit hands a job in until some node gives a definite answer.
+func (w *world) submit(n int) {
+	j := tmjob.Job{ID: fmt.Sprintf("%016x", n), Queue: "q", Team: "t", Accepted: time.Now().UnixMilli()}
+	for s := range 1 + w.rng.IntN(3) {
+		step := tmjob.Step{Count: 1 + w.rng.IntN(6), Size: tmjob.Amount{CPU: 1000 + 500*w.rng.Int64N(3), Mem: 500}, Estimate: 800}
+		if s > 0 {
+			step.After = []int{s - 1}
+		}
+		j.Steps = append(j.Steps, step)
+	}
+	w.mu.Lock()
+	w.jobs[j.ID] = &j
+	w.mu.Unlock()
+	first := w.rng.IntN(len(w.nodes))
+	cancelAfter := time.Duration(-1)
+	if w.rng.IntN(8) == 0 {
+		cancelAfter = time.Duration(w.rng.Int64N(int64(2 * time.Second)))
+	}
+	w.work.Go(func() {
+		if !w.call(first, func(ctx context.Context, n *tmnode.Node) error { return n.Submit(ctx, j) }) {
+			return
+		}
+		w.mu.Lock()
+		w.accepted = append(w.accepted, j.ID)
+		w.mu.Unlock()
+		if cancelAfter >= 0 && w.sleep(cancelAfter) {
+			w.cancel(first, j.ID)
+		}
+	})
+}
+
+func (w *world) cancel(first int, id string) {
+	ok := w.call(first, func(ctx context.Context, n *tmnode.Node) error {
+		err := n.Cancel(ctx, "q", id)
+		if errors.Is(err, tmintake.ErrNoJob) {
+			return nil
+		}
+		return err
+	})
+	if ok {
+		w.mu.Lock()
+		w.cancelled[id] = time.Now()
+		w.mu.Unlock()
+	}
+}
+
+// call tries nodes in turn until one answers.
+func (w *world) call(first int, do func(ctx context.Context, n *tmnode.Node) error) bool {
+	for i := first; ; i++ {
+		p := w.nodes[i%len(w.nodes)]
+		if !p.isDead() {
+			ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+			err := do(ctx, p.node)
+			cancel()
+			if err == nil {
+				return true
+			}
+		}
+		if !w.sleep(100 * time.Millisecond) {
+			return false
+		}
+	}
+}
+
+// awaitAll waits until every accepted job is shown as final.
+func (w *world) awaitAll() {
+	deadline := time.Now().Add(finishBound)
+	for i := 0; ; i++ {
+		w.mu.Lock()
+		if i == len(w.accepted) {
+			w.mu.Unlock()
+			return
+		}
+		id := w.accepted[i]
+		w.mu.Unlock()
+		for !w.isFinal(id) {
+			if time.Now().After(deadline) {
+				w.mu.Lock()
+				w.judge.fail("%s is not final %v after the last fault", id, finishBound)
+				w.mu.Unlock()
+				return
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+	}
+}
+
+func (w *world) isFinal(id string) bool {
+	for _, p := range w.nodes {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		state, err := p.node.State(ctx, "q", id)
+		cancel()
+		if errors.Is(err, tmintake.ErrNoJob) {
+			w.mu.Lock()
+			w.judge.fail("%s is accepted and not known", id)
+			w.mu.Unlock()
+			return true
+		}
+		if err == nil {
+			w.mu.Lock()
+			w.judge.shown(id, state)
+			w.mu.Unlock()
+			return state.Final()
+		}
+	}
+	return false
+}
+
+// close ends all nodes and waits.
+func (w *world) close() {
+	close(w.ended)
+	for _, p := range w.nodes {
+		p.stop()
+		<-p.done
+	}
+	w.work.Wait()
+}
