--- a/internal/fleetsim/endpoint_test.go
+++ b/internal/fleetsim/endpoint_test.go
@@ -222,8 +222,8 @@
 		return tmcontrol.NoAnswer
 	}
 	c.w.mu.Lock()
-	if c.w.rng.Float64() < c.w.lateOrders {
-		delay := time.Duration(c.w.rng.Int64N(int64(4 * time.Second)))
+	if c.w.orders.Float64() < c.w.lateOrders {
+		delay := time.Duration(c.w.orders.Int64N(int64(4 * time.Second)))
 		born := k.born
 		c.w.later(delay, func() {
 			if !k.down && k.born == born {
--- a/internal/fleetsim/fleet_test.go
+++ b/internal/fleetsim/fleet_test.go
@@ -36,13 +36,10 @@
 }
 
 func killAll(w *world) {
-	for i := range w.nodes {
-		p := w.nodes[i]
-		p.mu.Lock()
-		p.dead = true
-		p.mu.Unlock()
+	for i := range nodeCount {
+		w.process(i).die()
 	}
-	for i := range w.nodes {
+	for i := range nodeCount {
 		w.kill(i, 200*time.Millisecond)
 	}
 }
@@ -52,7 +49,7 @@
 	if i < 0 {
 		return
 	}
-	p := w.nodes[i]
+	p := w.process(i)
 	p.setStoreCut(true)
 	w.sleep(5 * time.Second)
 	p.setStoreCut(false)
@@ -145,6 +142,7 @@
 		if prepare != nil {
 			prepare(w)
 		}
+		w.start()
 		time.Sleep(calmTime)
 		w.work.Go(func() { w.trouble() })
 		for n := range jobs {
--- a/internal/fleetsim/store_test.go
+++ b/internal/fleetsim/store_test.go
@@ -56,6 +56,13 @@
 	s.wake()
 }
 
+// float returns a random number from 0 to 1.
+func (s *store) float() float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.rng.Float64()
+}
+
 func (s *store) wake() {
 	close(s.changed)
 	s.changed = make(chan struct{})
--- a/internal/fleetsim/world_test.go
+++ b/internal/fleetsim/world_test.go
@@ -27,6 +27,7 @@
 	finishBound = 30 * time.Second
 	// longTask is the run time of the longest tasks.
 	longTask  = 8 * time.Second
+	nodeCount = 3
 	operators = "operator"
 	listTable = "workers"
 )
@@ -35,8 +36,9 @@
 type world struct {
 	t     *testing.T
 	began time.Time
-	rng   *rand.Rand
-	store *store
+	// rng is for the goroutine of the test, orders is guarded by the mutex.
+	rng, orders *rand.Rand
+	store       *store
 
 	mu         sync.Mutex
 	workers    map[string]*worker
@@ -73,6 +75,19 @@
 	return p.dead
 }
 
+func (p *nodeProcess) die() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.dead = true
+}
+
+// process returns the present process of node i.
+func (w *world) process(i int) *nodeProcess {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.nodes[i%nodeCount]
+}
+
 func (p *nodeProcess) noStore() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -87,7 +102,7 @@
 
 func newWorld(t *testing.T, seed uint64) *world {
 	w := &world{
-		t: t, began: time.Now(), rng: rand.New(rand.NewPCG(seed, 1)),
+		t: t, began: time.Now(), rng: rand.New(rand.NewPCG(seed, 1)), orders: rand.New(rand.NewPCG(seed, 3)),
 		workers: map[string]*worker{}, jobs: map[string]*tmjob.Job{}, cancelled: map[string]time.Time{},
 		workerCut: map[string]bool{}, ended: make(chan struct{}), faults: faults,
 	}
@@ -103,12 +118,16 @@
 		w.store.set(listTable, k.id, []byte(k.id))
 	}
 	w.store.set(operators, "config", []byte("1"))
-	for i := range 3 {
-		w.nodes = append(w.nodes, w.startNode(fmt.Sprintf("n%d", i)))
-	}
 	return w
 }
 
+// start starts all nodes.
+func (w *world) start() {
+	for i := range nodeCount {
+		w.nodes = append(w.nodes, w.startNode(fmt.Sprintf("n%d", i), w.rng.Float64()))
+	}
+}
+
 // directory translates the world's own rows.
 type directory struct{ w *world }
 
@@ -135,7 +154,7 @@
 	return tmnode.Item{Access: tmaccess.NewTable(1, nil, map[string]string{"k": "t"}, 1<<20), Rules: &rules}, nil
 }
 
-func (w *world) startNode(name string) *nodeProcess {
+func (w *world) startNode(name string, stagger float64) *nodeProcess {
 	p := &nodeProcess{name: name, done: make(chan struct{})}
 	ctx, stop := context.WithCancel(context.Background())
 	p.stop = stop
@@ -143,7 +162,7 @@
 		Name: name, Store: &view{store: w.store, cut: p.noStore}, Endpoints: &caller{w: w, cut: p.isDead},
 		Directory: directory{w}, Clock: tmclock.NewSystem(), Awake: time.Now, MaxAge: 3 * time.Second,
 		Bounds:  tmcontrol.Bounds{Lease: 5000, Stop: 400, RackPenalty: 1, TurnTime: 3000, DutiesPerSecond: 64},
-		Stagger: w.rng.Float64(), Cores: 1,
+		Stagger: stagger, Cores: 1,
 		Note: func(e tmevent.Event) {
 			if testing.Verbose() {
 				w.t.Log(time.Since(w.began), name, e.Name, e.Fields)
@@ -160,14 +179,15 @@
 // kill ends node i at once, without a word to anybody, and starts it again after
 // a while.
 func (w *world) kill(i int, down time.Duration) {
-	p := w.nodes[i]
-	p.mu.Lock()
-	p.dead = true
-	p.mu.Unlock()
+	p := w.process(i)
+	p.die()
 	p.stop()
 	<-p.done
 	w.sleep(down)
-	w.nodes[i] = w.startNode(p.name)
+	next := w.startNode(p.name, w.store.float())
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.nodes[i] = next
 }
 
 // later runs f under the mutex after a delay, unless the world has ended.
@@ -207,7 +227,8 @@
 
 // owner returns the node that owns the fleet, or -1.
 func (w *world) owner() int {
-	for i, p := range w.nodes {
+	for i := range nodeCount {
+		p := w.process(i)
 		if _, ok := p.node.Dump(); ok && !p.isDead() {
 			return i
 		}
@@ -228,7 +249,7 @@
 	w.mu.Lock()
 	w.jobs[j.ID] = &j
 	w.mu.Unlock()
-	first := w.rng.IntN(len(w.nodes))
+	first := w.rng.IntN(nodeCount)
 	cancelAfter := time.Duration(-1)
 	if w.rng.IntN(8) == 0 {
 		cancelAfter = time.Duration(w.rng.Int64N(int64(2 * time.Second)))
@@ -264,7 +285,7 @@
 // call tries nodes in turn until one answers.
 func (w *world) call(first int, do func(ctx context.Context, n *tmnode.Node) error) bool {
 	for i := first; ; i++ {
-		p := w.nodes[i%len(w.nodes)]
+		p := w.process(i)
 		if !p.isDead() {
 			ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
 			err := do(ctx, p.node)
@@ -303,7 +324,8 @@
 }
 
 func (w *world) isFinal(id string) bool {
-	for _, p := range w.nodes {
+	for i := range nodeCount {
+		p := w.process(i)
 		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 		state, err := p.node.State(ctx, "q", id)
 		cancel()
@@ -326,9 +348,10 @@
 // close ends all nodes and waits.
 func (w *world) close() {
 	close(w.ended)
-	for _, p := range w.nodes {
+	w.work.Wait()
+	for i := range nodeCount {
+		p := w.process(i)
 		p.stop()
 		<-p.done
 	}
-	w.work.Wait()
 }
