--- /dev/null
+++ b/io/tmnodesettings/settings_test.go
@@ -0,0 +1,59 @@
+package tmnodesettings_test
+
+import (
+	"errors"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"turmericmoor/core/tmclock"
+	"turmericmoor/io/tmini"
+	"turmericmoor/io/tmnodesettings"
+)
+
+const complete = `[node]
+name = n1
+zone = z
+cores = 0.4
+[listen]
+callers = 127.0.0.1:1
+health = 127.0.0.1:2
+[store]
+address = 127.0.0.1:3
+across = true
+[instances]
+address =
+[bounds]
+lease_max_ms = 4000
+key_withdrawn_ms = 5000
+unheard_of = 7
+`
+
+func TestSettings(t *testing.T) {
+	s, err := tmnodesettings.Parse("x.ini", []byte(complete))
+	assert.NilError(t, err)
+	assert.Equal(t, s.Name(), "n1")
+	assert.Equal(t, s.Cores(), 0.4)
+	assert.Equal(t, s.KeyWithdrawn(), 5*time.Second)
+	assert.Equal(t, s.Instances(), "")
+	// The lease is never longer than endpoints grant.
+	assert.Equal(t, s.Bounds().Lease, 4000*tmclock.Millisecond)
+	// A bound that the installation leaves out has its default.
+	assert.Equal(t, s.Bounds().Stop, 400*tmclock.Millisecond)
+	// A newer installation may have keys that this version doesn't know.
+	assert.DeepEqual(t, s.Unknown(), []string{"bounds.unheard_of"})
+}
+
+// Every wrong value is named with field, value and what would be right.
+func TestWrongSettings(t *testing.T) {
+	text := strings.NewReplacer("127.0.0.1:3", "nowhere", "name = n1", "name =", "across = true", "across = maybe").Replace(complete)
+	_, err := tmnodesettings.Parse("x.ini", []byte(text))
+	var invalid *tmini.InvalidError
+	assert.Assert(t, errors.As(err, &invalid))
+	assert.Equal(t, len(invalid.Problems), 3)
+	for _, want := range []string{`store.address: is "nowhere", expected IP:port`, "node.name: is missing", `store.across: is "maybe"`} {
+		assert.ErrorContains(t, err, want)
+	}
+}
