--- a/io/tmserve/serve.go
+++ b/io/tmserve/serve.go
@@ -12,8 +12,10 @@
 )
 
 const (
-	// headerTimeout bounds reading the header of a request.
-	headerTimeout = 10 * time.Second
+	// headerTimeout bounds reading the header of a request. It is longer than any
+	// pause that a node is meant to outlast: a limit that passes meanwhile cuts
+	// requests that wait to be read.
+	headerTimeout = 60 * time.Second
 	// idleTimeout is how long an unused connection of a caller stays open.
 	idleTimeout = 60 * time.Second
 )
