--- a/core/tmcontrol/controller_test.go
+++ b/core/tmcontrol/controller_test.go
@@ -451,3 +451,24 @@
 		assert.Equal(t, len(f.step(10)) == 1, speculative)
 	}
 }
+
+// A list of instances that was on its way while an endpoint came back from
+// maintenance ended the new endpoint, and its tasks ran twice.
+func TestLateListEndsNoNewEndpoint(t *testing.T) {
+	f := newFixture(t, 1)
+	f.c.SetInstances([]Instance{{ID: "i1", Pool: "s", State: InstanceUp, Endpoint: "e1"}}, f.now)
+	f.c.Apply(Directive{Rules: testRules(1), Waves: []Wave{{Name: "1", Number: 1, Instances: []string{"i1"}, Bound: 1}}}, f.now)
+	for range 3 {
+		f.step(10)
+	}
+	orders, _ := f.c.TakeInstanceOrders()
+	assert.Equal(t, len(orders), 1)
+	f.c.InstanceOrdered(orders[0], Accepted, f.now)
+	asked := f.now.Add(1)
+	f.now = f.now.Add(500)
+	l := f.listing(2)
+	l.Instance, l.Born = "i1", 9
+	f.c.SetEndpoint(l, f.now)
+	f.c.SetInstances([]Instance{{ID: "i1", Pool: "s", State: InstanceUpkeep}}, asked)
+	assert.Assert(t, !f.c.endpoints["e2"].gone)
+}
--- a/core/tmcontrol/fleet.go
+++ b/core/tmcontrol/fleet.go
@@ -276,7 +276,7 @@
 	i, ok := c.fleet.instances[it.id]
 	e := c.endpointOn(it.id)
 	up := ok && i.State == InstanceUp
-	if e != nil && (!up || i.Endpoint != "" && i.Endpoint != e.info.ID) {
+	if e != nil && sentAt.After(e.listedAt) && (!up || i.Endpoint != "" && i.Endpoint != e.info.ID) {
 		c.endLife(e, "maintenance")
 	}
 	if ok && !up {
--- a/core/tmcontrol/pool.go
+++ b/core/tmcontrol/pool.go
@@ -359,7 +359,7 @@
 	}
 	i, ok := c.fleet.instances[m.instance]
 	e := c.endpointOn(m.instance)
-	if e != nil && e.info.Service != m.pool && (!ok || i.State != InstanceUp || i.Pool == m.pool) {
+	if e != nil && sentAt.After(e.listedAt) && e.info.Service != m.pool && (!ok || i.State != InstanceUp || i.Pool == m.pool) {
 		c.endLife(e, "moved to another pool")
 	}
 	if !ok || i.State == InstanceUp || i.State == InstanceDown {
