--- a/core/tmcontrol/pool.go
+++ b/core/tmcontrol/pool.go
@@ -24,8 +24,11 @@
 	// moveRetry is the time after which an instance that could not be moved is
 	// tried again.
 	moveRetry = 2 * tmclock.Second
-	// minPool is how many instances a pool keeps at least.
-	minPool = 2
+	// minPool is how many instances a pool keeps at least; reserveShare is the part
+	// of an equal share of all instances that it keeps for the start of a burst,
+	// which comes faster than instances can.
+	minPool      = 2
+	reserveShare = 0.35
 )
 
 // demand is the work that jobs bring to a pool.
@@ -118,6 +121,7 @@
 
 func (c *Controller) poolSizes(now tmclock.Millis) []poolSize {
 	present := c.present()
+	least := max(minPool, int(reserveShare*c.equalShare()))
 	var sizes []poolSize
 	for _, s := range c.rules.Services {
 		if s.Standby {
@@ -141,7 +145,7 @@
 		d.decay(now)
 		rising := tmjob.Amount{CPU: need.CPU + int64(headroom*d.rate)}
 		need = need.Add(present[s.Name])
-		size.want = max(minPool, 1+max(instances(need, capacity, size.have), instances(rising, capacity, size.have)))
+		size.want = max(least, 1+max(instances(need, capacity, size.have), instances(rising, capacity, size.have)))
 		if c.fleet.starved[s.Name] {
 			// A long-running task found no place, for a reason that the sums
 			// don't show.
@@ -163,6 +167,18 @@
 	return sizes
 }
 
+// equalShare returns how many instances each pool in use would have if all were
+// dealt out.
+func (c *Controller) equalShare() float64 {
+	pools := 0
+	for _, s := range c.rules.Services {
+		if !s.Standby {
+			pools++
+		}
+	}
+	return float64(len(c.fleet.instances)) / float64(max(pools, 1))
+}
+
 // instances returns how many instances of the mean size hold an amount.
 func instances(need, capacity tmjob.Amount, have int) int {
 	if have == 0 {
