io/tmowner, core/tmcontrol: nothing grows for good

Cause: outcomes stayed in the store and final jobs in memory for good; a job of thousands of tasks could not be stored in one row and would have stopped every flush; a queue that needs advice without a policy in the settings ended the process. Change: outcomes go after the time that callers may ask for them, final jobs are remembered for two minutes, a job has at most 600 tasks (four occurrences counted).

--- a/cmd/turmericmoor/node.go
+++ b/cmd/turmericmoor/node.go
@@ -83,7 +83,7 @@
 	events.Note(tmevent.NodeStarts, "zone", settings.Zone(), "unknown_settings", settings.Unknown())
 	opts := tmnode.Options{
 		Name: settings.Name(), Clock: tmclock.NewSystem(), Bounds: settings.Bounds(), MaxAge: keyAge(settings),
-		Cores:   settings.Cores(),
+		Cores: settings.Cores(), KeepOutcomes: settings.KeepOutcomes(),
 		Stagger: float64(xxhash.Sum64String(settings.Name())%1000) / 1000,
 	}
 	// The metrics show the node and the node counts in them, so they are set
--- a/core/tmcontrol/controller.go
+++ b/core/tmcontrol/controller.go
@@ -26,8 +26,11 @@
 	// order holds the jobs that are not final in order of arrival.
 	order     []*job
 	endpoints map[string]*endpoint
-	// past holds the jobs that became final here: a feed may show them again.
-	past     map[string]bool
+	// now is the time of the last Tick, pastSwept that of the last look for jobs
+	// to forget.
+	now, pastSwept tmclock.Millis
+	// past holds when jobs became final here: a feed may show them again.
+	past     map[string]tmclock.Millis
 	teams    map[string]tmjob.Amount
 	zonesOut map[string]bool
 	runTimes map[string]*runTime
@@ -59,8 +62,8 @@
 func New(bounds Bounds, token int64, note func(tmevent.Event)) *Controller {
 	return &Controller{
 		bounds: bounds, token: token, note: note,
-		jobs: map[string]*job{}, endpoints: map[string]*endpoint{}, past: map[string]bool{},
-		teams: map[string]tmjob.Amount{}, zonesOut: map[string]bool{},
+		jobs: map[string]*job{}, endpoints: map[string]*endpoint{}, past: map[string]tmclock.Millis{},
+		now: 1, teams: map[string]tmjob.Amount{}, zonesOut: map[string]bool{},
 		runTimes: map[string]*runTime{},
 		fleet:    newFleet(),
 		stats:    Stats{Refused: map[Answer]int64{}},
@@ -100,7 +103,7 @@
 
 // Submitted takes in a stored job. A job that is known is left as it is.
 func (c *Controller) Submitted(spec tmjob.Job) {
-	if _, ok := c.jobs[spec.ID]; ok || c.past[spec.ID] {
+	if _, ok := c.jobs[spec.ID]; ok || c.past[spec.ID] != 0 {
 		return
 	}
 	j := newJob(spec)
@@ -120,7 +123,7 @@
 
 // Finished takes in that an earlier owner has stored the outcome of a job.
 func (c *Controller) Finished(id string) {
-	c.past[id] = true
+	c.past[id] = c.now
 	if j := c.jobs[id]; j != nil {
 		c.dropOrder(j)
 		delete(c.jobs, id)
@@ -130,7 +133,7 @@
 // Removed takes in that the row of a job is gone: it is final.
 func (c *Controller) Removed(id string) {
 	if j := c.jobs[id]; j == nil || !j.final {
-		c.past[id] = true
+		c.past[id] = c.now
 		if j != nil {
 			c.finish(j, tmjob.Cancelled, "its row was removed")
 		}
@@ -247,7 +250,7 @@
 		return
 	}
 	j.final, j.state, j.cause = true, state, cause
-	c.past[j.spec.ID] = true
+	c.past[j.spec.ID] = c.now
 	c.event(tmevent.JobFinal, "job", j.spec.ID, "queue", j.spec.Queue, "team", j.spec.Team, "state", state.String(), "cause", cause)
 	for _, o := range j.occurrences {
 		for _, s := range o.steps {
--- a/core/tmcontrol/look.go
+++ b/core/tmcontrol/look.go
@@ -344,6 +344,8 @@
 // Tick takes in the passing of time: leases that have surely lapsed, orders to
 // repeat, and occurrences that have come due.
 func (c *Controller) Tick(now tmclock.Millis, wall int64) {
+	c.now = now
+	c.forgetPast(now)
 	for id, e := range c.endpoints {
 		if len(e.runs) > 0 && !e.answering && now.After(e.lapse) {
 			c.loseRuns(e, "lease lapsed")
@@ -366,6 +368,22 @@
 	}
 }
 
+// pastTime is how long a final job is remembered: longer than any feed lags.
+const pastTime = 2 * tmclock.Minute
+
+// forgetPast drops the jobs that became final long ago, now and then.
+func (c *Controller) forgetPast(now tmclock.Millis) {
+	if now.Sub(c.pastSwept) < pastTime/4 {
+		return
+	}
+	c.pastSwept = now
+	for id, at := range c.past {
+		if now.Sub(at) > pastTime && c.jobs[id] == nil {
+			delete(c.past, id)
+		}
+	}
+}
+
 // leave stops the long-running tasks of a draining endpoint that have another
 // place, before the endpoint exits.
 func (c *Controller) leave(e *endpoint, now tmclock.Millis) {
--- a/core/tmjob/job.go
+++ b/core/tmjob/job.go
@@ -14,8 +14,10 @@
 const (
 	// maxSteps bounds the steps of a job.
 	maxSteps = 64
-	// maxTasks bounds the tasks of one occurrence of a job.
-	maxTasks = 4096
+	// maxTasks bounds the tasks of a job, so that its progress fits into one row
+	// of 64 KiB. Of a repeated job openOccurrences are counted.
+	maxTasks        = 600
+	openOccurrences = 4
 	// MaxSpec bounds the specification in bytes.
 	MaxSpec = 4000
 )
@@ -160,7 +162,7 @@
 		if err := j.Steps[i].check(i); err != nil {
 			return err
 		}
-		tasks += j.Steps[i].Count
+		tasks += j.Steps[i].Count * min(j.Occurrences(), openOccurrences)
 	}
 	if tasks > maxTasks {
 		return fmt.Errorf("%w: %d tasks, at most %d are allowed", ErrInvalid, tasks, maxTasks)
--- a/internal/fleetsim/fleet_test.go
+++ b/internal/fleetsim/fleet_test.go
@@ -210,6 +210,29 @@
 	}
 }
 
+// Outcomes stayed in the store for good. They go when callers need them no longer,
+// and no row of the job is left.
+func TestOldOutcomesAreRemoved(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, tmseed.First())
+		w.start()
+		time.Sleep(calmTime)
+		for n := range 10 {
+			w.submit(n + 1)
+		}
+		time.Sleep(troubleTime)
+		w.awaitAll()
+		if n := w.store.jobRows(); n == 0 {
+			t.Error("no outcome is kept")
+		}
+		time.Sleep(2 * keepOutcomes)
+		if n := w.store.jobRows(); n != 0 {
+			t.Errorf("%d rows of jobs are left", n)
+		}
+		w.close()
+	})
+}
+
 // TestOneWorld plays the seed in TM_FLEET_SEED alone, with its log.
 func TestOneWorld(t *testing.T) {
 	text := os.Getenv("TM_FLEET_SEED")
--- a/internal/fleetsim/store_test.go
+++ b/internal/fleetsim/store_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"turmericmoor/core/tmclock"
+	"turmericmoor/io/tmrecord"
 	"turmericmoor/io/tmtable"
 )
 
@@ -96,6 +97,19 @@
 	return nil
 }
 
+// jobRows counts the rows in the table of jobs.
+func (s *store) jobRows() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := 0
+	for k := range s.rows {
+		if k.Table == tmrecord.JobTable {
+			n++
+		}
+	}
+	return n
+}
+
 func (s *store) dropHistory() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/fleetsim/world_test.go
+++ b/internal/fleetsim/world_test.go
@@ -28,8 +28,10 @@
 	// longTask is the run time of the longest tasks.
 	longTask  = 8 * time.Second
 	nodeCount = 3
-	operators = "operator"
-	listTable = "workers"
+	// keepOutcomes is longer than any of the worlds but one.
+	keepOutcomes = 3 * time.Minute
+	operators    = "operator"
+	listTable    = "workers"
 )
 
 // world is a whole fleet. Its mutex guards workers, judge and jobs.
@@ -162,7 +164,7 @@
 		Name: name, Store: &view{store: w.store, cut: p.noStore}, Endpoints: &caller{w: w, cut: p.isDead},
 		Directory: directory{w}, Clock: tmclock.NewSystem(), Awake: time.Now, MaxAge: 3 * time.Second,
 		Bounds:  tmcontrol.Bounds{Lease: 5000, Stop: 400, RackPenalty: 1, TurnTime: 3000, DutiesPerSecond: 64},
-		Stagger: stagger, Cores: 1,
+		Stagger: stagger, Cores: 1, KeepOutcomes: keepOutcomes,
 		Note: func(e tmevent.Event) {
 			if testing.Verbose() {
 				w.t.Log(time.Since(w.began), name, e.Name, e.Fields)
--- a/io/tmnode/node.go
+++ b/io/tmnode/node.go
@@ -58,6 +58,8 @@
 	// MaxAge is how long ago the store must have confirmed the configuration
 	// for calls to be served.
 	MaxAge time.Duration
+	// KeepOutcomes is how long callers can ask for the outcome of a job.
+	KeepOutcomes time.Duration
 	// Stagger, from 0 to 1, orders the nodes in the election; Cores is the
 	// processor share of the node.
 	Stagger, Cores float64
@@ -286,7 +288,7 @@
 	owner := tmowner.New(tmowner.Options{
 		Store: n.opts.Store, Endpoints: n.opts.Endpoints, Instances: n.opts.Instances,
 		Advisor: n.opts.Advisor, Directory: n.opts.Directory, Clock: n.opts.Clock,
-		Bounds: bounds, Holder: n.opts.Name, Note: n.opts.Note, Observe: n.opts.Observe,
+		KeepOutcomes: n.opts.KeepOutcomes, Bounds: bounds, Holder: n.opts.Name, Note: n.opts.Note, Observe: n.opts.Observe,
 	}, token)
 	n.mu.Lock()
 	n.owner = owner
--- a/io/tmnodesettings/settings.go
+++ b/io/tmnodesettings/settings.go
@@ -23,6 +23,7 @@
 	cores                    float64
 	shutdown                 time.Duration
 	keyWithdrawn             time.Duration
+	keepOutcomes             time.Duration
 	bounds                   tmcontrol.Bounds
 	unknown                  []string
 }
@@ -63,6 +64,9 @@
 // KeyWithdrawn returns within what time a withdrawn key must stop working.
 func (s Settings) KeyWithdrawn() time.Duration { return s.keyWithdrawn }
 
+// KeepOutcomes returns how long callers can ask for the outcome of a job.
+func (s Settings) KeepOutcomes() time.Duration { return s.keepOutcomes }
+
 // Bounds returns the bounds of the controller.
 func (s Settings) Bounds() tmcontrol.Bounds { return s.bounds }
 
@@ -79,15 +83,18 @@
 const (
 	defaultShutdown     = 6 * time.Second
 	defaultKeyWithdrawn = 5 * time.Second
-	defaultLeaseMax     = 10 * tmclock.Second
-	defaultStop         = 400 * tmclock.Millisecond
-	defaultEarly        = 250 * tmclock.Millisecond
-	defaultTurn         = 3 * tmclock.Second
-	defaultNotice       = 4500 * tmclock.Millisecond
-	defaultUpkeep       = 2 * tmclock.Second
-	defaultMove         = 1500 * tmclock.Millisecond
-	defaultHarm         = 4 * tmclock.Second
-	defaultOrders       = 64.0
+	defaultKeepOutcomes = 120 * time.Second
+	// outcomeSlack covers the differences of clocks of day.
+	outcomeSlack    = 30 * time.Second
+	defaultLeaseMax = 10 * tmclock.Second
+	defaultStop     = 400 * tmclock.Millisecond
+	defaultEarly    = 250 * tmclock.Millisecond
+	defaultTurn     = 3 * tmclock.Second
+	defaultNotice   = 4500 * tmclock.Millisecond
+	defaultUpkeep   = 2 * tmclock.Second
+	defaultMove     = 1500 * tmclock.Millisecond
+	defaultHarm     = 4 * tmclock.Second
+	defaultOrders   = 64.0
 	// lease is how long a grant lasts: longer than a change of owner takes, and
 	// no longer than tasks of a dead endpoint can wait.
 	lease = 5 * tmclock.Second
@@ -137,6 +144,7 @@
 		instances:    r.address("instances.address", false),
 		advice:       r.address("advice.address", false),
 		shutdown:     r.seconds("bounds.shutdown_s", defaultShutdown),
+		keepOutcomes: r.seconds("bounds.keep_outcomes_s", defaultKeepOutcomes) + outcomeSlack,
 		keyWithdrawn: r.span("bounds.key_withdrawn_ms", tmclock.SpanOf(defaultKeyWithdrawn)).Duration(),
 		bounds: tmcontrol.Bounds{
 			Lease:           min(lease, r.span("bounds.lease_max_ms", defaultLeaseMax)),
--- a/io/tmowner/call.go
+++ b/io/tmowner/call.go
@@ -83,7 +83,7 @@
 	callCtx, cancel := context.WithTimeout(ctx, adviceTimeout)
 	defer cancel()
 	asked := o.opts.Clock.Now()
-	tickets, valid, err := o.opts.Advisor.Advise(callCtx, q.Step, q.Endpoints)
+	tickets, valid, err := o.advise(callCtx, q)
 	if err != nil {
 		o.note(tmevent.AdviceFailed, "step", q.Step, "cause", err.Error())
 		pause(ctx, holdRetry)
@@ -94,6 +94,15 @@
 	o.plan()
 }
 
+var errNoAdvisor = errors.New("tmowner: the settings name no placement policy")
+
+func (o *Owner) advise(ctx context.Context, q tmcontrol.Question) (map[string]string, tmclock.Span, error) {
+	if o.opts.Advisor == nil {
+		return nil, 0, errNoAdvisor
+	}
+	return o.opts.Advisor.Advise(ctx, q.Step, q.Endpoints)
+}
+
 // hold keeps the lease of one endpoint and brings in its runs and ends, until
 // the controller has no more interest in it.
 func (o *Owner) hold(ctx context.Context, id string) {
--- a/io/tmowner/owner.go
+++ b/io/tmowner/owner.go
@@ -22,6 +22,8 @@
 	Directory Directory
 	Clock     tmclock.Clock
 	Bounds    tmcontrol.Bounds
+	// KeepOutcomes is how long callers can ask for the outcome of a job.
+	KeepOutcomes time.Duration
 	// Holder is the name of this node in orders about instances.
 	Holder string
 	Note   func(tmevent.Event)
@@ -64,6 +66,8 @@
 	settleMu    sync.Mutex
 	outcomes    map[string]tmrecord.Outcome
 	settledJobs []settled
+	// kept are the outcomes in the table of jobs, about in order of age.
+	kept []settled
 }
 
 // New returns an owner with a fencing token. Run starts it.
@@ -269,6 +273,7 @@
 		Snapshot: func(rows []tmtable.Row) {
 			o.takeJobs(rows)
 			if !o.isLoaded() {
+				o.takeOldOutcomes(rows)
 				o.restore(ctx)
 			}
 		},
@@ -316,6 +321,22 @@
 	}
 }
 
+// takeOldOutcomes notes the outcomes that earlier owners have moved.
+func (o *Owner) takeOldOutcomes(rows []tmtable.Row) {
+	for _, row := range rows {
+		kind, id := tmrecord.KindOf(row.Key.Key)
+		if kind != tmrecord.OutcomeRow {
+			continue
+		}
+		out, err := tmrecord.DecodeOutcome(row.Value)
+		if err != nil {
+			o.note(tmevent.RowUnreadable, "table", row.Table, "key", row.Key.Key, "cause", err.Error())
+			continue
+		}
+		o.keepOutcome(id, out.At)
+	}
+}
+
 // restore reads the progress of all live jobs. The guard is taken already, so no
 // earlier owner can change it any more.
 func (o *Owner) restore(ctx context.Context) {
--- a/io/tmowner/settle.go
+++ b/io/tmowner/settle.go
@@ -30,6 +30,43 @@
 	at  time.Time
 }
 
+// keepOutcome notes an outcome that lies in the table of jobs since a time in
+// milliseconds since the Unix epoch.
+func (o *Owner) keepOutcome(job string, at int64) {
+	o.settleMu.Lock()
+	defer o.settleMu.Unlock()
+	o.kept = append(o.kept, settled{job: job, at: time.UnixMilli(at)})
+}
+
+// sweep removes outcomes that callers need no longer.
+func (o *Owner) sweep(ctx context.Context) {
+	o.settleMu.Lock()
+	byPart := map[string][]settled{}
+	n := 0
+	for n < len(o.kept) && n < settleBatch && time.Since(o.kept[n].at) > o.opts.KeepOutcomes {
+		part := tmrecord.PartOf(o.kept[n].job)
+		byPart[part] = append(byPart[part], o.kept[n])
+		n++
+	}
+	o.kept = o.kept[n:]
+	o.settleMu.Unlock()
+	for _, batch := range byPart {
+		var txn tmtable.Txn
+		for _, s := range batch {
+			txn.Removes = append(txn.Removes, tmrecord.OutcomeKey(s.job))
+		}
+		callCtx, cancel := context.WithTimeout(ctx, writeTimeout)
+		_, err := o.opts.Store.Write(callCtx, txn)
+		cancel()
+		if err != nil && ctx.Err() == nil {
+			o.note(tmevent.StoreFailed, "what", "old outcomes", "cause", err.Error())
+			o.settleMu.Lock()
+			o.kept = append(o.kept, batch...)
+			o.settleMu.Unlock()
+		}
+	}
+}
+
 // settle notes stored outcomes that are to be moved.
 func (o *Owner) settle(outcomes map[string]tmrecord.Outcome) {
 	o.settleMu.Lock()
@@ -59,6 +96,7 @@
 		for part, batch := range o.takeOutcomes() {
 			o.move(ctx, part, batch)
 		}
+		o.sweep(ctx)
 	}
 }
 
@@ -102,5 +140,6 @@
 			continue
 		}
 		o.settledJobs = append(o.settledJobs, settled{job: job, at: time.Now()})
+		o.kept = append(o.kept, settled{job: job, at: time.Now()})
 	}
 }
