--- a/io/tmelection/election.go
+++ b/io/tmelection/election.go
@@ -9,6 +9,8 @@
 	"sync"
 	"time"
 
+	"turmericmoor/internal/tmwait"
+
 	"turmericmoor/core/tmevent"
 
 	"turmericmoor/core/tmclock"
@@ -103,7 +105,7 @@
 			c.lead(standing, token)
 			continue
 		}
-		sleep(standing, retryPause)
+		tmwait.Pause(standing, retryPause)
 	}
 	<-ctx.Done()
 }
@@ -311,12 +313,3 @@
 		c.Note(tmevent.ResignationFailed, "token", token, "cause", err.Error())
 	}
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/io/tmintake/intake.go
+++ b/io/tmintake/intake.go
@@ -10,6 +10,8 @@
 	"sync"
 	"time"
 
+	"turmericmoor/internal/tmwait"
+
 	"turmericmoor/core/tmjob"
 	"turmericmoor/io/tmrecord"
 	"turmericmoor/io/tmtable"
@@ -92,7 +94,7 @@
 		case errors.Is(err, tmtable.ErrInvalid):
 			return fmt.Errorf("%w: %w", ErrNotAccepted, err)
 		}
-		if !sleep(ctx, retryPause) || !doubt {
+		if !tmwait.Pause(ctx, retryPause) || !doubt {
 			if doubt {
 				return fmt.Errorf("%w: %w", ErrUnknown, err)
 			}
@@ -233,19 +235,8 @@
 				return nil
 			}
 		}
-		if !sleep(ctx, retryPause) {
+		if !tmwait.Pause(ctx, retryPause) {
 			return fmt.Errorf("%w: %w", ErrUnknown, err)
 		}
 	}
 }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
--- a/io/tmowner/call.go
+++ b/io/tmowner/call.go
@@ -5,6 +5,8 @@
 	"errors"
 	"time"
 
+	"turmericmoor/internal/tmwait"
+
 	"turmericmoor/core/tmevent"
 
 	"turmericmoor/core/tmclock"
@@ -31,11 +33,7 @@
 )
 
 func (o *Owner) sendStart(ctx context.Context, s tmcontrol.StartOrder) {
-	callCtx, cancel := context.WithTimeout(ctx, orderTimeout)
-	began := time.Now()
-	a := o.opts.Endpoints.Start(callCtx, s)
-	cancel()
-	o.observeAnswer("start", began, a)
+	a := o.timed(ctx, "start", orderTimeout, func(ctx context.Context) tmcontrol.Answer { return o.opts.Endpoints.Start(ctx, s) })
 	now := o.opts.Clock.Now()
 	o.mu.Lock()
 	o.ctl.Started(s.Ref, a, now)
@@ -46,26 +44,30 @@
 }
 
 func (o *Owner) sendStop(ctx context.Context, s tmcontrol.StopOrder) {
-	callCtx, cancel := context.WithTimeout(ctx, orderTimeout)
-	began := time.Now()
-	a := o.opts.Endpoints.Stop(callCtx, s)
-	cancel()
-	o.observeAnswer("stop", began, a)
+	a := o.timed(ctx, "stop", orderTimeout, func(ctx context.Context) tmcontrol.Answer { return o.opts.Endpoints.Stop(ctx, s) })
 	now := o.opts.Clock.Now()
 	o.mu.Lock()
+	defer o.mu.Unlock()
 	o.ctl.Stopped(s.Ref, a, now)
-	o.mu.Unlock()
 }
 
 func (o *Owner) sendPace(ctx context.Context, p tmcontrol.PaceOrder) {
-	callCtx, cancel := context.WithTimeout(ctx, orderTimeout)
-	began := time.Now()
-	a := o.opts.Endpoints.Pace(callCtx, p)
-	cancel()
-	o.observeAnswer("pace", began, a)
+	a := o.timed(ctx, "pace", orderTimeout, func(ctx context.Context) tmcontrol.Answer { return o.opts.Endpoints.Pace(ctx, p) })
 	o.mu.Lock()
+	defer o.mu.Unlock()
 	o.ctl.Paced(p, a)
-	o.mu.Unlock()
+}
+
+// timed makes a call with a time limit and observes how long it took.
+func (o *Owner) timed(
+	ctx context.Context, what string, limit time.Duration, call func(context.Context) tmcontrol.Answer,
+) tmcontrol.Answer {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	began := time.Now()
+	a := call(ctx)
+	o.observeAnswer(what, began, a)
+	return a
 }
 
 func (o *Owner) observeAnswer(what string, began time.Time, a tmcontrol.Answer) {
@@ -86,7 +88,7 @@
 	tickets, valid, err := o.advise(callCtx, q)
 	if err != nil {
 		o.note(tmevent.AdviceFailed, "step", q.Step, "cause", err.Error())
-		pause(ctx, holdRetry)
+		tmwait.Pause(ctx, holdRetry)
 	}
 	o.mu.Lock()
 	o.ctl.Advised(q, tickets, valid, asked)
@@ -157,7 +159,7 @@
 	}
 	o.mu.Unlock()
 	o.plan()
-	pause(ctx, holdRetry)
+	tmwait.Pause(ctx, holdRetry)
 }
 
 // awaitStored waits until a flush that may hold the newest ends is stored, but
@@ -166,7 +168,7 @@
 	o.mu.Lock()
 	gather := min(holdPause+time.Duration(len(o.holding))*holdPauseEach, maxHoldPause)
 	o.mu.Unlock()
-	if !pause(ctx, gather) {
+	if !tmwait.Pause(ctx, gather) {
 		return
 	}
 	t := time.NewTimer(storedPause)
--- a/io/tmowner/flush.go
+++ b/io/tmowner/flush.go
@@ -5,6 +5,8 @@
 	"errors"
 	"time"
 
+	"turmericmoor/internal/tmwait"
+
 	"turmericmoor/core/tmevent"
 
 	"turmericmoor/core/tmcontrol"
@@ -64,7 +66,7 @@
 	}
 	if ctx.Err() == nil {
 		o.note(tmevent.StoreFailed, "what", "write", "cause", err.Error())
-		pause(ctx, writePause)
+		tmwait.Pause(ctx, writePause)
 	}
 	return false, false
 }
@@ -108,7 +110,7 @@
 		if !o.storeFlush(ctx, f) {
 			return
 		}
-		if !pause(ctx, flushPause) {
+		if !tmwait.Pause(ctx, flushPause) {
 			return
 		}
 		o.flush()
--- a/io/tmowner/instance.go
+++ b/io/tmowner/instance.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"turmericmoor/internal/tmwait"
+
 	"turmericmoor/core/tmevent"
 
 	"turmericmoor/core/tmcontrol"
@@ -57,11 +59,9 @@
 }
 
 func (o *Owner) sendInstanceOrder(ctx context.Context, order tmcontrol.InstanceOrder) {
-	callCtx, cancel := context.WithTimeout(ctx, instanceTimeout)
-	began := time.Now()
-	a := o.opts.Instances.Order(callCtx, order)
-	cancel()
-	o.observeAnswer("instance_order", began, a)
+	a := o.timed(ctx, "instance_order", instanceTimeout, func(ctx context.Context) tmcontrol.Answer {
+		return o.opts.Instances.Order(ctx, order)
+	})
 	now := o.opts.Clock.Now()
 	o.mu.Lock()
 	o.ctl.InstanceOrdered(order, a, now)
@@ -84,7 +84,7 @@
 			return
 		}
 		o.note(tmevent.StoreFailed, "what", "wave report", "cause", err.Error())
-		pause(ctx, writePause)
+		tmwait.Pause(ctx, writePause)
 	}
 }
 
--- a/io/tmowner/owner.go
+++ b/io/tmowner/owner.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"turmericmoor/internal/tmwait"
+
 	"turmericmoor/core/tmevent"
 
 	"turmericmoor/core/tmclock"
@@ -148,7 +150,7 @@
 		timer.Reset(tickEvery)
 		began := time.Now()
 		o.pass(ctx)
-		if !pause(ctx, max(planPause, planRest*time.Since(began))) {
+		if !tmwait.Pause(ctx, max(planPause, planRest*time.Since(began))) {
 			return
 		}
 	}
@@ -198,17 +200,6 @@
 	}
 }
 
-func pause(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
-
 func (o *Owner) note(name tmevent.Name, fields ...any) {
 	o.opts.Note(tmevent.Event{Name: name, Fields: fields})
 }
@@ -362,7 +353,7 @@
 			return true
 		}
 		o.note(tmevent.StoreFailed, "what", what, "cause", err.Error())
-		if !pause(ctx, tickEvery) {
+		if !tmwait.Pause(ctx, tickEvery) {
 			return false
 		}
 	}
--- a/io/tmowner/settle.go
+++ b/io/tmowner/settle.go
@@ -5,6 +5,8 @@
 	"maps"
 	"time"
 
+	"turmericmoor/internal/tmwait"
+
 	"turmericmoor/core/tmevent"
 
 	"turmericmoor/io/tmrecord"
@@ -92,7 +94,7 @@
 
 // settleLoop moves outcomes to the table of jobs, where they replace the jobs.
 func (o *Owner) settleLoop(ctx context.Context) {
-	for pause(ctx, settleEvery) {
+	for tmwait.Pause(ctx, settleEvery) {
 		for part, batch := range o.takeOutcomes() {
 			o.move(ctx, part, batch)
 		}
--- a/io/tmtable/follow.go
+++ b/io/tmtable/follow.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"turmericmoor/internal/tmwait"
+
 	"turmericmoor/core/tmclock"
 )
 
@@ -68,7 +70,7 @@
 		}
 		lost = f.noteTrouble(ctx, err, lost)
 		if err != nil {
-			pause(ctx, retryPause)
+			tmwait.Pause(ctx, retryPause)
 		}
 	}
 }
@@ -146,12 +148,3 @@
 		f.Contact(sent)
 	}
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
