--- a/core/tmcontrol/controller.go
+++ b/core/tmcontrol/controller.go
@@ -48,13 +48,6 @@
 	pending int
 
 	fleet fleet
-	stats Stats
-}
-
-// Stats counts what the controller did since it was made.
-type Stats struct {
-	Starts, Done, Failed, Lost, Stopped int64
-	Refused                             map[Answer]int64
 }
 
 // New returns a controller of an owner with that fencing token. note receives
@@ -66,19 +59,12 @@
 		now: 1, teams: map[string]tmjob.Amount{}, zonesOut: map[string]bool{},
 		runTimes: map[string]*runTime{},
 		fleet:    newFleet(),
-		stats:    Stats{Refused: map[Answer]int64{}},
 	}
 }
 
-// Token returns the fencing token of the owner.
-func (c *Controller) Token() int64 { return c.token }
-
 // Deposed reports whether an endpoint has seen a higher fencing token.
 func (c *Controller) Deposed() bool { return c.deposed }
 
-// Stats returns what was counted since the controller was made.
-func (c *Controller) Stats() Stats { return c.stats }
-
 func (c *Controller) event(name tmevent.Name, fields ...any) {
 	c.note(tmevent.Event{Name: name, Fields: fields})
 }
--- a/core/tmcontrol/controller_test.go
+++ b/core/tmcontrol/controller_test.go
@@ -21,7 +21,7 @@
 }
 
 func testBounds() Bounds {
-	return Bounds{Lease: 5000, Stop: 400, RackPenalty: 2, TurnTime: 0, Harm: 4000, Move: 1500, Upkeep: 2000, Notice: 4500, DutiesPerSecond: 64}
+	return Bounds{Lease: 5000, Upkeep: 2000}
 }
 
 func testRules(version int64) Rules {
--- a/core/tmcontrol/look.go
+++ b/core/tmcontrol/look.go
@@ -84,7 +84,6 @@
 
 func (c *Controller) loseRuns(e *endpoint, cause string) {
 	for _, r := range e.runs {
-		c.stats.Lost++
 		c.event(tmevent.RunLost, "task", r.task.id.String(), "run", r.n, "endpoint", e.info.ID, "cause", cause)
 		c.release(r)
 	}
@@ -218,7 +217,6 @@
 	case r.phase == planned || r.inFlight || !sentAt.After(r.settled):
 		return
 	case r.phase == doubtful, r.phase == active, r.stopped:
-		c.stats.Lost++
 		c.event(tmevent.RunGone, "task", r.task.id.String(), "run", r.n, "endpoint", r.ep.info.ID, "cause", "not listed by its endpoint")
 		c.release(r)
 	case r.stop:
@@ -265,7 +263,6 @@
 	c.touch(j)
 	switch end.How {
 	case EndDone:
-		c.stats.Done++
 		e.failures = 0
 		if t.step.spec.LongRunning {
 			return
@@ -279,7 +276,6 @@
 		}
 		c.closeOccurrence(t.step.occ)
 	case EndFailed:
-		c.stats.Failed++
 		e.failures++
 		if e.failures >= failuresToAvoid {
 			e.avoid = now.Add(failingAvoidTime)
--- a/core/tmcontrol/order.go
+++ b/core/tmcontrol/order.go
@@ -53,12 +53,10 @@
 	r.inFlight = false
 	c.answered(r)
 	if a != Accepted {
-		c.stats.Refused[a]++
 		c.event(tmevent.StartAnswer, "task", ref.Task.String(), "run", ref.Run, "endpoint", ref.Endpoint, "answer", a.String(), "try", r.tries)
 	}
 	switch a {
 	case Accepted:
-		c.stats.Starts++
 		r.phase, r.settled, r.doubt = active, now, false
 		if r.began == 0 {
 			r.began = now
@@ -112,7 +110,6 @@
 		return
 	}
 	r.stop, r.why = true, why
-	c.stats.Stopped++
 	c.event(tmevent.RunStopping, "task", r.task.id.String(), "run", r.n, "endpoint", r.ep.info.ID, "why", why)
 }
 
--- a/core/tmcontrol/plan.go
+++ b/core/tmcontrol/plan.go
@@ -199,7 +199,7 @@
 	j.begun = true
 	c.touch(j)
 	c.event(tmevent.TaskPlaced, "task", t.id.String(), "run", n, "endpoint", e.info.ID,
-		"free_cpu", e.free().CPU, "queue", j.spec.Queue, "team", j.spec.Team, "rules", c.rules.Version, "work_left", t.step.left)
+		"free_cpu", e.free().CPU, "queue", j.spec.Queue, "team", j.spec.Team, "rules", c.rules.Version, "left", t.step.left)
 }
 
 // withinLimit reports whether the team of the step's job may run n more of its
--- a/core/tmcontrol/rules.go
+++ b/core/tmcontrol/rules.go
@@ -67,29 +67,14 @@
 	return false
 }
 
-// Bounds are the spans and factors that the installation prescribes.
+// Bounds are the spans that the installation prescribes.
 type Bounds struct {
 	// Lease is how long a grant to an endpoint lasts; it is at most what the
 	// endpoint accepts.
 	Lease tmclock.Span
-	// Stop is the longest that an endpoint takes to stop a task.
-	Stop tmclock.Span
-	// RackPenalty is how many times as long a task takes away from its rack.
-	RackPenalty float64
-	// Early is how long before its due time an occurrence may start.
-	Early tmclock.Span
 	// TurnTime is how long two owners must be apart when they order about one
 	// instance.
 	TurnTime tmclock.Span
-	// DutiesPerSecond bounds the orders about instances.
-	DutiesPerSecond float64
-	// Notice is after what time an absent long-running task counts as away.
-	Notice tmclock.Span
 	// Upkeep is how long the maintenance of an instance takes.
 	Upkeep tmclock.Span
-	// Move is how long an instance takes to join another pool.
-	Move tmclock.Span
-	// Harm is how long a task that serves may miss its target because of tasks
-	// that fill.
-	Harm tmclock.Span
 }
--- a/internal/fleetsim/world_test.go
+++ b/internal/fleetsim/world_test.go
@@ -163,7 +163,7 @@
 	p.node = tmnode.New(tmnode.Options{
 		Name: name, Store: &view{store: w.store, cut: p.noStore}, Endpoints: &caller{w: w, cut: p.isDead},
 		Directory: directory{w}, Clock: tmclock.NewSystem(), Awake: time.Now, MaxAge: 3 * time.Second,
-		Bounds:  tmcontrol.Bounds{Lease: 5000, Stop: 400, RackPenalty: 1, TurnTime: 3000, DutiesPerSecond: 64},
+		Bounds:  tmcontrol.Bounds{Lease: 5000, TurnTime: 3000, Upkeep: 2000},
 		Stagger: stagger, Cores: 1, KeepOutcomes: keepOutcomes,
 		Note: func(e tmevent.Event) {
 			if testing.Verbose() {
--- a/io/tmnodesettings/settings.go
+++ b/io/tmnodesettings/settings.go
@@ -87,14 +87,8 @@
 	// outcomeSlack covers the differences of clocks of day.
 	outcomeSlack    = 30 * time.Second
 	defaultLeaseMax = 10 * tmclock.Second
-	defaultStop     = 400 * tmclock.Millisecond
-	defaultEarly    = 250 * tmclock.Millisecond
 	defaultTurn     = 3 * tmclock.Second
-	defaultNotice   = 4500 * tmclock.Millisecond
 	defaultUpkeep   = 2 * tmclock.Second
-	defaultMove     = 1500 * tmclock.Millisecond
-	defaultHarm     = 4 * tmclock.Second
-	defaultOrders   = 64.0
 	// lease is how long a grant lasts: longer than a change of owner takes, and
 	// no longer than tasks of a dead endpoint can wait.
 	lease = 5 * tmclock.Second
@@ -147,16 +141,9 @@
 		keepOutcomes: r.seconds("bounds.keep_outcomes_s", defaultKeepOutcomes) + outcomeSlack,
 		keyWithdrawn: r.span("bounds.key_withdrawn_ms", tmclock.SpanOf(defaultKeyWithdrawn)).Duration(),
 		bounds: tmcontrol.Bounds{
-			Lease:           min(lease, r.span("bounds.lease_max_ms", defaultLeaseMax)),
-			Stop:            r.span("bounds.stop_ms", defaultStop),
-			RackPenalty:     r.number("bounds.rack_penalty", 1),
-			Early:           r.span("bounds.early_ms", defaultEarly),
-			TurnTime:        r.span("bounds.turn_ms", defaultTurn),
-			DutiesPerSecond: r.number("instances.orders_per_s", defaultOrders),
-			Notice:          r.span("bounds.notice_ms", defaultNotice),
-			Upkeep:          tmclock.SpanOf(r.seconds("bounds.upkeep_s", defaultUpkeep.Duration())),
-			Move:            tmclock.SpanOf(r.seconds("bounds.move_s", defaultMove.Duration())),
-			Harm:            r.span("bounds.harm_ms", defaultHarm),
+			Lease:    min(lease, r.span("bounds.lease_max_ms", defaultLeaseMax)),
+			TurnTime: r.span("bounds.turn_ms", defaultTurn),
+			Upkeep:   tmclock.SpanOf(r.seconds("bounds.upkeep_s", defaultUpkeep.Duration())),
 		},
 	}
 	for name := range r.values {
--- a/io/tmrecord/codec.go
+++ b/io/tmrecord/codec.go
@@ -105,7 +105,7 @@
 	return j, nil
 }
 
-// placeRow is [run, endpoint, born].
+// placeRow is a run that may be active.
 type placeRow struct {
 	Run      int    `json:"r"`
 	Endpoint string `json:"e"`
