core/tmcontrol: a blind owner stops renewing leases, unlisted endpoints count

Change: any endpoint that lives on an instance counts; after 10 s without a sign that the node owns the fleet no lease is renewed, and a successor waits that long and the lease for endpoints it does not reach.

--- a/core/tmcontrol/controller.go
+++ b/core/tmcontrol/controller.go
@@ -44,6 +44,8 @@
 	paces     []PaceOrder
 	questions []Question
 	deposed   bool
+	// confirmed is when the node was last seen to own the fleet.
+	confirmed tmclock.Millis
 	// pending counts the runs whose start was not answered yet.
 	pending int
 
@@ -173,7 +175,8 @@
 		e.listed = false
 		c.endpoints[place.Endpoint] = e
 	}
-	e.coverUntil(now.Add(tmclock.Span(float64(c.bounds.Lease)/slowestClock) + lapseMargin))
+	// The earlier owner may go on renewing the lease where this one does not reach.
+	e.coverUntil(now.Add(blindTime + tmclock.Span(float64(c.bounds.Lease)/slowestClock) + lapseMargin))
 	r := c.addRun(t, e, place.Run)
 	r.phase = doubtful
 	if t.step.occ.job.final {
--- a/core/tmcontrol/controller_test.go
+++ b/core/tmcontrol/controller_test.go
@@ -50,6 +50,7 @@
 func (f *fixture) newController(token int64) *Controller {
 	c := New(testBounds(), token, func(e tmevent.Event) { f.t.Log(f.now, e.Name, e.Fields) })
 	c.Apply(Directive{Rules: testRules(1)}, f.now)
+	c.Confirmed(f.now)
 	return c
 }
 
@@ -472,3 +473,34 @@
 	f.c.SetInstances([]Instance{{ID: "i1", Pool: "s", State: InstanceUpkeep}}, asked)
 	assert.Assert(t, !f.c.endpoints["e2"].gone)
 }
+
+// An endpoint that was cut off from the list but ran on was taken for gone, and
+// maintenance ended more tasks of a step than may be away.
+func TestUnlistedEndpointKeepsBudget(t *testing.T) {
+	f := newFixture(t, 1)
+	f.c.Submitted(tmjob.Job{ID: "j", Queue: "q", Accepted: 1000, Steps: []tmjob.Step{{
+		Count: 2, Size: tmjob.Amount{CPU: 1000}, LongRunning: true, MayMiss: 1,
+	}}})
+	assert.Equal(t, len(f.step(10)), 2)
+	f.look("e1")
+	f.c.RemoveEndpoint("e1")
+	f.c.SetInstances([]Instance{{ID: "i1", Pool: "s", State: InstanceUp, Endpoint: "e1"}}, f.now)
+	f.c.Apply(Directive{Rules: testRules(1), Waves: []Wave{{Name: "1", Number: 1, Instances: []string{"i1"}, Bound: 1}}}, f.now)
+	for range 5 {
+		f.step(10)
+	}
+	orders, _ := f.c.TakeInstanceOrders()
+	assert.Equal(t, len(orders), 0)
+}
+
+// An owner that was cut off with some endpoints kept renewing their leases, while
+// its successor took them for lapsed and started their tasks elsewhere.
+func TestBlindOwnerStopsRenewing(t *testing.T) {
+	f := newFixture(t, 1)
+	h, ok := f.c.Hold("e1", f.now)
+	assert.Assert(t, ok && h.Until > 0)
+	f.now = f.now.Add(blindTime)
+	h, ok = f.c.Hold("e1", f.now)
+	assert.Assert(t, ok)
+	assert.Equal(t, h.Until, int64(0))
+}
--- a/core/tmcontrol/fleet.go
+++ b/core/tmcontrol/fleet.go
@@ -213,14 +213,16 @@
 	}
 }
 
-// endpointOn returns the endpoint that lives on an instance, or nil.
+// endpointOn returns the endpoint that lives on an instance, or nil. One that left
+// the list may be cut off from it, and run on.
 func (c *Controller) endpointOn(instance string) *endpoint {
+	var found *endpoint
 	for _, e := range c.endpoints {
-		if e.info.Instance == instance && e.listed && !e.gone {
-			return e
+		if e.info.Instance == instance && !e.gone && (found == nil || e.listed) {
+			found = e
 		}
 	}
-	return nil
+	return found
 }
 
 // planFleet carries on with the waves and the sizes of pools.
--- a/core/tmcontrol/look.go
+++ b/core/tmcontrol/look.go
@@ -98,8 +98,9 @@
 	}
 	h := Hold{Address: e.info.Address, Token: c.token, Seen: e.acked}
 	// An endpoint that doesn't answer gets no longer lease: a call without an
-	// answer may be carried out, so its runs could never be taken for ended.
-	if e.fenced && e.answering {
+	// answer may be carried out, so its runs could never be taken for ended. Nor
+	// does any endpoint once this owner may long have been replaced.
+	if e.fenced && e.answering && now.Sub(c.confirmed) < blindTime {
 		h.Until = e.grant(c.bounds.Lease, now)
 	}
 	if e.fenced && e.seen == e.acked {
@@ -118,6 +119,14 @@
 	return waitTime
 }
 
+// blindTime is how long an owner goes on renewing leases when it can't confirm that
+// it still owns the fleet: a later owner that does not reach an endpoint waits for
+// that time and the lease.
+const blindTime = 10 * tmclock.Second
+
+// Confirmed takes in that the node was seen to own the fleet.
+func (c *Controller) Confirmed(now tmclock.Millis) { c.confirmed = now }
+
 // Looked takes in the answer to a Hold that was sent at sentAt.
 func (c *Controller) Looked(id string, l Look, sentAt, now tmclock.Millis) {
 	e := c.endpoints[id]
--- a/internal/fleetsim/endpoint_test.go
+++ b/internal/fleetsim/endpoint_test.go
@@ -194,8 +194,9 @@
 
 // caller is how one node reaches workers.
 type caller struct {
-	w   *world
-	cut func() bool
+	w    *world
+	node string
+	cut  func() bool
 }
 
 // reach finds the worker, or waits until ctx ends.
@@ -207,7 +208,7 @@
 	}
 	c.w.mu.Lock()
 	k := c.w.workers[endpoint]
-	ok := k != nil && !k.down && !c.cut() && !c.w.workerCut[endpoint]
+	ok := k != nil && !k.down && !c.cut() && !c.w.workerCut[endpoint] && c.w.sameSide(c.node, endpoint)
 	c.w.mu.Unlock()
 	if !ok {
 		<-ctx.Done()
@@ -251,6 +252,12 @@
 	return tmcontrol.Accepted
 }
 
+// sameSide reports whether no cut of a zone lies between a node and a worker. The
+// mutex is held.
+func (w *world) sameSide(node, worker string) bool {
+	return w.island == "" || (node == w.island) == w.onIsland[worker]
+}
+
 var errCut = errors.New("fleetsim: no answer")
 
 func (c *caller) Hold(ctx context.Context, endpoint string, h tmcontrol.Hold) (tmcontrol.Look, error) {
--- a/internal/fleetsim/fleet_test.go
+++ b/internal/fleetsim/fleet_test.go
@@ -106,6 +106,25 @@
 	w.mu.Unlock()
 }
 
+// cutZone cuts the owner and half of the workers off from the store and from the
+// rest, while they reach each other.
+func cutZone(w *world) {
+	i := w.owner()
+	if i < 0 {
+		return
+	}
+	p := w.process(i)
+	p.setStoreCut(true)
+	w.mu.Lock()
+	w.island, w.onIsland = p.name, map[string]bool{"w0": true, "w1": true, "w2": true}
+	w.mu.Unlock()
+	w.sleep(9 * time.Second)
+	w.mu.Lock()
+	w.island = ""
+	w.mu.Unlock()
+	p.setStoreCut(false)
+}
+
 func lateOrders(w *world) {
 	w.mu.Lock()
 	w.lateOrders = 0.2
@@ -132,6 +151,7 @@
 	{"crash a worker", crashWorker},
 	{"cut a worker", cutWorker},
 	{"late orders", lateOrders},
+	{"cut a zone with the owner", cutZone},
 }
 
 // play runs one world and returns what broke.
--- a/internal/fleetsim/world_test.go
+++ b/internal/fleetsim/world_test.go
@@ -42,13 +42,16 @@
 	rng, orders *rand.Rand
 	store       *store
 
-	mu         sync.Mutex
-	workers    map[string]*worker
-	judge      *judge
-	jobs       map[string]*tmjob.Job
-	accepted   []string
-	cancelled  map[string]time.Time
-	workerCut  map[string]bool
+	mu        sync.Mutex
+	workers   map[string]*worker
+	judge     *judge
+	jobs      map[string]*tmjob.Job
+	accepted  []string
+	cancelled map[string]time.Time
+	workerCut map[string]bool
+	// island is a node that reaches only the workers on it, and they only it.
+	island     string
+	onIsland   map[string]bool
 	lateOrders float64
 	// ignoreTokens and longLeases are negative controls.
 	ignoreTokens, longLeases bool
@@ -161,7 +164,7 @@
 	ctx, stop := context.WithCancel(context.Background())
 	p.stop = stop
 	p.node = tmnode.New(tmnode.Options{
-		Name: name, Store: &view{store: w.store, cut: p.noStore}, Endpoints: &caller{w: w, cut: p.isDead},
+		Name: name, Store: &view{store: w.store, cut: p.noStore}, Endpoints: &caller{w: w, node: name, cut: p.isDead},
 		Directory: directory{w}, Clock: tmclock.NewSystem(), Awake: time.Now, MaxAge: 3 * time.Second,
 		Bounds:  tmcontrol.Bounds{Lease: 5000, TurnTime: 3000, Upkeep: 2000},
 		Stagger: stagger, Cores: 1, KeepOutcomes: keepOutcomes,
--- a/io/tmnode/node.go
+++ b/io/tmnode/node.go
@@ -94,13 +94,24 @@
 	candidate := &tmelection.Candidate{
 		Store: n.opts.Store, Name: n.opts.Name, Stagger: n.opts.Stagger, Cores: n.opts.Cores,
 		Lead: n.lead, Status: n.status, Leave: n.leave,
-		Seen: func(o tmrecord.Owner) { n.intake.SetOwner(o, time.Now()) },
+		Seen: n.seenOwner,
 		Note: func(event tmevent.Name, fields ...any) { n.note(event, fields...) },
 	}
 	candidate.Run(ctx)
 	work.Wait()
 }
 
+// seenOwner takes in a new version of the row of the owner.
+func (n *Node) seenOwner(o tmrecord.Owner) {
+	n.intake.SetOwner(o, time.Now())
+	n.mu.Lock()
+	owner := n.owner
+	n.mu.Unlock()
+	if owner != nil && o.Holder == n.opts.Name {
+		owner.Seen(o.Token)
+	}
+}
+
 func (n *Node) note(name tmevent.Name, fields ...any) {
 	n.opts.Note(tmevent.Event{Name: name, Fields: fields})
 }
--- a/io/tmowner/owner.go
+++ b/io/tmowner/owner.go
@@ -94,6 +94,16 @@
 	o.plan()
 }
 
+// Seen takes in that the row of the owner names a holder of that token.
+func (o *Owner) Seen(token int64) {
+	if token != o.token {
+		return
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.ctl.Confirmed(o.opts.Clock.Now())
+}
+
 // Status returns the numbers of waiting jobs by queue, and whether all stored
 // jobs are known.
 func (o *Owner) Status() (map[string]int, bool) {
@@ -117,6 +127,7 @@
 	if !o.takeGuard(ctx) {
 		return
 	}
+	o.Seen(o.token)
 	o.work.Go(func() { o.followEndpoints(ctx) })
 	o.work.Go(func() { o.followJobs(ctx) })
 	o.work.Go(func() { o.flushLoop(ctx) })
