--- a/core/tmcontrol/controller_test.go
+++ b/core/tmcontrol/controller_test.go
@@ -504,3 +504,18 @@
 	assert.Assert(t, ok)
 	assert.Equal(t, h.Until, int64(0))
 }
+
+// A new owner knew a dead endpoint only from stored runs, and waited for its lease
+// although no instance runs it any more.
+func TestRestoredEndpointWithoutInstance(t *testing.T) {
+	f := newFixture(t, 1)
+	c := f.newController(2)
+	c.Submitted(oneTask("j"))
+	task := tmjob.TaskRecord{Runs: 1, Places: []tmjob.Place{{Run: 1, Endpoint: "gone", Born: 3}}}
+	c.Restore(tmjob.Progress{ID: "j", Tasks: []tmjob.TaskRecord{task}}, f.now)
+	c.Loaded()
+	c.SetInstances([]Instance{{ID: "i1", State: InstanceUp, Endpoint: "gone"}}, f.now+1)
+	assert.Equal(t, len(c.endpoints["gone"].runs), 1)
+	c.SetInstances([]Instance{{ID: "i1", State: InstanceDown, Endpoint: "gone"}}, f.now+1)
+	assert.Equal(t, len(c.endpoints["gone"].runs), 0)
+}
--- a/core/tmcontrol/fleet.go
+++ b/core/tmcontrol/fleet.go
@@ -143,11 +143,28 @@
 	}
 }
 
+// isOnInstance reports whether an instance that is not down runs the endpoint.
+func (c *Controller) isOnInstance(endpoint string) bool {
+	for _, i := range c.fleet.instances {
+		if i.Endpoint == endpoint && i.State != InstanceDown {
+			return true
+		}
+	}
+	return false
+}
+
 // checkAlive ends the life of an endpoint whose instance is down, or runs
 // another endpoint: that is known long before its lease has lapsed.
 func (c *Controller) checkAlive(e *endpoint, sentAt tmclock.Millis) {
 	i, ok := c.fleet.instances[e.info.Instance]
-	if !ok || e.gone || !sentAt.After(e.listedAt) {
+	if e.gone || !sentAt.After(e.listedAt) {
+		return
+	}
+	if e.info.Instance == "" && !e.answering && len(c.fleet.instances) > 0 && !c.isOnInstance(e.info.ID) {
+		c.endLife(e, "no instance runs it")
+		return
+	}
+	if !ok {
 		return
 	}
 	switch {
