--- a/core/tmcontrol/budget.go
+++ b/core/tmcontrol/budget.go
@@ -1,13 +1,14 @@
 package tmcontrol
 
 import (
-	"cmp"
 	"slices"
 
 	"turmericmoor/core/tmclock"
+	"turmericmoor/core/tmjob"
 )
 
-func (c *Controller) onlyLongRunning(e *endpoint) bool {
+// onlyLongRunning reports whether nothing but long-running tasks runs at e.
+func (e *endpoint) onlyLongRunning() bool {
 	for _, r := range e.runs {
 		if !r.task.step.spec.LongRunning {
 			return false
@@ -35,9 +36,9 @@
 
 // relocate stops long-running tasks on an instance that has more of one step
 // than may be ended at once. They start again elsewhere, one by one.
-func (c *Controller) relocate(instance string, now tmclock.Millis) {
+func (c *Controller) relocate(instance string, pools map[string]*pool, now tmclock.Millis) {
 	e := c.endpointOn(instance)
-	if e == nil {
+	if e == nil || e.long == (tmjob.Amount{}) {
 		return
 	}
 	here := map[*step]int{}
@@ -46,8 +47,8 @@
 			here[r.task.step]++
 		}
 	}
-	p := c.pools(now)[e.info.Service]
-	for _, r := range sortedRuns(e) {
+	p := pools[e.info.Service]
+	for _, r := range longRuns(e) {
 		s := r.task.step
 		if p == nil || c.choose(s, p, now) == nil {
 			c.fleet.starved[e.info.Service] = true
@@ -61,12 +62,15 @@
 	}
 }
 
-func sortedRuns(e *endpoint) []*run {
-	runs := make([]*run, 0, len(e.runs))
+// longRuns returns the runs of long-running tasks at an endpoint in a fixed order.
+func longRuns(e *endpoint) []*run {
+	var runs []*run
 	for _, r := range e.runs {
-		runs = append(runs, r)
+		if r.task.step.spec.LongRunning {
+			runs = append(runs, r)
+		}
 	}
-	slices.SortFunc(runs, func(a, b *run) int { return cmp.Compare(a.task.id.String(), b.task.id.String()) })
+	slices.SortFunc(runs, func(a, b *run) int { return a.task.id.Compare(b.task.id) })
 	return runs
 }
 
--- a/core/tmcontrol/controller.go
+++ b/core/tmcontrol/controller.go
@@ -26,6 +26,11 @@
 	// order holds the jobs that are not final in order of arrival.
 	order     []*job
 	endpoints map[string]*endpoint
+	// byID holds the endpoints in order of their id, unless resort is set;
+	// onInstance holds them by instance.
+	byID       []*endpoint
+	resort     bool
+	onInstance map[string][]*endpoint
 	// now is the time of the last Tick, pastSwept that of the last look for jobs
 	// to forget.
 	now, pastSwept tmclock.Millis
@@ -57,7 +62,7 @@
 func New(bounds Bounds, token int64, note func(tmevent.Event)) *Controller {
 	return &Controller{
 		bounds: bounds, token: token, note: note,
-		jobs: map[string]*job{}, endpoints: map[string]*endpoint{}, past: map[string]tmclock.Millis{},
+		jobs: map[string]*job{}, endpoints: map[string]*endpoint{}, onInstance: map[string][]*endpoint{}, past: map[string]tmclock.Millis{},
 		now: 1, teams: map[string]tmjob.Amount{}, zonesOut: map[string]bool{},
 		runTimes: map[string]*runTime{},
 		fleet:    newFleet(),
@@ -171,9 +176,8 @@
 		return
 	}
 	if e == nil {
-		e = newEndpoint(Listing{ID: place.Endpoint, Born: place.Born})
+		e = c.addEndpoint(Listing{ID: place.Endpoint, Born: place.Born})
 		e.listed = false
-		c.endpoints[place.Endpoint] = e
 	}
 	// The earlier owner may go on renewing the lease where this one does not reach.
 	e.coverUntil(now.Add(blindTime + tmclock.Span(float64(c.bounds.Lease)/slowestClock) + lapseMargin))
@@ -194,8 +198,7 @@
 		room: t.step.spec.Room(), size: t.step.spec.Size, pace: 100,
 	}
 	t.active = append(t.active, r)
-	e.runs[r.key()] = r
-	e.used = e.used.Add(r.room)
+	e.addRun(r)
 	c.teams[r.team] = c.teams[r.team].Add(r.size)
 	return r
 }
@@ -205,9 +208,8 @@
 	if r.ep.runs[r.key()] != r {
 		return
 	}
-	delete(r.ep.runs, r.key())
+	r.ep.dropRun(r)
 	c.answered(r)
-	r.ep.used = r.ep.used.Sub(r.room)
 	c.teams[r.team] = c.teams[r.team].Sub(r.size)
 	r.task.drop(r)
 	j := r.task.step.occ.job
--- a/core/tmcontrol/endpoint.go
+++ b/core/tmcontrol/endpoint.go
@@ -1,6 +1,9 @@
 package tmcontrol
 
 import (
+	"cmp"
+	"slices"
+
 	"turmericmoor/core/tmclock"
 	"turmericmoor/core/tmjob"
 )
@@ -38,7 +41,11 @@
 	// strange counts listed runs that no job explains; they occupy room of
 	// unknown size.
 	strange int
-	used    tmjob.Amount
+	// used is the room that all runs take, long that of the long-running ones;
+	// serving, filling and stopping count the runs that serve users, that fill
+	// and that are to end.
+	used, long                 tmjob.Amount
+	serving, filling, stopping int
 	// planned counts the tasks of the gang that is being placed here.
 	planned int
 	avoid   tmclock.Millis
@@ -61,6 +68,80 @@
 	return &endpoint{info: info, listed: true, runs: map[runKey]*run{}}
 }
 
+// addEndpoint adds an endpoint that isn't known yet.
+func (c *Controller) addEndpoint(l Listing) *endpoint {
+	e := newEndpoint(Listing{ID: l.ID})
+	c.endpoints[l.ID] = e
+	c.byID, c.resort = append(c.byID, e), true
+	c.setInfo(e, l)
+	return e
+}
+
+// setInfo replaces what an endpoint says of itself.
+func (c *Controller) setInfo(e *endpoint, l Listing) {
+	if l.Instance != e.info.Instance {
+		c.leaveInstance(e)
+		if l.Instance != "" {
+			c.onInstance[l.Instance] = append(c.onInstance[l.Instance], e)
+		}
+	}
+	e.info = l
+}
+
+func (c *Controller) leaveInstance(e *endpoint) {
+	id := e.info.Instance
+	c.onInstance[id] = slices.DeleteFunc(c.onInstance[id], func(other *endpoint) bool { return other == e })
+	if len(c.onInstance[id]) == 0 {
+		delete(c.onInstance, id)
+	}
+}
+
+func (c *Controller) removeEndpoint(e *endpoint) {
+	c.leaveInstance(e)
+	delete(c.endpoints, e.info.ID)
+	c.byID = slices.DeleteFunc(c.byID, func(other *endpoint) bool { return other == e })
+}
+
+// sorted returns all endpoints in order of their id.
+func (c *Controller) sorted() []*endpoint {
+	if c.resort {
+		c.resort = false
+		slices.SortFunc(c.byID, func(a, b *endpoint) int { return cmp.Compare(a.info.ID, b.info.ID) })
+	}
+	return c.byID
+}
+
+func (e *endpoint) addRun(r *run) {
+	e.runs[r.key()] = r
+	e.used = e.used.Add(r.room)
+	e.count(r, 1)
+}
+
+func (e *endpoint) dropRun(r *run) {
+	delete(e.runs, r.key())
+	e.used = e.used.Sub(r.room)
+	if r.stop {
+		e.stopping--
+	}
+	e.count(r, -1)
+}
+
+// count adds n times a run to the sums by kind of task.
+func (e *endpoint) count(r *run, n int) {
+	spec := r.task.step.spec
+	if spec.LongRunning {
+		e.long = tmjob.Amount{
+			CPU: e.long.CPU + int64(n)*r.room.CPU, Mem: e.long.Mem + int64(n)*r.room.Mem, GPU: e.long.GPU + int64(n)*r.room.GPU,
+		}
+	}
+	if spec.Target > 0 {
+		e.serving += n
+	}
+	if spec.Fills {
+		e.filling += n
+	}
+}
+
 // clockNow estimates the endpoint's clock; it is at most 2% of the time since
 // the last reading too high.
 func (e *endpoint) clockNow(now tmclock.Millis) int64 {
--- a/core/tmcontrol/fleet.go
+++ b/core/tmcontrol/fleet.go
@@ -234,8 +234,8 @@
 // the list may be cut off from it, and run on.
 func (c *Controller) endpointOn(instance string) *endpoint {
 	var found *endpoint
-	for _, e := range c.endpoints {
-		if e.info.Instance == instance && !e.gone && (found == nil || e.listed) {
+	for _, e := range c.onInstance[instance] {
+		if !e.gone && (found == nil || e.listed) {
 			found = e
 		}
 	}
@@ -247,10 +247,15 @@
 	if !c.fleet.known {
 		return
 	}
+	var pools map[string]*pool
 	for _, w := range c.fleet.waves {
-		if !w.done {
-			c.planWave(w, now)
+		if w.done {
+			continue
+		}
+		if pools == nil {
+			pools = c.pools(now)
 		}
+		c.planWave(w, pools, now)
 	}
 	c.planPools(now)
 }
--- a/core/tmcontrol/look.go
+++ b/core/tmcontrol/look.go
@@ -17,11 +17,10 @@
 func (c *Controller) SetEndpoint(l Listing, now tmclock.Millis) {
 	e := c.endpoints[l.ID]
 	if e == nil {
-		e = newEndpoint(l)
+		e = c.addEndpoint(l)
 		e.listedAt = now
-		c.endpoints[l.ID] = e
 		c.event(tmevent.EndpointListed, "endpoint", l.ID, "service", l.Service, "instance", l.Instance, "zone", l.Zone)
-		c.replaceOn(l, now)
+		c.replaceOn(l)
 		return
 	}
 	if e.gone && l.Born <= e.info.Born {
@@ -37,18 +36,15 @@
 	if !e.listed && e.info.Service == "" {
 		c.event(tmevent.EndpointListed, "endpoint", l.ID, "service", l.Service, "instance", l.Instance, "zone", l.Zone)
 	}
-	e.info = l
+	c.setInfo(e, l)
 	e.listed = true
 }
 
 // replaceOn ends the earlier lifetimes on the instance of a new endpoint: an
 // instance has one endpoint at a time.
-func (c *Controller) replaceOn(l Listing, _ tmclock.Millis) {
-	if l.Instance == "" {
-		return
-	}
-	for _, old := range c.endpoints {
-		if old.info.Instance == l.Instance && old.info.ID != l.ID && old.info.Born <= l.Born {
+func (c *Controller) replaceOn(l Listing) {
+	for _, old := range c.onInstance[l.Instance] {
+		if old.info.ID != l.ID && old.info.Born <= l.Born {
 			c.endLife(old, "instance has a new endpoint")
 		}
 	}
@@ -113,7 +109,7 @@
 	switch {
 	case len(e.runs) == 0:
 		return idleWaitTime
-	case e.shared():
+	case e.serving > 0 && e.filling > 0:
 		return paceWait
 	}
 	return waitTime
@@ -127,12 +123,14 @@
 // Confirmed takes in that the node was seen to own the fleet.
 func (c *Controller) Confirmed(now tmclock.Millis) { c.confirmed = now }
 
-// Looked takes in the answer to a Hold that was sent at sentAt.
-func (c *Controller) Looked(id string, l Look, sentAt, now tmclock.Millis) {
+// Looked takes in the answer to a Hold that was sent at sentAt. It reports whether
+// there is something to decide or to send.
+func (c *Controller) Looked(id string, l Look, sentAt, now tmclock.Millis) (news bool) {
 	e := c.endpoints[id]
 	if e == nil || e.gone {
-		return
+		return false
 	}
+	news = len(l.Ended) > 0 || !e.answering
 	if l.Born > e.info.Born && e.info.Born != 0 || e.fenced && l.Clock < e.clock {
 		c.event(tmevent.EndpointRestarted, "endpoint", id, "born", l.Born)
 		c.reborn(e, max(l.Born, e.info.Born))
@@ -169,6 +167,7 @@
 	}
 	c.planPaces(e, now)
 	c.judge(e, now)
+	return news || e.stopping > 0 || len(c.stops)+len(c.paces) > 0
 }
 
 // Silent takes in that a call to an endpoint got no answer.
@@ -351,17 +350,20 @@
 func (c *Controller) Tick(now tmclock.Millis, wall int64) {
 	c.now = now
 	c.forgetPast(now)
-	for id, e := range c.endpoints {
+	for _, e := range c.endpoints {
 		if len(e.runs) > 0 && !e.answering && now.After(e.lapse) {
 			c.loseRuns(e, "lease lapsed")
 		}
 		if !e.listed && len(e.runs) == 0 {
-			delete(c.endpoints, id)
+			c.removeEndpoint(e)
 			continue
 		}
 		if e.info.Draining && e.listed {
 			c.leave(e, now)
 		}
+		if e.stopping == 0 {
+			continue
+		}
 		for _, r := range e.runs {
 			if r.stop {
 				c.sendStop(r, now)
@@ -392,13 +394,13 @@
 // leave stops the long-running tasks of a draining endpoint that have another
 // place, before the endpoint exits.
 func (c *Controller) leave(e *endpoint, now tmclock.Millis) {
-	if e.longRoom() == (tmjob.Amount{}) {
+	if e.long == (tmjob.Amount{}) {
 		return
 	}
 	p := c.pools(now)[e.info.Service]
-	for _, r := range sortedRuns(e) {
+	for _, r := range longRuns(e) {
 		s := r.task.step
-		if !s.spec.LongRunning || r.stop || r.phase != active {
+		if r.stop || r.phase != active {
 			continue
 		}
 		if p == nil || c.choose(s, p, now) == nil {
--- a/core/tmcontrol/order.go
+++ b/core/tmcontrol/order.go
@@ -110,6 +110,9 @@
 		return
 	}
 	r.stop, r.why = true, why
+	if r.ep.runs[r.key()] == r {
+		r.ep.stopping++
+	}
 	c.event(tmevent.RunStopping, "task", r.task.id.String(), "run", r.n, "endpoint", r.ep.info.ID, "why", why)
 }
 
@@ -142,6 +145,9 @@
 // TakeOrders returns the orders that came up since the last call.
 func (c *Controller) TakeOrders(now tmclock.Millis) ([]StartOrder, []StopOrder, []PaceOrder) {
 	for _, e := range c.endpoints {
+		if e.stopping == 0 {
+			continue
+		}
 		for _, r := range e.runs {
 			if r.stop && r.stopAt == 0 {
 				c.sendStop(r, now)
--- a/core/tmcontrol/pace.go
+++ b/core/tmcontrol/pace.go
@@ -27,6 +27,9 @@
 // planPaces slows tasks that fill where tasks beside them miss their target, and
 // lets them go again.
 func (c *Controller) planPaces(e *endpoint, now tmclock.Millis) {
+	if e.filling == 0 {
+		return
+	}
 	worst := 0.0
 	for _, r := range e.runs {
 		if s := r.task.step.spec; s.Target > 0 && r.phase == active {
@@ -63,13 +66,3 @@
 	}
 	return pace
 }
-
-// shared reports whether tasks that serve and tasks that fill run side by side.
-func (e *endpoint) shared() bool {
-	serves, fills := false, false
-	for _, r := range e.runs {
-		serves = serves || r.task.step.spec.Target > 0
-		fills = fills || r.task.step.spec.Fills
-	}
-	return serves && fills
-}
--- a/core/tmcontrol/plan.go
+++ b/core/tmcontrol/plan.go
@@ -97,7 +97,7 @@
 
 func (c *Controller) pools(now tmclock.Millis) map[string]*pool {
 	pools := map[string]*pool{}
-	for _, e := range c.endpoints {
+	for _, e := range c.sorted() {
 		if !e.usable(now) || c.zonesOut[e.info.Zone] {
 			continue
 		}
@@ -108,9 +108,6 @@
 		}
 		p.endpoints = append(p.endpoints, e)
 	}
-	for _, p := range pools {
-		slices.SortFunc(p.endpoints, func(a, b *endpoint) int { return cmp.Compare(a.info.ID, b.info.ID) })
-	}
 	return pools
 }
 
@@ -236,6 +233,9 @@
 // allows reports whether one more task of the step may run at e.
 func (c *Controller) allows(s *step, e *endpoint) bool {
 	spec := s.spec
+	if e.reserved {
+		return false
+	}
 	if spec.Label != "" && !e.info.hasLabel(spec.Label) {
 		return false
 	}
@@ -259,7 +259,7 @@
 func (c *Controller) score(s *step, e *endpoint) float64 {
 	capacity := float64(max(e.info.Capacity.CPU, 1))
 	score := -float64(e.free().CPU) / capacity
-	if e.longRoom() != (tmjob.Amount{}) {
+	if e.long != (tmjob.Amount{}) {
 		score += anchorPreference
 	}
 	if s.spec.LongRunning {
--- a/core/tmcontrol/pool.go
+++ b/core/tmcontrol/pool.go
@@ -136,7 +136,7 @@
 			}
 			size.have++
 			capacity = capacity.Add(e.info.Capacity)
-			need = need.Add(e.longRoom())
+			need = need.Add(e.long)
 			if e.answering && !e.reserved && len(e.runs) == 0 && e.info.Instance != "" {
 				size.idle = append(size.idle, e)
 			}
@@ -193,17 +193,6 @@
 	return int(math.Ceil(n))
 }
 
-// longRoom returns the room that long-running tasks take.
-func (e *endpoint) longRoom() tmjob.Amount {
-	var sum tmjob.Amount
-	for _, r := range e.runs {
-		if r.task.step.spec.LongRunning {
-			sum = sum.Add(r.room)
-		}
-	}
-	return sum
-}
-
 // present returns what the tasks that run or could start now take, by pool. Tasks
 // beyond the limit of their team count for nothing.
 func (c *Controller) present() map[string]tmjob.Amount {
--- a/core/tmcontrol/wave.go
+++ b/core/tmcontrol/wave.go
@@ -166,7 +166,7 @@
 	}
 }
 
-func (c *Controller) planWave(w *wave, now tmclock.Millis) {
+func (c *Controller) planWave(w *wave, pools map[string]*pool, now tmclock.Millis) {
 	down, draining, open := 0, 0, 0
 	for _, it := range w.items {
 		switch it.state {
@@ -198,17 +198,19 @@
 		w.changed = false
 		c.fleet.reports = append(c.fleet.reports, w.report())
 	}
-	for _, it := range c.nextDue(w) {
-		if down+draining >= max(w.Bound, 1) {
-			break
-		}
-		if c.beginDrain(it, now) {
-			draining++
+	if down+draining < max(w.Bound, 1) {
+		for _, it := range c.nextDue(w) {
+			if down+draining >= max(w.Bound, 1) {
+				break
+			}
+			if c.beginDrain(it, now) {
+				draining++
+			}
 		}
 	}
 	for _, it := range w.items {
 		if it.state == dutyDraining && !it.doubt {
-			c.relocate(it.id, now)
+			c.relocate(it.id, pools, now)
 		}
 		if it.state == dutyDraining && c.mayTakeDown(it, w, down, now) {
 			it.state = dutyOrdered
@@ -273,7 +275,7 @@
 	if e == nil {
 		return true
 	}
-	drained := c.onlyLongRunning(e) || now.Sub(it.since) >= drainTime && c.pressed(w, now)
+	drained := e.onlyLongRunning() || now.Sub(it.since) >= drainTime && c.pressed(w, now)
 	return drained && c.mayEndAll(e)
 }
 
--- a/core/tmjob/task.go
+++ b/core/tmjob/task.go
@@ -1,6 +1,7 @@
 package tmjob
 
 import (
+	"cmp"
 	"fmt"
 	"strconv"
 	"strings"
@@ -23,6 +24,12 @@
 	return t.Job + "." + strconv.Itoa(t.Occurrence) + "." + strconv.Itoa(t.Step)
 }
 
+// Compare orders tasks by job, occurrence, step and index.
+func (t TaskID) Compare(u TaskID) int {
+	return cmp.Or(cmp.Compare(t.Job, u.Job), cmp.Compare(t.Occurrence, u.Occurrence),
+		cmp.Compare(t.Step, u.Step), cmp.Compare(t.Index, u.Index))
+}
+
 // ParseTaskID reads a name that String made.
 func ParseTaskID(name string) (TaskID, error) {
 	parts := strings.Split(name, ".")
--- a/io/tmeventlog/eventlog.go
+++ b/io/tmeventlog/eventlog.go
@@ -4,6 +4,7 @@
 package tmeventlog
 
 import (
+	"bufio"
 	"io"
 	"sync"
 	"sync/atomic"
@@ -20,6 +21,8 @@
 	// maxPerSecond bounds the lines of one event in a second; the rest is summed
 	// up in one line.
 	maxPerSecond = 1000
+	// bufferBytes bounds what is written at once while lines wait.
+	bufferBytes = 32 << 10
 )
 
 type line struct {
@@ -30,6 +33,7 @@
 // Log is a decision log. It is safe for concurrent use.
 type Log struct {
 	out     *log.Logger
+	buffer  *bufio.Writer
 	lines   chan line
 	dropped atomic.Int64
 	total   atomic.Int64
@@ -43,8 +47,10 @@
 
 // New returns a log that writes to w, with the name of the node in each line.
 func New(w io.Writer, node string) *Log {
+	buffer := bufio.NewWriterSize(w, bufferBytes)
 	l := &Log{
-		out: log.NewWithOptions(w, log.Options{
+		buffer: buffer,
+		out: log.NewWithOptions(buffer, log.Options{
 			Formatter: log.JSONFormatter, ReportTimestamp: true, TimeFormat: time.RFC3339Nano,
 		}).With("node", node),
 		lines: make(chan line, bufferLines), done: make(chan struct{}), counts: map[tmevent.Name]int{},
@@ -99,6 +105,10 @@
 			l.out.Warn(string(tmevent.LinesDropped), "count", d-reported)
 			reported = d
 		}
+		if len(l.lines) == 0 {
+			// An error here means that nobody reads the log.
+			_ = l.buffer.Flush()
+		}
 	}
 }
 
--- a/io/tmowner/call.go
+++ b/io/tmowner/call.go
@@ -143,10 +143,12 @@
 func (o *Owner) looked(id string, look tmcontrol.Look, sent tmclock.Millis) <-chan struct{} {
 	now := o.opts.Clock.Now()
 	o.mu.Lock()
-	o.ctl.Looked(id, look, sent, now)
+	news := o.ctl.Looked(id, look, sent, now)
 	stored := o.storedCh
 	o.mu.Unlock()
-	o.plan()
+	if news {
+		o.plan()
+	}
 	return stored
 }
 
--- a/io/tmowner/owner.go
+++ b/io/tmowner/owner.go
@@ -37,11 +37,13 @@
 	// planPause is the least time between two passes of the planner, planRest how
 	// many times as long as a pass it rests at least.
 	planPause = 5 * time.Millisecond
-	planRest  = 5
+	planRest  = 2
 	// tickEvery is the longest time between two passes.
 	tickEvery = 100 * time.Millisecond
 	// flushPause is the least time between two flushes, so that changes gather.
 	flushPause = 15 * time.Millisecond
+	// endpointPause gathers the reports of endpoints, which write one by one.
+	endpointPause = 100 * time.Millisecond
 )
 
 // Owner is the running owner of the fleet. Its mutex guards the controller;
@@ -218,7 +220,7 @@
 func (o *Owner) followEndpoints(ctx context.Context) {
 	known := map[string]bool{}
 	f := tmtable.Follower{
-		Store: o.opts.Store, Table: o.opts.Directory.EndpointTable(), Parts: []string{""},
+		Store: o.opts.Store, Table: o.opts.Directory.EndpointTable(), Parts: []string{""}, Pause: endpointPause,
 		Snapshot: func(rows []tmtable.Row) {
 			present := map[string]bool{}
 			for _, row := range rows {
--- a/io/tmtable/follow.go
+++ b/io/tmtable/follow.go
@@ -31,6 +31,8 @@
 	Parts []string
 	// Wait is how long one call waits for a change; 0 is one second.
 	Wait tmclock.Span
+	// Pause is the least time between two calls of the feed; 0 follows at once.
+	Pause time.Duration
 	// Snapshot gets all rows at the start and whenever history was lost.
 	Snapshot func(rows []Row)
 	// Changed gets the rows that changed since, in order.
@@ -71,6 +73,8 @@
 		lost = f.noteTrouble(ctx, err, lost)
 		if err != nil {
 			tmwait.Pause(ctx, retryPause)
+		} else if f.Pause > 0 {
+			tmwait.Pause(ctx, f.Pause)
 		}
 	}
 }
