--- a/core/tmcontrol/controller.go
+++ b/core/tmcontrol/controller.go
@@ -37,6 +37,7 @@
 	// past holds when jobs became final here: a feed may show them again.
 	past     map[string]tmclock.Millis
 	teams    map[string]tmjob.Amount
+	shares   map[string]*shareMeter
 	zonesOut map[string]bool
 	runTimes map[string]*runTime
 
@@ -63,7 +64,7 @@
 	return &Controller{
 		bounds: bounds, token: token, note: note,
 		jobs: map[string]*job{}, endpoints: map[string]*endpoint{}, onInstance: map[string][]*endpoint{}, past: map[string]tmclock.Millis{},
-		now: 1, teams: map[string]tmjob.Amount{}, zonesOut: map[string]bool{},
+		now: 1, teams: map[string]tmjob.Amount{}, shares: map[string]*shareMeter{}, zonesOut: map[string]bool{},
 		runTimes: map[string]*runTime{},
 		fleet:    newFleet(),
 	}
@@ -100,6 +101,7 @@
 		return
 	}
 	j := newJob(spec)
+	j.beyond = c.beyondShare(&j.spec)
 	c.jobs[spec.ID] = j
 	c.order = append(c.order, j)
 }
--- a/core/tmcontrol/job.go
+++ b/core/tmcontrol/job.go
@@ -22,6 +22,8 @@
 	// cancel says that the caller cancelled the job.
 	cancel bool
 	cause  string
+	// beyond says that the team was ahead of its share when the job arrived.
+	beyond bool
 }
 
 type occurrence struct {
--- a/core/tmcontrol/plan.go
+++ b/core/tmcontrol/plan.go
@@ -16,6 +16,8 @@
 	// long-running work goes first: it has to be restarted however full the
 	// pool is.
 	long bool
+	// beyond: the team is ahead of its share, so that others go first.
+	beyond bool
 	// hopeless occurrences can no longer meet their objective.
 	hopeless bool
 	priority int
@@ -27,6 +29,9 @@
 	if a.long != b.long {
 		return boolOrder(a.long)
 	}
+	if a.beyond != b.beyond {
+		return -boolOrder(a.beyond)
+	}
 	if a.hopeless != b.hopeless {
 		return -boolOrder(a.hopeless)
 	}
@@ -129,7 +134,7 @@
 	out := c.outlook(o)
 	objective := float64(j.spec.Due(o.k)) + q.Stretch*out.total + float64(q.Objective)
 	return rank{
-		occ: o, long: j.long, priority: q.Priority, work: out.work, due: j.spec.Due(o.k),
+		occ: o, long: j.long, beyond: j.beyond, priority: q.Priority, work: out.work, due: j.spec.Due(o.k),
 		hopeless: !j.long && float64(wall)+out.chain > objective,
 	}
 }
--- a/core/tmcontrol/rules.go
+++ b/core/tmcontrol/rules.go
@@ -32,7 +32,8 @@
 
 // Team is a team with its share and its limit.
 type Team struct {
-	Name   string
+	Name string
+	// Weight is the share of the team while the fleet is full, in jobs a second.
 	Weight float64
 	// Limit bounds what the team has running; a part of 0 is no bound.
 	Limit tmjob.Amount
--- a/core/tmevent/event.go
+++ b/core/tmevent/event.go
@@ -13,6 +13,8 @@
 	Advice Name = "advice"
 	// AdviceFailed: a question to the placement policy failed: step, cause.
 	AdviceFailed Name = "advice_failed"
+	// BeyondShare: a job runs on what others leave, since its team is ahead of its share: job, queue, team, share, rules.
+	BeyondShare Name = "beyond_share"
 	// CallerCancel: a cancellation was answered: job, queue, outcome, took_ms.
 	CallerCancel Name = "caller_cancel"
 	// CallerRefused: a call was refused before it reached a queue: path, status, cause, version.
@@ -118,6 +120,7 @@
 	AccessStale,
 	Advice,
 	AdviceFailed,
+	BeyondShare,
 	CallerCancel,
 	CallerRefused,
 	CallerState,
--- a/io/tmowner/owner.go
+++ b/io/tmowner/owner.go
@@ -1,7 +1,9 @@
 package tmowner
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -275,6 +277,9 @@
 	f := tmtable.Follower{
 		Store: o.opts.Store, Table: tmrecord.JobTable, Parts: tmrecord.Parts(),
 		Snapshot: func(rows []tmtable.Row) {
+			// Parts come one after another; the shares of teams go by the order in
+			// which jobs arrived.
+			slices.SortFunc(rows, func(a, b tmtable.Row) int { return cmp.Compare(a.Version, b.Version) })
 			o.takeJobs(rows)
 			if !o.isLoaded() {
 				o.takeOldOutcomes(rows)
