--- /dev/null
+++ b/core/tmcontrol/demand.go
@@ -0,0 +1,59 @@
+package tmcontrol
+
+import (
+	"math"
+
+	"turmericmoor/core/tmclock"
+)
+
+// demandMemory is the time constant of the demand of a pool. Half of it would follow
+// the chance of single jobs, twice as much would lag behind the start of a burst.
+const demandMemory = 800 * tmclock.Millisecond
+
+// demand is the work that jobs bring to a pool, in thousandths of a core. It is
+// smoothed twice, so that its trend is known: an instance that is ordered now helps
+// only when its move is over.
+type demand struct {
+	once, twice float64
+	at          tmclock.Millis
+	// needed is when the pool last needed all the instances it has.
+	needed tmclock.Millis
+}
+
+func (d *demand) decay(now tmclock.Millis) {
+	x := float64(now.Sub(d.at)) / float64(demandMemory)
+	left := math.Exp(-x)
+	d.twice = (d.twice + d.once*x) * left
+	d.once *= left
+	d.at = now
+}
+
+// add takes in work in thousandths of a core times ms.
+func (d *demand) add(work float64, now tmclock.Millis) {
+	d.decay(now)
+	d.once += work / float64(demandMemory)
+}
+
+// forecast returns the demand to be expected after a time. While it falls, the
+// present demand is returned.
+func (d *demand) forecast(after tmclock.Span) float64 {
+	lead := d.once - d.twice
+	return math.Max(d.once, d.once+lead+lead*float64(after)/float64(demandMemory))
+}
+
+func (c *Controller) demandOf(service string) *demand {
+	d := c.fleet.demands[service]
+	if d == nil {
+		d = &demand{}
+		c.fleet.demands[service] = d
+	}
+	return d
+}
+
+// arrived counts the work of a new occurrence for its pool.
+func (c *Controller) arrived(o *occurrence, now tmclock.Millis) {
+	q, ok := c.rules.Queues[o.job.spec.Queue]
+	if ok && !o.job.long {
+		c.demandOf(q.Service).add(c.outlook(o).work, now)
+	}
+}
--- /dev/null
+++ b/core/tmcontrol/demand_test.go
@@ -0,0 +1,52 @@
+package tmcontrol
+
+import (
+	"math"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"turmericmoor/core/tmclock"
+	"turmericmoor/core/tmjob"
+)
+
+// Instances ordered for the present demand of a burst arrived when it had doubled:
+// the forecast is what the demand will be when a move is over.
+func TestForecastFollowsARamp(t *testing.T) {
+	const slope, move = 5.0, 1800.0
+	d := &demand{}
+	for now := tmclock.Millis(10); now <= 5000; now += 10 {
+		d.add(slope*float64(now)*10, now)
+	}
+	truth := slope * (5000 + move)
+	assert.Assert(t, math.Abs(d.forecast(tmclock.Span(move))-truth) < 0.05*truth, "forecast %.0f, truth %.0f", d.forecast(tmclock.Span(move)), truth)
+}
+
+// A steady demand is forecast as it is, and one that falls not below what it is.
+func TestForecastOfSteadyAndFallingDemand(t *testing.T) {
+	d := &demand{}
+	now := tmclock.Millis(10)
+	for ; now <= 10000; now += 10 {
+		d.add(1000*10, now)
+	}
+	assert.Assert(t, math.Abs(d.forecast(1800)-1000) < 50, "%.0f", d.forecast(1800))
+	d.decay(now + 500)
+	assert.Equal(t, d.forecast(1800), d.once)
+}
+
+// A new owner knows the instances before the endpoints on them. It took their pools
+// for empty and moved a third of the fleet, which was parked again seconds later.
+func TestInstancesCountBeforeTheirEndpointsShow(t *testing.T) {
+	f := newFixture(t, 0)
+	rules := testRules(2)
+	rules.Services["off"] = Service{Name: "off", Standby: true}
+	f.c.SetRules(rules)
+	f.c.SetInstances([]Instance{
+		{ID: "i1", Pool: "s", State: InstanceUp, Capacity: tmjob.Amount{CPU: 8000, Mem: 8000}},
+		{ID: "i2", Pool: "s", State: InstanceUp, Capacity: tmjob.Amount{CPU: 8000, Mem: 8000}},
+		{ID: "i3", Pool: "off", State: InstanceUp, Capacity: tmjob.Amount{CPU: 8000, Mem: 8000}},
+	}, f.now)
+	f.step(200)
+	orders, _ := f.c.TakeInstanceOrders()
+	assert.Equal(t, len(orders), 0)
+}
--- a/core/tmcontrol/pool.go
+++ b/core/tmcontrol/pool.go
@@ -12,8 +12,6 @@
 )
 
 const (
-	// demandMemory is the time constant of the demand of a pool.
-	demandMemory = 800 * tmclock.Millisecond
 	// headroom is how much more than the demand of jobs a pool is sized for.
 	headroom = 1.15
 	// shrinkAfter is how long a pool must have had too many instances before it
@@ -21,6 +19,9 @@
 	shrinkAfter = 3000 * tmclock.Millisecond
 	// sizeEvery is the time between two decisions about the sizes of pools.
 	sizeEvery = 100 * tmclock.Millisecond
+	// moveSlack is how much longer than the move itself it takes until an instance
+	// runs tasks of its new pool.
+	moveSlack = 300 * tmclock.Millisecond
 	// moveRetry is the time after which an instance that could not be moved is
 	// tried again.
 	moveRetry = 2 * tmclock.Second
@@ -31,26 +32,6 @@
 	reserveShare = 0.35
 )
 
-// demand is the work that jobs bring to a pool.
-type demand struct {
-	// rate is in thousandths of a core, an exponential mean.
-	rate float64
-	at   tmclock.Millis
-	// needed is when the pool last needed all the instances it has.
-	needed tmclock.Millis
-}
-
-func (d *demand) decay(now tmclock.Millis) {
-	d.rate *= math.Exp(-float64(now.Sub(d.at)) / float64(demandMemory))
-	d.at = now
-}
-
-// add takes in work in thousandths of a core times ms.
-func (d *demand) add(work float64, now tmclock.Millis) {
-	d.decay(now)
-	d.rate += work / float64(demandMemory)
-}
-
 // move is an instance on its way to another pool.
 type move struct {
 	instance, pool string
@@ -68,23 +49,6 @@
 	idle []*endpoint
 }
 
-func (c *Controller) demandOf(service string) *demand {
-	d := c.fleet.demands[service]
-	if d == nil {
-		d = &demand{}
-		c.fleet.demands[service] = d
-	}
-	return d
-}
-
-// arrived counts the work of a new occurrence for its pool.
-func (c *Controller) arrived(o *occurrence, now tmclock.Millis) {
-	q, ok := c.rules.Queues[o.job.spec.Queue]
-	if ok && !o.job.long {
-		c.demandOf(q.Service).add(c.outlook(o).work, now)
-	}
-}
-
 // standby returns the pool whose instances are off, or "".
 func (c *Controller) standby() string {
 	name := ""
@@ -121,6 +85,7 @@
 
 func (c *Controller) poolSizes(now tmclock.Millis) []poolSize {
 	present := c.present()
+	unseen := c.unseen()
 	least := max(minPool, int(reserveShare*c.equalShare()))
 	var sizes []poolSize
 	for _, s := range c.rules.Services {
@@ -141,9 +106,13 @@
 				size.idle = append(size.idle, e)
 			}
 		}
+		for _, i := range unseen[s.Name] {
+			size.have++
+			capacity = capacity.Add(i.Capacity)
+		}
 		d := c.demandOf(s.Name)
 		d.decay(now)
-		rising := tmjob.Amount{CPU: need.CPU + int64(headroom*d.rate)}
+		rising := tmjob.Amount{CPU: need.CPU + int64(headroom*d.forecast(c.bounds.Move+moveSlack))}
 		need = need.Add(present[s.Name])
 		size.want = max(least, 1+max(instances(need, capacity, size.have), instances(rising, capacity, size.have)))
 		if c.fleet.starved[s.Name] {
@@ -167,6 +136,18 @@
 	return sizes
 }
 
+// unseen returns the instances that are up but whose endpoint is not known yet, by
+// pool. They count, or a new owner would fill pools that need nothing.
+func (c *Controller) unseen() map[string][]Instance {
+	out := map[string][]Instance{}
+	for id, i := range c.fleet.instances {
+		if i.State == InstanceUp && !c.zonesOut[i.Zone] && c.fleet.moves[id] == nil && c.endpointOn(id) == nil {
+			out[i.Pool] = append(out[i.Pool], i)
+		}
+	}
+	return out
+}
+
 // equalShare returns how many instances each pool in use would have if all were
 // dealt out.
 func (c *Controller) equalShare() float64 {
--- a/core/tmcontrol/rules.go
+++ b/core/tmcontrol/rules.go
@@ -76,6 +76,7 @@
 	// TurnTime is how long two owners must be apart when they order about one
 	// instance.
 	TurnTime tmclock.Span
-	// Upkeep is how long the maintenance of an instance takes.
-	Upkeep tmclock.Span
+	// Upkeep is how long the maintenance of an instance takes, Move how long it is
+	// away when it moves to another pool.
+	Upkeep, Move tmclock.Span
 }
--- a/io/tmnodesettings/settings.go
+++ b/io/tmnodesettings/settings.go
@@ -89,6 +89,7 @@
 	defaultLeaseMax = 10 * tmclock.Second
 	defaultTurn     = 3 * tmclock.Second
 	defaultUpkeep   = 2 * tmclock.Second
+	defaultMove     = 1500 * tmclock.Millisecond
 	// lease is how long a grant lasts: longer than a change of owner takes, and
 	// no longer than tasks of a dead endpoint can wait.
 	lease = 5 * tmclock.Second
@@ -144,6 +145,7 @@
 			Lease:    min(lease, r.span("bounds.lease_max_ms", defaultLeaseMax)),
 			TurnTime: r.span("bounds.turn_ms", defaultTurn),
 			Upkeep:   tmclock.SpanOf(r.seconds("bounds.upkeep_s", defaultUpkeep.Duration())),
+			Move:     tmclock.SpanOf(r.seconds("bounds.move_s", defaultMove.Duration())),
 		},
 	}
 	for name := range r.values {
