--- a/core/tmcontrol/demand.go
+++ b/core/tmcontrol/demand.go
@@ -18,6 +18,10 @@
 	at          tmclock.Millis
 	// needed is when the pool last needed all the instances it has.
 	needed tmclock.Millis
+	// noted is when the size of the pool was last logged, notedWant and notedHave
+	// what was said then.
+	noted                tmclock.Millis
+	notedWant, notedHave int
 }
 
 func (d *demand) decay(now tmclock.Millis) {
--- a/core/tmcontrol/look.go
+++ b/core/tmcontrol/look.go
@@ -21,6 +21,7 @@
 		e.listedAt = now
 		c.event(tmevent.EndpointListed, "endpoint", l.ID, "service", l.Service, "instance", l.Instance, "zone", l.Zone)
 		c.replaceOn(l)
+		c.reserveFor(e)
 		return
 	}
 	if e.gone && l.Born <= e.info.Born {
--- a/core/tmcontrol/pool.go
+++ b/core/tmcontrol/pool.go
@@ -22,6 +22,8 @@
 	// moveSlack is how much longer than the move itself it takes until an instance
 	// runs tasks of its new pool.
 	moveSlack = 300 * tmclock.Millisecond
+	// noteEvery is the least time between two lines about the size of one pool.
+	noteEvery = tmclock.Second
 	// moveRetry is the time after which an instance that could not be moved is
 	// tried again.
 	moveRetry = 2 * tmclock.Second
@@ -128,6 +130,7 @@
 		if size.want >= size.have {
 			d.needed = now
 		}
+		c.notePool(&size, d, need, now)
 		slices.SortFunc(size.idle, func(a, b *endpoint) int { return cmp.Compare(a.info.ID, b.info.ID) })
 		sizes = append(sizes, size)
 	}
@@ -136,6 +139,16 @@
 	return sizes
 }
 
+// notePool logs the size that a pool is to have when it changes, now and then.
+func (c *Controller) notePool(size *poolSize, d *demand, need tmjob.Amount, now tmclock.Millis) {
+	if size.want == d.notedWant && size.have == d.notedHave || now.Sub(d.noted) < noteEvery {
+		return
+	}
+	d.noted, d.notedWant, d.notedHave = now, size.want, size.have
+	c.event(tmevent.PoolSized, "pool", size.service, "have", size.have, "want", size.want, "idle", len(size.idle),
+		"need_cpu", need.CPU, "forecast_cpu", int64(d.forecast(c.bounds.Move+moveSlack)))
+}
+
 // unseen returns the instances that are up but whose endpoint is not known yet, by
 // pool. They count, or a new owner would fill pools that need nothing.
 func (c *Controller) unseen() map[string][]Instance {
--- a/core/tmcontrol/wave.go
+++ b/core/tmcontrol/wave.go
@@ -48,6 +48,8 @@
 	// doubt says that an order got no answer, so that the maintenance may begin
 	// at any time.
 	doubt bool
+	// after is the earliest time of the next order, once one was refused.
+	after tmclock.Millis
 }
 
 type wave struct {
@@ -69,6 +71,9 @@
 	// orderAgain is the time after which an order without an answer is sent
 	// again.
 	orderAgain = 700 * tmclock.Millisecond
+	// busyPause is the pause after an order was refused because the instance is not
+	// up, or leaves.
+	busyPause = 400 * tmclock.Millisecond
 )
 
 func (c *Controller) addWave(w Wave, now tmclock.Millis) {
@@ -154,12 +159,29 @@
 		it.state = dutyDraining
 	default:
 		it.state = dutyDraining
+		it.after = now.Add(busyPause)
 		if e := c.endpointOn(it.id); e != nil && !it.doubt {
 			e.ending = false
 		}
 	}
 }
 
+// reserveFor keeps tasks away from a new endpoint on an instance about which an order
+// is under way: the order was decided while nothing ran there.
+func (c *Controller) reserveFor(e *endpoint) {
+	for _, w := range c.fleet.waves {
+		for _, it := range w.items {
+			if it.id == e.info.Instance && (it.state == dutyDraining || it.state == dutyOrdered) {
+				e.reserved = true
+				e.ending = it.state == dutyOrdered
+			}
+		}
+	}
+	if m := c.fleet.moves[e.info.Instance]; m != nil && m.pool != e.info.Service {
+		e.reserved, e.ending = true, true
+	}
+}
+
 func (c *Controller) unreserve(instance string) {
 	if e := c.endpointOn(instance); e != nil {
 		e.reserved = false
@@ -262,7 +284,7 @@
 }
 
 func (c *Controller) mayTakeDown(it *waveItem, w *wave, down int, now tmclock.Millis) bool {
-	if now.Before(c.fleet.orderAfter[it.id]) {
+	if now.Before(c.fleet.orderAfter[it.id]) || now.Before(it.after) {
 		return false
 	}
 	if it.doubt {
--- a/core/tmevent/event.go
+++ b/core/tmevent/event.go
@@ -71,6 +71,8 @@
 	OwnerSeen Name = "owner_seen"
 	// OwnerWon: the node owns the fleet: token, before.
 	OwnerWon Name = "owner_won"
+	// PoolSized: a pool is to have another number of instances: pool, have, want, idle, need_cpu, forecast_cpu.
+	PoolSized Name = "pool_sized"
 	// RecordIgnored: stored progress fits no task of its job: job, step, index.
 	RecordIgnored Name = "record_ignored"
 	// RenewalFailed: the owner could not renew its row: token, cause.
@@ -149,6 +151,7 @@
 	OwnerLoaded,
 	OwnerSeen,
 	OwnerWon,
+	PoolSized,
 	RecordIgnored,
 	RenewalFailed,
 	ResignationFailed,
