--- a/core/tmcontrol/budget.go
+++ b/core/tmcontrol/budget.go
@@ -51,7 +51,7 @@
 	for _, r := range longRuns(e) {
 		s := r.task.step
 		if p == nil || c.choose(s, p, now) == nil {
-			c.fleet.starved[e.info.Service] = true
+			c.starve(e.info.Service, 1)
 			continue
 		}
 		if here[s] <= s.spec.MayMiss || r.stop || c.away(s, nil) >= s.spec.MayMiss {
--- a/core/tmcontrol/demand.go
+++ b/core/tmcontrol/demand.go
@@ -16,14 +16,34 @@
 type demand struct {
 	once, twice float64
 	at          tmclock.Millis
-	// needed is when the pool last needed all the instances it has.
-	needed tmclock.Millis
+	// wants holds the sizes that the pool has wanted within shrinkAfter, falling,
+	// each with the last time at which it was wanted.
+	wants []wanted
 	// noted is when the size of the pool was last logged, notedWant and notedHave
 	// what was said then.
 	noted                tmclock.Millis
 	notedWant, notedHave int
 }
 
+// wanted is a number of instances and when it was wanted.
+type wanted struct {
+	n  int
+	at tmclock.Millis
+}
+
+// keep takes in how many instances the pool wants now and returns the most that it
+// has wanted within shrinkAfter.
+func (d *demand) keep(n int, now tmclock.Millis) int {
+	for len(d.wants) > 0 && d.wants[len(d.wants)-1].n <= n {
+		d.wants = d.wants[:len(d.wants)-1]
+	}
+	d.wants = append(d.wants, wanted{n: n, at: now})
+	for now.Sub(d.wants[0].at) > shrinkAfter {
+		d.wants = d.wants[1:]
+	}
+	return d.wants[0].n
+}
+
 func (d *demand) decay(now tmclock.Millis) {
 	x := float64(now.Sub(d.at)) / float64(demandMemory)
 	left := math.Exp(-x)
--- a/core/tmcontrol/demand_test.go
+++ b/core/tmcontrol/demand_test.go
@@ -50,3 +50,38 @@
 	orders, _ := f.c.TakeInstanceOrders()
 	assert.Equal(t, len(orders), 0)
 }
+
+// One sample of a noisy forecast kept a pool large for seconds on end, and a short dip
+// must not park what is needed again at once.
+func TestPoolKeepsWhatItWantedOfLate(t *testing.T) {
+	d := &demand{}
+	assert.Equal(t, d.keep(10, 1000), 10)
+	assert.Equal(t, d.keep(40, 1100), 40)
+	assert.Equal(t, d.keep(20, 1200), 40)
+	assert.Equal(t, d.keep(5, tmclock.Millis(1100).Add(shrinkAfter)), 40)
+	assert.Equal(t, d.keep(5, tmclock.Millis(1101).Add(shrinkAfter)), 20)
+	assert.Equal(t, d.keep(5, tmclock.Millis(1201).Add(shrinkAfter)), 5)
+}
+
+// A long-running step with one task for each endpoint got its endpoints one by one,
+// each after the move of the one before.
+func TestSpreadStepGetsAllItsEndpointsAtOnce(t *testing.T) {
+	f := newFixture(t, 2)
+	rules := testRules(2)
+	rules.Services["off"] = Service{Name: "off", Standby: true}
+	f.c.SetRules(rules)
+	list := []Instance{upInstance("i1"), upInstance("i2")}
+	for _, id := range []string{"p1", "p2", "p3", "p4"} {
+		i := upInstance(id)
+		i.Pool = "off"
+		list = append(list, i)
+	}
+	f.c.SetInstances(list, f.now)
+	f.c.Submitted(tmjob.Job{ID: "j", Queue: "q", Accepted: 1000, Steps: []tmjob.Step{{
+		Count: 5, Size: tmjob.Amount{CPU: 100}, LongRunning: true, MayMiss: 1, PerEndpoint: 1,
+	}}})
+	f.step(200)
+	f.step(200)
+	orders, _ := f.c.TakeInstanceOrders()
+	assert.Equal(t, len(orders), 3)
+}
--- a/core/tmcontrol/fleet.go
+++ b/core/tmcontrol/fleet.go
@@ -58,11 +58,14 @@
 	barred    map[barredMove]bool
 	demands   map[string]*demand
 	sizedAt   tmclock.Millis
-	// starved holds the pools in which a long-running task found no place since
-	// the last sizing.
-	starved map[string]bool
-	orders  []InstanceOrder
-	reports []WaveReport
+	// starved holds, for pools in which long-running tasks found no place since the
+	// last sizing, how many more endpoints they need.
+	starved map[string]int
+	// firstSized is when pools were sized first, keepUntil until when none shrinks
+	// because an earlier owner may have known why it is large.
+	firstSized, keepUntil tmclock.Millis
+	orders                []InstanceOrder
+	reports               []WaveReport
 	// unstored are orders that wait until it is stored that they are given, so
 	// that the next owner keeps its distance; ordered is when each was given.
 	unstored []InstanceOrder
@@ -77,7 +80,7 @@
 		instances: map[string]Instance{}, waves: map[string]*wave{}, restored: map[string]WaveReport{},
 		moves: map[string]*move{}, moveAfter: map[string]tmclock.Millis{},
 		barred: map[barredMove]bool{}, demands: map[string]*demand{},
-		starved: map[string]bool{}, ordered: map[string]tmclock.Millis{},
+		starved: map[string]int{}, ordered: map[string]tmclock.Millis{},
 		orderAfter: map[string]tmclock.Millis{},
 	}
 }
--- a/core/tmcontrol/look.go
+++ b/core/tmcontrol/look.go
@@ -405,7 +405,7 @@
 			continue
 		}
 		if p == nil || c.choose(s, p, now) == nil {
-			c.fleet.starved[e.info.Service] = true
+			c.starve(e.info.Service, 1)
 			return
 		}
 		c.stopRun(r, "its endpoint drains")
--- a/core/tmcontrol/plan.go
+++ b/core/tmcontrol/plan.go
@@ -159,19 +159,19 @@
 // place finds an endpoint for a task. It reports false when there is none.
 func (c *Controller) place(t *task, p *pool, now tmclock.Millis) bool {
 	spec := t.step.spec
-	if p.hasNoRoom(spec.Room()) || !c.withinLimit(t.step, 1) {
-		if spec.LongRunning {
-			c.fleet.starved[p.service] = true
-		}
+	if !c.withinLimit(t.step, 1) {
 		return false
 	}
-	e := c.choose(t.step, p, now)
-	if e == nil {
-		if !p.anyRoom(spec.Room()) {
+	var e *endpoint
+	if !p.hasNoRoom(spec.Room()) {
+		e = c.choose(t.step, p, now)
+		if e == nil && !p.anyRoom(spec.Room()) {
 			p.full = append(p.full, spec.Room())
 		}
+	}
+	if e == nil {
 		if spec.LongRunning {
-			c.fleet.starved[p.service] = true
+			c.starve(p.service, t.step.endpointsWanted(now))
 		}
 		return false
 	}
@@ -179,6 +179,26 @@
 	return true
 }
 
+// starve notes that long-running tasks need that many more endpoints in a pool, for
+// a reason that sums of capacity need not show.
+func (c *Controller) starve(service string, endpoints int) {
+	c.fleet.starved[service] = max(c.fleet.starved[service], endpoints)
+}
+
+// endpointsWanted returns how many more endpoints the waiting tasks of a step need.
+func (s *step) endpointsWanted(now tmclock.Millis) int {
+	if s.spec.PerEndpoint == 0 {
+		return 1
+	}
+	waiting := 0
+	for _, t := range s.tasks {
+		if t.waiting(now) {
+			waiting++
+		}
+	}
+	return (waiting + s.spec.PerEndpoint - 1) / s.spec.PerEndpoint
+}
+
 // anyRoom reports whether some endpoint has that room, whatever else it lacks.
 func (p *pool) anyRoom(room tmjob.Amount) bool {
 	for _, e := range p.endpoints {
--- a/core/tmcontrol/pool.go
+++ b/core/tmcontrol/pool.go
@@ -12,11 +12,12 @@
 )
 
 const (
-	// headroom is how much more than the demand of jobs a pool is sized for.
-	headroom = 1.15
-	// shrinkAfter is how long a pool must have had too many instances before it
-	// gives one away.
-	shrinkAfter = 3000 * tmclock.Millisecond
+	// shrinkAfter is for how long a pool must have wanted fewer instances before it
+	// parks one.
+	shrinkAfter = 2500 * tmclock.Millisecond
+	// reserveAfter is when a new owner begins to fill pools up to their reserve. It
+	// does not know the endpoints of all instances before.
+	reserveAfter = 3 * tmclock.Second
 	// sizeEvery is the time between two decisions about the sizes of pools.
 	sizeEvery = 100 * tmclock.Millisecond
 	// moveSlack is how much longer than the move itself it takes until an instance
@@ -47,6 +48,8 @@
 	service string
 	have    int
 	want    int
+	// keep is the most that the pool has wanted of late.
+	keep int
 	// idle are the endpoints that could leave the pool at once.
 	idle []*endpoint
 }
@@ -69,6 +72,12 @@
 		return
 	}
 	c.fleet.sizedAt = now
+	if c.fleet.firstSized == 0 {
+		c.fleet.firstSized = now
+		if len(c.jobs) > 0 || len(c.past) > 0 {
+			c.fleet.keepUntil = now.Add(shrinkAfter)
+		}
+	}
 	c.repeatMoves(now)
 	sizes := c.poolSizes(now)
 	for i := range sizes {
@@ -88,7 +97,10 @@
 func (c *Controller) poolSizes(now tmclock.Millis) []poolSize {
 	present := c.present()
 	unseen := c.unseen()
-	least := max(minPool, int(reserveShare*c.equalShare()))
+	least := minPool
+	if now.Sub(c.fleet.firstSized) >= reserveAfter {
+		least = max(minPool, int(reserveShare*c.equalShare()))
+	}
 	var sizes []poolSize
 	for _, s := range c.rules.Services {
 		if s.Standby {
@@ -114,22 +126,18 @@
 		}
 		d := c.demandOf(s.Name)
 		d.decay(now)
-		rising := tmjob.Amount{CPU: need.CPU + int64(headroom*d.forecast(c.bounds.Move+moveSlack))}
+		rising := tmjob.Amount{CPU: need.CPU + int64(d.forecast(c.bounds.Move+moveSlack))}
 		need = need.Add(present[s.Name])
 		size.want = max(least, 1+max(instances(need, capacity, size.have), instances(rising, capacity, size.have)))
-		if c.fleet.starved[s.Name] {
-			// A long-running task found no place, for a reason that the sums
-			// don't show.
-			size.want = max(size.want, size.have+1)
+		if n := c.fleet.starved[s.Name]; n > 0 {
+			size.want = max(size.want, size.have+n)
 		}
 		for _, m := range c.fleet.moves {
 			if m.pool == s.Name {
 				size.have++
 			}
 		}
-		if size.want >= size.have {
-			d.needed = now
-		}
+		size.keep = d.keep(size.want, now)
 		c.notePool(&size, d, need, now)
 		slices.SortFunc(size.idle, func(a, b *endpoint) int { return cmp.Compare(a.info.ID, b.info.ID) })
 		sizes = append(sizes, size)
@@ -253,10 +261,10 @@
 
 // shrink parks an idle instance of a pool that has had too many for a while.
 func (c *Controller) shrink(s *poolSize, standby string, now tmclock.Millis) {
-	if now.Sub(c.demandOf(s.service).needed) < shrinkAfter {
+	if now.Before(c.fleet.keepUntil) {
 		return
 	}
-	for s.have > s.want && len(s.idle) > 0 {
+	for s.have > s.keep && len(s.idle) > 0 {
 		e := s.idle[0]
 		s.idle = s.idle[1:]
 		if c.movable(e.info.Instance, standby, now) {
