--- a/core/tmcontrol/pool.go
+++ b/core/tmcontrol/pool.go
@@ -32,7 +32,7 @@
 	// of an equal share of all instances that it keeps for the start of a burst,
 	// which comes faster than instances can.
 	minPool      = 2
-	reserveShare = 0.15
+	reserveShare = 0.3
 )
 
 // move is an instance on its way to another pool.
