--- a/core/tmcontrol/controller.go
+++ b/core/tmcontrol/controller.go
@@ -54,6 +54,9 @@
 	confirmed tmclock.Millis
 	// pending counts the runs whose start was not answered yet.
 	pending int
+	// sent holds the first starts of runs in order of time, as far as some may be
+	// pending.
+	sent []*run
 
 	fleet fleet
 }
--- a/core/tmcontrol/look.go
+++ b/core/tmcontrol/look.go
@@ -351,6 +351,7 @@
 func (c *Controller) Tick(now tmclock.Millis, wall int64) {
 	c.now = now
 	c.forgetPast(now)
+	c.giveUpWaiting(now)
 	for _, e := range c.endpoints {
 		if len(e.runs) > 0 && !e.answering && now.After(e.lapse) {
 			c.loseRuns(e, "lease lapsed")
--- a/core/tmcontrol/order.go
+++ b/core/tmcontrol/order.go
@@ -11,6 +11,9 @@
 	// maxTries is how often a start without an answer is sent before the run is
 	// stopped.
 	maxTries = 3
+	// slowAnswer is the time after which an endpoint that has not answered a start
+	// gets nothing new for a while.
+	slowAnswer = 250 * tmclock.Millisecond
 	// pauseAfterFailure delays the next start of a task that was refused.
 	pauseAfterFailure = 50 * tmclock.Millisecond
 )
@@ -19,6 +22,9 @@
 func (c *Controller) sendStart(r *run, now tmclock.Millis) {
 	r.phase, r.inFlight, r.sentAt = ordered, true, now
 	r.tries++
+	if r.pending {
+		c.sent = append(c.sent, r)
+	}
 	e := r.ep
 	c.starts = append(c.starts, StartOrder{
 		Ref:     RunRef{Task: r.task.id, Run: r.n, Endpoint: e.info.ID, SentAt: now},
@@ -40,6 +46,19 @@
 	c.sendStart(r, now)
 }
 
+// giveUpWaiting takes starts that wait long for their answer out of those that hold
+// back others: the endpoint is late, not the processor of this node.
+func (c *Controller) giveUpWaiting(now tmclock.Millis) {
+	for len(c.sent) > 0 && now.Sub(c.sent[0].sentAt) >= slowAnswer {
+		r := c.sent[0]
+		c.sent = c.sent[1:]
+		if r.pending && r.inFlight {
+			r.ep.avoid = max(r.ep.avoid, now.Add(slowAnswer))
+			c.answered(r)
+		}
+	}
+}
+
 // Started takes in the answer to a start order.
 func (c *Controller) Started(ref RunRef, a Answer, now tmclock.Millis) {
 	e := c.endpoints[ref.Endpoint]
--- a/io/tmelection/election.go
+++ b/io/tmelection/election.go
@@ -23,7 +23,7 @@
 	renewEvery = 500 * time.Millisecond
 	// takeAfter is how long the row must stand still, while the store answers,
 	// before another node takes over.
-	takeAfter = 1800 * time.Millisecond
+	takeAfter = 1300 * time.Millisecond
 	// callTimeout bounds one call to the store.
 	callTimeout = 900 * time.Millisecond
 	// retryPause is the pause after a failed call.
