--- a/core/tmcontrol/demand.go
+++ b/core/tmcontrol/demand.go
@@ -10,12 +10,19 @@
 // the chance of single jobs, twice as much would lag behind the start of a burst.
 const demandMemory = 800 * tmclock.Millisecond
 
+// waitShare is the part of the slack of jobs that they may wait for instances; the
+// rest is for run times that are longer than declared.
+const waitShare = 0.5
+
 // demand is the work that jobs bring to a pool, in thousandths of a core. It is
 // smoothed twice, so that its trend is known: an instance that is ordered now helps
 // only when its move is over.
 type demand struct {
 	once, twice float64
 	at          tmclock.Millis
+	// slack is how long jobs can wait on the average and still meet their objective,
+	// in ms.
+	slack runTime
 	// wants holds the sizes that the pool has wanted within shrinkAfter, falling,
 	// each with the last time at which it was wanted.
 	wants []wanted
@@ -31,6 +38,12 @@
 	at tmclock.Millis
 }
 
+// horizon returns how far ahead demand has to be known for an instance to arrive in
+// time, if that takes lead. Jobs can wait for a part of their slack.
+func (d *demand) horizon(lead tmclock.Span) tmclock.Span {
+	return max(0, lead-tmclock.Span(waitShare*d.slack.mean))
+}
+
 // keep takes in how many instances the pool wants now and returns the most that it
 // has wanted within shrinkAfter.
 func (d *demand) keep(n int, now tmclock.Millis) int {
@@ -77,7 +90,11 @@
 // arrived counts the work of a new occurrence for its pool.
 func (c *Controller) arrived(o *occurrence, now tmclock.Millis) {
 	q, ok := c.rules.Queues[o.job.spec.Queue]
-	if ok && !o.job.long {
-		c.demandOf(q.Service).add(c.outlook(o).work, now)
+	if !ok || o.job.long {
+		return
 	}
+	out := c.outlook(o)
+	d := c.demandOf(q.Service)
+	d.add(out.work, now)
+	d.slack.add(float64(q.Objective) + (q.Stretch-1)*out.total)
 }
--- a/core/tmcontrol/pool.go
+++ b/core/tmcontrol/pool.go
@@ -126,7 +126,7 @@
 		}
 		d := c.demandOf(s.Name)
 		d.decay(now)
-		rising := tmjob.Amount{CPU: need.CPU + int64(d.forecast(c.bounds.Move+moveSlack))}
+		rising := tmjob.Amount{CPU: need.CPU + int64(d.forecast(d.horizon(c.bounds.Move+moveSlack)))}
 		need = need.Add(present[s.Name])
 		size.want = max(least, 1+max(instances(need, capacity, size.have), instances(rising, capacity, size.have)))
 		if n := c.fleet.starved[s.Name]; n > 0 {
@@ -154,7 +154,7 @@
 	}
 	d.noted, d.notedWant, d.notedHave = now, size.want, size.have
 	c.event(tmevent.PoolSized, "pool", size.service, "have", size.have, "want", size.want, "idle", len(size.idle),
-		"need_cpu", need.CPU, "forecast_cpu", int64(d.forecast(c.bounds.Move+moveSlack)))
+		"need_cpu", need.CPU, "forecast_cpu", int64(d.forecast(d.horizon(c.bounds.Move+moveSlack))))
 }
 
 // unseen returns the instances that are up but whose endpoint is not known yet, by
