io/tmelection: an outage of the store does not end the owner's term

The log shows the owner changing at 22.25 s, the moment the store came back after 4.2 s, and again at 25.4 s: candidates counted the time in which nobody could renew, so the first that reached the store took over, a weak node, which a strong one replaced 3 s later. Each change keeps orders about instances back for 3 s.

Ruled out: the bound of the wave (1 instance was left), refused orders.

Change: the row has to stand still for 1.3 s since the store answered again.

--- a/core/tmcontrol/look.go
+++ b/core/tmcontrol/look.go
@@ -319,10 +319,11 @@
 		t.step.occ.left--
 	}
 	for _, r := range append([]*run(nil), t.active...) {
-		// The copies of a speculative task, and the members of a gang that
-		// have not reported yet, end by themselves or are stopped.
-		if t.step.spec.Speculative {
-			c.stopRun(r, "another copy is done")
+		// The members of a gang end by themselves. Else it is a copy, or a run that
+		// was started when the lease of the one that is done had lapsed: an order
+		// without an answer would start it later if it were not stopped.
+		if !t.step.spec.Gang {
+			c.stopRun(r, "another run is done")
 		}
 	}
 }
--- a/core/tmcontrol/order_test.go
+++ b/core/tmcontrol/order_test.go
@@ -35,3 +35,25 @@
 		assert.Equal(t, s.Ref.Endpoint, "e2")
 	}
 }
+
+// A run whose endpoint was silent until its lease had lapsed turned out to be done while
+// the start of the next run had no answer yet. That start was carried out seconds later.
+func TestRunAfterADoneOneIsStopped(t *testing.T) {
+	f := newFixture(t, 2)
+	f.c.Submitted(oneTask("j"))
+	first := f.step(10)
+	f.look(first[0].Ref.Endpoint)
+	f.c.Silent(first[0].Ref.Endpoint, "cut off")
+	f.now = f.now.Add(7000)
+	for _, id := range []string{"e1", "e2"} {
+		if id != first[0].Ref.Endpoint {
+			f.look(id)
+		}
+	}
+	second := f.step(10)
+	assert.Equal(t, len(second), 1)
+	f.end(first[0].Ref.Endpoint, first[0].Ref.Task, 1, EndDone)
+	_, stops, _ := f.c.TakeOrders(f.now)
+	assert.Equal(t, len(stops), 1)
+	assert.Equal(t, stops[0].Ref.Run, 2)
+}
--- a/internal/fleetsim/fleet_test.go
+++ b/internal/fleetsim/fleet_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"turmericmoor/internal/tmseed"
+	"turmericmoor/io/tmrecord"
 )
 
 // fleetSeeds is how many worlds CI runs; TM_FLEET_SEEDS=more runs many.
@@ -75,6 +76,13 @@
 	w.store.mu.Unlock()
 }
 
+// storeAway makes the store refuse all calls.
+func storeAway(w *world) {
+	w.store.setAway(true)
+	w.sleep(4 * time.Second)
+	w.store.setAway(false)
+}
+
 func loseHistory(w *world) { w.store.dropHistory() }
 
 func (w *world) anyWorker() *worker {
@@ -148,6 +156,7 @@
 	{"lose answers", loseAnswers},
 	{"slow store", slowStore},
 	{"lose history", loseHistory},
+	{"store away", storeAway},
 	{"crash a worker", crashWorker},
 	{"cut a worker", cutWorker},
 	{"late orders", lateOrders},
@@ -253,6 +262,32 @@
 	})
 }
 
+// The owner could not renew while the store was away, so the first node that reached
+// it again took over: two changes of owner, and no order to an instance for three
+// seconds, after each outage.
+func TestOwnerSurvivesAnOutageOfTheStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, tmseed.First())
+		w.start()
+		time.Sleep(calmTime)
+		before := w.store.term()
+		for i := range 6 {
+			// The outage ends at different points of the owner's interval of renewals.
+			w.store.setAway(true)
+			time.Sleep(3*time.Second + time.Duration(i)*90*time.Millisecond)
+			w.store.setAway(false)
+			// The first write after it wakes those who follow the table of the owner.
+			node := tmrecord.EncodeNode(tmrecord.Node{Cores: 0.1})
+			w.store.set(tmrecord.OwnerTable, tmrecord.NodeKey("starting").Key, node)
+			time.Sleep(2 * time.Second)
+		}
+		if after := w.store.term(); after != before || before == 0 {
+			t.Errorf("the fencing token was %d before the outages and is %d after them", before, after)
+		}
+		w.close()
+	})
+}
+
 // TestOneWorld plays the seed in TM_FLEET_SEED alone, with its log.
 func TestOneWorld(t *testing.T) {
 	text := os.Getenv("TM_FLEET_SEED")
--- a/io/tmelection/election.go
+++ b/io/tmelection/election.go
@@ -24,6 +24,9 @@
 	// takeAfter is how long the row must stand still, while the store answers,
 	// before another node takes over.
 	takeAfter = 1300 * time.Millisecond
+	// contactGap is the time without an answer after which the store counts as lost.
+	// A call waits for feedWait at most.
+	contactGap = 1000 * time.Millisecond
 	// callTimeout bounds one call to the store.
 	callTimeout = 900 * time.Millisecond
 	// retryPause is the pause after a failed call.
@@ -71,6 +74,9 @@
 	changed time.Time
 	known   bool
 	contact time.Time
+	// regained is when the store answered again after a time in which it did not,
+	// so that the owner could not renew either.
+	regained time.Time
 	// since is when the present term was first seen.
 	since time.Time
 	// cores is the processor share of every node that was ever seen.
@@ -153,6 +159,9 @@
 		Changed: c.take,
 		Contact: func(time.Time) {
 			c.mu.Lock()
+			if time.Since(c.contact) > contactGap {
+				c.regained = time.Now()
+			}
 			c.contact = time.Now()
 			c.mu.Unlock()
 		},
@@ -218,7 +227,8 @@
 	if c.row.Cores < strongShare*c.Cores && !c.weak() {
 		return c.row, c.version, time.Since(c.since) > weakTerm+stagger
 	}
-	return c.row, c.version, time.Since(c.changed) > takeAfter+stagger
+	still := min(time.Since(c.changed), time.Since(c.regained))
+	return c.row, c.version, still > takeAfter+stagger
 }
 
 func (c *Candidate) tryTake(ctx context.Context) (int64, bool) {
