--- a/core/tmcontrol/demand.go
+++ b/core/tmcontrol/demand.go
@@ -12,7 +12,7 @@
 
 // waitShare is the part of the slack of jobs that they may wait for instances; the
 // rest is for run times that are longer than declared.
-const waitShare = 0.5
+const waitShare = 0.25
 
 // demand is the work that jobs bring to a pool, in thousandths of a core. It is
 // smoothed twice, so that its trend is known: an instance that is ordered now helps
