--- a/internal/fleetsim/fleet_test.go
+++ b/internal/fleetsim/fleet_test.go
@@ -7,6 +7,7 @@
 	"testing/synctest"
 	"time"
 
+	"turmericmoor/internal/emulator"
 	"turmericmoor/internal/tmseed"
 	"turmericmoor/io/tmrecord"
 )
@@ -57,60 +58,47 @@
 }
 
 func loseAnswers(w *world) {
-	w.store.mu.Lock()
-	w.store.lostAnswers = 0.3
-	w.store.mu.Unlock()
+	w.store.SetFaults(func(f *emulator.TableFaults) { f.LostAnswers = 0.3 })
 	w.sleep(4 * time.Second)
-	w.store.mu.Lock()
-	w.store.lostAnswers = 0
-	w.store.mu.Unlock()
+	w.store.SetFaults(func(f *emulator.TableFaults) { f.LostAnswers = 0 })
 }
 
 func slowStore(w *world) {
-	w.store.mu.Lock()
-	w.store.slow = 240 * time.Millisecond
-	w.store.mu.Unlock()
+	w.store.SetFaults(func(f *emulator.TableFaults) { f.Slow = 240 * time.Millisecond })
 	w.sleep(4 * time.Second)
-	w.store.mu.Lock()
-	w.store.slow = 0
-	w.store.mu.Unlock()
+	w.store.SetFaults(func(f *emulator.TableFaults) { f.Slow = 0 })
 }
 
 // storeAway makes the store refuse all calls.
 func storeAway(w *world) {
-	w.store.setAway(true)
+	w.store.SetFaults(func(f *emulator.TableFaults) { f.Away = true })
 	w.sleep(4 * time.Second)
-	w.store.setAway(false)
+	w.store.SetFaults(func(f *emulator.TableFaults) { f.Away = false })
 }
 
-func loseHistory(w *world) { w.store.dropHistory() }
-
-func (w *world) anyWorker() *worker {
-	for _, k := range w.workers {
-		return k
-	}
-	return nil
-}
+func loseHistory(w *world) { w.store.DropHistory() }
 
 func crashWorker(w *world) {
-	w.mu.Lock()
-	k := w.anyWorker()
-	k.crash()
-	w.mu.Unlock()
+	w.fleet.Lock()
+	k := w.fleet.Any()
+	k.Crash()
+	w.fleet.Unlock()
 	w.sleep(3 * time.Second)
-	w.mu.Lock()
-	k.restart()
-	w.mu.Unlock()
+	w.fleet.Lock()
+	k.Restart()
+	w.fleet.Unlock()
 }
 
 func cutWorker(w *world) {
+	w.fleet.Lock()
+	id := w.fleet.Any().ID()
+	w.fleet.Unlock()
 	w.mu.Lock()
-	k := w.anyWorker()
-	w.workerCut[k.id] = true
+	w.workerCut[id] = true
 	w.mu.Unlock()
 	w.sleep(7 * time.Second)
 	w.mu.Lock()
-	delete(w.workerCut, k.id)
+	delete(w.workerCut, id)
 	w.mu.Unlock()
 }
 
@@ -181,19 +169,18 @@
 		time.Sleep(troubleTime / 2)
 		w.awaitAll()
 		w.close()
-		broken = w.judge.broken
+		w.fleet.Lock()
+		defer w.fleet.Unlock()
+		broken = w.fleet.Broken()
 	})
 	return broken
 }
 
 // trouble brings faults about, one or two at a time.
 func (w *world) trouble() {
-	rng := w.store.rng
 	for until := time.Now().Add(troubleTime); time.Now().Before(until); {
-		w.store.mu.Lock()
-		f := w.faults[rng.IntN(len(w.faults))]
-		gap := time.Duration(rng.Int64N(int64(2 * time.Second)))
-		w.store.mu.Unlock()
+		f := w.faults[w.store.IntN(len(w.faults))]
+		gap := time.Duration(w.store.IntN(int(2 * time.Second)))
 		if testing.Verbose() {
 			w.t.Log(time.Since(w.began), "FAULT", f.name)
 		}
@@ -221,11 +208,11 @@
 	controls := map[string]func(w *world){
 		// A late start of a dead owner is what the token keeps out.
 		"workers ignore fencing tokens": func(w *world) {
-			w.ignoreTokens, w.lateOrders = true, 0.5
+			w.fleet.IgnoreTokens, w.lateOrders = true, 0.5
 			w.faults = []namedFault{{"kill the owner", killOwner}}
 		},
-		"leases last longer than asked": func(w *world) { w.longLeases = true },
-		"the store ignores conditions":  func(w *world) { w.store.ignoreConditions = true },
+		"leases last longer than asked": func(w *world) { w.fleet.LongLeases = true },
+		"the store ignores conditions":  func(w *world) { w.store.SetFaults(func(f *emulator.TableFaults) { f.IgnoreConditions = true }) },
 	}
 	for name, control := range controls {
 		t.Run(name, func(t *testing.T) {
@@ -251,11 +238,11 @@
 		}
 		time.Sleep(troubleTime)
 		w.awaitAll()
-		if n := w.store.jobRows(); n == 0 {
+		if n := w.store.Count(tmrecord.JobTable); n == 0 {
 			t.Error("no outcome is kept")
 		}
 		time.Sleep(2 * keepOutcomes)
-		if n := w.store.jobRows(); n != 0 {
+		if n := w.store.Count(tmrecord.JobTable); n != 0 {
 			t.Errorf("%d rows of jobs are left", n)
 		}
 		w.close()
@@ -273,12 +260,12 @@
 		before := w.store.term()
 		for i := range 6 {
 			// The outage ends at different points of the owner's interval of renewals.
-			w.store.setAway(true)
+			w.store.SetFaults(func(f *emulator.TableFaults) { f.Away = true })
 			time.Sleep(3*time.Second + time.Duration(i)*90*time.Millisecond)
-			w.store.setAway(false)
+			w.store.SetFaults(func(f *emulator.TableFaults) { f.Away = false })
 			// The first write after it wakes those who follow the table of the owner.
 			node := tmrecord.EncodeNode(tmrecord.Node{Cores: 0.1})
-			w.store.set(tmrecord.OwnerTable, tmrecord.NodeKey("starting").Key, node)
+			w.store.Set(tmrecord.OwnerTable, tmrecord.NodeKey("starting").Key, node)
 			time.Sleep(2 * time.Second)
 		}
 		if after := w.store.term(); after != before || before == 0 {
--- a/internal/fleetsim/world_test.go
+++ b/internal/fleetsim/world_test.go
@@ -14,6 +14,7 @@
 	"turmericmoor/core/tmcontrol"
 	"turmericmoor/core/tmevent"
 	"turmericmoor/core/tmjob"
+	"turmericmoor/internal/emulator"
 	"turmericmoor/io/tmintake"
 	"turmericmoor/io/tmnode"
 	"turmericmoor/io/tmtable"
@@ -25,36 +26,29 @@
 	cancelBound = 3 * time.Second
 	// finishBound is within what time after the last fault every job is final.
 	finishBound = 30 * time.Second
-	// longTask is the run time of the longest tasks.
-	longTask  = 8 * time.Second
-	nodeCount = 3
+	nodeCount   = 3
 	// keepOutcomes is longer than any of the worlds but one.
 	keepOutcomes = 3 * time.Minute
 	operators    = "operator"
 	listTable    = "workers"
 )
 
-// world is a whole fleet. Its mutex guards workers, judge and jobs.
+// world is a whole fleet. Its mutex and that of the fleet are never held together.
 type world struct {
 	t     *testing.T
 	began time.Time
 	// rng is for the goroutine of the test, orders is guarded by the mutex.
 	rng, orders *rand.Rand
-	store       *store
+	store       store
+	fleet       *emulator.Fleet
 
 	mu        sync.Mutex
-	workers   map[string]*worker
-	judge     *judge
-	jobs      map[string]*tmjob.Job
 	accepted  []string
-	cancelled map[string]time.Time
 	workerCut map[string]bool
 	// island is a node that reaches only the workers on it, and they only it.
 	island     string
 	onIsland   map[string]bool
 	lateOrders float64
-	// ignoreTokens and longLeases are negative controls.
-	ignoreTokens, longLeases bool
 
 	// faults are those that trouble draws from.
 	faults []namedFault
@@ -108,21 +102,16 @@
 func newWorld(t *testing.T, seed uint64) *world {
 	w := &world{
 		t: t, began: time.Now(), rng: rand.New(rand.NewPCG(seed, 1)), orders: rand.New(rand.NewPCG(seed, 3)),
-		workers: map[string]*worker{}, jobs: map[string]*tmjob.Job{}, cancelled: map[string]time.Time{},
-		workerCut: map[string]bool{}, ended: make(chan struct{}), faults: faults,
+		fleet: emulator.NewFleet(), workerCut: map[string]bool{}, ended: make(chan struct{}), faults: faults,
 	}
-	w.store = newStore(rand.New(rand.NewPCG(seed, 2)))
-	w.judge = newJudge(w)
+	w.store = store{emulator.NewTable(rand.New(rand.NewPCG(seed, 2)))}
+	w.fleet.CancelBound = cancelBound
 	for i := range 6 {
-		k := &worker{
-			w: w, id: fmt.Sprintf("w%d", i), started: time.Now(), born: time.Now().UnixMilli(),
-			capacity: tmjob.Amount{CPU: 8000, Mem: 8000}, runs: map[taskRun]*running{},
-			barred: map[tmjob.TaskID]int{}, wake: make(chan struct{}), rate: 0.98 + 0.02*w.rng.Float64(),
-		}
-		w.workers[k.id] = k
-		w.store.set(listTable, k.id, []byte(k.id))
+		id := fmt.Sprintf("w%d", i)
+		w.fleet.AddEndpoint(id, "z", tmjob.Amount{CPU: 8000, Mem: 8000}, 0.98+0.02*w.rng.Float64())
+		w.store.Set(listTable, id, []byte(id))
 	}
-	w.store.set(operators, "config", []byte("1"))
+	w.store.Set(operators, "config", []byte("1"))
 	return w
 }
 
@@ -140,9 +129,9 @@
 func (directory) OperatorTable() string { return operators }
 
 func (d directory) Endpoint(row tmtable.Row) (tmcontrol.Listing, error) {
-	d.w.mu.Lock()
-	defer d.w.mu.Unlock()
-	return listing(d.w.workers[string(row.Value)]), nil
+	d.w.fleet.Lock()
+	defer d.w.fleet.Unlock()
+	return listing(d.w.fleet.Endpoint(string(row.Value))), nil
 }
 
 func (directory) WaveStatus(wave string, _ bool) tmtable.Put {
@@ -189,21 +178,20 @@
 	p.stop()
 	<-p.done
 	w.sleep(down)
-	next := w.startNode(p.name, w.store.float())
+	next := w.startNode(p.name, w.store.Float())
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.nodes[i] = next
 }
 
-// later runs f under the mutex after a delay, unless the world has ended.
-func (w *world) later(d time.Duration, f func()) {
-	w.work.Go(func() {
-		if w.sleep(d) {
-			w.mu.Lock()
-			defer w.mu.Unlock()
-			f()
-		}
-	})
+// lateness draws whether an order is late on its way, and by how much.
+func (w *world) lateness() (bool, time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.orders.Float64() >= w.lateOrders {
+		return false, 0
+	}
+	return true, time.Duration(w.orders.Int64N(int64(4 * time.Second)))
 }
 
 func (w *world) sleep(d time.Duration) bool {
@@ -215,21 +203,6 @@
 	}
 }
 
-func (w *world) step(t tmjob.TaskID) *tmjob.Step { return &w.jobs[t.Job].Steps[t.Step] }
-
-// taskTime is the run time of a task, the same for every run. Some tasks outlast
-// the lease of a worker that is cut off.
-func (w *world) taskTime(t tmjob.TaskID) time.Duration {
-	var h uint64
-	for _, c := range t.String() {
-		h = h*131 + uint64(c)
-	}
-	if h%12 == 0 {
-		return longTask
-	}
-	return 200*time.Millisecond + time.Duration(h%1300)*time.Millisecond
-}
-
 // owner returns the node that owns the fleet, or -1.
 func (w *world) owner() int {
 	for i := range nodeCount {
@@ -251,9 +224,9 @@
 		}
 		j.Steps = append(j.Steps, step)
 	}
-	w.mu.Lock()
-	w.jobs[j.ID] = &j
-	w.mu.Unlock()
+	w.fleet.Lock()
+	w.fleet.Submitted(&j)
+	w.fleet.Unlock()
 	first := w.rng.IntN(nodeCount)
 	cancelAfter := time.Duration(-1)
 	if w.rng.IntN(8) == 0 {
@@ -281,9 +254,9 @@
 		return err
 	})
 	if ok {
-		w.mu.Lock()
-		w.cancelled[id] = time.Now()
-		w.mu.Unlock()
+		w.fleet.Lock()
+		w.fleet.Cancelled(id)
+		w.fleet.Unlock()
 	}
 }
 
@@ -318,9 +291,7 @@
 		w.mu.Unlock()
 		for !w.isFinal(id) {
 			if time.Now().After(deadline) {
-				w.mu.Lock()
-				w.judge.fail("%s is not final %v after the last fault", id, finishBound)
-				w.mu.Unlock()
+				w.fail("%s is not final %v after the last fault", id, finishBound)
 				return
 			}
 			time.Sleep(100 * time.Millisecond)
@@ -328,6 +299,12 @@
 	}
 }
 
+func (w *world) fail(format string, args ...any) {
+	w.fleet.Lock()
+	defer w.fleet.Unlock()
+	w.fleet.Fail(format, args...)
+}
+
 func (w *world) isFinal(id string) bool {
 	for i := range nodeCount {
 		p := w.process(i)
@@ -335,15 +312,13 @@
 		state, err := p.node.State(ctx, "q", id)
 		cancel()
 		if errors.Is(err, tmintake.ErrNoJob) {
-			w.mu.Lock()
-			w.judge.fail("%s is accepted and not known", id)
-			w.mu.Unlock()
+			w.fail("%s is accepted and not known", id)
 			return true
 		}
 		if err == nil {
-			w.mu.Lock()
-			w.judge.shown(id, state)
-			w.mu.Unlock()
+			w.fleet.Lock()
+			w.fleet.Shown(id, state)
+			w.fleet.Unlock()
 			return state.Final()
 		}
 	}
