--- a/internal/emulator/fleet.go
+++ b/internal/emulator/fleet.go
@@ -70,6 +70,10 @@
 // Cancelled takes in that a cancellation was just confirmed.
 func (f *Fleet) Cancelled(id string) { f.cancelled[id] = time.Now() }
 
+// Refused takes in that no answer about a job left open whether it runs: all said
+// that it does not.
+func (f *Fleet) Refused(id string) { delete(f.jobs, id) }
+
 // SetLimit sets the processor share that a team may have running, in thousandths of
 // a core.
 func (f *Fleet) SetLimit(team string, cpu int64) { f.limits[team] = cpu }
--- a/internal/harness/address.go
+++ b/internal/harness/address.go
@@ -14,21 +14,22 @@
 	lastPort  = 30_000
 )
 
-// ports hands out free ports of one loopback address. Each fleet has an address
+// Ports hands out free ports of one loopback address. Each fleet has an address
 // of its own in 127.0.0.0/8, so that fleets of other processes on the machine
 // don't collide with it.
-type ports struct {
+type Ports struct {
 	ip   string
 	next int
 }
 
-func newPorts() *ports {
+// NewPorts returns the ports of a random loopback address.
+func NewPorts() *Ports {
 	ip := fmt.Sprintf("127.%d.%d.%d", 1+rand.IntN(254), rand.IntN(256), 1+rand.IntN(254))
-	return &ports{ip: ip, next: firstPort}
+	return &Ports{ip: ip, next: firstPort}
 }
 
-// take returns the first of n consecutive free ports.
-func (p *ports) take(n int) (int, error) {
+// Take returns the first of n consecutive free ports.
+func (p *Ports) Take(n int) (int, error) {
 	for first := p.next; first+n <= lastPort; first++ {
 		if free(p.ip, first, n) {
 			p.next = first + n
@@ -38,7 +39,8 @@
 	return 0, fmt.Errorf("harness: no %d free ports at %s from %d on", n, p.ip, p.next)
 }
 
-func (p *ports) address(port int) string {
+// Address returns IP:port of a port.
+func (p *Ports) Address(port int) string {
 	return net.JoinHostPort(p.ip, strconv.Itoa(port))
 }
 
--- a/internal/harness/entry.go
+++ b/internal/harness/entry.go
@@ -36,16 +36,16 @@
 
 // addEntry chooses ports and writes the settings of one entry.
 func (f *Fleet) addEntry(number int) (*Entry, error) {
-	first, err := f.ports.take(3)
+	first, err := f.ports.Take(3)
 	if err != nil {
 		return nil, err
 	}
 	e := &Entry{
 		Name:        "entry-" + strconv.Itoa(number),
 		Zone:        f.layout.Zones[(number-1)%len(f.layout.Zones)],
-		URL:         "http://" + f.ports.address(first),
-		OperatorURL: "http://" + f.ports.address(first+1),
-		PeerAddress: f.ports.address(first + 2),
+		URL:         "http://" + f.ports.Address(first),
+		OperatorURL: "http://" + f.ports.Address(first+1),
+		PeerAddress: f.ports.Address(first + 2),
 	}
 	e.settings = filepath.Join(f.dir, e.Name+".ini")
 	advertise, platformURL := e.PeerAddress, f.platformURL
@@ -71,7 +71,7 @@
 secret_file = peer.secret
 [platform]
 url = %s
-`, e.Name, e.Zone, f.layout.LogLevel, f.ports.address(first), f.ports.address(first+1),
+`, e.Name, e.Zone, f.layout.LogLevel, f.ports.Address(first), f.ports.Address(first+1),
 		tmrequest.HashKey(f.operatorKey), e.PeerAddress, advertise, platformURL)
 	if f.layout.QueueRequests > 0 {
 		text += fmt.Sprintf("[queue]\nmax_requests = %d\n", f.layout.QueueRequests)
--- a/internal/harness/fleet.go
+++ b/internal/harness/fleet.go
@@ -41,7 +41,7 @@
 type Fleet struct {
 	layout      Layout
 	dir         string
-	ports       *ports
+	ports       *Ports
 	http        *http.Client
 	operatorKey string
 	keys        map[string]string
@@ -51,7 +51,7 @@
 	racks       []*endpointProcess
 	entries     []*Entry
 
-	peerRelays, platformRelays []*relay
+	peerRelays, platformRelays []*Relay
 
 	mu        sync.Mutex
 	processes []*Process
@@ -73,7 +73,7 @@
 	f := &Fleet{
 		layout: layout,
 		dir:    dir,
-		ports:  newPorts(),
+		ports:  NewPorts(),
 		http: &http.Client{
 			Timeout:   callTimeout,
 			Transport: &http.Transport{MaxIdleConnsPerHost: idlePerHost},
--- a/internal/harness/process.go
+++ b/internal/harness/process.go
@@ -55,7 +55,7 @@
 // program says how to start a process.
 type program struct {
 	name string
-	// logFile takes the standard error.
+	// logFile takes the standard error, and the standard output but of stand-ins.
 	logFile string
 	path    string
 	args    []string
@@ -74,6 +74,9 @@
 	cmd := exec.Command(p.path, p.args...)
 	cmd.Env = append(os.Environ(), p.env...)
 	cmd.Stderr = log
+	if !p.standin {
+		cmd.Stdout = log
+	}
 	// The process ends with this one, also when this one is killed.
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	var out io.ReadCloser
@@ -175,6 +178,19 @@
 	return p.signal(syscall.SIGCONT)
 }
 
+// Hangup sends SIGHUP, on which a process reads its settings again.
+func (p *Process) Hangup() error { return p.signal(syscall.SIGHUP) }
+
+// StartNode starts a node of the users' platform with a settings file. What it writes
+// goes to logFile.
+func StartNode(name, settings, logFile string) (*Process, error) {
+	path, err := binary("turmericmoor")
+	if err != nil {
+		return nil, err
+	}
+	return start(program{name: name, logFile: logFile, path: path, args: []string{"node", "--config", settings}})
+}
+
 func (p *Process) signal(s os.Signal) error {
 	if err := p.cmd.Process.Signal(s); err != nil && !errors.Is(err, os.ErrProcessDone) {
 		return fmt.Errorf("harness: signal %v to %s: %w", s, p.name, err)
--- a/internal/harness/standin.go
+++ b/internal/harness/standin.go
@@ -44,12 +44,12 @@
 }
 
 func (f *Fleet) startPlatform() error {
-	port, err := f.ports.take(1)
+	port, err := f.ports.Take(1)
 	if err != nil {
 		return err
 	}
-	f.platformURL = "http://" + f.ports.address(port)
-	args := []string{"platform", "--listen", f.ports.address(port)}
+	f.platformURL = "http://" + f.ports.Address(port)
+	args := []string{"platform", "--listen", f.ports.Address(port)}
 	if f.layout.Writes > 0 {
 		args = append(args, "--writes", strconv.Itoa(f.layout.Writes))
 	}
@@ -75,7 +75,7 @@
 // addRack starts the endpoints of a rack and puts them into the list of
 // instances.
 func (f *Fleet) addRack(ctx context.Context, r rack) error {
-	port, err := f.ports.take(r.size)
+	port, err := f.ports.Take(r.size)
 	if err != nil {
 		return err
 	}
@@ -87,7 +87,7 @@
 		}
 		ep.endpoints = append(ep.endpoints, &Endpoint{
 			Name: name, Zone: r.zone, Rack: r.name, Pool: r.pool,
-			Address: f.ports.address(port + i), process: ep,
+			Address: f.ports.Address(port + i), process: ep,
 		})
 	}
 	f.racks = append(f.racks, ep)
@@ -105,7 +105,7 @@
 
 func (f *Fleet) startRack(ep *endpointProcess) error {
 	p, err := f.startStandin(ep.rack.name, []string{
-		"endpoint", "--listen", f.ports.address(ep.port), "--count", strconv.Itoa(ep.rack.size),
+		"endpoint", "--listen", f.ports.Address(ep.port), "--count", strconv.Itoa(ep.rack.size),
 		"--name", ep.rack.name, "--zone", ep.rack.zone, "--slots", strconv.Itoa(f.layout.Slots),
 	})
 	ep.process = p
