core/tmcontrol: late news of jobs is no burst

The store was slow, and the jobs accepted meanwhile became known in clumps, whose trend the forecast took for a steep ramp.

Ruled out: jobs of unusual size (the mean work of the clump was that of the queue).

Change: work is counted as of when its job was accepted. A test fails without it.

--- a/core/tmcontrol/demand.go
+++ b/core/tmcontrol/demand.go
@@ -65,10 +65,15 @@
 	d.at = now
 }
 
-// add takes in work in thousandths of a core times ms.
-func (d *demand) add(work float64, now tmclock.Millis) {
+// add takes in work, in thousandths of a core times ms, that arrived some time ago. Jobs
+// that were accepted while the store was slow or away become known at once, which is
+// no burst.
+func (d *demand) add(work float64, age tmclock.Span, now tmclock.Millis) {
 	d.decay(now)
-	d.once += work / float64(demandMemory)
+	x := float64(age) / float64(demandMemory)
+	share := work / float64(demandMemory) * math.Exp(-x)
+	d.once += share
+	d.twice += share * x
 }
 
 // forecast returns the demand to be expected after a time. While it falls, the
@@ -88,13 +93,15 @@
 }
 
 // arrived counts the work of a new occurrence for its pool.
-func (c *Controller) arrived(o *occurrence, now tmclock.Millis) {
+func (c *Controller) arrived(o *occurrence, now tmclock.Millis, wall int64) {
 	q, ok := c.rules.Queues[o.job.spec.Queue]
 	if !ok || o.job.long {
 		return
 	}
 	out := c.outlook(o)
 	d := c.demandOf(q.Service)
-	d.add(out.work, now)
+	// Clocks of day differ a little between nodes.
+	age := max(0, tmclock.Span(wall-o.job.spec.Due(o.k)))
+	d.add(out.work, age, now)
 	d.slack.add(float64(q.Objective) + (q.Stretch-1)*out.total)
 }
--- a/core/tmcontrol/demand_test.go
+++ b/core/tmcontrol/demand_test.go
@@ -16,7 +16,7 @@
 	const slope, move = 5.0, 1800.0
 	d := &demand{}
 	for now := tmclock.Millis(10); now <= 5000; now += 10 {
-		d.add(slope*float64(now)*10, now)
+		d.add(slope*float64(now)*10, 0, now)
 	}
 	truth := slope * (5000 + move)
 	assert.Assert(t, math.Abs(d.forecast(tmclock.Span(move))-truth) < 0.05*truth, "forecast %.0f, truth %.0f", d.forecast(tmclock.Span(move)), truth)
@@ -27,7 +27,7 @@
 	d := &demand{}
 	now := tmclock.Millis(10)
 	for ; now <= 10000; now += 10 {
-		d.add(1000*10, now)
+		d.add(1000*10, 0, now)
 	}
 	assert.Assert(t, math.Abs(d.forecast(1800)-1000) < 50, "%.0f", d.forecast(1800))
 	d.decay(now + 500)
@@ -85,3 +85,14 @@
 	orders, _ := f.c.TakeInstanceOrders()
 	assert.Equal(t, len(orders), 3)
 }
+
+// Jobs that had been accepted over four seconds while the store was slow became known in
+// one moment, and were taken for a burst of several times the fleet.
+func TestLateNewsOfJobsIsNoBurst(t *testing.T) {
+	d := &demand{}
+	now := tmclock.Millis(10000)
+	for age := tmclock.Span(0); age < 4000; age += 10 {
+		d.add(1000*10, age, now)
+	}
+	assert.Assert(t, d.forecast(1800) < 1.1*1000, "%.0f", d.forecast(1800))
+}
--- a/core/tmcontrol/look.go
+++ b/core/tmcontrol/look.go
@@ -419,7 +419,7 @@
 		if j.spec.Repeats > 0 && wall < j.spec.Due(j.next) {
 			return
 		}
-		c.arrived(j.open(j.next), now)
+		c.arrived(j.open(j.next), now, wall)
 		if j.spec.Repeats > 0 {
 			c.touch(j)
 		}
