core/tmcontrol, io/tmtable: no start after the last attempt; a hanging read is soon tried again

All nodes were killed while the store was silent. The new owner loaded at 38.4 s and learned from an endpoint that the fourth run of a task had failed, 4 s before it had a configuration: with no bound on attempts known, the job was not failed, and the fifth run started at 42.6 s. The configuration came so late since its first read hung on a connection that was opened while the store was still silent, for the whole 5 s that a read may take.

Ruled out: a lost failure (the progress held four), a run lost with its endpoint (no such line in the log).

Change: a job with a task that has no attempt left is failed before anything is placed; a read of one part is given up after 1.45 s.

--- a/core/tmcontrol/controller.go
+++ b/core/tmcontrol/controller.go
@@ -159,6 +159,7 @@
 		}
 		j.begun = true
 		t.runs, t.failures, t.saved = rec.Runs, rec.Failures, rec.Saved
+		j.failed = j.failed || t.failures > 0
 		if rec.Done {
 			t.done = true
 			t.step.left--
--- a/core/tmcontrol/job.go
+++ b/core/tmcontrol/job.go
@@ -22,6 +22,8 @@
 	// cancel says that the caller cancelled the job.
 	cancel bool
 	cause  string
+	// failed says that a run of some task has failed.
+	failed bool
 	// beyond says that the team was ahead of its share when the job arrived.
 	beyond bool
 }
--- a/core/tmcontrol/look.go
+++ b/core/tmcontrol/look.go
@@ -294,6 +294,7 @@
 			return
 		}
 		t.failures++
+		j.failed = true
 		limit := c.rules.Queues[j.spec.Queue].Attempts
 		if limit > 0 && t.failures >= limit {
 			c.finish(j, tmjob.Failed, "task "+t.id.String()+" failed too often")
--- a/core/tmcontrol/plan.go
+++ b/core/tmcontrol/plan.go
@@ -78,11 +78,14 @@
 		return
 	}
 	byService := map[string][]rank{}
-	for _, j := range c.order {
+	for _, j := range slices.Clone(c.order) {
 		q, ok := c.rules.Queues[j.spec.Queue]
 		if !ok || pools[q.Service] == nil {
 			continue
 		}
+		if c.failExhausted(j, q) {
+			continue
+		}
 		for _, o := range j.occurrences {
 			if o.hasWaiting(now) {
 				byService[q.Service] = append(byService[q.Service], c.rank(o, q, wall))
@@ -100,6 +103,26 @@
 	}
 }
 
+// failExhausted fails a job with a task that must not start again. That is not known at
+// the end of a run when the configuration has not been read yet, or lowers the number
+// of attempts later.
+func (c *Controller) failExhausted(j *job, q Queue) bool {
+	if !j.failed || j.long || q.Attempts == 0 {
+		return false
+	}
+	for _, o := range j.occurrences {
+		for _, s := range o.steps {
+			for _, t := range s.tasks {
+				if !t.done && t.failures >= q.Attempts {
+					c.finish(j, tmjob.Failed, "task "+t.id.String()+" failed too often")
+					return true
+				}
+			}
+		}
+	}
+	return false
+}
+
 func (c *Controller) pools(now tmclock.Millis) map[string]*pool {
 	pools := map[string]*pool{}
 	for _, e := range c.sorted() {
--- a/io/tmtable/follow.go
+++ b/io/tmtable/follow.go
@@ -18,8 +18,10 @@
 	defaultWait = 1000 * tmclock.Millisecond
 	// callSlack is how much longer than its wait a feed call may take.
 	callSlack = 700 * time.Millisecond
-	// readTimeout bounds the reading of a whole part.
-	readTimeout = 5 * time.Second
+	// readTimeout bounds the reading of a table, with readEach more for each part: a
+	// call that hangs must not keep a starting node from its configuration for long.
+	readTimeout = 1200 * time.Millisecond
+	readEach    = 250 * time.Millisecond
 )
 
 // Follower says what to follow and whom to tell. The functions are called from
@@ -98,7 +100,7 @@
 }
 
 func (f *Follower) snapshot(ctx context.Context) (int64, error) {
-	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	ctx, cancel := context.WithTimeout(ctx, readTimeout+time.Duration(len(f.Parts))*readEach)
 	defer cancel()
 	sent := f.Now()
 	pages, err := f.readParts(ctx)
--- /dev/null
+++ b/io/tmtable/follow_test.go
@@ -0,0 +1,56 @@
+package tmtable_test
+
+import (
+	"context"
+	"errors"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"turmericmoor/core/tmclock"
+	"turmericmoor/io/tmtable"
+)
+
+// hangingStore never answers its first read.
+type hangingStore struct{ reads atomic.Int32 }
+
+var errUnused = errors.New("not used by this test")
+
+func (*hangingStore) Write(context.Context, tmtable.Txn) (tmtable.Result, error) {
+	return tmtable.Result{}, errUnused
+}
+
+func (s *hangingStore) Read(ctx context.Context, _ tmtable.Range) (tmtable.Page, error) {
+	if s.reads.Add(1) == 1 {
+		<-ctx.Done()
+		return tmtable.Page{}, tmtable.ErrUnknown
+	}
+	return tmtable.Page{}, nil
+}
+
+func (*hangingStore) Feed(ctx context.Context, _ string, _ int64, _ tmclock.Span) (tmtable.Page, error) {
+	<-ctx.Done()
+	return tmtable.Page{}, tmtable.ErrUnknown
+}
+
+// A connection that was opened while the store was cut off stayed silent, and a node
+// that had just started waited five seconds for its configuration.
+func TestHangingReadIsSoonTriedAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		began := time.Now()
+		var took time.Duration
+		f := tmtable.Follower{
+			Store: &hangingStore{}, Table: "op", Parts: []string{""},
+			Snapshot: func([]tmtable.Row) {
+				took = time.Since(began)
+				cancel()
+			},
+		}
+		f.Run(ctx)
+		assert.Assert(t, took < 2*time.Second, "%v", took)
+	})
+}
