--- a/core/tmcontrol/controller_test.go
+++ b/core/tmcontrol/controller_test.go
@@ -115,31 +115,6 @@
 	assert.Equal(t, len(c.ToHold(map[string]bool{})), 1)
 }
 
-// Two instances that hold tasks of one long-running step were taken down in one
-// pass although only one of its tasks may be away.
-func TestWaveKeepsAvailabilityBudget(t *testing.T) {
-	f := newFixture(t, 3)
-	f.c.Submitted(tmjob.Job{ID: "j", Queue: "q", Accepted: 1000, Steps: []tmjob.Step{{
-		Count: 3, Size: tmjob.Amount{CPU: 1000}, LongRunning: true, MayMiss: 1, PerEndpoint: 1,
-	}}})
-	assert.Equal(t, len(f.step(10)), 3)
-	for _, e := range []string{"e1", "e2", "e3"} {
-		f.look(e)
-	}
-	var list []Instance
-	for _, id := range []string{"i1", "i2", "i3"} {
-		list = append(list, Instance{ID: id, Pool: "s", State: InstanceUp})
-	}
-	f.c.SetInstances(list, f.now)
-	wave := Wave{Name: "1", Number: 1, Instances: []string{"i1", "i2", "i3"}, Within: 20000, Bound: 3}
-	f.c.Apply(Directive{Rules: testRules(1), Waves: []Wave{wave}}, f.now)
-	f.step(10)
-	f.step(10)
-	f.step(10)
-	orders, _ := f.c.TakeInstanceOrders()
-	assert.Equal(t, len(orders), 1)
-}
-
 // The next step starts only when all tasks before it are done, and the job is
 // complete after the last one.
 func TestStepsRunInOrder(t *testing.T) {
@@ -159,32 +134,6 @@
 	assert.Equal(t, len(f.c.jobs), 0)
 }
 
-// An order for maintenance that was done before is accepted too. A new owner
-// took the endpoint for dead then and started its tasks a second time.
-func TestRepeatedUpkeepOrderEndsNothing(t *testing.T) {
-	f := newFixture(t, 1)
-	f.c.Submitted(tmjob.Job{ID: "j", Queue: "q", Accepted: 1000, Steps: []tmjob.Step{{
-		Count: 1, Size: tmjob.Amount{CPU: 1000}, LongRunning: true,
-	}}})
-	assert.Equal(t, len(f.step(10)), 1)
-	f.look("e1")
-	list := []Instance{{ID: "i1", Pool: "s", State: InstanceUp, Endpoint: "e1"}}
-	f.c.SetInstances(list, f.now)
-	wave := Wave{Name: "1", Number: 1, Instances: []string{"i1"}, Within: 20000, Bound: 1}
-	f.c.Apply(Directive{Rules: testRules(1), Waves: []Wave{wave}}, f.now)
-	f.step(10)
-	f.step(10)
-	f.step(10)
-	orders, _ := f.c.TakeInstanceOrders()
-	assert.Equal(t, len(orders), 1)
-	f.c.InstanceOrdered(orders[0], Accepted, f.now)
-	f.c.SetInstances(list, f.now+1)
-	assert.Equal(t, len(f.step(10)), 0)
-	assert.Equal(t, len(f.c.endpoints["e1"].runs), 1)
-	_, reports := f.c.TakeInstanceOrders()
-	assert.Equal(t, reports[len(reports)-1].Completed, true)
-}
-
 // A failure that was stored but not yet acknowledged to its endpoint is listed to
 // the next owner again. It was counted twice, and jobs failed too early.
 func TestFailureIsCountedOnceAcrossOwners(t *testing.T) {
@@ -229,21 +178,6 @@
 	assert.Equal(t, len(f.c.endpoints[dead].runs), 0)
 }
 
-// A task on an endpoint that no longer answered counted as at work, and
-// maintenance ended another one of its step.
-func TestTaskOnSilentEndpointIsAway(t *testing.T) {
-	f := newFixture(t, 2)
-	f.c.Submitted(tmjob.Job{ID: "j", Queue: "q", Accepted: 1000, Steps: []tmjob.Step{{
-		Count: 2, Size: tmjob.Amount{CPU: 1000}, LongRunning: true, MayMiss: 1, PerEndpoint: 1,
-	}}})
-	f.step(10)
-	f.look("e1")
-	f.look("e2")
-	assert.Assert(t, f.c.mayEndAll(f.c.endpoints["e1"]))
-	f.c.Silent("e2", "test")
-	assert.Assert(t, !f.c.mayEndAll(f.c.endpoints["e1"]))
-}
-
 // A job that was cancelled before the next owner had read its progress was final
 // without its tasks being stopped.
 func TestRestoredRunOfCancelledJobStops(t *testing.T) {
@@ -264,35 +198,6 @@
 	assert.Equal(t, stops[0].Ref.Task, starts[0].Ref.Task)
 }
 
-// An instance with more tasks of a step than may be away was never taken down,
-// and its wave stayed open.
-func TestWaveRelocatesTasks(t *testing.T) {
-	f := newFixture(t, 1)
-	f.c.Submitted(tmjob.Job{ID: "j", Queue: "q", Accepted: 1000, Steps: []tmjob.Step{{
-		Count: 2, Size: tmjob.Amount{CPU: 1000}, LongRunning: true, MayMiss: 1,
-	}}})
-	assert.Equal(t, len(f.step(10)), 2)
-	f.look("e1")
-	f.c.SetEndpoint(f.listing(2), f.now)
-	f.look("e2")
-	f.c.SetInstances([]Instance{{ID: "i1", Pool: "s", State: InstanceUp, Endpoint: "e1"}}, f.now)
-	f.c.Apply(Directive{Rules: testRules(1), Waves: []Wave{{Name: "1", Number: 1, Instances: []string{"i1"}, Bound: 1}}}, f.now)
-	f.now += 10
-	f.c.Tick(f.now, int64(f.now))
-	f.c.Plan(f.now, int64(f.now))
-	_, stops, _ := f.c.TakeOrders(f.now)
-	assert.Equal(t, len(stops), 1)
-	f.c.Stopped(stops[0].Ref, Accepted, f.now)
-	f.end("e1", stops[0].Ref.Task, 1, EndStopped)
-	starts := f.step(10)
-	assert.Equal(t, len(starts), 1)
-	assert.Equal(t, starts[0].Ref.Endpoint, "e2")
-	f.look("e2")
-	f.step(10)
-	orders, _ := f.c.TakeInstanceOrders()
-	assert.Equal(t, len(orders), 1)
-}
-
 // The tasks of a dead endpoint waited for its lease although the list of
 // instances showed that it was down.
 func TestInstanceDownEndsItsTasks(t *testing.T) {
@@ -306,70 +211,6 @@
 	assert.Assert(t, second[0].Ref.Endpoint != first.Endpoint)
 }
 
-// Two owners gave orders about one instance shortly after each other.
-func TestNextOwnerKeepsItsDistance(t *testing.T) {
-	f := newFixture(t, 1)
-	f.c.bounds.TurnTime = 3000
-	f.c.RestoreOrders([]string{"i1"}, f.now)
-	f.c.SetInstances([]Instance{{ID: "i1", Pool: "s", State: InstanceUp, Endpoint: "e1"}}, f.now)
-	f.c.Apply(Directive{Rules: testRules(1), Waves: []Wave{{Name: "1", Number: 1, Instances: []string{"i1"}, Bound: 2}}}, f.now)
-	for range 20 {
-		f.step(100)
-	}
-	orders, _ := f.c.TakeInstanceOrders()
-	assert.Equal(t, len(orders), 0)
-	for range 20 {
-		f.step(100)
-	}
-	orders, _ = f.c.TakeInstanceOrders()
-	assert.Equal(t, len(orders), 1)
-}
-
-// Instances on their way out of a pool counted as there, so that the next
-// decision gave away too many and the pool was left empty.
-func TestPoolKeepsItsLeast(t *testing.T) {
-	f := newFixture(t, 6)
-	rules := testRules(2)
-	rules.Services["off"] = Service{Name: "off", Standby: true}
-	f.c.Apply(Directive{Rules: rules}, f.now)
-	var list []Instance
-	for i := range 6 {
-		l := f.listing(i + 1)
-		list = append(list, Instance{ID: l.Instance, Pool: "s", State: InstanceUp, Endpoint: l.ID})
-	}
-	f.c.SetInstances(list, f.now)
-	moved := 0
-	for range 100 {
-		f.step(100)
-		orders, _ := f.c.TakeInstanceOrders()
-		moved += len(orders)
-		for _, o := range orders {
-			f.c.InstanceOrdered(o, Accepted, f.now)
-		}
-	}
-	assert.Equal(t, moved, 6-minPool)
-}
-
-// A new owner did not count the instances that its predecessor had taken down, and
-// more than the bound of the wave were down at once.
-func TestNextOwnerCountsInstancesThatAreDown(t *testing.T) {
-	f := newFixture(t, 3)
-	f.c.bounds.TurnTime = 3000
-	f.c.RestoreOrders([]string{"i1"}, f.now)
-	f.c.SetInstances([]Instance{
-		{ID: "i1", Pool: "s", State: InstanceUp, Endpoint: "e1"},
-		{ID: "i2", Pool: "s", State: InstanceUpkeep, Endpoint: "e2"},
-		{ID: "i3", Pool: "s", State: InstanceUp, Endpoint: "e3"},
-	}, f.now)
-	wave := Wave{Name: "1", Number: 1, Instances: []string{"i1", "i2", "i3"}, Bound: 2}
-	f.c.Apply(Directive{Rules: testRules(1), Waves: []Wave{wave}}, f.now)
-	for range 20 {
-		f.step(100)
-	}
-	orders, _ := f.c.TakeInstanceOrders()
-	assert.Equal(t, len(orders), 0)
-}
-
 // Tasks that fill are slowed while a task beside them misses its target, and get
 // their share back afterwards.
 func TestFillingTasksAreSlowed(t *testing.T) {
@@ -474,25 +315,6 @@
 	assert.Assert(t, !f.c.endpoints["e2"].gone)
 }
 
-// An endpoint that was cut off from the list but ran on was taken for gone, and
-// maintenance ended more tasks of a step than may be away.
-func TestUnlistedEndpointKeepsBudget(t *testing.T) {
-	f := newFixture(t, 1)
-	f.c.Submitted(tmjob.Job{ID: "j", Queue: "q", Accepted: 1000, Steps: []tmjob.Step{{
-		Count: 2, Size: tmjob.Amount{CPU: 1000}, LongRunning: true, MayMiss: 1,
-	}}})
-	assert.Equal(t, len(f.step(10)), 2)
-	f.look("e1")
-	f.c.RemoveEndpoint("e1")
-	f.c.SetInstances([]Instance{{ID: "i1", Pool: "s", State: InstanceUp, Endpoint: "e1"}}, f.now)
-	f.c.Apply(Directive{Rules: testRules(1), Waves: []Wave{{Name: "1", Number: 1, Instances: []string{"i1"}, Bound: 1}}}, f.now)
-	for range 5 {
-		f.step(10)
-	}
-	orders, _ := f.c.TakeInstanceOrders()
-	assert.Equal(t, len(orders), 0)
-}
-
 // An owner that was cut off with some endpoints kept renewing their leases, while
 // its successor took them for lapsed and started their tasks elsewhere.
 func TestBlindOwnerStopsRenewing(t *testing.T) {
--- a/core/tmcontrol/demand_test.go
+++ b/core/tmcontrol/demand_test.go
@@ -96,3 +96,28 @@
 	}
 	assert.Assert(t, d.forecast(1800) < 1.1*1000, "%.0f", d.forecast(1800))
 }
+
+// Instances on their way out of a pool counted as there, so that the next
+// decision gave away too many and the pool was left empty.
+func TestPoolKeepsItsLeast(t *testing.T) {
+	f := newFixture(t, 6)
+	rules := testRules(2)
+	rules.Services["off"] = Service{Name: "off", Standby: true}
+	f.c.Apply(Directive{Rules: rules}, f.now)
+	var list []Instance
+	for i := range 6 {
+		l := f.listing(i + 1)
+		list = append(list, Instance{ID: l.Instance, Pool: "s", State: InstanceUp, Endpoint: l.ID})
+	}
+	f.c.SetInstances(list, f.now)
+	moved := 0
+	for range 100 {
+		f.step(100)
+		orders, _ := f.c.TakeInstanceOrders()
+		moved += len(orders)
+		for _, o := range orders {
+			f.c.InstanceOrdered(o, Accepted, f.now)
+		}
+	}
+	assert.Equal(t, moved, 6-minPool)
+}
