cmd/turmericmoor: signals are taken until the end of a node

The handler was given back when the stop began, so the default of SIGHUP was in force while requests were still served.

Ruled out: a kill by the other series of faults (none in the log of the soak), a SIGHUP before the handler is set (the process had been up for 12 s).

Change: signals are taken from the first line of the command to its last.

--- a/cmd/turmericmoor/node.go
+++ b/cmd/turmericmoor/node.go
@@ -74,6 +74,11 @@
 }
 
 func runNode(path string, out io.Writer) error {
+	// Signals are taken until the end: one that arrives during the shutdown must not
+	// end the process at once.
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt, syscall.SIGHUP)
+	defer signal.Stop(signals)
 	settings, err := tmnodesettings.Load(path)
 	if err != nil {
 		return fmt.Errorf("settings: %w", err)
@@ -108,7 +113,7 @@
 		node.Run(nodeCtx)
 	}()
 	reload := func(reason string) { reloadNode(path, reason, settings, node, events) }
-	awaitEnd(path, reload)
+	awaitEnd(path, signals, reload)
 	events.Note(tmevent.NodeStops)
 	node.Leave()
 	unready := min(unreadyTime, settings.Shutdown()/2)
@@ -121,10 +126,7 @@
 
 // awaitEnd returns when the process is told to end. Until then it calls reload
 // on SIGHUP and when the settings file has changed.
-func awaitEnd(path string, reload func(reason string)) {
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGTERM, os.Interrupt, syscall.SIGHUP)
-	defer signal.Stop(signals)
+func awaitEnd(path string, signals <-chan os.Signal, reload func(reason string)) {
 	tick := time.NewTicker(settingsEvery)
 	defer tick.Stop()
 	changed := changeTime(path)
