--- a/core/tmcontrol/demand.go
+++ b/core/tmcontrol/demand.go
@@ -6,8 +6,8 @@
 	"turmericmoor/core/tmclock"
 )
 
-// demandMemory is the time constant of the demand of a pool. Half of it would follow
-// the chance of single jobs, twice as much would lag behind the start of a burst.
+// demandMemory is the time constant of the demand of a pool: long enough to average over
+// jobs, short against a burst.
 const demandMemory = 800 * tmclock.Millisecond
 
 // waitShare is the part of the slack of jobs that they may wait for instances; the
