--- a/cmd/turmericmoor/node.go
+++ b/cmd/turmericmoor/node.go
@@ -13,7 +13,6 @@
 
 	"turmericmoor/core/tmevent"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/spf13/cobra"
 
 	"turmericmoor/core/tmclock"
@@ -91,8 +90,7 @@
 	events.Note(tmevent.NodeStarts, "zone", settings.Zone(), "unknown_settings", settings.Unknown())
 	opts := tmnode.Options{
 		Name: settings.Name(), Clock: tmclock.NewSystem(), Bounds: settings.Bounds(), MaxConfigAge: maxConfigAge(settings),
-		Cores: settings.Cores(), KeepOutcomes: settings.KeepOutcomes(),
-		Stagger: float64(xxhash.Sum64String(settings.Name())%1000) / 1000,
+		Resources: settings.Resources(), KeepOutcomes: settings.KeepOutcomes(),
 	}
 	// The metrics read the state of the node, and the node records events in the
 	// metrics, so metrics is assigned before the node runs.
@@ -191,8 +189,8 @@
 }
 
 func writeDump(w http.ResponseWriter, node *tmnode.Node) {
-	dump, owner := node.Dump()
+	dumps := node.Dumps()
 	w.Header().Set("Content-Type", "application/json")
 	// An error here means that the client has closed the connection.
-	_ = json.NewEncoder(w).Encode(map[string]any{"owner": owner, "state": dump})
+	_ = json.NewEncoder(w).Encode(map[string]any{"owner": len(dumps) > 0, "shards": dumps})
 }
--- a/core/tmcontrol/attempts_test.go
+++ b/core/tmcontrol/attempts_test.go
@@ -7,6 +7,7 @@
 
 	"turmericmoor/core/tmevent"
 	"turmericmoor/core/tmjob"
+	"turmericmoor/core/tmshard"
 )
 
 // Guards against a start beyond the allowed attempts: a new owner learned of the last
@@ -14,7 +15,7 @@
 // the job, and the task was started once more.
 func TestNoStartAfterTheLastAttempt(t *testing.T) {
 	f := newFixture(t, 1)
-	f.c = New(testBounds(), 2, func(e tmevent.Event) { f.t.Log(f.now, e.Name, e.Fields) })
+	f.c = New(tmshard.Whole, testBounds(), 2, func(e tmevent.Event) { f.t.Log(f.now, e.Name, e.Fields) })
 	f.c.OwnershipConfirmed(f.now)
 	f.c.SetEndpoint(f.endpointInfo(1), f.now)
 	f.c.Submitted(oneTask("j"))
--- a/core/tmcontrol/bench_test.go
+++ b/core/tmcontrol/bench_test.go
@@ -7,12 +7,13 @@
 	"turmericmoor/core/tmclock"
 	"turmericmoor/core/tmevent"
 	"turmericmoor/core/tmjob"
+	"turmericmoor/core/tmshard"
 )
 
 // benchFleet returns a controller with that many endpoints in five pools, loaded with a
 // backlog of jobs that fills them.
 func benchFleet(endpoints, jobs int) (*Controller, tmclock.Millis) {
-	c := New(testBounds(), 1, func(tmevent.Event) {})
+	c := New(tmshard.Whole, testBounds(), 1, func(tmevent.Event) {})
 	rules := Rules{Version: 1, Queues: map[string]Queue{}, Services: map[string]Service{}, Teams: map[string]Team{"t": {Name: "t"}}}
 	for i := range 5 {
 		q := fmt.Sprintf("q%d", i)
--- a/core/tmcontrol/controller.go
+++ b/core/tmcontrol/controller.go
@@ -1,5 +1,6 @@
 // Package tmcontrol schedules jobs and manages the instances of the fleet. A
-// Controller is the state machine of the one process that owns the fleet. Jobs,
+// Controller is the state machine of the process that owns a shard of the fleet, or
+// the whole fleet if it is not divided. Jobs,
 // configuration, lists of endpoints and answers go in; orders, changes to be
 // stored and events come out. It does no I/O and never reads a clock.
 //
@@ -17,11 +18,14 @@
 	"turmericmoor/core/tmclock"
 	"turmericmoor/core/tmevent"
 	"turmericmoor/core/tmjob"
+	"turmericmoor/core/tmquota"
+	"turmericmoor/core/tmshard"
 )
 
 // Controller is not safe for concurrent use: its methods must be called by one
 // goroutine at a time.
 type Controller struct {
+	shard  tmshard.Shard
 	bounds Bounds
 	token  int64
 	rules  Rules
@@ -67,18 +71,25 @@
 	unansweredStarts []*run
 
 	fleet fleet
+	// quotas holds the shard's parts of the limits of teams, nil if the fleet is not
+	// divided.
+	quotas *tmquota.Ledger
 }
 
-// New returns a controller for the owner with that fencing token. emit receives
-// every decision as an event.
-func New(bounds Bounds, token int64, emit func(tmevent.Event)) *Controller {
-	return &Controller{
-		bounds: bounds, token: token, emit: emit,
+// New returns a controller for the owner of a shard with that fencing token. emit
+// receives every decision as an event.
+func New(shard tmshard.Shard, bounds Bounds, token int64, emit func(tmevent.Event)) *Controller {
+	c := &Controller{
+		shard: shard, bounds: bounds, token: token, emit: emit,
 		jobs: map[string]*job{}, endpoints: map[string]*endpoint{}, onInstance: map[string][]*endpoint{}, finalAt: map[string]tmclock.Millis{},
 		now: 1, teams: map[string]tmjob.Resources{}, shares: map[string]*shareMeter{}, zonesOut: map[string]bool{},
 		runTimes: map[string]*movingMean{},
 		fleet:    newFleet(),
 	}
+	if !shard.IsWhole() {
+		c.quotas = tmquota.New(shard)
+	}
+	return c
 }
 
 // Deposed reports whether a call was rejected because of a higher fencing token.
@@ -94,6 +105,7 @@
 		return
 	}
 	c.rules = r
+	c.setQuotas(r.Teams)
 	c.event(tmevent.RulesInstalled, "version", r.Version, "queues", len(r.Queues), "teams", len(r.Teams))
 }
 
--- a/core/tmcontrol/controller_test.go
+++ b/core/tmcontrol/controller_test.go
@@ -8,6 +8,7 @@
 	"turmericmoor/core/tmclock"
 	"turmericmoor/core/tmevent"
 	"turmericmoor/core/tmjob"
+	"turmericmoor/core/tmshard"
 )
 
 // fixture is a controller with one service, whose endpoints e1, e2, ... are on
@@ -48,7 +49,7 @@
 }
 
 func (f *fixture) newController(token int64) *Controller {
-	c := New(testBounds(), token, func(e tmevent.Event) { f.t.Log(f.now, e.Name, e.Fields) })
+	c := New(tmshard.Whole, testBounds(), token, func(e tmevent.Event) { f.t.Log(f.now, e.Name, e.Fields) })
 	c.Apply(DesiredState{Rules: testRules(1)}, f.now)
 	c.OwnershipConfirmed(f.now)
 	return c
--- a/core/tmcontrol/fleet.go
+++ b/core/tmcontrol/fleet.go
@@ -53,11 +53,13 @@
 	instancesKnown bool
 	waves          map[string]*wave
 	restored       map[string]WaveReport
-	moves          map[string]*move
-	moveRetryAt    map[string]tmclock.Millis
-	refusedMoves   map[refusedMove]bool
-	demands        map[string]*demand
-	sizedAt        tmclock.Millis
+	// finishedParts holds, by wave, the shards whose part of the wave is finished.
+	finishedParts map[string]map[int]bool
+	moves         map[string]*move
+	moveRetryAt   map[string]tmclock.Millis
+	refusedMoves  map[refusedMove]bool
+	demands       map[string]*demand
+	sizedAt       tmclock.Millis
 	// shortages holds, by pool, how many more endpoints are needed for the long-running
 	// tasks that could not be placed since the last sizing.
 	shortages map[string]int
@@ -79,7 +81,7 @@
 
 func newFleet() fleet {
 	return fleet{
-		instances: map[string]Instance{}, waves: map[string]*wave{}, restored: map[string]WaveReport{},
+		instances: map[string]Instance{}, waves: map[string]*wave{}, restored: map[string]WaveReport{}, finishedParts: map[string]map[int]bool{},
 		moves: map[string]*move{}, moveRetryAt: map[string]tmclock.Millis{},
 		refusedMoves: map[refusedMove]bool{}, demands: map[string]*demand{},
 		shortages: map[string]int{}, orderedAt: map[string]tmclock.Millis{},
--- a/core/tmcontrol/message.go
+++ b/core/tmcontrol/message.go
@@ -3,6 +3,7 @@
 import (
 	"turmericmoor/core/tmclock"
 	"turmericmoor/core/tmjob"
+	"turmericmoor/core/tmquota"
 )
 
 // RunRef identifies a run in an order. The caller returns it with the answer.
@@ -168,6 +169,8 @@
 	// Orders lists the instances about which orders were recently given, nil if there
 	// is nothing new.
 	Orders []string
+	// Quotas are the shard's parts of limits of teams that have changed.
+	Quotas []tmquota.Row
 
 	instanceOrders []InstanceOrder
 	starts         []*run
--- a/core/tmcontrol/order.go
+++ b/core/tmcontrol/order.go
@@ -185,9 +185,9 @@
 // the store holds at most 100 entries, and the caller adds some of its own.
 const maxFlushRows = 74
 
-// jobsPerFlush returns how many of the changed jobs fit into one flush.
-func (c *Controller) jobsPerFlush() int {
-	rows := 0
+// jobsPerFlush returns how many of the changed jobs fit into a flush that has the given
+// number of other rows.
+func (c *Controller) jobsPerFlush(rows int) int {
 	for n, j := range c.dirty {
 		rows++
 		if j.final {
@@ -203,8 +203,11 @@
 // TakeFlush returns the changes to store next, or nil if there are none. Only one
 // flush may be in progress at a time.
 func (c *Controller) TakeFlush(now tmclock.Millis) *Flush {
-	n := c.jobsPerFlush()
 	f := &Flush{}
+	if c.quotas != nil {
+		f.Quotas = c.quotas.TakeRows(maxQuotaRows)
+	}
+	n := c.jobsPerFlush(len(f.Quotas))
 	if len(c.fleet.unstoredOrders) > 0 {
 		f.instanceOrders, c.fleet.unstoredOrders = c.fleet.unstoredOrders, nil
 		f.Orders = c.recentOrders(now)
@@ -240,7 +243,7 @@
 			}
 		}
 	}
-	if n == 0 && len(f.acks) == 0 && f.Orders == nil {
+	if n == 0 && len(f.acks) == 0 && len(f.Quotas) == 0 && f.Orders == nil {
 		return nil
 	}
 	c.flushes++
@@ -256,6 +259,9 @@
 			e.acked = max(e.acked, seen)
 		}
 	}
+	for _, row := range f.Quotas {
+		c.quotas.Stored(row)
+	}
 	for _, r := range f.starts {
 		if r.phase != planned || r.ep.runs[r.key()] != r {
 			continue
--- a/core/tmcontrol/plan.go
+++ b/core/tmcontrol/plan.go
@@ -81,6 +81,7 @@
 	if len(pools) == 0 {
 		return
 	}
+	defer c.planQuotas(now, wall)
 	byService := map[string][]rank{}
 	for _, j := range slices.Clone(c.openJobs) {
 		q, ok := c.rules.Queues[j.spec.Queue]
@@ -188,6 +189,7 @@
 func (c *Controller) place(t *task, p *pool, now tmclock.Millis) bool {
 	spec := t.step.spec
 	if !c.withinLimit(t.step, 1) {
+		c.reportQuotaShortage(t.step, t.step.waitingTasks(now), 1)
 		return false
 	}
 	var e *endpoint
@@ -219,13 +221,18 @@
 	if s.spec.PerEndpoint == 0 {
 		return 1
 	}
-	waiting := 0
+	return (int(s.waitingTasks(now)) + s.spec.PerEndpoint - 1) / s.spec.PerEndpoint
+}
+
+// waitingTasks counts the tasks of a step that could start now.
+func (s *step) waitingTasks(now tmclock.Millis) int64 {
+	waiting := int64(0)
 	for _, t := range s.tasks {
 		if t.waiting(now) {
 			waiting++
 		}
 	}
-	return (waiting + s.spec.PerEndpoint - 1) / s.spec.PerEndpoint
+	return waiting
 }
 
 // fitsAny reports whether the reservation fits on some endpoint, regardless of other
@@ -254,19 +261,6 @@
 		"free_cpu", e.free().CPU, "queue", j.spec.Queue, "team", j.spec.Team, "rules", c.rules.Version, "left", t.step.left)
 }
 
-// withinLimit reports whether n more tasks of the step stay within the limit of
-// the job's team.
-func (c *Controller) withinLimit(s *step, n int64) bool {
-	name := s.occ.job.spec.Team
-	team, ok := c.rules.Teams[name]
-	if !ok {
-		return true
-	}
-	size := s.spec.Size
-	more := tmjob.Resources{CPU: size.CPU * n, Mem: size.Mem * n, GPU: size.GPU * n}
-	return c.teams[name].Add(more).Within(team.Limit)
-}
-
 // choose returns the endpoint with the highest score among those that may run a
 // task of the step, or nil.
 func (c *Controller) choose(s *step, p *pool, now tmclock.Millis) *endpoint {
@@ -357,7 +351,8 @@
 	if p.knownTooLarge(s.spec.Reservation()) {
 		return
 	}
-	if !c.withinLimit(s, int64(len(s.tasks))) {
+	if n := int64(len(s.tasks)); !c.withinLimit(s, n) {
+		c.reportQuotaShortage(s, n, n)
 		return
 	}
 	if s.spec.SameRack {
--- a/core/tmcontrol/pool.go
+++ b/core/tmcontrol/pool.go
@@ -227,12 +227,6 @@
 	return out
 }
 
-// withinCPULimit reports whether a team may use that much more CPU.
-func (c *Controller) withinCPULimit(team string, more int64) bool {
-	limit := c.rules.Teams[team].Limit.CPU
-	return limit == 0 || c.teams[team].CPU+more <= limit
-}
-
 // grow adds one instance to a pool: one from the standby pool, else an idle one
 // from the pool with the largest surplus.
 func (c *Controller) grow(to *poolSize, sizes []poolSize, now tmclock.Millis) bool {
--- a/core/tmcontrol/share.go
+++ b/core/tmcontrol/share.go
@@ -36,7 +36,7 @@
 // Long-running and timed jobs are not counted, because their demand is not a stream
 // of jobs.
 func (c *Controller) exceedsShare(j *tmjob.Job) bool {
-	weight := c.rules.Teams[j.Team].Weight
+	weight := c.rules.Teams[j.Team].Weight / float64(c.shard.Count())
 	if weight <= 0 || j.Repeats > 0 || j.LongRunning() {
 		return false
 	}
--- a/core/tmcontrol/wave.go
+++ b/core/tmcontrol/wave.go
@@ -54,7 +54,11 @@
 
 type wave struct {
 	Wave
-	items     []*waveItem
+	items []*waveItem
+	// parts holds the shard of each instance of the wave.
+	parts []int
+	// slots is how many instances of the shard may be down for the wave at once.
+	slots     int
 	startedAt tmclock.Millis
 	// changed is set if the progress has to be reported.
 	changed bool
@@ -77,15 +81,28 @@
 )
 
 func (c *Controller) addWave(w Wave, now tmclock.Millis) {
-	added := &wave{Wave: w, startedAt: now, changed: true}
+	added := &wave{Wave: w, parts: c.shard.WaveParts(w.Instances), startedAt: now, changed: true}
 	for _, id := range w.Instances {
-		added.items = append(added.items, &waveItem{id: id})
+		if c.shard.OwnsInstance(id) {
+			added.items = append(added.items, &waveItem{id: id})
+		}
 	}
 	if r, ok := c.fleet.restored[w.Name]; ok {
 		added.restore(r)
 	}
 	c.fleet.waves[w.Name] = added
-	c.event(tmevent.WaveBegins, "wave", w.Name, "instances", len(w.Instances), "bound", w.MaxUnavailable, "within_ms", int64(w.TimeLimit))
+	c.event(tmevent.WaveBegins, "wave", w.Name, "instances", len(added.items), "bound", w.MaxUnavailable, "within_ms", int64(w.TimeLimit))
+}
+
+// WavePartFinished records that a shard has stored that its part of a wave is finished.
+// Its slots pass to other shards.
+func (c *Controller) WavePartFinished(wave string, shard int) {
+	parts := c.fleet.finishedParts[wave]
+	if parts == nil {
+		parts = map[int]bool{}
+		c.fleet.finishedParts[wave] = parts
+	}
+	parts[shard] = true
 }
 
 func (w *wave) report() WaveReport {
@@ -190,6 +207,8 @@
 }
 
 func (c *Controller) planWave(w *wave, pools map[string]*pool, now tmclock.Millis) {
+	finished := c.fleet.finishedParts[w.Name]
+	w.slots = c.shard.WaveSlots(w.parts, w.MaxUnavailable, func(shard int) bool { return finished[shard] })
 	down, draining, open := 0, 0, 0
 	for _, it := range w.items {
 		switch it.state {
@@ -221,9 +240,9 @@
 		w.changed = false
 		c.fleet.reports = append(c.fleet.reports, w.report())
 	}
-	if down+draining < max(w.MaxUnavailable, 1) {
+	if down+draining < w.slots {
 		for _, it := range c.nextDue(w) {
-			if down+draining >= max(w.MaxUnavailable, 1) {
+			if down+draining >= w.slots {
 				break
 			}
 			if c.beginDrain(it, now) {
@@ -291,7 +310,7 @@
 	if it.unanswered {
 		return now.Sub(it.since) >= orderRetryInterval
 	}
-	if down >= max(w.MaxUnavailable, 1) {
+	if down >= w.slots {
 		return false
 	}
 	e := c.endpointOn(it.id)
@@ -311,7 +330,7 @@
 			open++
 		}
 	}
-	bound := max(w.MaxUnavailable, 1)
+	bound := max(w.slots, 1)
 	rounds := (open + bound - 1) / bound
 	need := tmclock.Span(rounds)*(c.bounds.Maintenance+maintenanceOverhead) + minDrainTime
 	return now.Add(need).After(w.startedAt.Add(w.TimeLimit))
--- a/core/tmevent/event.go
+++ b/core/tmevent/event.go
@@ -52,6 +52,10 @@
 	InstancesFailed Name = "instances_failed"
 	// JobFinal: a job reached its final state: job, queue, team, state, cause.
 	JobFinal Name = "job_final"
+	// LayoutFailed: the number of shards could not be decided yet: cause.
+	LayoutFailed Name = "layout_failed"
+	// LayoutKnown: the number of shards of the fleet became known: shards.
+	LayoutKnown Name = "layout_known"
 	// LinesDropped: lines were dropped because the log writer was too slow: count.
 	LinesDropped Name = "lines_dropped"
 	// LinesLeftOut: lines of one event were omitted because they exceeded its rate limit: event, count.
@@ -64,21 +68,21 @@
 	OccurrenceDone Name = "occurrence_done"
 	// OwnerDeposed: the owner found that a later owner exists: token, endpoint or by.
 	OwnerDeposed Name = "owner_deposed"
-	// OwnerEnded: the node no longer owns the fleet: token.
+	// OwnerEnded: the node no longer owns a shard: token, shard.
 	OwnerEnded Name = "owner_ended"
-	// OwnerLoaded: the owner has loaded all stored jobs: token.
+	// OwnerLoaded: the owner has loaded all stored jobs of its shard: token, shard.
 	OwnerLoaded Name = "owner_loaded"
-	// OwnerSeen: the row of the owner has a new holder or token: holder, token, version.
+	// OwnerSeen: the row of the owner of a shard has a new holder or token: holder, token, version, shard.
 	OwnerSeen Name = "owner_seen"
-	// OwnerWon: the node became the owner of the fleet: token, before.
+	// OwnerWon: the node became the owner of a shard: token, before, shard.
 	OwnerWon Name = "owner_won"
 	// PoolSized: the size or the wanted size of a pool changed: pool, have, want, idle, need_cpu, forecast_cpu.
 	PoolSized Name = "pool_sized"
 	// RecordIgnored: stored progress matches no task of its job: job, step, index.
 	RecordIgnored Name = "record_ignored"
-	// RenewalFailed: the owner could not renew its row: token, cause.
+	// RenewalFailed: the owner could not renew its row: token, cause, shard.
 	RenewalFailed Name = "renewal_failed"
-	// ResignationFailed: the owner could not release its row: token, cause.
+	// ResignationFailed: the owner could not release its row: token, cause, shard.
 	ResignationFailed Name = "resignation_failed"
 	// RowUnreadable: a row could not be decoded and was skipped: table, key, cause.
 	RowUnreadable Name = "row_unreadable"
@@ -142,6 +146,8 @@
 	InstanceOrder,
 	InstancesFailed,
 	JobFinal,
+	LayoutFailed,
+	LayoutKnown,
 	LinesDropped,
 	LinesLeftOut,
 	NodeStarts,
--- a/internal/fleetsim/fleet_test.go
+++ b/internal/fleetsim/fleet_test.go
@@ -153,10 +153,10 @@
 }
 
 // runSimulation runs one simulation and returns the violations.
-func runSimulation(t *testing.T, seed uint64, prepare func(sim *simulation)) []string {
+func runSimulation(t *testing.T, seed uint64, shards int, prepare func(sim *simulation)) []string {
 	var violations []string
 	synctest.Test(t, func(t *testing.T) {
-		sim := newSimulation(t, seed)
+		sim := newSimulation(t, seed, shards)
 		if prepare != nil {
 			prepare(sim)
 		}
@@ -198,7 +198,7 @@
 func TestFleetInvariants(t *testing.T) {
 	for i := range uint64(seedCount()) {
 		seed := tmseed.First() + i
-		for _, b := range runSimulation(t, seed, nil) {
+		for _, b := range runSimulation(t, seed, 1, nil) {
 			t.Errorf("seed %d: %s", seed, b)
 		}
 	}
@@ -221,7 +221,7 @@
 	for name, control := range controls {
 		t.Run(name, func(t *testing.T) {
 			for i := range uint64(4 * fleetSeeds) {
-				if len(runSimulation(t, tmseed.First()+i, control)) > 0 {
+				if len(runSimulation(t, tmseed.First()+i, 1, control)) > 0 {
 					return
 				}
 			}
@@ -234,7 +234,7 @@
 // no row of a job may be left.
 func TestOldOutcomesAreRemoved(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		sim := newSimulation(t, tmseed.First())
+		sim := newSimulation(t, tmseed.First(), 1)
 		sim.start()
 		time.Sleep(warmupDuration)
 		for n := range 10 {
@@ -242,11 +242,11 @@
 		}
 		time.Sleep(faultPhaseDuration)
 		sim.awaitFinalStates()
-		if n := sim.store.Count(tmrecord.JobTable); n == 0 {
+		if n := sim.store.Count(tmrecord.JobTable(0)); n == 0 {
 			t.Error("no outcome is stored, expected the rows of 10 jobs")
 		}
 		time.Sleep(2 * outcomeRetention)
-		if n := sim.store.Count(tmrecord.JobTable); n != 0 {
+		if n := sim.store.Count(tmrecord.JobTable(0)); n != 0 {
 			t.Errorf("%d rows of jobs are left after the retention time", n)
 		}
 		sim.close()
@@ -259,7 +259,7 @@
 // three seconds.
 func TestOwnerSurvivesAnOutageOfTheStore(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		sim := newSimulation(t, tmseed.First())
+		sim := newSimulation(t, tmseed.First(), 1)
 		sim.start()
 		time.Sleep(warmupDuration)
 		before := sim.store.ownerToken()
@@ -280,7 +280,8 @@
 	})
 }
 
-// TestOneWorld runs only the seed in TM_FLEET_SEED, for example to read its log.
+// TestOneWorld runs only the seed in TM_FLEET_SEED, for example to read its log. With
+// TM_FLEET_SHARDED=1 the fleet is divided into shards.
 func TestOneWorld(t *testing.T) {
 	text := os.Getenv("TM_FLEET_SEED")
 	if text == "" {
@@ -290,7 +291,11 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	for _, b := range runSimulation(t, seed, nil) {
+	shards, prepare := 1, func(*simulation) {}
+	if os.Getenv("TM_FLEET_SHARDED") != "" {
+		shards, prepare = shardCount, limitTeam
+	}
+	for _, b := range runSimulation(t, seed, shards, prepare) {
 		t.Error(b)
 	}
 }
--- a/internal/fleetsim/simulation_test.go
+++ b/internal/fleetsim/simulation_test.go
@@ -14,9 +14,11 @@
 	"turmericmoor/core/tmcontrol"
 	"turmericmoor/core/tmevent"
 	"turmericmoor/core/tmjob"
+	"turmericmoor/core/tmshard"
 	"turmericmoor/internal/emulator"
 	"turmericmoor/io/tmintake"
 	"turmericmoor/io/tmnode"
+	"turmericmoor/io/tmrecord"
 	"turmericmoor/io/tmtable"
 )
 
@@ -51,6 +53,9 @@
 	isolatedEndpoints map[string]bool
 	lateOrderRatio    float64
 
+	// shards is the number of shards, limit the CPU limit of the team or 0 for none.
+	shards int
+	limit  int64
 	// faults are the faults that injectFaults chooses from.
 	faults []namedFault
 	nodes  []*nodeProcess
@@ -100,26 +105,48 @@
 	p.storePartitioned = partitioned
 }
 
-func newSimulation(t *testing.T, seed uint64) *simulation {
+// endpointsPerShard is the average number of endpoints of a shard.
+const endpointsPerShard = 6
+
+// newSimulation returns a fleet with a number of shards that has not started yet.
+func newSimulation(t *testing.T, seed uint64, shards int) *simulation {
 	sim := &simulation{
-		t: t, began: time.Now(), rng: rand.New(rand.NewPCG(seed, 1)), orderRNG: rand.New(rand.NewPCG(seed, 3)),
+		shards: shards,
+		t:      t, began: time.Now(), rng: rand.New(rand.NewPCG(seed, 1)), orderRNG: rand.New(rand.NewPCG(seed, 3)),
 		fleet: emulator.NewFleet(), partitionedEndpoints: map[string]bool{}, closed: make(chan struct{}), faults: faults,
 	}
 	sim.store = store{emulator.NewTable(rand.New(rand.NewPCG(seed, 2)))}
 	sim.fleet.CancelTimeout = cancelTimeout
-	for i := range 6 {
+	for i := range endpointsPerShard * shards {
 		id := fmt.Sprintf("w%d", i)
 		sim.fleet.AddEndpoint(id, "z", tmjob.Resources{CPU: 8000, Mem: 8000}, 0.98+0.02*sim.rng.Float64())
 		sim.store.Set(endpointTable, id, []byte(id))
 	}
-	sim.store.Set(operatorTable, "config", []byte("1"))
+	if shards > 1 {
+		sim.store.Set(tmrecord.OwnerTable, tmrecord.LayoutKey().Key, tmrecord.EncodeLayout(shards))
+	}
+	sim.configure(1, 0)
 	return sim
 }
 
+// configure writes a version of the configuration with a limit of the team, 0 for none.
+func (sim *simulation) configure(version int, limit int64) {
+	sim.limit = limit
+	sim.store.Set(operatorTable, "config", fmt.Appendf(nil, "%d %d", version, limit))
+}
+
+// checkLimit makes the checker verify the limit that was written last.
+func (sim *simulation) checkLimit() {
+	sim.fleet.Lock()
+	defer sim.fleet.Unlock()
+	sim.fleet.SetLimit("t", sim.limit)
+}
+
 // start starts all nodes.
 func (sim *simulation) start() {
 	for i := range nodeCount {
-		sim.nodes = append(sim.nodes, sim.startNode(fmt.Sprintf("n%d", i), sim.rng.Float64()))
+		// The order of nodes in an election depends on their names.
+		sim.nodes = append(sim.nodes, sim.startNode(fmt.Sprintf("n%d-%d", i, sim.rng.IntN(1000))))
 	}
 }
 
@@ -139,25 +166,29 @@
 	return tmtable.Put{Key: tmtable.Key{Table: "status", Key: wave}}
 }
 
-func (directory) Operator(tmtable.Row) (tmnode.OperatorEntry, error) {
+func (directory) Operator(row tmtable.Row) (tmnode.OperatorEntry, error) {
+	var version, limit int64
+	if _, err := fmt.Sscan(string(row.Value), &version, &limit); err != nil {
+		return tmnode.OperatorEntry{}, err
+	}
 	rules := tmcontrol.Rules{
-		Version:  1,
+		Version:  version,
 		Queues:   map[string]tmcontrol.Queue{"q": {Name: "q", Service: "pool", Attempts: 4, Stretch: 2, Objective: 600}},
 		Services: map[string]tmcontrol.Service{"pool": {Name: "pool"}},
-		Teams:    map[string]tmcontrol.Team{"t": {Name: "t", Weight: 1}},
+		Teams:    map[string]tmcontrol.Team{"t": {Name: "t", Weight: 1, Limit: tmjob.Resources{CPU: limit}}},
 	}
-	return tmnode.OperatorEntry{Access: tmaccess.NewTable(1, nil, map[string]string{"k": "t"}, 1<<20), Rules: &rules}, nil
+	return tmnode.OperatorEntry{Access: tmaccess.NewTable(version, nil, map[string]string{"k": "t"}, 1<<20), Rules: &rules}, nil
 }
 
-func (sim *simulation) startNode(name string, stagger float64) *nodeProcess {
+func (sim *simulation) startNode(name string) *nodeProcess {
 	p := &nodeProcess{name: name, done: make(chan struct{})}
 	ctx, stop := context.WithCancel(context.Background())
 	p.stop = stop
 	p.node = tmnode.New(tmnode.Options{
 		Name: name, Store: &storeView{store: sim.store, partitioned: p.cannotReachStore}, Endpoints: &endpointClient{sim: sim, node: name, partitioned: p.isKilled},
 		Directory: directory{sim}, Clock: tmclock.NewSystem(), BootClock: time.Now, MaxConfigAge: 3 * time.Second,
-		Bounds:  tmcontrol.Bounds{Lease: 5000, HandoverDelay: 3000, Maintenance: 2000},
-		Stagger: stagger, Cores: 1, KeepOutcomes: outcomeRetention,
+		Bounds:    tmcontrol.Bounds{Lease: 5000, HandoverDelay: 3000, Maintenance: 2000},
+		Resources: tmshard.Node{Cores: 1}, KeepOutcomes: outcomeRetention,
 		Emit: func(e tmevent.Event) {
 			if testing.Verbose() {
 				sim.t.Log(time.Since(sim.began), name, e.Name, e.Fields)
@@ -178,7 +209,7 @@
 	p.stop()
 	<-p.done
 	sim.sleep(down)
-	next := sim.startNode(p.name, sim.store.Float64())
+	next := sim.startNode(p.name)
 	sim.mu.Lock()
 	defer sim.mu.Unlock()
 	sim.nodes[i] = next
@@ -204,11 +235,13 @@
 	}
 }
 
-// owner returns the node that owns the fleet, or -1.
+// owner returns a node that owns a shard, or -1.
 func (sim *simulation) owner() int {
-	for i := range nodeCount {
+	first := sim.store.IntN(nodeCount)
+	for n := range nodeCount {
+		i := (first + n) % nodeCount
 		p := sim.process(i)
-		if _, ok := p.node.Dump(); ok && !p.isKilled() {
+		if len(p.node.Dumps()) > 0 && !p.isKilled() {
 			return i
 		}
 	}
--- a/internal/fleetsim/store_test.go
+++ b/internal/fleetsim/store_test.go
@@ -18,7 +18,7 @@
 
 // term returns the fencing token of the current owner, or 0 if there is none.
 func (s store) ownerToken() int64 {
-	row, _ := s.Get(tmrecord.OwnerKey())
+	row, _ := s.Get(tmrecord.OwnerKey(0))
 	o, err := tmrecord.DecodeOwner(row.Value)
 	if err != nil {
 		return 0
--- a/io/tmintake/intake.go
+++ b/io/tmintake/intake.go
@@ -13,6 +13,7 @@
 	"turmericmoor/internal/tmwait"
 
 	"turmericmoor/core/tmjob"
+	"turmericmoor/core/tmshard"
 	"turmericmoor/io/tmrecord"
 	"turmericmoor/io/tmtable"
 )
@@ -46,39 +47,81 @@
 type Intake struct {
 	store tmtable.Store
 
-	mu        sync.Mutex
-	waiting   map[string]int
-	waitingAt time.Time
+	mu sync.Mutex
+	// shards is the number of shards of the fleet, 0 while it is unknown.
+	shards int
+	// waiting holds the numbers of waiting jobs that each owner has published.
+	waiting map[int]waitingJobs
+}
+
+// waitingJobs holds the numbers of waiting jobs of one shard by queue.
+type waitingJobs struct {
+	byQueue map[string]int
+	at      time.Time
 }
 
 // New returns an Intake that works on the given store.
-func New(store tmtable.Store) *Intake { return &Intake{store: store} }
+func New(store tmtable.Store) *Intake {
+	return &Intake{store: store, waiting: map[int]waitingJobs{}}
+}
+
+// SetShards sets the number of shards. No job is accepted before it is known.
+func (in *Intake) SetShards(count int) {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	in.shards = count
+}
+
+func (in *Intake) shardCount() (int, error) {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	if in.shards == 0 {
+		return 0, fmt.Errorf("%w: the number of shards is unknown", ErrNotReady)
+	}
+	return in.shards, nil
+}
 
-// SetOwner records the numbers of waiting jobs from the newest row of the owner.
-func (in *Intake) SetOwner(o tmrecord.Owner, at time.Time) {
+// SetOwner records the numbers of waiting jobs from the newest row of the owner of a
+// shard.
+func (in *Intake) SetOwner(shard int, o tmrecord.Owner, at time.Time) {
 	in.mu.Lock()
 	defer in.mu.Unlock()
 	if o.WaitingKnown {
-		in.waiting, in.waitingAt = o.Waiting, at
+		in.waiting[shard] = waitingJobs{byQueue: o.Waiting, at: at}
 	}
 }
 
 // Waiting returns how many accepted jobs of a queue have not started.
 func (in *Intake) Waiting(queue string) (int, error) {
+	count, err := in.shardCount()
+	if err != nil {
+		return 0, err
+	}
 	in.mu.Lock()
 	defer in.mu.Unlock()
-	if in.waitingAt.IsZero() || time.Since(in.waitingAt) > maxWaitingAge {
-		return 0, fmt.Errorf("%w: no owner has recently published the number of waiting jobs", ErrNotReady)
+	sum := 0
+	for shard := range count {
+		w := in.waiting[shard]
+		if w.at.IsZero() || time.Since(w.at) > maxWaitingAge {
+			return 0, fmt.Errorf("%w: the owner of shard %d has not published its number of waiting jobs lately", ErrNotReady, shard)
+		}
+		sum += w.byQueue[queue]
 	}
-	return in.waiting[queue], nil
+	return sum, nil
 }
 
 // Submit stores a job. If a job with the same id was accepted before, that job stays
 // unchanged and the call succeeds.
 func (in *Intake) Submit(ctx context.Context, j tmjob.Job) error {
+	shards, err := in.shardCount()
+	if err != nil {
+		return fmt.Errorf("%w: %w", ErrNotAccepted, err)
+	}
+	shard := tmshard.OfJob(j.Queue, j.ID, j.LongRunning(), shards)
+	key := tmrecord.JobKey(shard, j.ID)
 	txn := tmtable.Txn{
-		Expects: []tmtable.Expect{{Key: tmrecord.JobKey(j.ID)}, {Key: tmrecord.OutcomeKey(j.ID)}},
-		Puts:    []tmtable.Put{{Key: tmrecord.JobKey(j.ID), Value: tmrecord.EncodeJob(j)}},
+		Expects: []tmtable.Expect{{Key: key}, {Key: tmrecord.OutcomeKey(shard, j.ID)}},
+		Puts:    []tmtable.Put{{Key: key, Value: tmrecord.EncodeJob(j)}},
 	}
 	maybeStored := false
 	for {
@@ -111,22 +154,39 @@
 	return err
 }
 
-// storedJob is what the table of jobs holds about a job.
+// storedJob is what the table of jobs of a shard holds about a job.
 type storedJob struct {
+	shard     int
 	job       *tmjob.Job
 	version   int64
 	outcome   *tmrecord.Outcome
 	cancelled bool
 }
 
-func (in *Intake) read(ctx context.Context, id string) (storedJob, error) {
+// read reads a job of a queue. Whether the job is long-running isn't known before, so
+// it may be in either of two shards.
+func (in *Intake) read(ctx context.Context, queue, id string) (storedJob, error) {
+	shards, err := in.shardCount()
+	if err != nil {
+		return storedJob{}, err
+	}
+	short := tmshard.OfJob(queue, id, false, shards)
+	r, err := in.readShard(ctx, short, id)
+	long := tmshard.OfJob(queue, id, true, shards)
+	if err != nil || long == short || r.queue() != "" {
+		return r, err
+	}
+	return in.readShard(ctx, long, id)
+}
+
+func (in *Intake) readShard(ctx context.Context, shard int, id string) (storedJob, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	page, err := in.store.Read(ctx, tmrecord.JobRange(id))
+	page, err := in.store.Read(ctx, tmrecord.JobRange(shard, id))
 	if err != nil {
 		return storedJob{}, fmt.Errorf("%w: %w", ErrNotReady, err)
 	}
-	var r storedJob
+	r := storedJob{shard: shard}
 	for _, row := range page.Rows {
 		kind, _ := tmrecord.ParseKey(row.Key.Key)
 		switch kind {
@@ -162,7 +222,7 @@
 
 // State returns the state of a job, or ErrNoJob if the queue has no such job.
 func (in *Intake) State(ctx context.Context, queue, id string) (tmjob.State, error) {
-	r, err := in.read(ctx, id)
+	r, err := in.read(ctx, queue, id)
 	if err != nil {
 		return tmjob.Pending, err
 	}
@@ -172,7 +232,7 @@
 	if r.outcome != nil {
 		return r.outcome.State, nil
 	}
-	started, outcome, err := in.readRun(ctx, id)
+	started, outcome, err := in.readRun(ctx, r.shard, id)
 	switch {
 	case err != nil:
 		return tmjob.Pending, err
@@ -189,10 +249,10 @@
 // readRun reads what the owner has stored about a live job: whether it has started,
 // and its outcome if the owner has stored one but may not have moved it to the table
 // of jobs yet.
-func (in *Intake) readRun(ctx context.Context, id string) (bool, *tmrecord.Outcome, error) {
+func (in *Intake) readRun(ctx context.Context, shard int, id string) (bool, *tmrecord.Outcome, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	page, err := in.store.Read(ctx, tmrecord.ProgressRange(id))
+	page, err := in.store.Read(ctx, tmrecord.ProgressRange(shard, id))
 	if err != nil {
 		return false, nil, fmt.Errorf("%w: %w", ErrNotReady, err)
 	}
@@ -216,7 +276,7 @@
 // another way.
 func (in *Intake) Cancel(ctx context.Context, queue, id string) error {
 	for {
-		r, err := in.read(ctx, id)
+		r, err := in.read(ctx, queue, id)
 		if err == nil {
 			if r.queue() != queue || r.outcome != nil && r.outcome.State != tmjob.Cancelled {
 				return ErrNoJob
@@ -225,14 +285,14 @@
 				return nil
 			}
 			var done *tmrecord.Outcome
-			if _, done, err = in.readRun(ctx, id); err == nil && done != nil {
+			if _, done, err = in.readRun(ctx, r.shard, id); err == nil && done != nil {
 				return ErrNoJob
 			}
 		}
 		if err == nil {
 			err = in.write(ctx, tmtable.Txn{
-				Expects: []tmtable.Expect{{Key: tmrecord.JobKey(id), Version: r.version}},
-				Puts:    []tmtable.Put{{Key: tmrecord.CancelKey(id), Value: []byte("{}")}},
+				Expects: []tmtable.Expect{{Key: tmrecord.JobKey(r.shard, id), Version: r.version}},
+				Puts:    []tmtable.Put{{Key: tmrecord.CancelKey(r.shard, id), Value: []byte("{}")}},
 			})
 			if err == nil {
 				return nil
--- a/io/tmmetrics/metrics.go
+++ b/io/tmmetrics/metrics.go
@@ -22,10 +22,10 @@
 	callSeconds *prometheus.HistogramVec
 }
 
-// Source provides the state that the gauges report. Dump returns false while the
-// node does not own the fleet.
+// Source provides the state that the gauges report. Dumps returns, by shard, the state
+// of the owners on the node.
 type Source interface {
-	Dump() (tmcontrol.Dump, bool)
+	Dumps() map[int]tmcontrol.Dump
 	Ready() bool
 }
 
--- a/io/tmmetrics/state.go
+++ b/io/tmmetrics/state.go
@@ -1,11 +1,18 @@
 package tmmetrics
 
-import "github.com/prometheus/client_golang/prometheus"
+import (
+	"strconv"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"turmericmoor/core/tmcontrol"
+)
 
 // stateCollector exports the state of the owner at the time of the scrape.
 type stateCollector struct {
 	node                                            Source
-	ready, owner, token, rulesVersion, openJobs     *prometheus.Desc
+	ready, owner, ownedShards                       *prometheus.Desc
+	token, rulesVersion, openJobs                   *prometheus.Desc
 	waitingJobs, endpoints, runs, teamCPU, waveOpen *prometheus.Desc
 }
 
@@ -16,22 +23,23 @@
 	return &stateCollector{
 		node:         node,
 		ready:        desc("ready", "1 when the node takes calls."),
-		owner:        desc("owner", "1 when the node owns the fleet."),
-		token:        desc("fencing_token", "Fencing token of the owner."),
-		rulesVersion: desc("rules_version", "Version of the configuration in force for the owner."),
-		openJobs:     desc("open_jobs", "Jobs that are not final."),
-		waitingJobs:  desc("waiting_jobs", "Jobs of which no task has started.", "queue"),
-		endpoints:    desc("endpoints", "Endpoints by pool and whether they answer.", "pool", "answers"),
-		runs:         desc("runs", "Runs by pool.", "pool"),
-		teamCPU:      desc("team_cpu_cores", "Processor share that a team has running.", "team"),
-		waveOpen:     desc("wave_open_instances", "Instances of a wave that are not done.", "wave"),
+		owner:        desc("owner", "1 when the node owns a shard of the fleet."),
+		ownedShards:  desc("owned_shards", "Number of shards of the fleet that the node owns."),
+		token:        desc("fencing_token", "Fencing token of the owner.", "shard"),
+		rulesVersion: desc("rules_version", "Version of the configuration in force for the owner.", "shard"),
+		openJobs:     desc("open_jobs", "Jobs that are not final.", "shard"),
+		waitingJobs:  desc("waiting_jobs", "Jobs of which no task has started.", "queue", "shard"),
+		endpoints:    desc("endpoints", "Endpoints by pool and whether they answer.", "pool", "answers", "shard"),
+		runs:         desc("runs", "Runs by pool.", "pool", "shard"),
+		teamCPU:      desc("team_cpu_cores", "Processor share that a team has running.", "team", "shard"),
+		waveOpen:     desc("wave_open_instances", "Instances of a wave that are not done.", "wave", "shard"),
 	}
 }
 
 // Describe implements prometheus.Collector.
 func (s *stateCollector) Describe(ch chan<- *prometheus.Desc) {
 	for _, d := range []*prometheus.Desc{
-		s.ready, s.owner, s.token, s.rulesVersion, s.openJobs, s.waitingJobs, s.endpoints, s.runs, s.teamCPU, s.waveOpen,
+		s.ready, s.owner, s.ownedShards, s.token, s.rulesVersion, s.openJobs, s.waitingJobs, s.endpoints, s.runs, s.teamCPU, s.waveOpen,
 	} {
 		ch <- d
 	}
@@ -43,12 +51,19 @@
 		ch <- prometheus.MustNewConstMetric(d, prometheus.GaugeValue, v, labels...)
 	}
 	flag := map[bool]float64{true: 1}
-	dump, owner := s.node.Dump()
+	dumps := s.node.Dumps()
 	gauge(s.ready, flag[s.node.Ready()])
-	gauge(s.owner, flag[owner])
-	if !owner {
-		return
+	gauge(s.owner, flag[len(dumps) > 0])
+	gauge(s.ownedShards, float64(len(dumps)))
+	for shard, dump := range dumps {
+		collectShard(s, dump, func(d *prometheus.Desc, v float64, labels ...string) {
+			gauge(d, v, append(labels, strconv.Itoa(shard))...)
+		})
 	}
+}
+
+// collectShard exports the state of the owner of one shard.
+func collectShard(s *stateCollector, dump tmcontrol.Dump, gauge func(d *prometheus.Desc, v float64, labels ...string)) {
 	gauge(s.token, float64(dump.Token))
 	gauge(s.rulesVersion, float64(dump.Rules))
 	gauge(s.openJobs, float64(dump.Jobs))
--- a/io/tmnode/node.go
+++ b/io/tmnode/node.go
@@ -6,15 +6,18 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"sync"
 	"time"
 
-	"turmericmoor/core/tmevent"
+	"github.com/cespare/xxhash/v2"
 
 	"turmericmoor/core/tmaccess"
 	"turmericmoor/core/tmclock"
 	"turmericmoor/core/tmcontrol"
+	"turmericmoor/core/tmevent"
 	"turmericmoor/core/tmjob"
+	"turmericmoor/core/tmshard"
 	"turmericmoor/io/tmelection"
 	"turmericmoor/io/tmintake"
 	"turmericmoor/io/tmowner"
@@ -61,18 +64,20 @@
 	MaxConfigAge time.Duration
 	// KeepOutcomes is how long callers can query the outcome of a job.
 	KeepOutcomes time.Duration
-	// Stagger, from 0 to 1, orders the nodes in the election; Cores is the number of
-	// processor cores that the node may use.
-	Stagger, Cores float64
-	Emit           func(tmevent.Event)
-	Observe        func(what string, took time.Duration, err error)
+	// Resources is what the node may use.
+	Resources tmshard.Node
+	Emit      func(tmevent.Event)
+	Observe   func(what string, took time.Duration, err error)
 }
 
-// Node serves callers and, while it is elected, manages the fleet. It is safe for
+// Node serves callers and manages the shards that it is elected for. It is safe for
 // concurrent use.
 type Node struct {
 	opts   Options
 	intake *tmintake.Intake
+	board  *tmelection.Board
+	// layoutKnown is closed once the number of shards is known.
+	layoutKnown chan struct{}
 
 	mu                sync.Mutex
 	access            *tmaccess.Table
@@ -80,40 +85,99 @@
 	configConfirmedAt time.Time
 	leaving           bool
 	leave             chan struct{}
-	owner             *tmowner.Owner
+	owners            map[int]*tmowner.Owner
 	wasStale          bool
 }
 
 // New returns a node. Run starts it.
 func New(opts Options) *Node {
-	return &Node{opts: opts, intake: tmintake.New(opts.Store), entries: map[string]OperatorEntry{}, leave: make(chan struct{})}
+	n := &Node{
+		opts: opts, intake: tmintake.New(opts.Store), entries: map[string]OperatorEntry{},
+		owners: map[int]*tmowner.Owner{}, leave: make(chan struct{}), layoutKnown: make(chan struct{}),
+	}
+	n.board = &tmelection.Board{
+		Store: opts.Store, Name: opts.Name, Cores: opts.Resources.Cores, Capacity: opts.Resources.Capacity(),
+		OwnerChanged: n.updateOwner, LayoutKnown: n.setLayout, Emit: n.emit,
+	}
+	return n
 }
 
 // Run serves until ctx ends.
 func (n *Node) Run(ctx context.Context) {
 	var work sync.WaitGroup
 	work.Go(func() { n.followOperator(ctx) })
+	// The board is followed until the candidates have resigned.
+	boardCtx, stop := context.WithCancel(context.WithoutCancel(ctx))
+	var following sync.WaitGroup
+	following.Go(func() { n.board.Run(boardCtx) })
+	work.Go(func() { n.stand(ctx) })
+	<-ctx.Done()
+	work.Wait()
+	stop()
+	following.Wait()
+}
+
+// stand takes part in the elections of all shards until ctx ends or the node leaves.
+func (n *Node) stand(ctx context.Context) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	var work sync.WaitGroup
+	work.Go(func() {
+		select {
+		case <-n.leave:
+			cancel()
+		case <-ctx.Done():
+		}
+	})
+	work.Go(func() { n.standFor(ctx, 0) })
+	select {
+	case <-n.layoutKnown:
+		for shard := 1; shard < n.board.Shards(); shard++ {
+			work.Go(func() { n.standFor(ctx, shard) })
+		}
+	case <-ctx.Done():
+	}
+	work.Wait()
+}
+
+// standFor takes part in the election of one shard.
+func (n *Node) standFor(ctx context.Context, shard int) {
+	// The order of the nodes differs from shard to shard.
+	hash := xxhash.Sum64String(fmt.Sprintf("%s/%d", n.opts.Name, shard))
 	candidate := &tmelection.Candidate{
-		Store: n.opts.Store, Name: n.opts.Name, Stagger: n.opts.Stagger, Cores: n.opts.Cores,
-		Lead: n.lead, Status: n.status, Leave: n.leave,
-		RowChanged: n.updateOwner,
-		Emit:       func(event tmevent.Name, fields ...any) { n.emit(event, fields...) },
+		Board: n.board, Shard: shard, Stagger: float64(hash%staggerSteps) / staggerSteps,
+		Lead:   func(ctx context.Context, token int64) { n.lead(ctx, shard, token) },
+		Status: func() (map[string]int, bool) { return n.status(shard) },
 	}
 	candidate.Run(ctx)
-	work.Wait()
 }
 
-// updateOwner handles a new version of the row of the owner.
-func (n *Node) updateOwner(o tmrecord.Owner) {
-	n.intake.SetOwner(o, time.Now())
-	n.mu.Lock()
-	owner := n.owner
-	n.mu.Unlock()
-	if owner != nil && o.Holder == n.opts.Name {
+// staggerSteps is the number of different places that a node can have in the order of
+// an election.
+const staggerSteps = 1000
+
+// setLayout is called once, when the number of shards is known.
+func (n *Node) setLayout(shards int) {
+	n.intake.SetShards(shards)
+	n.emit(tmevent.LayoutKnown, "shards", shards)
+	close(n.layoutKnown)
+}
+
+// updateOwner handles a new version of the row of the owner of a shard.
+func (n *Node) updateOwner(shard int, o tmrecord.Owner) {
+	n.intake.SetOwner(shard, o, time.Now())
+	if owner := n.owner(shard); owner != nil && o.Holder == n.opts.Name {
 		owner.OwnershipConfirmed(o.Token)
 	}
 }
 
+// owner returns the owner of a shard while it runs on this node, or nil.
+func (n *Node) owner(shard int) *tmowner.Owner {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.owners[shard]
+}
+
 func (n *Node) emit(name tmevent.Name, fields ...any) {
 	n.opts.Emit(tmevent.Event{Name: name, Fields: fields})
 }
@@ -143,7 +207,7 @@
 	leaving := n.leaving
 	n.mu.Unlock()
 	_, err := n.Access()
-	return err == nil && !leaving
+	return err == nil && !leaving && n.board.Shards() > 0
 }
 
 // Access returns the configuration for callers, if the store has confirmed it
@@ -250,8 +314,8 @@
 	}
 	defer n.mu.Unlock()
 	// Lock order: the mutex of the node before the mutex of the owner.
-	if n.owner != nil {
-		n.owner.Apply(n.desiredState())
+	for _, owner := range n.owners {
+		owner.Apply(n.desiredState())
 	}
 }
 
@@ -294,43 +358,45 @@
 	return d
 }
 
-// lead manages the fleet until ctx ends or another owner is found.
-func (n *Node) lead(ctx context.Context, token int64) {
+// lead manages a shard until ctx ends or another owner is found.
+func (n *Node) lead(ctx context.Context, shard int, token int64) {
+	if !n.decideLayout(ctx) {
+		return
+	}
 	n.mu.Lock()
 	bounds := n.opts.Bounds
 	n.mu.Unlock()
 	owner := tmowner.New(tmowner.Options{
 		Store: n.opts.Store, Endpoints: n.opts.Endpoints, Instances: n.opts.Instances,
 		Advisor: n.opts.Advisor, Directory: n.opts.Directory, Clock: n.opts.Clock,
-		KeepOutcomes: n.opts.KeepOutcomes, Bounds: bounds, Holder: n.opts.Name, Emit: n.opts.Emit, Observe: n.opts.Observe,
+		Shard: tmshard.New(shard, n.board.Shards()), KeepOutcomes: n.opts.KeepOutcomes, Bounds: bounds,
+		Emit: n.opts.Emit, Observe: n.opts.Observe,
 	}, token)
 	n.mu.Lock()
-	n.owner = owner
+	n.owners[shard] = owner
 	owner.Apply(n.desiredState())
 	n.mu.Unlock()
 	owner.Run(ctx)
 	n.mu.Lock()
-	n.owner = nil
+	delete(n.owners, shard)
 	n.mu.Unlock()
 }
 
-func (n *Node) status() (map[string]int, bool) {
-	n.mu.Lock()
-	owner := n.owner
-	n.mu.Unlock()
-	if owner == nil {
-		return nil, false
+func (n *Node) status(shard int) (map[string]int, bool) {
+	if owner := n.owner(shard); owner != nil {
+		return owner.Status()
 	}
-	return owner.Status()
+	return nil, false
 }
 
-// Dump returns the state of the owner, and whether this node is the owner.
-func (n *Node) Dump() (tmcontrol.Dump, bool) {
+// Dumps returns the states of the owners on this node by shard.
+func (n *Node) Dumps() map[int]tmcontrol.Dump {
 	n.mu.Lock()
-	owner := n.owner
+	owners := maps.Clone(n.owners)
 	n.mu.Unlock()
-	if owner == nil {
-		return tmcontrol.Dump{}, false
+	dumps := map[int]tmcontrol.Dump{}
+	for shard, owner := range owners {
+		dumps[shard] = owner.Dump()
 	}
-	return owner.Dump(), true
+	return dumps
 }
--- a/io/tmnodesettings/settings.go
+++ b/io/tmnodesettings/settings.go
@@ -11,6 +11,7 @@
 
 	"turmericmoor/core/tmclock"
 	"turmericmoor/core/tmcontrol"
+	"turmericmoor/core/tmshard"
 	"turmericmoor/io/tmini"
 )
 
@@ -20,7 +21,7 @@
 	callers, health, metrics string
 	store, instances, advice string
 	crossPart                bool
-	cores                    float64
+	resources                tmshard.Node
 	shutdown                 time.Duration
 	keyWithdrawn             time.Duration
 	keepOutcomes             time.Duration
@@ -34,8 +35,8 @@
 // Zone returns the availability zone of the node.
 func (s Settings) Zone() string { return s.zone }
 
-// Cores returns the processor share of the node in cores.
-func (s Settings) Cores() float64 { return s.cores }
+// Resources returns what the node may use of its machine.
+func (s Settings) Resources() tmshard.Node { return s.resources }
 
 // Callers returns the IP:port of the listener for callers.
 func (s Settings) Callers() string { return s.callers }
@@ -135,9 +136,14 @@
 		}
 	}
 	s := Settings{
-		name:         r.text("node.name"),
-		zone:         r.text("node.zone"),
-		cores:        r.number("node.cores", 1),
+		name: r.text("node.name"),
+		zone: r.text("node.zone"),
+		resources: tmshard.Node{
+			Cores:    r.number("node.cores", 1),
+			MemoryMB: r.number("node.memory_mb", 0),
+			LinkMbps: r.number("node.link_mbps", 0),
+			Files:    int(r.number("node.max_files", 0)),
+		},
 		callers:      r.address("listen.callers", true),
 		health:       r.address("listen.health", true),
 		metrics:      r.address("listen.metrics", false),
--- a/io/tmnodesettings/settings_test.go
+++ b/io/tmnodesettings/settings_test.go
@@ -35,7 +35,7 @@
 	s, err := tmnodesettings.Parse("x.ini", []byte(complete))
 	assert.NilError(t, err)
 	assert.Equal(t, s.Name(), "n1")
-	assert.Equal(t, s.Cores(), 0.4)
+	assert.Equal(t, s.Resources().Cores, 0.4)
 	assert.Equal(t, s.KeyWithdrawn(), 5*time.Second)
 	assert.Equal(t, s.Instances(), "")
 	// The lease is capped at lease_max_ms, the longest that endpoints grant.
--- a/io/tmowner/flush.go
+++ b/io/tmowner/flush.go
@@ -42,7 +42,7 @@
 // addGuard adds the condition on the version of the guard row, and the new value of
 // that row, to a transaction.
 func (o *Owner) addGuard(txn *tmtable.Txn, flush int64) {
-	key := tmrecord.GuardKey()
+	key := tmrecord.GuardKey(o.shard)
 	txn.Expects = append(txn.Expects, tmtable.Expect{Key: key, Version: o.guardVersion})
 	value := tmrecord.EncodeGuard(tmrecord.Guard{Token: o.token, Flush: flush})
 	txn.Puts = append(txn.Puts, tmtable.Put{Key: key, Value: value})
@@ -79,7 +79,7 @@
 // the row.
 func (o *Owner) resolveConflict(txn tmtable.Txn, rows []tmtable.Row) (done, superseded bool) {
 	for _, row := range rows {
-		if row.Deleted || row.Version == 0 || row.Key != tmrecord.GuardKey() {
+		if row.Deleted || row.Version == 0 || row.Key != tmrecord.GuardKey(o.shard) {
 			continue
 		}
 		g, err := tmrecord.DecodeGuard(row.Value)
@@ -156,20 +156,23 @@
 	o.addGuard(&txn, f.Number)
 	for _, c := range f.Changes {
 		if c.Progress != nil {
-			txn.Puts = append(txn.Puts, tmtable.Put{Key: tmrecord.ProgressKey(c.Job), Value: tmrecord.EncodeProgress(*c.Progress)})
+			txn.Puts = append(txn.Puts, tmtable.Put{Key: tmrecord.ProgressKey(o.shard, c.Job), Value: tmrecord.EncodeProgress(*c.Progress)})
 			continue
 		}
 		out := tmrecord.Outcome{State: c.Final, Queue: c.Queue, Team: c.Team, At: time.Now().UnixMilli()}
 		outcomes[c.Job] = out
-		txn.Puts = append(txn.Puts, tmtable.Put{Key: tmrecord.OwnerOutcomeKey(c.Job), Value: tmrecord.EncodeOutcome(out)})
-		txn.Removes = append(txn.Removes, tmrecord.ProgressKey(c.Job))
+		txn.Puts = append(txn.Puts, tmtable.Put{Key: tmrecord.OwnerOutcomeKey(o.shard, c.Job), Value: tmrecord.EncodeOutcome(out)})
+		txn.Removes = append(txn.Removes, tmrecord.ProgressKey(o.shard, c.Job))
+	}
+	for _, row := range f.Quotas {
+		txn.Puts = append(txn.Puts, tmtable.Put{Key: tmrecord.QuotaKey(o.shard, row.Team), Value: tmrecord.EncodeQuota(row)})
 	}
 	if f.Orders != nil {
-		txn.Puts = append(txn.Puts, tmtable.Put{Key: tmrecord.OrdersKey(), Value: tmrecord.EncodeOrders(f.Orders)})
+		txn.Puts = append(txn.Puts, tmtable.Put{Key: tmrecord.OrdersKey(o.shard), Value: tmrecord.EncodeOrders(f.Orders)})
 	}
 	if len(f.Changes) > 0 {
 		for _, job := range o.takeMovedOutcomes() {
-			txn.Removes = append(txn.Removes, tmrecord.OwnerOutcomeKey(job))
+			txn.Removes = append(txn.Removes, tmrecord.OwnerOutcomeKey(o.shard, job))
 		}
 	}
 	return txn, outcomes
--- a/io/tmowner/instance.go
+++ b/io/tmowner/instance.go
@@ -2,43 +2,44 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
-	"turmericmoor/internal/tmwait"
-
-	"turmericmoor/core/tmevent"
-
 	"turmericmoor/core/tmcontrol"
-	"turmericmoor/io/tmrecord"
-	"turmericmoor/io/tmtable"
+	"turmericmoor/core/tmevent"
 )
 
 const (
 	// listInterval is the time between two reads of the list of instances while a
-	// wave or a move is in progress.
-	listInterval = 400 * time.Millisecond
+	// wave or a move is in progress. It grows in proportion to the list beyond
+	// instancesPerInterval, because each read returns the whole list.
+	listInterval         = 400 * time.Millisecond
+	instancesPerInterval = 500
 	// instanceTimeout bounds one call to the platform's interface for instances.
 	instanceTimeout = 1500 * time.Millisecond
 )
 
 // instanceLoop reads the list of instances while the controller needs it.
 func (o *Owner) instanceLoop(ctx context.Context) {
+	listed := 0
 	for ctx.Err() == nil {
+		interval := listInterval * time.Duration(max(listed, instancesPerInterval)) / instancesPerInterval
 		select {
 		case <-ctx.Done():
 		case <-o.listSignal:
-		case <-time.After(listInterval):
+		case <-time.After(interval):
 		}
 		o.mu.Lock()
 		needed := o.ctl.NeedsInstances()
 		o.mu.Unlock()
 		if needed {
-			o.listInstances(ctx)
+			listed = max(listed, o.listInstances(ctx))
 		}
 	}
 }
 
-func (o *Owner) listInstances(ctx context.Context) {
+// listInstances reads the list of instances and returns how many it has.
+func (o *Owner) listInstances(ctx context.Context) int {
 	callCtx, cancel := context.WithTimeout(ctx, instanceTimeout)
 	defer cancel()
 	sent := o.opts.Clock.Now()
@@ -49,12 +50,15 @@
 	}
 	if err != nil {
 		o.emit(tmevent.InstancesFailed, "what", "list", "cause", err.Error())
-		return
+		return 0
 	}
+	listed := len(list)
+	list = slices.DeleteFunc(list, func(i tmcontrol.Instance) bool { return !o.opts.Shard.OwnsInstance(i.ID) })
 	o.mu.Lock()
 	o.ctl.SetInstances(list, sent)
 	o.mu.Unlock()
 	o.requestPlan()
+	return listed
 }
 
 func (o *Owner) sendInstanceOrder(ctx context.Context, order tmcontrol.InstanceOrder) {
@@ -68,41 +72,3 @@
 	notify(o.listSignal)
 	o.requestPlan()
 }
-
-// storeWaveReport tries to write the state of a wave until that is stored or ctx
-// ends.
-func (o *Owner) storeWaveReport(ctx context.Context, r tmcontrol.WaveReport) {
-	puts := []tmtable.Put{
-		o.opts.Directory.WaveStatus(r.Wave, r.Completed),
-		{Key: tmrecord.WaveKey(r.Wave), Value: tmrecord.EncodeWave(tmrecord.Wave{Done: r.Done, Completed: r.Completed})},
-	}
-	for ctx.Err() == nil {
-		callCtx, cancel := context.WithTimeout(ctx, writeTimeout)
-		_, err := o.opts.Store.Write(callCtx, tmtable.Txn{Puts: puts})
-		cancel()
-		if err == nil {
-			return
-		}
-		o.emit(tmevent.StoreFailed, "what", "wave report", "cause", err.Error())
-		tmwait.Pause(ctx, writeRetryDelay)
-	}
-}
-
-// restoreWaves loads the stored progress of waves into the controller.
-func (o *Owner) restoreWaves(ctx context.Context) error {
-	page, err := tmtable.ReadAll(ctx, o.opts.Store, tmrecord.WaveRange())
-	if err != nil {
-		return err
-	}
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	for _, row := range page.Rows {
-		w, err := tmrecord.DecodeWave(row.Value)
-		if err != nil {
-			o.emit(tmevent.RowUnreadable, "table", row.Table, "key", row.Key.Key, "cause", err.Error())
-			continue
-		}
-		o.ctl.RestoreWave(tmcontrol.WaveReport{Wave: tmrecord.WaveName(row.Key.Key), Done: w.Done, Completed: w.Completed})
-	}
-	return nil
-}
--- a/io/tmowner/outcomes.go
+++ b/io/tmowner/outcomes.go
@@ -60,7 +60,7 @@
 	for _, batch := range byPart {
 		var txn tmtable.Txn
 		for _, s := range batch {
-			txn.Removes = append(txn.Removes, tmrecord.OutcomeKey(s.job))
+			txn.Removes = append(txn.Removes, tmrecord.OutcomeKey(o.shard, s.job))
 		}
 		callCtx, cancel := context.WithTimeout(ctx, writeTimeout)
 		_, err := o.opts.Store.Write(callCtx, txn)
@@ -133,8 +133,8 @@
 func (o *Owner) moveOutcomes(ctx context.Context, part string, batch map[string]tmrecord.Outcome) {
 	var txn tmtable.Txn
 	for job, out := range batch {
-		txn.Puts = append(txn.Puts, tmtable.Put{Key: tmrecord.OutcomeKey(job), Value: tmrecord.EncodeOutcome(out)})
-		txn.Removes = append(txn.Removes, tmrecord.JobKey(job), tmrecord.CancelKey(job))
+		txn.Puts = append(txn.Puts, tmtable.Put{Key: tmrecord.OutcomeKey(o.shard, job), Value: tmrecord.EncodeOutcome(out)})
+		txn.Removes = append(txn.Removes, tmrecord.JobKey(o.shard, job), tmrecord.CancelKey(o.shard, job))
 	}
 	callCtx, cancel := context.WithTimeout(ctx, writeTimeout)
 	defer cancel()
--- a/io/tmowner/owner.go
+++ b/io/tmowner/owner.go
@@ -13,6 +13,7 @@
 
 	"turmericmoor/core/tmclock"
 	"turmericmoor/core/tmcontrol"
+	"turmericmoor/core/tmshard"
 	"turmericmoor/io/tmrecord"
 	"turmericmoor/io/tmtable"
 )
@@ -26,11 +27,11 @@
 	Directory Directory
 	Clock     tmclock.Clock
 	Bounds    tmcontrol.Bounds
+	// Shard is the part of the fleet that is owned.
+	Shard tmshard.Shard
 	// KeepOutcomes is how long callers can query the outcome of a job.
 	KeepOutcomes time.Duration
-	// Holder is the name of this node in orders about instances.
-	Holder string
-	Emit   func(tmevent.Event)
+	Emit         func(tmevent.Event)
 	// Observe, if set, is called with the duration and the error of each call to the
 	// store, an endpoint or the platform.
 	Observe func(what string, took time.Duration, err error)
@@ -53,10 +54,12 @@
 	endpointPause = 100 * time.Millisecond
 )
 
-// Owner manages the fleet while this node owns it. The mutex mu guards the
+// Owner manages a shard of the fleet while this node owns it. The mutex mu guards the
 // controller and is never held during a call to another service.
 type Owner struct {
-	opts  Options
+	opts Options
+	// shard is the index of the shard.
+	shard int
 	token int64
 
 	mu       sync.Mutex
@@ -68,6 +71,7 @@
 	planSignal  chan struct{}
 	flushSignal chan struct{}
 	listSignal  chan struct{}
+	waveSignal  chan struct{}
 	work        sync.WaitGroup
 	// guardVersion is the version of the guard row, which fences the writes of
 	// earlier owners. Once Run has acquired the guard, only the goroutine that writes
@@ -81,18 +85,24 @@
 	movedOutcomes  []movedOutcome
 	// retained lists the outcomes in the table of jobs, roughly by age.
 	retained []movedOutcome
+
+	// waves is guarded by mu, except that only waveLoop uses its fields running and
+	// completed.
+	waves waveProgress
 }
 
 // New returns an owner that sends token as its fencing token. Run starts it.
 func New(opts Options, token int64) *Owner {
 	return &Owner{
-		opts: opts, token: token,
-		ctl:            tmcontrol.New(opts.Bounds, token, opts.Emit),
+		opts: opts, shard: opts.Shard.Index(), token: token,
+		ctl:            tmcontrol.New(opts.Shard, opts.Bounds, token, opts.Emit),
 		held:           map[string]bool{},
 		storedCh:       make(chan struct{}),
 		planSignal:     make(chan struct{}, 1),
 		flushSignal:    make(chan struct{}, 1),
 		listSignal:     make(chan struct{}, 1),
+		waveSignal:     make(chan struct{}, 1),
+		waves:          newWaveProgress(),
 		outcomesToMove: map[string]tmrecord.Outcome{},
 	}
 }
@@ -131,7 +141,7 @@
 	return o.ctl.Dump()
 }
 
-// Run manages the fleet until ctx ends or another owner is found.
+// Run manages the shard until ctx ends or another owner is found.
 func (o *Owner) Run(ctx context.Context) {
 	ctx, o.stop = context.WithCancel(ctx)
 	defer o.work.Wait()
@@ -142,8 +152,12 @@
 	o.OwnershipConfirmed(o.token)
 	o.work.Go(func() { o.followEndpoints(ctx) })
 	o.work.Go(func() { o.followJobs(ctx) })
+	if !o.opts.Shard.IsWhole() {
+		o.work.Go(func() { o.followShards(ctx) })
+	}
 	o.work.Go(func() { o.flushLoop(ctx) })
 	o.work.Go(func() { o.moveOutcomesLoop(ctx) })
+	o.work.Go(func() { o.waveLoop(ctx) })
 	if o.opts.Instances != nil {
 		o.work.Go(func() { o.instanceLoop(ctx) })
 	}
@@ -212,9 +226,7 @@
 	for _, i := range instanceOrders {
 		o.work.Go(func() { o.sendInstanceOrder(ctx, i) })
 	}
-	for _, r := range reports {
-		o.work.Go(func() { o.storeWaveReport(ctx, r) })
-	}
+	o.queueWaveReports(reports)
 	for _, q := range adviceRequests {
 		o.work.Go(func() { o.requestAdvice(ctx, q) })
 	}
@@ -275,6 +287,9 @@
 		o.emit(tmevent.RowUnreadable, "table", row.Table, "key", id, "cause", err.Error())
 		return
 	}
+	if !o.owns(l) {
+		return
+	}
 	known[id] = true
 	o.mu.Lock()
 	o.ctl.SetEndpoint(l, now)
@@ -283,7 +298,7 @@
 
 func (o *Owner) followJobs(ctx context.Context) {
 	f := tmtable.Follower{
-		Store: o.opts.Store, Table: tmrecord.JobTable, Parts: tmrecord.Parts(),
+		Store: o.opts.Store, Table: tmrecord.JobTable(o.shard), Parts: tmrecord.Parts(),
 		Snapshot: func(rows []tmtable.Row) {
 			// Rows come grouped by partition. The shares of teams depend on the order
 			// in which jobs arrived, which is the order of versions.
@@ -361,14 +376,14 @@
 	if !o.retryRead(ctx, "progress of jobs", func() error { return o.restoreRuns(ctx) }) {
 		return
 	}
-	if !o.retryRead(ctx, "progress of waves", func() error { return o.restoreWaves(ctx) }) {
+	if !o.retryRead(ctx, "rows of the shard", func() error { return o.restoreShard(ctx) }) {
 		return
 	}
 	o.mu.Lock()
 	o.loaded = true
 	o.ctl.Loaded()
 	o.mu.Unlock()
-	o.emit(tmevent.OwnerLoaded, "token", o.token)
+	o.emit(tmevent.OwnerLoaded, "token", o.token, "shard", o.shard)
 	o.requestPlan()
 }
 
@@ -387,7 +402,7 @@
 }
 
 func (o *Owner) restoreRuns(ctx context.Context) error {
-	page, err := tmtable.ReadAll(ctx, o.opts.Store, tmtable.Range{Table: tmrecord.RunTable, Part: tmrecord.OwnerPart()})
+	page, err := tmtable.ReadAll(ctx, o.opts.Store, tmtable.Range{Table: tmrecord.RunTable, Part: tmrecord.OwnerPart(o.shard)})
 	if err != nil {
 		return err
 	}
@@ -406,9 +421,9 @@
 // writes to, into the controller. The caller holds mu.
 func (o *Owner) restoreRow(row tmtable.Row, now tmclock.Millis) error {
 	switch row.Key {
-	case tmrecord.GuardKey():
+	case tmrecord.GuardKey(o.shard):
 		return nil
-	case tmrecord.OrdersKey():
+	case tmrecord.OrdersKey(o.shard):
 		instances, err := tmrecord.DecodeOrders(row.Value)
 		o.ctl.RestoreOrders(instances, now)
 		return err
--- /dev/null
+++ b/io/tmowner/shard.go
@@ -0,0 +1,116 @@
+package tmowner
+
+import (
+	"context"
+	"time"
+
+	"turmericmoor/core/tmcontrol"
+	"turmericmoor/core/tmevent"
+	"turmericmoor/io/tmrecord"
+	"turmericmoor/io/tmtable"
+)
+
+// owns reports whether an endpoint belongs to the shard. An endpoint that names no
+// instance is assigned by its own id.
+func (o *Owner) owns(e tmcontrol.EndpointInfo) bool {
+	if e.Instance == "" {
+		return o.opts.Shard.OwnsInstance(e.ID)
+	}
+	return o.opts.Shard.OwnsInstance(e.Instance)
+}
+
+// followShards follows what the owners of the other shards store.
+func (o *Owner) followShards(ctx context.Context) {
+	apply := func(rows []tmtable.Row) {
+		for _, row := range rows {
+			if err := o.applyShardRow(row); err != nil {
+				o.emit(tmevent.RowUnreadable, "table", row.Table, "key", row.Key.Key, "cause", err.Error())
+			}
+		}
+		notify(o.waveSignal)
+		o.requestPlan()
+	}
+	f := tmtable.Follower{
+		Store: o.opts.Store, Table: tmrecord.ShardTable, Parts: tmrecord.OwnerParts(o.opts.Shard.Count()),
+		Snapshot: apply, Changed: apply,
+		Lost: func(err error) { o.emit(tmevent.StoreLost, "what", "shards", "cause", err.Error()) },
+		Regained: func(after time.Duration) {
+			o.emit(tmevent.StoreRegained, "what", "shards", "lost_ms", after.Milliseconds())
+		},
+	}
+	f.Run(ctx)
+}
+
+// applyShardRow applies a row of another shard.
+func (o *Owner) applyShardRow(row tmtable.Row) error {
+	shard, ok := tmrecord.ShardOfPart(row.Part)
+	if !ok || row.Deleted || shard == o.shard {
+		return nil
+	}
+	if name, ok := tmrecord.WaveName(row.Key.Key); ok {
+		w, err := tmrecord.DecodeWave(row.Value)
+		if err == nil && w.Completed {
+			o.waveFinished(name, shard)
+		}
+		return err
+	}
+	if team, ok := tmrecord.QuotaTeam(row.Key.Key); ok {
+		q, err := tmrecord.DecodeQuota(team, row.Value)
+		if err == nil {
+			o.mu.Lock()
+			o.ctl.SetPeerQuota(shard, q, row.Version)
+			o.mu.Unlock()
+		}
+		return err
+	}
+	return nil
+}
+
+// restoreShard loads the rows of the table of shards into the controller: the progress
+// of this shard in waves and its parts of the limits of teams, and what the other
+// shards have stored. Nothing may start before: without the row of another shard it
+// looks as if that shard had started nothing.
+func (o *Owner) restoreShard(ctx context.Context) error {
+	for _, part := range tmrecord.OwnerParts(o.opts.Shard.Count()) {
+		page, err := tmtable.ReadAll(ctx, o.opts.Store, tmtable.Range{Table: tmrecord.ShardTable, Part: part})
+		if err != nil {
+			return err
+		}
+		apply := o.applyShardRow
+		if part == tmrecord.OwnerPart(o.shard) {
+			apply = o.restoreShardRow
+		}
+		for _, row := range page.Rows {
+			if err := apply(row); err != nil {
+				o.emit(tmevent.RowUnreadable, "table", row.Table, "key", row.Key.Key, "cause", err.Error())
+			}
+		}
+	}
+	return nil
+}
+
+func (o *Owner) restoreShardRow(row tmtable.Row) error {
+	if name, ok := tmrecord.WaveName(row.Key.Key); ok {
+		w, err := tmrecord.DecodeWave(row.Value)
+		if err != nil {
+			return err
+		}
+		if w.Completed {
+			o.waveFinished(name, o.shard)
+		}
+		o.mu.Lock()
+		defer o.mu.Unlock()
+		o.ctl.RestoreWave(tmcontrol.WaveReport{Wave: name, Done: w.Done, Completed: w.Completed})
+		return nil
+	}
+	if team, ok := tmrecord.QuotaTeam(row.Key.Key); ok {
+		q, err := tmrecord.DecodeQuota(team, row.Value)
+		if err != nil {
+			return err
+		}
+		o.mu.Lock()
+		defer o.mu.Unlock()
+		o.ctl.RestoreQuota(q)
+	}
+	return nil
+}
--- /dev/null
+++ b/io/tmowner/wave.go
@@ -0,0 +1,138 @@
+package tmowner
+
+import (
+	"context"
+	"errors"
+
+	"turmericmoor/internal/tmwait"
+
+	"turmericmoor/core/tmcontrol"
+	"turmericmoor/core/tmevent"
+	"turmericmoor/io/tmrecord"
+	"turmericmoor/io/tmtable"
+)
+
+// waveProgress is what an owner knows about the waves of the whole fleet.
+type waveProgress struct {
+	// reports holds, by wave, the newest progress of this shard that is not stored yet.
+	reports map[string]tmcontrol.WaveReport
+	// finished holds, by wave, the shards that have stored that their part is finished.
+	finished map[string]map[int]bool
+	// running and completed hold the waves whose status was written as such.
+	running, completed map[string]bool
+}
+
+func newWaveProgress() waveProgress {
+	return waveProgress{
+		reports: map[string]tmcontrol.WaveReport{}, finished: map[string]map[int]bool{},
+		running: map[string]bool{}, completed: map[string]bool{},
+	}
+}
+
+// queueWaveReports registers the progress of waves to be stored.
+func (o *Owner) queueWaveReports(reports []tmcontrol.WaveReport) {
+	if len(reports) == 0 {
+		return
+	}
+	o.mu.Lock()
+	for _, r := range reports {
+		o.waves.reports[r.Wave] = r
+	}
+	o.mu.Unlock()
+	notify(o.waveSignal)
+}
+
+// waveFinished records that a shard has stored that its part of a wave is finished.
+func (o *Owner) waveFinished(wave string, shard int) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.waves.finished[wave] == nil {
+		o.waves.finished[wave] = map[int]bool{}
+	}
+	o.waves.finished[wave][shard] = true
+	o.ctl.WavePartFinished(wave, shard)
+}
+
+// waveLoop stores the progress of waves and reports their status to the operator. It is
+// the only writer of these rows in this process, so no row is replaced by an older one.
+func (o *Owner) waveLoop(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-o.waveSignal:
+		}
+		o.mu.Lock()
+		reports := o.waves.reports
+		o.waves.reports = map[string]tmcontrol.WaveReport{}
+		o.mu.Unlock()
+		for _, r := range reports {
+			if !o.storeWaveReport(ctx, r) {
+				return
+			}
+		}
+		if o.shard == 0 && !o.completeWaves(ctx) {
+			return
+		}
+	}
+}
+
+// storeWaveReport stores the progress of the shard's part of a wave. The owner of the
+// first shard also reports that the wave is running. It reports false if ctx ended.
+func (o *Owner) storeWaveReport(ctx context.Context, r tmcontrol.WaveReport) bool {
+	progress := tmtable.Put{
+		Key:   tmrecord.WaveKey(o.shard, r.Wave),
+		Value: tmrecord.EncodeWave(tmrecord.Wave{Done: r.Done, Completed: r.Completed}),
+	}
+	if !o.writeUntilStored(ctx, tmtable.Txn{Puts: []tmtable.Put{progress}}) {
+		return false
+	}
+	if r.Completed {
+		o.waveFinished(r.Wave, o.shard)
+	}
+	if o.shard != 0 || o.waves.running[r.Wave] {
+		return true
+	}
+	// The condition keeps a write that is applied late from replacing a later status.
+	status := o.opts.Directory.WaveStatus(r.Wave, false)
+	o.waves.running[r.Wave] = true
+	return o.writeUntilStored(ctx, tmtable.Txn{Expects: []tmtable.Expect{{Key: status.Key}}, Puts: []tmtable.Put{status}})
+}
+
+// completeWaves reports the waves as completed that all shards have finished. It reports
+// false if ctx ended.
+func (o *Owner) completeWaves(ctx context.Context) bool {
+	o.mu.Lock()
+	finished := map[string]int{}
+	for wave, shards := range o.waves.finished {
+		finished[wave] = len(shards)
+	}
+	o.mu.Unlock()
+	for wave, n := range finished {
+		if n < o.opts.Shard.Count() || o.waves.completed[wave] {
+			continue
+		}
+		o.waves.completed[wave] = true
+		if !o.writeUntilStored(ctx, tmtable.Txn{Puts: []tmtable.Put{o.opts.Directory.WaveStatus(wave, true)}}) {
+			return false
+		}
+	}
+	return true
+}
+
+// writeUntilStored repeats a transaction until it is stored or its condition fails. It
+// reports false if ctx ended.
+func (o *Owner) writeUntilStored(ctx context.Context, txn tmtable.Txn) bool {
+	for ctx.Err() == nil {
+		callCtx, cancel := context.WithTimeout(ctx, writeTimeout)
+		_, err := o.opts.Store.Write(callCtx, txn)
+		cancel()
+		var conflict *tmtable.ConflictError
+		if err == nil || errors.As(err, &conflict) {
+			return true
+		}
+		o.emit(tmevent.StoreFailed, "what", "wave report", "cause", err.Error())
+		tmwait.Pause(ctx, writeRetryDelay)
+	}
+	return false
+}
--- a/io/tmrecord/codec.go
+++ b/io/tmrecord/codec.go
@@ -7,6 +7,7 @@
 
 	"turmericmoor/core/tmclock"
 	"turmericmoor/core/tmjob"
+	"turmericmoor/core/tmquota"
 )
 
 // ErrUnreadable is wrapped by every error of a decoder.
@@ -197,7 +198,7 @@
 	return Outcome{State: state, Queue: row.Queue, Team: row.Team, At: row.At}, nil
 }
 
-// Owner is the row that says which node owns the fleet.
+// Owner is the row that says which node owns a shard.
 type Owner struct {
 	// Holder is the name of that node, or "" after it has resigned.
 	Holder string
@@ -303,10 +304,13 @@
 type Node struct {
 	// Cores is the number of processor cores that the node may use.
 	Cores float64
+	// Capacity is how many instances the node can own.
+	Capacity int
 }
 
 type nodeRow struct {
-	Cores float64 `json:"c"`
+	Cores    float64 `json:"c"`
+	Capacity int     `json:"n,omitempty"`
 }
 
 // EncodeNode encodes the row of a node.
@@ -320,3 +324,67 @@
 	}
 	return Node(row), nil
 }
+
+type layoutRow struct {
+	Shards int `json:"n"`
+}
+
+// EncodeLayout encodes the row with the number of shards.
+func EncodeLayout(shards int) []byte { return encode(layoutRow{Shards: shards}) }
+
+// DecodeLayout decodes the row with the number of shards.
+func DecodeLayout(data []byte) (int, error) {
+	var row layoutRow
+	if err := decode("layout", data, &row); err != nil {
+		return 0, err
+	}
+	if row.Shards < 1 {
+		return 0, fmt.Errorf("%w: layout: %d shards, expected 1 or more", ErrUnreadable, row.Shards)
+	}
+	return row.Shards, nil
+}
+
+// amountRow is an amount of resources: processor, memory, accelerators.
+type amountRow [3]int64
+
+func amountOf(r tmjob.Resources) amountRow { return amountRow{r.CPU, r.Mem, r.GPU} }
+
+func (a amountRow) resources() tmjob.Resources {
+	return tmjob.Resources{CPU: a[0], Mem: a[1], GPU: a[2]}
+}
+
+type quotaRow struct {
+	Limit  amountRow         `json:"l"`
+	Given  map[int]amountRow `json:"g,omitempty"`
+	Excess amountRow         `json:"x"`
+	Need   amountRow         `json:"n"`
+	Since  int64             `json:"s,omitempty"`
+}
+
+// EncodeQuota encodes the row with a shard's part of the limit of a team.
+func EncodeQuota(r tmquota.Row) []byte {
+	row := quotaRow{Limit: amountOf(r.Limit), Excess: amountOf(r.Excess), Need: amountOf(r.Need), Since: r.Since}
+	if len(r.Given) > 0 {
+		row.Given = map[int]amountRow{}
+	}
+	for shard, given := range r.Given {
+		row.Given[shard] = amountOf(given)
+	}
+	return encode(row)
+}
+
+// DecodeQuota decodes the row with a shard's part of the limit of a team.
+func DecodeQuota(team string, data []byte) (tmquota.Row, error) {
+	var row quotaRow
+	if err := decode("quota of team "+team, data, &row); err != nil {
+		return tmquota.Row{}, err
+	}
+	r := tmquota.Row{
+		Team: team, Limit: row.Limit.resources(), Given: map[int]tmjob.Resources{},
+		Excess: row.Excess.resources(), Need: row.Need.resources(), Since: row.Since,
+	}
+	for shard, given := range row.Given {
+		r.Given[shard] = given.resources()
+	}
+	return r, nil
+}
