internal/scenario: a zone is back once the change is written

Change: the end of the absence is the time at which the change was written, from the history in the table service. Starts before that time count as before.

--- a/internal/scenario/change.go
+++ b/internal/scenario/change.go
@@ -112,17 +112,47 @@
 	case tmchange.WithdrawKey:
 		r.withdrawn = append(r.withdrawn, startCutoff{c.Label, at})
 	case tmchange.ZoneOut:
-		r.absences = append(r.absences, judge.ZoneOutage{Zone: c.Name, FromMs: at})
+		r.absences = append(r.absences, absence{ZoneOutage: judge.ZoneOutage{Zone: c.Name, FromMs: at}})
 	case tmchange.ZoneIn:
 		for i := range r.absences {
 			if r.absences[i].Zone == c.Name && r.absences[i].UntilMs == 0 {
-				r.absences[i].UntilMs = at
+				r.absences[i].UntilMs, r.absences[i].returnID = at, a.id
 			}
 		}
 	}
 	return nil
 }
 
+// absence is a period in which a zone is out of service. returnID is the id of the
+// change that ended it, "" if none has.
+type absence struct {
+	judge.ZoneOutage
+	returnID string
+}
+
+// zoneOutages returns the absences of zones as the table service has them: a zone is
+// back once the change is written there. Entries may act on the change from then on,
+// while the operator learns of it only with the answer to the change.
+func (r *run) zoneOutages() ([]judge.ZoneOutage, error) {
+	if len(r.absences) == 0 {
+		return nil, nil
+	}
+	history, err := r.history()
+	if err != nil {
+		return nil, err
+	}
+	var list []judge.ZoneOutage
+	for _, a := range r.absences {
+		for _, v := range history {
+			if a.returnID != "" && v.ChangeID == a.returnID {
+				a.UntilMs = min(a.UntilMs, int64(v.Written))
+			}
+		}
+		list = append(list, a.ZoneOutage)
+	}
+	return list, nil
+}
+
 // apply sends a change repeatedly under one id until it is in force, as an operator
 // does after losing a response. A rejection with a status below 500 is returned
 // immediately.
--- a/internal/scenario/check.go
+++ b/internal/scenario/check.go
@@ -26,7 +26,10 @@
 		return err
 	}
 	evidence.Events = append(evidence.Events, r.stopsOfKilledRacks(evidence.Events)...)
-	evidence.ZoneOutages, evidence.KilledEntries, evidence.CompleteJournal = r.absences, r.killedEntries, true
+	if evidence.ZoneOutages, err = r.zoneOutages(); err != nil {
+		return err
+	}
+	evidence.KilledEntries, evidence.CompleteJournal = r.killedEntries, true
 	problems := checkLateStarts("after its key was withdrawn", r.withdrawn, evidence.Events, func(ev judge.Event) string { return ev.Team })
 	problems = append(problems, checkLateStarts("after it was listed as leaving", r.leaving, evidence.Events, func(ev judge.Event) string { return ev.Endpoint })...)
 	reverted, err := r.checkChanges()
--- a/internal/scenario/scenario.go
+++ b/internal/scenario/scenario.go
@@ -51,7 +51,7 @@
 	observations  []observation
 	killedEntries []string
 	killedRacks   []killedRack
-	absences      []judge.ZoneOutage
+	absences      []absence
 	withdrawn     []startCutoff
 	leaving       []startCutoff
 	resumed       map[string]bool
