io/tmowner, io/tmelection: fewer calls for lists and feeds of a divided fleet

Each accepted order about an instance read the whole list of 1,100 instances again, and each renewal of one of five owners woke the feeds of 147 nodes. Change: a pause after each read of the list in proportion to its length; pauses between calls to the feeds of owners, jobs and shards, only in a fleet that is divided.

--- a/io/tmelection/board.go
+++ b/io/tmelection/board.go
@@ -16,8 +16,10 @@
 	feedWait = 700 * tmclock.Millisecond
 	// sharedFeedPause is the pause between two calls if the fleet has several shards.
 	// Each owner renews its row on its own, and every node would otherwise make a call
-	// for each renewal.
+	// for each renewal. The pause of weak nodes is weakFeedPause, since they take over
+	// only if no strong node does. Both are shorter than storeLossTimeout.
 	sharedFeedPause = 250 * time.Millisecond
+	weakFeedPause   = 700 * time.Millisecond
 )
 
 // Board follows the rows of the owners of all shards, of the nodes, and the row with
@@ -84,13 +86,22 @@
 			b.storeRegainedAt = time.Now()
 		}
 		b.lastAnswer = time.Now()
-		if b.shards > 1 {
-			f.Pause = sharedFeedPause
-		}
+		f.Pause = b.feedPause()
 	}
 	f.Run(ctx)
 }
 
+// feedPause returns the pause after a call to the feed. The caller holds mu.
+func (b *Board) feedPause() time.Duration {
+	switch {
+	case b.shards <= 1:
+		return 0
+	case b.isWeak():
+		return weakFeedPause
+	}
+	return sharedFeedPause
+}
+
 // register stores what this node may use for the other nodes. If that fails, weaker
 // nodes don't let this node take over first.
 func (b *Board) register(ctx context.Context) {
--- a/io/tmowner/instance.go
+++ b/io/tmowner/instance.go
@@ -5,6 +5,8 @@
 	"slices"
 	"time"
 
+	"turmericmoor/internal/tmwait"
+
 	"turmericmoor/core/tmcontrol"
 	"turmericmoor/core/tmevent"
 )
@@ -15,6 +17,9 @@
 	// instancesPerInterval, because each read returns the whole list.
 	listInterval         = 400 * time.Millisecond
 	instancesPerInterval = 500
+	// listPausePerInstance is the least pause after a read, for each instance in the
+	// list.
+	listPausePerInstance = 200 * time.Microsecond
 	// instanceTimeout bounds one call to the platform's interface for instances.
 	instanceTimeout = 1500 * time.Millisecond
 )
@@ -34,6 +39,7 @@
 		o.mu.Unlock()
 		if needed {
 			listed = max(listed, o.listInstances(ctx))
+			tmwait.Pause(ctx, time.Duration(listed)*listPausePerInstance)
 		}
 	}
 }
--- a/io/tmowner/owner.go
+++ b/io/tmowner/owner.go
@@ -298,7 +298,7 @@
 
 func (o *Owner) followJobs(ctx context.Context) {
 	f := tmtable.Follower{
-		Store: o.opts.Store, Table: tmrecord.JobTable(o.shard), Parts: tmrecord.Parts(),
+		Store: o.opts.Store, Table: tmrecord.JobTable(o.shard), Parts: tmrecord.Parts(), Pause: o.feedPause(),
 		Snapshot: func(rows []tmtable.Row) {
 			// Rows come grouped by partition. The shares of teams depend on the order
 			// in which jobs arrived, which is the order of versions.
--- a/io/tmowner/shard.go
+++ b/io/tmowner/shard.go
@@ -10,6 +10,23 @@
 	"turmericmoor/io/tmtable"
 )
 
+const (
+	// shardPause is the pause between two calls to the feed of the table of shards, and
+	// jobPause that between two calls to the feed of the table of jobs of a shard. They
+	// batch the changes.
+	shardPause = 30 * time.Millisecond
+	jobPause   = 15 * time.Millisecond
+)
+
+// feedPause returns the pause between two calls to the feed of the table of jobs. A
+// fleet that is not divided has few enough jobs for a call for each of them.
+func (o *Owner) feedPause() time.Duration {
+	if o.opts.Shard.IsWhole() {
+		return 0
+	}
+	return jobPause
+}
+
 // owns reports whether an endpoint belongs to the shard. An endpoint that names no
 // instance is assigned by its own id.
 func (o *Owner) owns(e tmcontrol.EndpointInfo) bool {
@@ -31,7 +48,7 @@
 		o.requestPlan()
 	}
 	f := tmtable.Follower{
-		Store: o.opts.Store, Table: tmrecord.ShardTable, Parts: tmrecord.OwnerParts(o.opts.Shard.Count()),
+		Store: o.opts.Store, Table: tmrecord.ShardTable, Parts: tmrecord.OwnerParts(o.opts.Shard.Count()), Pause: shardPause,
 		Snapshot: apply, Changed: apply,
 		Lost: func(err error) { o.emit(tmevent.StoreLost, "what", "shards", "cause", err.Error()) },
 		Regained: func(after time.Duration) {
