io/tmowner: an owner without a current configuration places nothing

Ruled out: the parts of the limit (each shard kept to the part of the limit it knew). Change: the planner runs only while the store has confirmed the operator's table within 2 s, on the clock that counts suspended time.

--- a/internal/fleetsim/simulation_test.go
+++ b/internal/fleetsim/simulation_test.go
@@ -68,8 +68,9 @@
 	name string
 	node *tmnode.Node
 	mu   sync.Mutex
-	// A killed process reaches nothing; a storePartitioned one can't reach the store.
-	killed, storePartitioned bool
+	// A killed process reaches nothing; a storePartitioned one can't reach the store, and
+	// a configLost one gets no answers about the table of the operator.
+	killed, storePartitioned, configLost bool
 	stop                     context.CancelFunc
 	done                     chan struct{}
 }
@@ -99,6 +100,18 @@
 	return p.killed || p.storePartitioned
 }
 
+func (p *nodeProcess) isConfigLost() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.configLost
+}
+
+func (p *nodeProcess) setConfigLost(lost bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.configLost = lost
+}
+
 func (p *nodeProcess) setStorePartitioned(partitioned bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -185,7 +198,7 @@
 	ctx, stop := context.WithCancel(context.Background())
 	p.stop = stop
 	p.node = tmnode.New(tmnode.Options{
-		Name: name, Store: &storeView{store: sim.store, partitioned: p.cannotReachStore}, Endpoints: &endpointClient{sim: sim, node: name, partitioned: p.isKilled},
+		Name: name, Store: &storeView{store: sim.store, partitioned: p.cannotReachStore, configLost: p.isConfigLost}, Endpoints: &endpointClient{sim: sim, node: name, partitioned: p.isKilled},
 		Directory: directory{sim}, Clock: tmclock.NewSystem(), BootClock: time.Now, MaxConfigAge: 3 * time.Second,
 		Bounds:    tmcontrol.Bounds{Lease: 5000, HandoverDelay: 3000, Maintenance: 2000},
 		Resources: tmshard.Node{Cores: 1}, KeepOutcomes: outcomeRetention,
--- a/internal/fleetsim/store_test.go
+++ b/internal/fleetsim/store_test.go
@@ -29,8 +29,9 @@
 // storeView is the connection of one node to the store.
 type storeView struct {
 	store
-	// partitioned reports whether the node can't reach the store.
-	partitioned func() bool
+	// partitioned reports whether the node can't reach the store, configLost whether its
+	// calls about the table of the operator get no answer.
+	partitioned, configLost func() bool
 }
 
 // reach waits for the latency of a call, or until ctx ends if the store is partitioned.
@@ -71,6 +72,10 @@
 }
 
 func (v *storeView) Feed(ctx context.Context, table string, after int64, wait tmclock.Span) (tmtable.Page, error) {
+	if table == operatorTable && v.configLost() {
+		<-ctx.Done()
+		return tmtable.Page{}, fmt.Errorf("%w: no answer about the configuration", tmtable.ErrOutcomeUnknown)
+	}
 	if err := v.reach(ctx); err != nil {
 		return tmtable.Page{}, err
 	}
--- a/io/tmnode/node.go
+++ b/io/tmnode/node.go
@@ -229,6 +229,19 @@
 	return n.access, nil
 }
 
+// maxDesiredStateAge is how long after the store has last confirmed the desired state
+// an owner on this node may act on it. With the time that a start order stays valid it is
+// shorter than the time within which a zone that was taken out gets no more tasks.
+const maxDesiredStateAge = 2 * time.Second
+
+// isConfigCurrent reports whether the store has confirmed the desired state lately. A
+// node that takes over right after it was cut off may know an old one.
+func (n *Node) isConfigCurrent() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.access != nil && n.opts.BootClock().Sub(n.configConfirmedAt) <= maxDesiredStateAge
+}
+
 // Submit stores a job.
 func (n *Node) Submit(ctx context.Context, j tmjob.Job) error {
 	began := time.Now()
@@ -370,7 +383,7 @@
 		Store: n.opts.Store, Endpoints: n.opts.Endpoints, Instances: n.opts.Instances,
 		Advisor: n.opts.Advisor, Directory: n.opts.Directory, Clock: n.opts.Clock,
 		Shard: tmshard.New(shard, n.board.Shards()), KeepOutcomes: n.opts.KeepOutcomes, Bounds: bounds,
-		Emit: n.opts.Emit, Observe: n.opts.Observe,
+		Emit: n.opts.Emit, Observe: n.opts.Observe, IsConfigCurrent: n.isConfigCurrent,
 	}, token)
 	n.mu.Lock()
 	n.owners[shard] = owner
--- a/io/tmowner/owner.go
+++ b/io/tmowner/owner.go
@@ -32,6 +32,9 @@
 	// KeepOutcomes is how long callers can query the outcome of a job.
 	KeepOutcomes time.Duration
 	Emit         func(tmevent.Event)
+	// IsConfigCurrent reports whether the store has confirmed the desired state lately.
+	// While it has not, no task is placed and no instance is ordered.
+	IsConfigCurrent func() bool
 	// Observe, if set, is called with the duration and the error of each call to the
 	// store, an endpoint or the platform.
 	Observe func(what string, took time.Duration, err error)
@@ -197,6 +200,7 @@
 func (o *Owner) planOnce(ctx context.Context) {
 	now := o.opts.Clock.Now()
 	wall := time.Now().UnixMilli()
+	isCurrent := o.opts.IsConfigCurrent()
 	o.mu.Lock()
 	if o.ctl.Deposed() {
 		o.mu.Unlock()
@@ -204,7 +208,9 @@
 		return
 	}
 	o.ctl.Tick(now, wall)
-	o.ctl.Plan(now, wall)
+	if isCurrent {
+		o.ctl.Plan(now, wall)
+	}
 	starts, stops, paces := o.ctl.TakeOrders(now)
 	adviceRequests := o.ctl.TakeAdviceRequests()
 	instanceOrders, reports := o.ctl.TakeInstanceOrders()
