--- a/internal/fleetsim/simulation_test.go
+++ b/internal/fleetsim/simulation_test.go
@@ -71,8 +71,8 @@
 	// A killed process reaches nothing; a storePartitioned one can't reach the store, and
 	// a configLost one gets no answers about the table of the operator.
 	killed, storePartitioned, configLost bool
-	stop                     context.CancelFunc
-	done                     chan struct{}
+	stop                                 context.CancelFunc
+	done                                 chan struct{}
 }
 
 func (p *nodeProcess) isKilled() bool {
