io/tmowner: a start order without an answer is sent once more

Endpoints leave 6% of the orders unanswered for 18 s. Each such order delayed its task by the timeout of 800 ms and a hold, half of the jobs had one, and its endpoint got nothing new for 1.5 s, so 315 of 700 machines worked. Change: the same order, for the same run, is sent a second time after 80 ms within a retry budget of a tenth. Endpoints carry out a run once, and a refusal counts only when no other order for the run may still be carried out. The emulated endpoint now also wakes a hold when a run starts during it, as the platform's do.

--- a/core/tmcontrol/message.go
+++ b/core/tmcontrol/message.go
@@ -83,6 +83,13 @@
 // String returns the name of the answer as written to logs.
 func (a Answer) String() string { return answerNames[a] }
 
+// IsDefinite reports whether the answer to a start order also tells the fate of every
+// other order for the same run at the same endpoint: the run exists there, or no order
+// for it can be carried out there any more.
+func (a Answer) IsDefinite() bool {
+	return a == Accepted || a == Fenced || a == Superseded || a == OtherEndpoint
+}
+
 // EndReason says why a run ended.
 type EndReason int
 
--- a/internal/emulator/endpoint.go
+++ b/internal/emulator/endpoint.go
@@ -53,8 +53,8 @@
 	// failing makes runs fail failDelay after their start.
 	failing bool
 	// clockRate is the rate of the endpoint's clock relative to the host clock.
-	clockRate float64
-	runEnded  chan struct{}
+	clockRate   float64
+	runsChanged chan struct{}
 }
 
 func (r *activeRun) percent() int {
@@ -66,7 +66,7 @@
 func (f *Fleet) AddEndpoint(id, zone string, capacity tmjob.Resources, clockRate float64) *Endpoint {
 	e := &Endpoint{
 		fleet: f, id: id, zone: zone, clockStart: time.Now(), startedAt: time.Now().UnixMilli(), capacity: capacity,
-		runs: map[taskRun]*activeRun{}, closedRuns: map[tmjob.TaskID]int{}, runEnded: make(chan struct{}), clockRate: clockRate,
+		runs: map[taskRun]*activeRun{}, closedRuns: map[tmjob.TaskID]int{}, runsChanged: make(chan struct{}), clockRate: clockRate,
 	}
 	f.endpoints[id] = e
 	return e
@@ -113,8 +113,13 @@
 	e.endedRuns = append(e.endedRuns, tmcontrol.EndedRun{Number: e.lastEndNumber, Task: key.task, Run: key.run, Reason: reason})
 	e.closedRuns[key.task] = max(e.closedRuns[key.task], key.run)
 	e.fleet.checker.recordEnd(e, key, reason)
-	close(e.runEnded)
-	e.runEnded = make(chan struct{})
+	e.notify()
+}
+
+// notify wakes the holds that wait for the end of a run.
+func (e *Endpoint) notify() {
+	close(e.runsChanged)
+	e.runsChanged = make(chan struct{})
 }
 
 // Crash ends the process and all its runs without reporting their ends.
@@ -172,6 +177,7 @@
 	}
 	e.runs[key] = &activeRun{taskRun: key, size: step.Size, startedAt: time.Now(), endsAt: time.Now().Add(duration), failing: e.failing}
 	e.fleet.recordStart(e, key, step, late)
+	e.notify()
 	return tmcontrol.Accepted
 }
 
@@ -243,8 +249,8 @@
 	return limit
 }
 
-// Wake returns a channel that is closed when the next run of the endpoint ends.
-func (e *Endpoint) Wake() <-chan struct{} { return e.runEnded }
+// Wake returns a channel that is closed when the next run of the endpoint starts or ends.
+func (e *Endpoint) Wake() <-chan struct{} { return e.runsChanged }
 
 // ID returns the ID of the endpoint.
 func (e *Endpoint) ID() string { return e.id }
--- a/io/tmowner/call.go
+++ b/io/tmowner/call.go
@@ -36,7 +36,9 @@
 )
 
 func (o *Owner) sendStart(ctx context.Context, s tmcontrol.StartOrder) {
-	a := o.timedCall(ctx, "start", orderTimeout, func(ctx context.Context) tmcontrol.Answer { return o.opts.Endpoints.Start(ctx, s) })
+	began := time.Now()
+	a := o.hedgedStart(ctx, s)
+	o.observeAnswer("start", began, a)
 	now := o.opts.Clock.Now()
 	o.mu.Lock()
 	o.ctl.Started(s.Ref, a, now)
--- a/io/tmowner/owner.go
+++ b/io/tmowner/owner.go
@@ -13,6 +13,7 @@
 
 	"turmericmoor/core/tmclock"
 	"turmericmoor/core/tmcontrol"
+	"turmericmoor/core/tmroute"
 	"turmericmoor/core/tmshard"
 	"turmericmoor/io/tmrecord"
 	"turmericmoor/io/tmtable"
@@ -68,6 +69,7 @@
 	mu       sync.Mutex
 	ctl      *tmcontrol.Controller
 	held     map[string]bool
+	hedges   *tmroute.RetryBudget
 	storedCh chan struct{}
 	loaded   bool
 
@@ -100,6 +102,7 @@
 		opts: opts, shard: opts.Shard.Index(), token: token,
 		ctl:            tmcontrol.New(opts.Shard, opts.Bounds, token, opts.Emit),
 		held:           map[string]bool{},
+		hedges:         tmroute.NewRetryBudget(),
 		storedCh:       make(chan struct{}),
 		planSignal:     make(chan struct{}, 1),
 		flushSignal:    make(chan struct{}, 1),
