io/tmowner: a hold whose answer is overdue is made once more

Change: a hold is made a second time when the first run of its endpoint should have ended 150 ms ago, within a retry budget of its own. A start that is accepted while an idle endpoint's hold waits sets that time. The negative control on leases plays only the fault that shows it, so that it finds it on every run.

--- a/core/tmcontrol/hold.go
+++ b/core/tmcontrol/hold.go
@@ -105,9 +105,45 @@
 	if e.tokenAccepted && e.seen == e.acked {
 		h.Wait = e.holdWait()
 	}
+	h.Overdue = c.holdOverdue(e, h.Wait, now)
 	return h, true
 }
 
+// holdOverdueMargin is added to the time at which a hold is expected to be answered. It
+// covers run times that are longer than expected.
+const holdOverdueMargin = 150 * tmclock.Millisecond
+
+// holdOverdue returns after what time a missing answer to a hold with the given wait
+// means that the call was probably lost: when the first run was expected to have ended.
+// It returns 0 if that can't be told before wait has passed.
+func (c *Controller) holdOverdue(e *endpoint, wait tmclock.Span, now tmclock.Millis) tmclock.Span {
+	if wait == 0 {
+		return holdOverdueMargin
+	}
+	first := wait
+	for _, r := range e.runs {
+		if r.task.step.spec.LongRunning || r.startedAt == 0 {
+			continue
+		}
+		ends := r.startedAt.Add(tmclock.Span(c.estimate(r.task.step.occ.job.spec.Queue, r.task.step.spec)))
+		first = min(first, max(0, ends.Sub(now)))
+	}
+	if overdue := first + holdOverdueMargin; overdue < wait {
+		return overdue
+	}
+	return 0
+}
+
+// HoldOverdue returns after what time the answer to a hold that is under way at an
+// endpoint is overdue, 0 if that can't be told.
+func (c *Controller) HoldOverdue(id string, now tmclock.Millis) tmclock.Span {
+	e := c.endpoints[id]
+	if e == nil {
+		return 0
+	}
+	return c.holdOverdue(e, idleHoldWait, now)
+}
+
 func (e *endpoint) holdWait() tmclock.Span {
 	switch {
 	case len(e.runs) == 0:
--- a/core/tmcontrol/message.go
+++ b/core/tmcontrol/message.go
@@ -157,6 +157,9 @@
 	Acked int64
 	// Wait is how long the endpoint may wait for a run to end before it answers.
 	Wait tmclock.Span
+	// Overdue is the time after which a missing answer means that the call was probably
+	// lost, 0 if that can't be told before Wait has passed.
+	Overdue tmclock.Span
 }
 
 // Change is what has to be stored of one job.
--- a/internal/fleetsim/endpoint_test.go
+++ b/internal/fleetsim/endpoint_test.go
@@ -94,6 +94,10 @@
 	if !ok {
 		return tmcontrol.HoldResponse{}, errNoAnswer
 	}
+	if c.sim.drawLostHold() {
+		<-ctx.Done()
+		return tmcontrol.HoldResponse{}, errNoAnswer
+	}
 	deadline := time.Now().Add(h.Wait.Duration())
 	c.sim.fleet.Lock()
 	startedAt := e.StartedAt()
--- a/internal/fleetsim/fleet_test.go
+++ b/internal/fleetsim/fleet_test.go
@@ -213,7 +213,11 @@
 			sim.fleet.IgnoreTokens, sim.lateOrderRatio = true, 0.5
 			sim.faults = []namedFault{{"kill the owner", killOwner}}
 		},
-		"leases last longer than requested": func(sim *simulation) { sim.fleet.LongLeases = true },
+		// Tasks of a partitioned endpoint run again elsewhere once its lease has expired.
+		"leases last longer than requested": func(sim *simulation) {
+			sim.fleet.LongLeases = true
+			sim.faults = []namedFault{{"partition an endpoint", partitionEndpoint}}
+		},
 		"the store ignores conditions": func(sim *simulation) {
 			sim.store.SetFaults(func(f *emulator.TableFaults) { f.IgnoreConditions = true })
 		},
--- a/internal/fleetsim/late_test.go
+++ b/internal/fleetsim/late_test.go
@@ -26,13 +26,24 @@
 // such orders, half of the jobs had a task among them that started seconds late, and the
 // endpoints concerned got no other tasks meanwhile.
 func TestUnansweredOrdersDelayFewJobs(t *testing.T) {
+	checkPromptJobs(t, func(sim *simulation) { sim.lateOrderRatio = lateRatio })
+}
+
+// Guards against ends that are noticed late because one hold got no answer: the owner
+// waited for the timeout of the long poll before it asked again.
+func TestUnansweredHoldsDelayFewJobs(t *testing.T) {
+	checkPromptJobs(t, func(sim *simulation) { sim.lostHoldRatio = lateRatio })
+}
+
+// checkPromptJobs runs one job after another while some calls get no answer.
+func checkPromptJobs(t *testing.T, lose func(sim *simulation)) {
 	synctest.Test(t, func(t *testing.T) {
 		sim := newSimulation(t, tmseed.First(), 1)
 		sim.fleet.TaskDuration = func(tmjob.TaskID) time.Duration { return shortTask }
 		sim.start()
 		time.Sleep(warmupDuration)
 		sim.mu.Lock()
-		sim.lateOrderRatio = lateRatio
+		lose(sim)
 		sim.mu.Unlock()
 		prompt := 0
 		for n := range jobCount {
--- a/internal/fleetsim/simulation_test.go
+++ b/internal/fleetsim/simulation_test.go
@@ -52,6 +52,7 @@
 	isolatedNode      string
 	isolatedEndpoints map[string]bool
 	lateOrderRatio    float64
+	lostHoldRatio     float64
 
 	// shards is the number of shards, limit the CPU limit of the team or 0 for none.
 	shards int
@@ -239,6 +240,13 @@
 	return true, time.Duration(sim.orderRNG.Int64N(int64(4 * time.Second)))
 }
 
+// drawLostHold chooses at random whether a hold gets no answer.
+func (sim *simulation) drawLostHold() bool {
+	sim.mu.Lock()
+	defer sim.mu.Unlock()
+	return sim.lostHoldRatio > 0 && sim.orderRNG.Float64() < sim.lostHoldRatio
+}
+
 func (sim *simulation) sleep(d time.Duration) bool {
 	select {
 	case <-sim.closed:
--- a/io/tmowner/call.go
+++ b/io/tmowner/call.go
@@ -42,6 +42,9 @@
 	now := o.opts.Clock.Now()
 	o.mu.Lock()
 	o.ctl.Started(s.Ref, a, now)
+	if a == tmcontrol.Accepted {
+		o.startAccepted(s.Ref.Endpoint, now)
+	}
 	o.mu.Unlock()
 	if a != tmcontrol.Accepted {
 		o.requestPlan()
@@ -118,28 +121,27 @@
 	defer func() {
 		o.mu.Lock()
 		delete(o.held, id)
+		delete(o.overdue, id)
 		o.mu.Unlock()
 	}()
 	for ctx.Err() == nil {
-		sent := o.opts.Clock.Now()
+		now := o.opts.Clock.Now()
 		o.mu.Lock()
-		h, ok := o.ctl.NextHold(id, sent)
+		h, ok := o.ctl.NextHold(id, now)
 		o.mu.Unlock()
 		if !ok {
 			return
 		}
-		callCtx, cancel := context.WithTimeout(ctx, h.Wait.Duration()+holdTimeoutMargin)
-		resp, err := o.opts.Endpoints.Hold(callCtx, id, h)
-		cancel()
+		held := o.hedgedHold(ctx, id, h)
 		if ctx.Err() != nil {
 			return
 		}
-		if err != nil {
-			o.holdFailed(ctx, id, err)
+		if held.err != nil {
+			o.holdFailed(ctx, id, held.err)
 			continue
 		}
-		stored := o.holdAnswered(id, resp, sent)
-		if len(resp.Ended) > 0 {
+		stored := o.holdAnswered(id, held.response, held.sentAt)
+		if len(held.response.Ended) > 0 {
 			o.awaitStored(ctx, stored)
 		}
 	}
--- a/io/tmowner/owner.go
+++ b/io/tmowner/owner.go
@@ -13,7 +13,6 @@
 
 	"turmericmoor/core/tmclock"
 	"turmericmoor/core/tmcontrol"
-	"turmericmoor/core/tmroute"
 	"turmericmoor/core/tmshard"
 	"turmericmoor/io/tmrecord"
 	"turmericmoor/io/tmtable"
@@ -66,13 +65,17 @@
 	shard int
 	token int64
 
-	mu       sync.Mutex
-	ctl      *tmcontrol.Controller
-	held     map[string]bool
-	hedges   *tmroute.RetryBudget
+	mu   sync.Mutex
+	ctl  *tmcontrol.Controller
+	held map[string]bool
+	// overdue holds, by endpoint, the channel of a hold that was sent without knowing
+	// when its answer would be overdue.
+	overdue  map[string]chan time.Duration
 	storedCh chan struct{}
 	loaded   bool
 
+	startHedges, holdHedges *hedgeBudget
+
 	planSignal  chan struct{}
 	flushSignal chan struct{}
 	listSignal  chan struct{}
@@ -102,7 +105,9 @@
 		opts: opts, shard: opts.Shard.Index(), token: token,
 		ctl:            tmcontrol.New(opts.Shard, opts.Bounds, token, opts.Emit),
 		held:           map[string]bool{},
-		hedges:         tmroute.NewRetryBudget(),
+		startHedges:    newHedgeBudget(),
+		holdHedges:     newHedgeBudget(),
+		overdue:        map[string]chan time.Duration{},
 		storedCh:       make(chan struct{}),
 		planSignal:     make(chan struct{}, 1),
 		flushSignal:    make(chan struct{}, 1),
