core/tmcontrol: pools keep their sizes until the first work

Change: pools shrink only after the first work has arrived, and then after the usual delay. TestPoolKeepsMinimumSize asserted that a fleet without any work shrinks; it now asserts that it does not, and that it shrinks to the same size after a job.

--- a/core/tmcontrol/demand.go
+++ b/core/tmcontrol/demand.go
@@ -99,6 +99,9 @@
 	if !ok || o.job.longRunning {
 		return
 	}
+	if c.fleet.firstWorkAt == 0 {
+		c.fleet.firstWorkAt = now
+	}
 	out := c.workload(o)
 	d := c.demandOf(q.Service)
 	// Wall clocks differ slightly between nodes.
--- a/core/tmcontrol/demand_test.go
+++ b/core/tmcontrol/demand_test.go
@@ -100,7 +100,8 @@
 }
 
 // Guards against an empty pool: instances that were leaving it still counted, so the next
-// decision gave away too many.
+// decision gave away too many. Guards also against pools that are parked before the first
+// work, which then has to wait for their return.
 func TestPoolKeepsMinimumSize(t *testing.T) {
 	f := newFixture(t, 6)
 	rules := testRules(2)
@@ -112,8 +113,18 @@
 		list = append(list, Instance{ID: l.Instance, Pool: "s", State: InstanceUp, Endpoint: l.ID})
 	}
 	f.c.SetInstances(list, f.now)
+	assert.Equal(t, f.countMoves(100), 0, "pools shrink before any work has shown what they need")
+	f.c.Submitted(oneTask("j"))
+	f.advance(100)
+	f.c.Cancelled("j")
+	assert.Equal(t, f.countMoves(200), 6-minPoolSize)
+}
+
+// countMoves lets 100 ms pass the given number of times and counts the instances that are
+// ordered to move.
+func (f *fixture) countMoves(times int) int {
 	moved := 0
-	for range 100 {
+	for range times {
 		f.advance(100)
 		orders, _ := f.c.TakeInstanceOrders()
 		moved += len(orders)
@@ -121,5 +132,5 @@
 			f.c.InstanceOrdered(o, Accepted, f.now)
 		}
 	}
-	assert.Equal(t, moved, 6-minPoolSize)
+	return moved
 }
--- a/core/tmcontrol/fleet.go
+++ b/core/tmcontrol/fleet.go
@@ -67,8 +67,10 @@
 	// noShrinkBefore, because the recent demand from which an earlier owner chose the
 	// size of a pool is not known here.
 	firstSized, noShrinkBefore tmclock.Millis
-	orders                     []InstanceOrder
-	reports                    []WaveReport
+	// firstWorkAt is when the first work arrived whose demand is forecast.
+	firstWorkAt tmclock.Millis
+	orders      []InstanceOrder
+	reports     []WaveReport
 	// unstoredOrders are sent once the store lists their instances as recently ordered.
 	// From that list the next owner knows for which instances it has to wait for
 	// HandoverDelay. orderedAt holds when the last order about an instance was given.
--- a/core/tmcontrol/pool.go
+++ b/core/tmcontrol/pool.go
@@ -258,9 +258,10 @@
 }
 
 // shrink moves idle instances to the standby pool while the pool has more than it
-// has recently needed.
+// has recently needed. Before the first work nothing is known about the demand, so the
+// pools keep the sizes that the operator gave them.
 func (c *Controller) shrink(s *poolSize, standby string, now tmclock.Millis) {
-	if now.Before(c.fleet.noShrinkBefore) {
+	if c.fleet.firstWorkAt == 0 || now.Before(max(c.fleet.noShrinkBefore, c.fleet.firstWorkAt.Add(shrinkDelay))) {
 		return
 	}
 	for s.have > s.recentMax && len(s.idle) > 0 {
