--- a/model/check.sh
+++ b/model/check.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# check.sh searches the models of freshness and of ownership whole, and expects each
+# check.sh searches the models of freshness, ownership and quotas whole, and expects each
 # variant with a broken rule to be rejected by an assertion.
 set -u
 here=$(cd "$(dirname "$0")" && pwd)
@@ -7,14 +7,14 @@
 trap 'rm -rf "$work"' EXIT INT TERM
 
 # search MODEL NAME DEFINE... builds and runs one variant; its output is in
-# NAME/out. Processes of the model of ownership stop wherever a message is lost, so
-# end states are not checked there.
+# NAME/out. Processes of the models of ownership and quotas stop wherever a message is
+# lost, so end states are not checked there.
 search() {
 	model=$1
 	name=$2
 	shift 2
 	flags=-m100000
-	[ "$model" = ownership ] && flags="$flags -E"
+	[ "$model" = freshness ] || flags="$flags -E"
 	mkdir "$work/$name" && cp "$here/$model.pml" "$work/$name/" || return 1
 	(
 		cd "$work/$name" &&
@@ -54,6 +54,10 @@
 	for rule in NO_TOKEN NO_GUARD NO_INTENT ACK_BEFORE_NOTE NO_LAPSE; do
 		rejects ownership "$rule"
 	done
+	passes quota QUOTA
+	for rule in EARLY_GIFT NO_DEBT NO_EXCESS; do
+		rejects quota "$rule"
+	done
 } >"$work/lane1" &
 passes freshness F2 -DF=2 >"$work/lane2" &
 for rule in NO_WAIT NO_QUESTION_TIME NO_ANSWER_VERSION NO_TABLE_VERSION \
@@ -63,4 +67,4 @@
 done >"$work/lane3"
 wait
 cat "$work/lane1" "$work/lane2" "$work/lane3"
-test "$(grep -c '^ok' "$work/lane1" "$work/lane2" "$work/lane3" | cut -d: -f2 | tr '\n' ' ')" = "7 1 11 "
+test "$(grep -c '^ok' "$work/lane1" "$work/lane2" "$work/lane3" | cut -d: -f2 | tr '\n' ' ')" = "11 1 11 "
