--- a/core/tmcontrol/message.go
+++ b/core/tmcontrol/message.go
@@ -3,6 +3,7 @@
 import (
 	"turmericmoor/core/tmclock"
 	"turmericmoor/core/tmjob"
+	"turmericmoor/core/tmquota"
 )
 
 // RunRef identifies a run in an order. The caller returns it with the answer.
@@ -82,6 +83,13 @@
 // String returns the name of the answer as written to logs.
 func (a Answer) String() string { return answerNames[a] }
 
+// IsDefinite reports whether the answer to a start order also tells the fate of every
+// other order for the same run at the same endpoint: the run exists there, or no order
+// for it can be carried out there any more.
+func (a Answer) IsDefinite() bool {
+	return a == Accepted || a == Fenced || a == Superseded || a == OtherEndpoint
+}
+
 // EndReason says why a run ended.
 type EndReason int
 
@@ -149,6 +157,9 @@
 	Acked int64
 	// Wait is how long the endpoint may wait for a run to end before it answers.
 	Wait tmclock.Span
+	// Overdue is the time after which a missing answer means that the call was probably
+	// lost, 0 if that can't be told before Wait has passed.
+	Overdue tmclock.Span
 }
 
 // Change is what has to be stored of one job.
@@ -168,6 +179,8 @@
 	// Orders lists the instances about which orders were recently given, nil if there
 	// is nothing new.
 	Orders []string
+	// Quotas are the shard's parts of limits of teams that have changed.
+	Quotas []tmquota.Row
 
 	instanceOrders []InstanceOrder
 	starts         []*run
--- a/io/tmowner/owner.go
+++ b/io/tmowner/owner.go
@@ -13,6 +13,7 @@
 
 	"turmericmoor/core/tmclock"
 	"turmericmoor/core/tmcontrol"
+	"turmericmoor/core/tmshard"
 	"turmericmoor/io/tmrecord"
 	"turmericmoor/io/tmtable"
 )
@@ -26,11 +27,14 @@
 	Directory Directory
 	Clock     tmclock.Clock
 	Bounds    tmcontrol.Bounds
+	// Shard is the part of the fleet that is owned.
+	Shard tmshard.Shard
 	// KeepOutcomes is how long callers can query the outcome of a job.
 	KeepOutcomes time.Duration
-	// Holder is the name of this node in orders about instances.
-	Holder string
-	Emit   func(tmevent.Event)
+	Emit         func(tmevent.Event)
+	// IsConfigCurrent reports whether the store has confirmed the desired state lately.
+	// While it has not, no task is placed and no instance is ordered.
+	IsConfigCurrent func() bool
 	// Observe, if set, is called with the duration and the error of each call to the
 	// store, an endpoint or the platform.
 	Observe func(what string, took time.Duration, err error)
@@ -53,21 +57,29 @@
 	endpointPause = 100 * time.Millisecond
 )
 
-// Owner manages the fleet while this node owns it. The mutex mu guards the
+// Owner manages a shard of the fleet while this node owns it. The mutex mu guards the
 // controller and is never held during a call to another service.
 type Owner struct {
-	opts  Options
+	opts Options
+	// shard is the index of the shard.
+	shard int
 	token int64
 
-	mu       sync.Mutex
-	ctl      *tmcontrol.Controller
-	held     map[string]bool
+	mu   sync.Mutex
+	ctl  *tmcontrol.Controller
+	held map[string]bool
+	// overdue holds, by endpoint, the channel of a hold that was sent without knowing
+	// when its answer would be overdue.
+	overdue  map[string]chan time.Duration
 	storedCh chan struct{}
 	loaded   bool
 
+	startHedges, holdHedges *hedgeBudget
+
 	planSignal  chan struct{}
 	flushSignal chan struct{}
 	listSignal  chan struct{}
+	waveSignal  chan struct{}
 	work        sync.WaitGroup
 	// guardVersion is the version of the guard row, which fences the writes of
 	// earlier owners. Once Run has acquired the guard, only the goroutine that writes
@@ -81,18 +93,27 @@
 	movedOutcomes  []movedOutcome
 	// retained lists the outcomes in the table of jobs, roughly by age.
 	retained []movedOutcome
+
+	// waves is guarded by mu, except that only waveLoop uses its fields running and
+	// completed.
+	waves waveProgress
 }
 
 // New returns an owner that sends token as its fencing token. Run starts it.
 func New(opts Options, token int64) *Owner {
 	return &Owner{
-		opts: opts, token: token,
-		ctl:            tmcontrol.New(opts.Bounds, token, opts.Emit),
+		opts: opts, shard: opts.Shard.Index(), token: token,
+		ctl:            tmcontrol.New(opts.Shard, opts.Bounds, token, opts.Emit),
 		held:           map[string]bool{},
+		startHedges:    newHedgeBudget(),
+		holdHedges:     newHedgeBudget(),
+		overdue:        map[string]chan time.Duration{},
 		storedCh:       make(chan struct{}),
 		planSignal:     make(chan struct{}, 1),
 		flushSignal:    make(chan struct{}, 1),
 		listSignal:     make(chan struct{}, 1),
+		waveSignal:     make(chan struct{}, 1),
+		waves:          newWaveProgress(),
 		outcomesToMove: map[string]tmrecord.Outcome{},
 	}
 }
@@ -131,7 +152,7 @@
 	return o.ctl.Dump()
 }
 
-// Run manages the fleet until ctx ends or another owner is found.
+// Run manages the shard until ctx ends or another owner is found.
 func (o *Owner) Run(ctx context.Context) {
 	ctx, o.stop = context.WithCancel(ctx)
 	defer o.work.Wait()
@@ -142,8 +163,12 @@
 	o.OwnershipConfirmed(o.token)
 	o.work.Go(func() { o.followEndpoints(ctx) })
 	o.work.Go(func() { o.followJobs(ctx) })
+	if !o.opts.Shard.IsWhole() {
+		o.work.Go(func() { o.followShards(ctx) })
+	}
 	o.work.Go(func() { o.flushLoop(ctx) })
 	o.work.Go(func() { o.moveOutcomesLoop(ctx) })
+	o.work.Go(func() { o.waveLoop(ctx) })
 	if o.opts.Instances != nil {
 		o.work.Go(func() { o.instanceLoop(ctx) })
 	}
@@ -183,6 +208,7 @@
 func (o *Owner) planOnce(ctx context.Context) {
 	now := o.opts.Clock.Now()
 	wall := time.Now().UnixMilli()
+	isCurrent := o.opts.IsConfigCurrent()
 	o.mu.Lock()
 	if o.ctl.Deposed() {
 		o.mu.Unlock()
@@ -190,7 +216,9 @@
 		return
 	}
 	o.ctl.Tick(now, wall)
-	o.ctl.Plan(now, wall)
+	if isCurrent {
+		o.ctl.Plan(now, wall)
+	}
 	starts, stops, paces := o.ctl.TakeOrders(now)
 	adviceRequests := o.ctl.TakeAdviceRequests()
 	instanceOrders, reports := o.ctl.TakeInstanceOrders()
@@ -212,9 +240,7 @@
 	for _, i := range instanceOrders {
 		o.work.Go(func() { o.sendInstanceOrder(ctx, i) })
 	}
-	for _, r := range reports {
-		o.work.Go(func() { o.storeWaveReport(ctx, r) })
-	}
+	o.queueWaveReports(reports)
 	for _, q := range adviceRequests {
 		o.work.Go(func() { o.requestAdvice(ctx, q) })
 	}
@@ -275,6 +301,9 @@
 		o.emit(tmevent.RowUnreadable, "table", row.Table, "key", id, "cause", err.Error())
 		return
 	}
+	if !o.owns(l) {
+		return
+	}
 	known[id] = true
 	o.mu.Lock()
 	o.ctl.SetEndpoint(l, now)
@@ -283,7 +312,7 @@
 
 func (o *Owner) followJobs(ctx context.Context) {
 	f := tmtable.Follower{
-		Store: o.opts.Store, Table: tmrecord.JobTable, Parts: tmrecord.Parts(),
+		Store: o.opts.Store, Table: tmrecord.JobTable(o.shard), Parts: tmrecord.Parts(), Pause: o.feedPause(),
 		Snapshot: func(rows []tmtable.Row) {
 			// Rows come grouped by partition. The shares of teams depend on the order
 			// in which jobs arrived, which is the order of versions.
@@ -361,14 +390,14 @@
 	if !o.retryRead(ctx, "progress of jobs", func() error { return o.restoreRuns(ctx) }) {
 		return
 	}
-	if !o.retryRead(ctx, "progress of waves", func() error { return o.restoreWaves(ctx) }) {
+	if !o.retryRead(ctx, "rows of the shard", func() error { return o.restoreShard(ctx) }) {
 		return
 	}
 	o.mu.Lock()
 	o.loaded = true
 	o.ctl.Loaded()
 	o.mu.Unlock()
-	o.emit(tmevent.OwnerLoaded, "token", o.token)
+	o.emit(tmevent.OwnerLoaded, "token", o.token, "shard", o.shard)
 	o.requestPlan()
 }
 
@@ -387,7 +416,7 @@
 }
 
 func (o *Owner) restoreRuns(ctx context.Context) error {
-	page, err := tmtable.ReadAll(ctx, o.opts.Store, tmtable.Range{Table: tmrecord.RunTable, Part: tmrecord.OwnerPart()})
+	page, err := tmtable.ReadAll(ctx, o.opts.Store, tmtable.Range{Table: tmrecord.RunTable, Part: tmrecord.OwnerPart(o.shard)})
 	if err != nil {
 		return err
 	}
@@ -406,9 +435,9 @@
 // writes to, into the controller. The caller holds mu.
 func (o *Owner) restoreRow(row tmtable.Row, now tmclock.Millis) error {
 	switch row.Key {
-	case tmrecord.GuardKey():
+	case tmrecord.GuardKey(o.shard):
 		return nil
-	case tmrecord.OrdersKey():
+	case tmrecord.OrdersKey(o.shard):
 		instances, err := tmrecord.DecodeOrders(row.Value)
 		o.ctl.RestoreOrders(instances, now)
 		return err
