--- a/io/tmnodesettings/settings.go
+++ b/io/tmnodesettings/settings.go
@@ -79,9 +79,9 @@
 func (s Settings) Unknown() []string { return s.unknown }
 
 // CanReload reports whether a change from s to the given settings needs no restart:
-// name, addresses and CrossPart are the same.
+// name, zone, resources, addresses and CrossPart are the same.
 func (s Settings) CanReload(to Settings) bool {
-	return s.name == to.name && s.callers == to.callers && s.health == to.health && s.metrics == to.metrics &&
+	return s.name == to.name && s.zone == to.zone && s.resources == to.resources && s.callers == to.callers && s.health == to.health && s.metrics == to.metrics &&
 		s.store == to.store && s.instances == to.instances && s.advice == to.advice && s.crossPart == to.crossPart
 }
 
--- a/io/tmnodesettings/settings_test.go
+++ b/io/tmnodesettings/settings_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"regexp"
 	"strings"
 	"testing"
 	"time"
@@ -58,3 +59,22 @@
 		assert.ErrorContains(t, err, want)
 	}
 }
+
+// Guards against a reload that reports no need for a restart although the node keeps its
+// old zone or the resources that it has published.
+func TestChangesThatNeedARestart(t *testing.T) {
+	old, err := tmnodesettings.Parse("x.ini", []byte(complete))
+	assert.NilError(t, err)
+	for change, canReload := range map[string]bool{
+		"lease_max_ms = 3000": true,
+		"cores = 0.8":         false,
+		"zone = z9":           false,
+	} {
+		key := strings.Fields(change)[0]
+		text := regexp.MustCompile("(?m)^"+key+" = .*$").ReplaceAllString(complete, change)
+		assert.Assert(t, text != complete, change)
+		changed, err := tmnodesettings.Parse("x.ini", []byte(text))
+		assert.NilError(t, err)
+		assert.Equal(t, old.CanReload(changed), canReload, change)
+	}
+}
--- /dev/null
+++ b/io/tmowner/load.go
@@ -0,0 +1,222 @@
+package tmowner
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"time"
+
+	"turmericmoor/internal/tmwait"
+
+	"turmericmoor/core/tmclock"
+	"turmericmoor/core/tmevent"
+	"turmericmoor/io/tmrecord"
+	"turmericmoor/io/tmtable"
+)
+
+func (o *Owner) followEndpoints(ctx context.Context) {
+	known := map[string]bool{}
+	f := tmtable.Follower{
+		Store: o.opts.Store, Table: o.opts.Directory.EndpointTable(), Parts: []string{""}, Pause: endpointPause,
+		Snapshot: func(rows []tmtable.Row) {
+			present := map[string]bool{}
+			for _, row := range rows {
+				present[row.Key.Key] = true
+			}
+			for id := range known {
+				if !present[id] {
+					o.setEndpoint(known, tmtable.Row{Key: tmtable.Key{Key: id}, Deleted: true})
+				}
+			}
+			for _, row := range rows {
+				o.setEndpoint(known, row)
+			}
+			o.requestPlan()
+		},
+		Changed: func(rows []tmtable.Row) {
+			for _, row := range rows {
+				o.setEndpoint(known, row)
+			}
+			o.requestPlan()
+		},
+		Lost: func(err error) { o.emit(tmevent.StoreLost, "what", "list of endpoints", "cause", err.Error()) },
+		Regained: func(after time.Duration) {
+			o.emit(tmevent.StoreRegained, "what", "list of endpoints", "lost_ms", after.Milliseconds())
+		},
+	}
+	f.Run(ctx)
+}
+
+func (o *Owner) setEndpoint(known map[string]bool, row tmtable.Row) {
+	now := o.opts.Clock.Now()
+	id := row.Key.Key
+	if row.Deleted {
+		delete(known, id)
+		o.mu.Lock()
+		o.ctl.RemoveEndpoint(id)
+		o.mu.Unlock()
+		return
+	}
+	l, err := o.opts.Directory.Endpoint(row)
+	if err != nil {
+		o.emit(tmevent.RowUnreadable, "table", row.Table, "key", id, "cause", err.Error())
+		return
+	}
+	if !o.owns(l) {
+		return
+	}
+	known[id] = true
+	o.mu.Lock()
+	o.ctl.SetEndpoint(l, now)
+	o.mu.Unlock()
+}
+
+func (o *Owner) followJobs(ctx context.Context) {
+	f := tmtable.Follower{
+		Store: o.opts.Store, Table: tmrecord.JobTable(o.shard), Parts: tmrecord.Parts(), Pause: o.feedPause(),
+		Snapshot: func(rows []tmtable.Row) {
+			// Rows come grouped by partition. The shares of teams depend on the order
+			// in which jobs arrived, which is the order of versions.
+			slices.SortFunc(rows, func(a, b tmtable.Row) int { return cmp.Compare(a.Version, b.Version) })
+			o.applyJobRows(rows)
+			if !o.isLoaded() {
+				o.loadMovedOutcomes(rows)
+				o.restore(ctx)
+			}
+		},
+		Changed: func(rows []tmtable.Row) {
+			o.applyJobRows(rows)
+			o.requestPlan()
+		},
+		Lost: func(err error) { o.emit(tmevent.StoreLost, "what", "jobs", "cause", err.Error()) },
+		Regained: func(after time.Duration) {
+			o.emit(tmevent.StoreRegained, "what", "jobs", "lost_ms", after.Milliseconds())
+		},
+	}
+	f.Run(ctx)
+}
+
+func (o *Owner) isLoaded() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.loaded
+}
+
+func (o *Owner) applyJobRows(rows []tmtable.Row) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for _, row := range rows {
+		kind, id := tmrecord.ParseKey(row.Key.Key)
+		if row.Deleted {
+			if kind == tmrecord.JobRow {
+				o.ctl.Removed(id)
+			}
+			continue
+		}
+		switch kind {
+		case tmrecord.JobRow:
+			j, err := tmrecord.DecodeJob(id, row.Value)
+			if err != nil {
+				o.emit(tmevent.RowUnreadable, "table", row.Table, "key", row.Key.Key, "cause", err.Error())
+				continue
+			}
+			o.ctl.Submitted(j)
+		case tmrecord.CancelRow:
+			o.ctl.Cancelled(id)
+		case tmrecord.OutcomeRow:
+		}
+	}
+}
+
+// loadMovedOutcomes registers the outcomes that earlier owners moved to the table of
+// jobs, so that this owner removes them once they expire.
+func (o *Owner) loadMovedOutcomes(rows []tmtable.Row) {
+	for _, row := range rows {
+		kind, id := tmrecord.ParseKey(row.Key.Key)
+		if kind != tmrecord.OutcomeRow {
+			continue
+		}
+		out, err := tmrecord.DecodeOutcome(row.Value)
+		if err != nil {
+			o.emit(tmevent.RowUnreadable, "table", row.Table, "key", row.Key.Key, "cause", err.Error())
+			continue
+		}
+		o.retainOutcome(id, out.At)
+	}
+}
+
+// restore loads the progress of all live jobs and of waves. Run has acquired the
+// guard before, so no earlier owner can still change the progress of jobs.
+func (o *Owner) restore(ctx context.Context) {
+	if !o.retryRead(ctx, "progress of jobs", func() error { return o.restoreRuns(ctx) }) {
+		return
+	}
+	if !o.retryRead(ctx, "rows of the shard", func() error { return o.restoreShard(ctx) }) {
+		return
+	}
+	o.mu.Lock()
+	o.loaded = true
+	o.ctl.Loaded()
+	o.mu.Unlock()
+	o.emit(tmevent.OwnerLoaded, "token", o.token, "shard", o.shard)
+	o.requestPlan()
+}
+
+// retryRead repeats a read until it succeeds. It reports false when ctx ends.
+func (o *Owner) retryRead(ctx context.Context, what string, read func() error) bool {
+	for {
+		err := read()
+		if err == nil {
+			return true
+		}
+		o.emit(tmevent.StoreFailed, "what", what, "cause", err.Error())
+		if !tmwait.Pause(ctx, tickInterval) {
+			return false
+		}
+	}
+}
+
+func (o *Owner) restoreRuns(ctx context.Context) error {
+	page, err := tmtable.ReadAll(ctx, o.opts.Store, tmtable.Range{Table: tmrecord.RunTable, Part: tmrecord.OwnerPart(o.shard)})
+	if err != nil {
+		return err
+	}
+	now := o.opts.Clock.Now()
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for _, row := range page.Rows {
+		if err := o.restoreRow(row, now); err != nil {
+			o.emit(tmevent.RowUnreadable, "table", row.Table, "key", row.Key.Key, "cause", err.Error())
+		}
+	}
+	return nil
+}
+
+// restoreRow loads a row of the owner's part, the partition that only the owner
+// writes to, into the controller. The caller holds mu.
+func (o *Owner) restoreRow(row tmtable.Row, now tmclock.Millis) error {
+	switch row.Key {
+	case tmrecord.GuardKey(o.shard):
+		return nil
+	case tmrecord.OrdersKey(o.shard):
+		instances, err := tmrecord.DecodeOrders(row.Value)
+		o.ctl.RestoreOrders(instances, now)
+		return err
+	}
+	kind, id := tmrecord.ParseKey(row.Key.Key)
+	if kind == tmrecord.OutcomeRow {
+		out, err := tmrecord.DecodeOutcome(row.Value)
+		if err != nil {
+			return err
+		}
+		o.ctl.Finished(id)
+		o.queueOutcomes(map[string]tmrecord.Outcome{id: out})
+		return nil
+	}
+	p, err := tmrecord.DecodeProgress(id, row.Value)
+	if err != nil {
+		return err
+	}
+	o.ctl.Restore(p, now)
+	return nil
+}
