io/tmowner: a paused owner sends no order about an instance

Cause, from the users' list (a paused process acted on a permission that had run out): an order about an instance was stored, and sent some time later without another look. After a pause of the owner in between it followed the orders of a successor. Endpoints and the store reject the old token; on a platform that checks no tokens for instances (Kyushu) nothing did. Change: right before the call the ownership must have been confirmed within 1 s, on the clock that counts suspended time; otherwise the order counts as not sent. Measured: TestPausedOwnerSendsNoInstanceOrder sent the order before, and not after.

--- a/io/tmnode/node.go
+++ b/io/tmnode/node.go
@@ -382,7 +382,7 @@
 	owner := tmowner.New(tmowner.Options{
 		Store: n.opts.Store, Endpoints: n.opts.Endpoints, Instances: n.opts.Instances,
 		Advisor: n.opts.Advisor, Directory: n.opts.Directory, Clock: n.opts.Clock,
-		Shard: tmshard.New(shard, n.board.Shards()), KeepOutcomes: n.opts.KeepOutcomes, Bounds: bounds,
+		BootClock: n.opts.BootClock, Shard: tmshard.New(shard, n.board.Shards()), KeepOutcomes: n.opts.KeepOutcomes, Bounds: bounds,
 		Emit: n.opts.Emit, Observe: n.opts.Observe, IsConfigCurrent: n.isConfigCurrent,
 	}, token)
 	n.mu.Lock()
--- a/io/tmowner/instance.go
+++ b/io/tmowner/instance.go
@@ -22,8 +22,22 @@
 	listPausePerInstance = 200 * time.Microsecond
 	// instanceTimeout bounds one call to the platform's interface for instances.
 	instanceTimeout = 1500 * time.Millisecond
+	// maxOrderOwnershipAge is how long after the last confirmation of its ownership an
+	// owner gives orders about instances. With the duration of the call it is shorter
+	// than the time that a successor needs to take over and then waits before its first
+	// order about the same instance.
+	maxOrderOwnershipAge = time.Second
 )
 
+// isConfirmed reports whether this node was confirmed as the owner lately enough to give
+// an order about an instance. Unlike endpoints, not every platform rejects the orders of
+// an earlier owner.
+func (o *Owner) isConfirmed() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.opts.BootClock().Sub(o.confirmedAt) <= maxOrderOwnershipAge
+}
+
 // instanceLoop reads the list of instances while the controller needs it.
 func (o *Owner) instanceLoop(ctx context.Context) {
 	listed := 0
@@ -69,6 +83,9 @@
 
 func (o *Owner) sendInstanceOrder(ctx context.Context, order tmcontrol.InstanceOrder) {
 	a := o.timedCall(ctx, "instance_order", instanceTimeout, func(ctx context.Context) tmcontrol.Answer {
+		if !o.isConfirmed() {
+			return tmcontrol.NotSent
+		}
 		return o.opts.Instances.Order(ctx, order)
 	})
 	now := o.opts.Clock.Now()
--- a/io/tmowner/owner.go
+++ b/io/tmowner/owner.go
@@ -24,6 +24,8 @@
 	Advisor   Advisor
 	Directory Directory
 	Clock     tmclock.Clock
+	// BootClock returns a time that also advances while the machine is suspended.
+	BootClock func() time.Time
 	Bounds    tmcontrol.Bounds
 	// Shard is the part of the fleet that is owned.
 	Shard tmshard.Shard
@@ -63,9 +65,11 @@
 	shard int
 	token int64
 
-	mu   sync.Mutex
-	ctl  *tmcontrol.Controller
-	held map[string]bool
+	mu  sync.Mutex
+	ctl *tmcontrol.Controller
+	// confirmedAt is when the ownership was last confirmed, on the BootClock.
+	confirmedAt time.Time
+	held        map[string]bool
 	// overdue holds, by endpoint, the channel of a hold that was sent without knowing
 	// when its answer would be overdue.
 	overdue  map[string]chan time.Duration
@@ -133,6 +137,7 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.ctl.OwnershipConfirmed(o.opts.Clock.Now())
+	o.confirmedAt = o.opts.BootClock()
 }
 
 // Status returns the number of waiting jobs by queue, and whether all stored jobs
