core/tmjob, io/tmrecord: input without bounds can't take an owner down

Cause, from the users' list (one malformed message took a process down), found by reading and by fuzzing: the sum of the tasks of a job overflowed, so counts of 2^62 were accepted and every owner that loaded the job ran out of memory; 1,000,000 repetitions were accepted, whose progress outgrows a row, after which no flush could be stored; a timed job whose start lies long ago opened all its occurrences at once; a negative number in a row of progress was an index out of range; a row with 1,000,000 shards was accepted. Change: bounds on tasks of a step, repetitions (1,000) and shards, checks of decoded rows, and at most 50 occurrences of a job that are due and not done. Measured: TestUnboundedJobsAreInvalid, TestLayoutIsBounded and FuzzRows (panic: index out of range [-1]) failed before. Fuzzed 8 s each after.

--- a/core/tmcontrol/hold.go
+++ b/core/tmcontrol/hold.go
@@ -365,8 +365,12 @@
 	}
 }
 
+// maxOpenOccurrences limits the occurrences of one job that are due and not done. Later
+// ones wait, so that a job whose start lies long ago doesn't flood its queue.
+const maxOpenOccurrences = 50
+
 func (c *Controller) openDue(j *job, now tmclock.Millis, wall int64) {
-	for j.next < j.spec.Occurrences() {
+	for j.next < j.spec.Occurrences() && j.openOccurrences() < maxOpenOccurrences {
 		if j.spec.Repeats > 0 && wall < j.spec.Due(j.next) {
 			return
 		}
--- a/core/tmcontrol/job.go
+++ b/core/tmcontrol/job.go
@@ -141,6 +141,20 @@
 	return o
 }
 
+// openOccurrences counts the occurrences that are due and not done.
+func (j *job) openOccurrences() int {
+	if j.spec.Repeats == 0 {
+		return 0
+	}
+	n := 0
+	for _, o := range j.occurrences {
+		if o.left > 0 {
+			n++
+		}
+	}
+	return n
+}
+
 func (j *job) task(id tmjob.TaskID) *task {
 	o := j.occurrences[id.Occurrence]
 	if o == nil || id.Step >= len(o.steps) || id.Index >= len(o.steps[id.Step].tasks) {
--- a/core/tmjob/job.go
+++ b/core/tmjob/job.go
@@ -19,6 +19,9 @@
 	// countedOccurrences occurrences are counted.
 	maxTasks           = 600
 	countedOccurrences = 4
+	// maxRepeats is the maximum number of occurrences of a job. The progress of the job
+	// has a record for each, and has to fit into one row.
+	maxRepeats = 1000
 	// MaxSpecBytes is the maximum length of the specification.
 	MaxSpecBytes = 4000
 )
@@ -161,8 +164,11 @@
 	if len(j.Steps) == 0 || len(j.Steps) > maxSteps {
 		return fmt.Errorf("%w: %d steps, expected 1 to %d", ErrInvalid, len(j.Steps), maxSteps)
 	}
-	if j.Repeats < 0 || j.Interval < 0 {
-		return fmt.Errorf("%w: negative number or interval of occurrences", ErrInvalid)
+	if j.Repeats < 0 || j.Repeats > maxRepeats {
+		return fmt.Errorf("%w: %d occurrences, expected 0 to %d", ErrInvalid, j.Repeats, maxRepeats)
+	}
+	if j.Interval < 0 {
+		return fmt.Errorf("%w: negative interval of occurrences", ErrInvalid)
 	}
 	tasks := 0
 	for i := range j.Steps {
@@ -178,8 +184,8 @@
 }
 
 func (s *Step) check(i int) error {
-	if s.Count < 1 {
-		return fmt.Errorf("%w: step %d has %d tasks, expected at least 1", ErrInvalid, i, s.Count)
+	if s.Count < 1 || s.Count > maxTasks {
+		return fmt.Errorf("%w: step %d has %d tasks, expected 1 to %d", ErrInvalid, i, s.Count, maxTasks)
 	}
 	if s.Size.CPU < 0 || s.Size.Mem < 0 || s.Size.GPU < 0 {
 		return fmt.Errorf("%w: step %d has a negative size", ErrInvalid, i)
--- a/core/tmshard/count.go
+++ b/core/tmshard/count.go
@@ -10,9 +10,9 @@
 	// smaller shard, steps that are spread over many endpoints would fill whole pools.
 	maxInstances = 240
 	minInstances = 100
-	// maxCount is the maximum number of shards. Each has tables of its own, and the
+	// MaxCount is the maximum number of shards of a fleet. Each has tables of its own, and the
 	// store holds a limited number of tables.
-	maxCount = 32
+	MaxCount = 32
 	// standbyOwners is how many nodes besides the owners have to be able to own a
 	// shard, so that the loss of an owner is made up for.
 	standbyOwners = 1
@@ -27,7 +27,7 @@
 	if instances <= maxUndivided && canOwn(sorted, instances, 1) {
 		return 1
 	}
-	limit := min(maxCount, max(1, instances/minInstances))
+	limit := min(MaxCount, max(1, instances/minInstances))
 	n := min(limit, (instances+maxInstances-1)/maxInstances)
 	for n < limit && !canOwn(sorted, instances, n) {
 		n++
@@ -67,7 +67,7 @@
 
 // Capacity returns how many instances the node can own.
 func (n Node) Capacity() int {
-	capacity := float64(maxUndivided * maxCount)
+	capacity := float64(maxUndivided * MaxCount)
 	limit := func(available, perInstance float64) {
 		capacity = min(capacity, max(0, available)/perInstance)
 	}
--- a/io/tmrecord/codec.go
+++ b/io/tmrecord/codec.go
@@ -8,6 +8,7 @@
 	"turmericmoor/core/tmclock"
 	"turmericmoor/core/tmjob"
 	"turmericmoor/core/tmquota"
+	"turmericmoor/core/tmshard"
 )
 
 // ErrUnreadable is wrapped by every error of a decoder.
@@ -153,6 +154,9 @@
 	}
 	p := tmjob.Progress{ID: id}
 	for _, t := range row.Tasks {
+		if t.Occurrence < 0 || t.Index < 0 || t.Runs < 0 {
+			return tmjob.Progress{}, fmt.Errorf("%w: progress of job %s: negative number in %+v", ErrUnreadable, id, t)
+		}
 		rec := tmjob.TaskRecord{
 			Occurrence: t.Occurrence, Step: t.Step, Index: t.Index, Runs: t.Runs,
 			Failures: t.Failures, Done: t.Done, Checkpoint: t.Checkpoint,
@@ -338,8 +342,8 @@
 	if err := decode("layout", data, &row); err != nil {
 		return 0, err
 	}
-	if row.Shards < 1 {
-		return 0, fmt.Errorf("%w: layout: %d shards, expected 1 or more", ErrUnreadable, row.Shards)
+	if row.Shards < 1 || row.Shards > tmshard.MaxCount {
+		return 0, fmt.Errorf("%w: layout: %d shards, expected 1 to %d", ErrUnreadable, row.Shards, tmshard.MaxCount)
 	}
 	return row.Shards, nil
 }
