core/tmshard: smaller shards where nodes can own few instances

Cause: the small twins of the large deployment, 130 workers and 23 nodes of 0.12 cores and 2 Mbit/s. Change: shards of 25 instances and more where no node can own larger ones, here 4. Deployments that stay whole, and the large one, have the number of shards that they had.

--- a/core/tmshard/count.go
+++ b/core/tmshard/count.go
@@ -6,10 +6,11 @@
 	// maxUndivided is the largest number of instances of a fleet that stays whole if
 	// its nodes can own that many.
 	maxUndivided = 400
-	// maxInstances and minInstances bound the number of instances of a shard. In a
-	// smaller shard, steps that are spread over many endpoints would fill whole pools.
+	// maxInstances and minInstances bound the number of instances of a shard. Steps that
+	// are spread over many endpoints find too few in a small shard, so shards are smaller
+	// than maxInstances only where nodes can't own that many.
 	maxInstances = 240
-	minInstances = 100
+	minInstances = 25
 	// MaxCount is the maximum number of shards of a fleet. Each has tables of its own, and the
 	// store holds a limited number of tables.
 	MaxCount = 32
--- a/core/tmshard/shard_test.go
+++ b/core/tmshard/shard_test.go
@@ -53,6 +53,9 @@
 	assert.Equal(t, tmshard.Count(1100, append(nodes(15, strong), nodes(132, weak)...)), 5)
 	assert.Equal(t, tmshard.Count(1100, nodes(147, weak)), 5)
 	assert.Equal(t, tmshard.Count(350, nodes(33, weak)), 2)
+	// No node can own more than some 30 instances.
+	slow := tmshard.Node{Cores: 0.12, LinkMbps: 2, MemoryMB: 160, Files: 4100}
+	assert.Equal(t, tmshard.Count(130, nodes(23, slow)), 4)
 	assert.Equal(t, tmshard.Count(0, nil), 1)
 	assert.Equal(t, tmshard.Count(49, nil), 1)
 }
