io/tmelection: a restarted owner takes its shard back without delay

Cause: a node waits longer for each shard that it owns already, so that shards spread over nodes. A restarted process counted the shard that its row still named, and waited 500 ms more than before shards for a fleet that is whole. Change: only other shards count. Measured: TestRestartedOwnerTakesItsShardBack had no owner 500 ms after the restart before, and passes now.

--- a/internal/fleetsim/shard_test.go
+++ b/internal/fleetsim/shard_test.go
@@ -17,6 +17,8 @@
 	loweredLimit = 20_000
 	// configTimeout is how long an older limit may still be used after a change.
 	configTimeout = 4 * time.Second
+	// restartTime is within how long after its restart an owner has its shard back.
+	restartTime = 500 * time.Millisecond
 )
 
 // changeLimit lowers and raises the limit of the team. The checker verifies the
@@ -93,3 +95,27 @@
 		sim.close()
 	})
 }
+
+// Guards against a slow restart: a node whose process was restarted counted the shard that
+// its row still named as one that it owned already, and let others take over first.
+func TestRestartedOwnerTakesItsShardBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		sim := newSimulation(t, tmseed.First(), 1)
+		sim.start()
+		time.Sleep(warmupDuration)
+		i, before := sim.owner(), sim.store.ownerToken()
+		killed := sim.process(i)
+		killed.markKilled()
+		restarted := sim.startNode(killed.name)
+		sim.mu.Lock()
+		sim.nodes[i] = restarted
+		sim.mu.Unlock()
+		time.Sleep(restartTime)
+		if after := sim.store.ownerToken(); after != before+1 || sim.owner() != i {
+			t.Errorf("the token was %d and is %d, and node %d owns the fleet instead of %d", before, after, sim.owner(), i)
+		}
+		killed.stop()
+		<-killed.done
+		sim.close()
+	})
+}
--- a/io/tmelection/board.go
+++ b/io/tmelection/board.go
@@ -154,11 +154,12 @@
 	return t
 }
 
-// ownedBy counts the shards of a node. The caller holds mu.
-func (b *Board) ownedBy(node string) int {
+// ownedBesides counts the shards other than the given one that this node owns. The
+// caller holds mu.
+func (b *Board) ownedBesides(shard int) int {
 	n := 0
-	for _, t := range b.terms {
-		if t.row.Holder == node {
+	for other, t := range b.terms {
+		if other != shard && t.row.Holder == b.Name {
 			n++
 		}
 	}
--- a/io/tmelection/election.go
+++ b/io/tmelection/election.go
@@ -46,7 +46,7 @@
 	// maxStagger spreads out the nodes that would otherwise take over at the same
 	// moment.
 	maxStagger = 250 * time.Millisecond
-	// ownedDelay is how much longer a node waits for each shard that it owns already.
+	// ownedDelay is how much longer a node waits for each other shard that it owns.
 	ownedDelay = 500 * time.Millisecond
 	// minSharedTerm is how long a node that owns several shards keeps them before a
 	// node that owns none takes over one of them.
@@ -94,7 +94,7 @@
 	if !b.loaded || time.Since(b.lastAnswer) > takeoverTimeout {
 		return row, term.version, false
 	}
-	owned := b.ownedBy(b.Name)
+	owned := b.ownedBesides(c.Shard)
 	delay := time.Duration(c.Stagger*float64(maxStagger)) + time.Duration(owned)*ownedDelay
 	if b.isWeak() && row.Holder != b.Name {
 		delay += weakNodeDelay
