core/tmcontrol: log crashes of endpoints and which runs had just begun

The log could not tell a crash from planned work, nor which of the runs on a lost endpoint had just begun. endpoint_crashed says so, run_lost has at_work. No decision depends on it yet.

--- a/core/tmcontrol/fleet.go
+++ b/core/tmcontrol/fleet.go
@@ -172,7 +172,7 @@
 		return
 	}
 	if e.info.Instance == "" && !e.answering && len(c.fleet.instances) > 0 && !c.isOnInstance(e.info.ID) {
-		c.endLifetime(e, "no instance runs the endpoint")
+		c.endLifetime(e, causeUnknown)
 		return
 	}
 	if !ok {
@@ -180,9 +180,9 @@
 	}
 	switch {
 	case i.State == InstanceDown:
-		c.endLifetime(e, "instance is down")
+		c.endLifetime(e, causeDown)
 	case i.State == InstanceUp && i.Endpoint != "" && i.Endpoint != e.info.ID:
-		c.endLifetime(e, "instance has a new endpoint")
+		c.endLifetime(e, causeReplaced)
 	}
 }
 
--- a/core/tmcontrol/hold.go
+++ b/core/tmcontrol/hold.go
@@ -166,6 +166,7 @@
 	}
 	c.markAnswered(r)
 	r.settledAt, r.unanswered = now, false
+	r.atWork = r.atWork || now.Sub(r.startedAt) >= minWorkTime
 	if a.Percent != r.percent {
 		r.progressedAt = now
 	}
@@ -324,7 +325,7 @@
 	c.dropSlowStarts(now)
 	for _, e := range c.endpoints {
 		if len(e.runs) > 0 && !e.answering && now.After(e.leaseExpiry) {
-			c.loseRuns(e, "lease lapsed")
+			c.loseRuns(e, causeLapsed)
 		}
 		if !e.listed && len(e.runs) == 0 {
 			c.removeEndpoint(e)
--- a/core/tmcontrol/job.go
+++ b/core/tmcontrol/job.go
@@ -100,7 +100,9 @@
 	unanswered bool
 	tries      int
 	startedAt  tmclock.Millis
-	percent    int
+	// atWork is set once the endpoint has listed the run minWorkTime after its start.
+	atWork  bool
+	percent int
 	// progressedAt is when percent last changed.
 	progressedAt  tmclock.Millis
 	usage         int64
--- a/core/tmcontrol/lifetime.go
+++ b/core/tmcontrol/lifetime.go
@@ -39,7 +39,7 @@
 func (c *Controller) endReplacedLifetimes(info EndpointInfo) {
 	for _, old := range c.onInstance[info.Instance] {
 		if old.info.ID != info.ID && old.info.StartedAt <= info.StartedAt {
-			c.endLifetime(old, "instance has a new endpoint")
+			c.endLifetime(old, causeReplaced)
 		}
 	}
 }
@@ -56,25 +56,27 @@
 // resetLifetime ends the runs of the earlier lifetime of an endpoint that
 // restarted under its id.
 func (c *Controller) resetLifetime(e *endpoint, startedAt int64) {
-	c.loseRuns(e, "endpoint restarted")
+	c.recordCrash(e, causeRestarted)
+	c.loseRuns(e, causeRestarted)
 	e.info.StartedAt = startedAt
 	e.tokenAccepted, e.answering = false, false
 	e.seen, e.acked, e.clock, e.unknownRuns, e.leaseExpiry = 0, 0, 0, 0, 0
 	e.gone, e.reserved, e.ending, e.failures = false, false, false, 0
 }
 
-func (c *Controller) endLifetime(e *endpoint, cause string) {
+func (c *Controller) endLifetime(e *endpoint, cause lossCause) {
 	if e.gone {
 		return
 	}
 	e.gone, e.listed, e.answering = true, false, false
-	c.event(tmevent.EndpointLost, "endpoint", e.info.ID, "runs", len(e.runs), "cause", cause)
+	c.event(tmevent.EndpointLost, "endpoint", e.info.ID, "runs", len(e.runs), "cause", string(cause))
+	c.recordCrash(e, cause)
 	c.loseRuns(e, cause)
 }
 
-func (c *Controller) loseRuns(e *endpoint, cause string) {
+func (c *Controller) loseRuns(e *endpoint, cause lossCause) {
 	for _, r := range e.runs {
-		c.event(tmevent.RunLost, "task", r.task.id.String(), "run", r.n, "endpoint", e.info.ID, "cause", cause)
+		c.event(tmevent.RunLost, "task", r.task.id.String(), "run", r.n, "endpoint", e.info.ID, "at_work", r.atWork, "cause", string(cause))
 		c.release(r)
 	}
 }
--- a/core/tmcontrol/pool.go
+++ b/core/tmcontrol/pool.go
@@ -368,7 +368,7 @@
 	i, ok := c.fleet.instances[m.instance]
 	e := c.endpointOn(m.instance)
 	if e != nil && sentAt.After(e.listedAt) && e.info.Service != m.pool && (!ok || i.State != InstanceUp || i.Pool == m.pool) {
-		c.endLifetime(e, "moved to another pool")
+		c.endLifetime(e, causeMoved)
 	}
 	if !ok || i.State == InstanceUp || i.State == InstanceDown {
 		c.endMove(m)
--- a/core/tmcontrol/wave.go
+++ b/core/tmcontrol/wave.go
@@ -148,7 +148,7 @@
 	e := c.endpointOn(it.id)
 	up := ok && i.State == InstanceUp
 	if e != nil && sentAt.After(e.listedAt) && (!up || i.Endpoint != "" && i.Endpoint != e.info.ID) {
-		c.endLifetime(e, "maintenance")
+		c.endLifetime(e, causeMaintenance)
 	}
 	if ok && !up {
 		return
--- a/core/tmevent/event.go
+++ b/core/tmevent/event.go
@@ -30,6 +30,8 @@
 	EndpointAnswers Name = "endpoint_answers"
 	// EndpointAvoided: an endpoint gets no new tasks for a time because several runs in a row failed on it: endpoint, failures, for_ms.
 	EndpointAvoided Name = "endpoint_avoided"
+	// EndpointCrashed: the lifetime of an endpoint ended without planned work, starting is the number of runs that were not seen at work yet: endpoint, zone, runs, starting, cause.
+	EndpointCrashed Name = "endpoint_crashed"
 	// EndpointDraining: an endpoint started draining: endpoint.
 	EndpointDraining Name = "endpoint_draining"
 	// EndpointListed: an endpoint appeared in the list: endpoint, service, instance, zone.
@@ -92,7 +94,7 @@
 	RunEnded Name = "run_ended"
 	// RunGone: a run is known to be no longer active: task, run, endpoint, cause.
 	RunGone Name = "run_gone"
-	// RunLost: a run was lost with its endpoint: task, run, endpoint, cause.
+	// RunLost: a run was lost with its endpoint: task, run, endpoint, at_work, cause.
 	RunLost Name = "run_lost"
 	// RunStopping: a stop of a run was requested: task, run, endpoint, why.
 	RunStopping Name = "run_stopping"
@@ -135,6 +137,7 @@
 	ConfigInstalled,
 	EndpointAnswers,
 	EndpointAvoided,
+	EndpointCrashed,
 	EndpointDraining,
 	EndpointListed,
 	EndpointLost,
--- a/io/tmexplain/explain.go
+++ b/io/tmexplain/explain.go
@@ -71,7 +71,7 @@
 var endpointEvents = map[tmevent.Name]bool{
 	tmevent.EndpointSilent: true, tmevent.EndpointAnswers: true, tmevent.EndpointLost: true,
 	tmevent.EndpointSlow: true, tmevent.EndpointAvoided: true, tmevent.EndpointDraining: true,
-	tmevent.EndpointUnlisted: true, tmevent.EndpointRestarted: true,
+	tmevent.EndpointUnlisted: true, tmevent.EndpointRestarted: true, tmevent.EndpointCrashed: true,
 }
 
 // contextLines returns the fleet events and the events of the endpoints of the job
