internal/fleetsim: a failing test for tasks that crash every endpoint

Lines that begin with "test NAME:" in that file pass over a Go test, as "scenario NAME:" did for scripts; package internal/tmknownred reads both. The emulated endpoint doesn't restart when it is up: that kept runs of the earlier lifetime.

--- a/Makefile
+++ b/Makefile
@@ -20,7 +20,7 @@
 
 unit: build
 	TM_BIN=$(CURDIR)/$(BIN) $(GO) test -timeout 8m ./...
-	@sed -n 's/^scenario \([^:]*\):.*/known red, passed over: scenario \1/p' KNOWN-RED.txt
+	@sed -n 's/^\(scenario\|test\) \([^:]*\):.*/known red, passed over: \1 \2/p' KNOWN-RED.txt
 
 race:
 	$(GO) test -race -timeout 9m ./core/... ./io/...
--- a/internal/emulator/checker.go
+++ b/internal/emulator/checker.go
@@ -16,20 +16,32 @@
 	acknowledged map[tmjob.TaskID]bool
 	finished     map[tmjob.TaskID]bool
 	failures     map[tmjob.TaskID]int
-	starts       int
-	violations   []string
+	// crashes counts the endpoints that a task has crashed, startsAfterCrashes its starts
+	// since there were maxCrashes of them.
+	crashes, startsAfterCrashes map[tmjob.TaskID]int
+	starts                      int
+	violations                  []string
 }
 
 func newChecker() checker {
 	return checker{
 		active: map[tmjob.TaskID]map[string]int{}, acknowledged: map[tmjob.TaskID]bool{},
 		finished: map[tmjob.TaskID]bool{}, failures: map[tmjob.TaskID]int{},
+		crashes: map[tmjob.TaskID]int{}, startsAfterCrashes: map[tmjob.TaskID]int{},
 	}
 }
 
 // maxAttempts is how many runs of a task may fail before its job fails.
 const maxAttempts = 4
 
+// A task that has crashed minCrashes endpoints may be given up. Once it has crashed
+// maxCrashes, fewer than maxStartsAfterCrashes further starts are allowed.
+const (
+	minCrashes            = 2
+	maxCrashes            = 3
+	maxStartsAfterCrashes = 3
+)
+
 // ReportViolation records the violation of a guarantee.
 func (f *Fleet) ReportViolation(format string, args ...any) {
 	at := time.Since(f.began).Round(time.Millisecond)
@@ -39,6 +51,9 @@
 // Violations returns the recorded violations.
 func (f *Fleet) Violations() []string { return f.checker.violations }
 
+// Crashes returns how many endpoints a task has crashed.
+func (f *Fleet) Crashes(t tmjob.TaskID) int { return f.checker.crashes[t] }
+
 // Starts returns how many runs were started.
 func (f *Fleet) Starts() int { return f.checker.starts }
 
@@ -55,6 +70,12 @@
 	if c.acknowledged[key.task] {
 		f.ReportViolation("%s starts again after its end was acknowledged", key.task)
 	}
+	if c.crashes[key.task] >= maxCrashes && !late {
+		c.startsAfterCrashes[key.task]++
+		if c.startsAfterCrashes[key.task] == maxStartsAfterCrashes {
+			f.ReportViolation("%s starts %d times after it has crashed %d endpoints", key.task, maxStartsAfterCrashes, maxCrashes)
+		}
+	}
 	job := f.jobs[key.task.Job]
 	for _, a := range step.After {
 		for i := range job.Steps[a].Count {
@@ -129,13 +150,13 @@
 	for s := range job.Steps {
 		for i := range job.Steps[s].Count {
 			t := tmjob.TaskID{Job: id, Step: s, Index: i}
-			failed = failed || f.checker.failures[t] >= maxAttempts
+			failed = failed || f.checker.failures[t] >= maxAttempts || f.checker.crashes[t] >= minCrashes
 			if state == tmjob.Completed && !f.checker.finished[t] {
 				f.ReportViolation("job %s is reported as completed but task %s is not done", id, t)
 			}
 		}
 	}
 	if state == tmjob.Failed && !failed {
-		f.ReportViolation("job %s is reported as failed but none of its tasks failed %d times", id, maxAttempts)
+		f.ReportViolation("job %s is reported as failed but none of its tasks failed %d times or crashed %d endpoints", id, maxAttempts, minCrashes)
 	}
 }
--- a/internal/emulator/endpoint.go
+++ b/internal/emulator/endpoint.go
@@ -13,6 +13,10 @@
 	maxLeaseDuration = 10 * time.Second
 	stopDuration     = 200 * time.Millisecond
 	failDelay        = 150 * time.Millisecond
+	// crashDelay is the time from the start of a task that crashes endpoints to the
+	// crash, restartDelay the time from that crash to the restart.
+	crashDelay   = 10 * time.Millisecond
+	restartDelay = 3 * time.Second
 )
 
 type taskRun struct {
@@ -131,8 +135,32 @@
 	e.down = true
 }
 
-// Restart starts the process again under the same ID, without any of its earlier state.
+// crashUnder crashes the process soon because of a run that has just started, and starts
+// it again later.
+func (e *Endpoint) crashUnder(key taskRun) {
+	startedAt := e.startedAt
+	time.AfterFunc(crashDelay, func() {
+		e.fleet.Lock()
+		defer e.fleet.Unlock()
+		if e.down || e.startedAt != startedAt || e.runs[key] == nil {
+			return
+		}
+		e.fleet.checker.crashes[key.task]++
+		e.Crash()
+		time.AfterFunc(restartDelay, func() {
+			e.fleet.Lock()
+			defer e.fleet.Unlock()
+			e.Restart()
+		})
+	})
+}
+
+// Restart starts the process again under the same ID, without any of its earlier state,
+// unless it is up.
 func (e *Endpoint) Restart() {
+	if !e.down {
+		return
+	}
 	e.down, e.clockStart = false, time.Now()
 	e.startedAt = e.clockStart.UnixMilli()
 	e.token, e.lastEndNumber, e.lastEndAtExpiry, e.leaseExpiry = 0, 0, 0, time.Time{}
@@ -178,6 +206,9 @@
 	e.runs[key] = &activeRun{taskRun: key, size: step.Size, startedAt: time.Now(), endsAt: time.Now().Add(duration), failing: e.failing}
 	e.fleet.recordStart(e, key, step, late)
 	e.notify()
+	if e.fleet.CrashesEndpoint(key.task) {
+		e.crashUnder(key)
+	}
 	return tmcontrol.Accepted
 }
 
--- a/internal/emulator/fleet.go
+++ b/internal/emulator/fleet.go
@@ -13,6 +13,8 @@
 	sync.Mutex
 	// TaskDuration returns the run time of a task. It is the same for every run of it.
 	TaskDuration func(tmjob.TaskID) time.Duration
+	// CrashesEndpoint reports whether a task crashes each endpoint that starts it.
+	CrashesEndpoint func(tmjob.TaskID) bool
 	// CancelTimeout is how long after the confirmation of a cancellation tasks of the
 	// job may still start, EvacuationTimeout how long they may start in a zone after it
 	// was taken out of service.
@@ -33,7 +35,7 @@
 // NewFleet returns a fleet without endpoints.
 func NewFleet() *Fleet {
 	return &Fleet{
-		TaskDuration: taskDuration, began: time.Now(),
+		TaskDuration: taskDuration, CrashesEndpoint: func(tmjob.TaskID) bool { return false }, began: time.Now(),
 		endpoints: map[string]*Endpoint{}, jobs: map[string]*tmjob.Job{}, cancelled: map[string]time.Time{},
 		limits: map[string]int64{}, zonesOutOfService: map[string]time.Time{}, checker: newChecker(),
 	}
--- /dev/null
+++ b/internal/fleetsim/crash_test.go
@@ -0,0 +1,34 @@
+package fleetsim
+
+import (
+	"testing"
+
+	"turmericmoor/core/tmjob"
+	"turmericmoor/internal/tmknownred"
+	"turmericmoor/internal/tmseed"
+)
+
+// isCrashing reports whether a task crashes each endpoint that starts it: the first task
+// of every tenth job.
+func isCrashing(t tmjob.TaskID) bool {
+	return t.Step == 0 && t.Index == 0 && t.Job[len(t.Job)-1] == '5' && t.Job[len(t.Job)-2] < '4'
+}
+
+// Guards against a task that crashes endpoint after endpoint, also while owners change.
+func TestTaskThatCrashesEndpointsIsGivenUp(t *testing.T) {
+	tmknownred.SkipListed(t)
+	for name, shards := range map[string]int{"whole": 1, "sharded": shardCount} {
+		t.Run(name, func(t *testing.T) {
+			for i := range uint64(fleetSeeds) {
+				seed := tmseed.First() + i
+				violations := runSimulation(t, seed, shards, func(sim *simulation) {
+					sim.fleet.CrashesEndpoint = isCrashing
+					sim.faults = []namedFault{{"kill the owner", killOwner}, {"crash an endpoint", crashEndpoint}}
+				})
+				for _, v := range violations {
+					t.Errorf("seed %d: %s", seed, v)
+				}
+			}
+		})
+	}
+}
--- a/internal/scenario/scenario_test.go
+++ b/internal/scenario/scenario_test.go
@@ -1,7 +1,6 @@
 package scenario_test
 
 import (
-	"errors"
 	"flag"
 	"fmt"
 	"os"
@@ -12,6 +11,7 @@
 	"gotest.tools/v3/assert"
 
 	"turmericmoor/internal/scenario"
+	"turmericmoor/internal/tmknownred"
 )
 
 // parallelScripts bounds the number of concurrent fleets. On a machine with 10
@@ -26,35 +26,17 @@
 	os.Exit(m.Run())
 }
 
-// knownRed returns the names of the scripts that KNOWN-RED.txt lists as known
-// failures, each on a line that begins with "scenario NAME:".
-func knownRed(t *testing.T) map[string]bool {
-	t.Helper()
-	data, err := os.ReadFile(filepath.Join("..", "..", "KNOWN-RED.txt"))
-	if !errors.Is(err, os.ErrNotExist) {
-		assert.NilError(t, err)
-	}
-	red := map[string]bool{}
-	for line := range strings.Lines(string(data)) {
-		rest, found := strings.CutPrefix(line, "scenario ")
-		if name, _, colon := strings.Cut(rest, ":"); found && colon {
-			red[strings.TrimSpace(name)] = true
-		}
-	}
-	return red
-}
-
 // Guards against violations of the design's guarantees under the faults that each
 // script injects. -run 'TestScripts/NAME' runs a single script.
 // TM_RUN_KNOWN_RED=1 also runs the known failures listed in KNOWN-RED.txt.
 func TestScripts(t *testing.T) {
 	files, err := filepath.Glob("testdata/*.txtar")
 	assert.NilError(t, err)
-	red := knownRed(t)
+	red := tmknownred.Names(t, "scenario")
 	var run []string
 	for _, file := range files {
 		name := strings.TrimSuffix(filepath.Base(file), ".txtar")
-		if red[name] && os.Getenv("TM_RUN_KNOWN_RED") == "" {
+		if red[name] && !tmknownred.RunAll() {
 			fmt.Printf("KNOWN RED, passed over: scenario %s\n", name)
 		} else {
 			run = append(run, file)
