--- a/core/tmcontrol/controller.go
+++ b/core/tmcontrol/controller.go
@@ -70,6 +70,10 @@
 	// in which the orders were sent.
 	unansweredStarts []*run
 
+	// newCrashes are the crashes of endpoints that are not attributed yet, recentCrashes
+	// those within the last sharedFaultWindow.
+	newCrashes, recentCrashes []*crash
+
 	fleet fleet
 	// quotas holds the shard's parts of the limits of teams, nil if the fleet is not
 	// divided.
@@ -183,6 +187,8 @@
 		}
 		j.begun = true
 		t.runs, t.failures, t.checkpoint = rec.Runs, rec.Failures, rec.Checkpoint
+		t.crashes, t.suspicions = rec.Crashes, rec.Suspicions
+		j.hasSuspects = j.hasSuspects || t.isSuspect()
 		j.failed = j.failed || t.failures > 0
 		if rec.Done {
 			t.done = true
@@ -202,7 +208,8 @@
 	e := c.endpoints[place.Endpoint]
 	if e != nil && place.EndpointStart != 0 && e.info.StartedAt > place.EndpointStart {
 		// The endpoint has restarted since, so the run no longer exists.
-		c.event(tmevent.RunGone, "task", t.id.String(), "run", place.Run, "endpoint", place.Endpoint, "cause", "endpoint restarted")
+		c.event(tmevent.RunGone, "task", t.id.String(), "run", place.Run, "endpoint", place.Endpoint, "cause", string(causeRestarted))
+		c.recordRestoredCrash(t, e, place)
 		return
 	}
 	if e == nil {
--- a/core/tmcontrol/crash.go
+++ b/core/tmcontrol/crash.go
@@ -1,13 +1,42 @@
 package tmcontrol
 
 import (
+	"slices"
+
 	"turmericmoor/core/tmclock"
 	"turmericmoor/core/tmevent"
+	"turmericmoor/core/tmjob"
 )
 
-// minWorkTime is how long after its start a run must be listed by its endpoint to count
-// as being at work.
-const minWorkTime = 200 * tmclock.Millisecond
+// This file attributes crashes of endpoints to the tasks that may have caused them. A
+// crash leaves no end of a run behind, so every task that was just starting on the
+// endpoint is a suspect. Suspects start again in isolation, see isolation.go. The job of
+// a suspect under which endpoints crash in isolation fails.
+
+// MinWorkTime is how long after its start a run must be listed by its endpoint to count as
+// being at work.
+const MinWorkTime = 200 * tmclock.Millisecond
+
+const (
+	// suspectCrashes is how many endpoints must have crashed under a task for it to be a
+	// suspect even though it was at work at each crash.
+	suspectCrashes = 2
+	// watchedCrashes is the number of crashes from which on a task stays isolated while
+	// it runs. It may need a while to cause a crash.
+	watchedCrashes = 3
+	// maxCrashes is the number of crashes under a task after which its job fails whatever
+	// else may have caused them.
+	maxCrashes = 5
+	// maxSuspicions is the number of suspicions at which a job fails: one crash that other
+	// tasks may have caused, and two in isolation.
+	maxSuspicions = 3
+	// exonerationTime is how long a run must last for the earlier crashes under its task
+	// to be forgotten.
+	exonerationTime = 10 * tmclock.Second
+	// sharedFaultWindow is the time between two crashes in one availability zone that may
+	// have a common cause outside of the endpoints.
+	sharedFaultWindow = 2 * tmclock.Second
+)
 
 // lossCause says how the loss of an endpoint or of its runs became known. Its text is
 // written to logs.
@@ -26,6 +55,54 @@
 	causeMoved       lossCause = "moved to another pool"
 )
 
+// crash is the end of a lifetime of an endpoint that was not planned.
+type crash struct {
+	endpoint, zone string
+	startedAt      int64
+	at             tmclock.Millis
+	cause          lossCause
+	runs           []*run
+	// isolated is the task that was isolated on the endpoint, or nil.
+	isolated *task
+}
+
+// starting returns the tasks whose runs may have caused the crash by starting.
+func (cr *crash) starting() []*task {
+	return culprits(cr.runs, (*run).isStarting)
+}
+
+// culprits returns the distinct tasks to which a crash under the runs that match is
+// attributed.
+func culprits(runs []*run, match func(*run) bool) []*task {
+	var tasks []*task
+	for _, r := range runs {
+		if t := r.task.culprit(); match(r) && !slices.Contains(tasks, t) {
+			tasks = append(tasks, t)
+		}
+	}
+	return tasks
+}
+
+// culprit returns the task to which a crash under t is attributed. All members of a gang
+// start together, so the first stands for all.
+func (t *task) culprit() *task {
+	if t.step.spec.Gang {
+		return t.step.tasks[0]
+	}
+	return t
+}
+
+// isStarting reports whether a run may still crash its endpoint by starting.
+func (r *run) isStarting() bool {
+	return !r.atWork || r.task.culprit().crashes >= watchedCrashes
+}
+
+// isSuspect reports whether a task may be the cause of a crash.
+func (t *task) isSuspect() bool {
+	u := t.culprit()
+	return u.suspicions > 0 || u.crashes >= suspectCrashes
+}
+
 // isCrash reports whether the end of a lifetime was not planned: no order for the
 // instance ended it, and the endpoint had not announced that it would leave.
 func (c *Controller) isCrash(e *endpoint, cause lossCause) bool {
@@ -38,17 +115,108 @@
 	return !e.ending && !e.info.Draining && !orderedEarlier
 }
 
-// recordCrash logs the end of a lifetime that was not planned.
+// recordCrash records the end of a lifetime if it was not planned. It is attributed
+// later, together with all others that become known at the same time.
 func (c *Controller) recordCrash(e *endpoint, cause lossCause) {
 	if !c.isCrash(e, cause) {
 		return
 	}
-	starting := 0
+	cr := &crash{
+		endpoint: e.info.ID, zone: e.info.Zone, startedAt: e.info.StartedAt, at: c.now, cause: cause,
+		runs: e.lapsed, isolated: e.isolated,
+	}
 	for _, r := range e.runs {
-		if !r.atWork {
-			starting++
+		cr.runs = append(cr.runs, r)
+	}
+	c.newCrashes = append(c.newCrashes, cr)
+}
+
+// recordRestoredCrash records that an endpoint has restarted since an earlier owner
+// stored a run on it.
+func (c *Controller) recordRestoredCrash(t *task, e *endpoint, place tmjob.Placement) {
+	if !c.isCrash(e, causeRestarted) {
+		return
+	}
+	for _, cr := range c.newCrashes {
+		if cr.endpoint == place.Endpoint && cr.startedAt == place.EndpointStart {
+			cr.runs = append(cr.runs, &run{task: t, n: place.Run, ep: e})
+			return
+		}
+	}
+	c.newCrashes = append(c.newCrashes, &crash{
+		endpoint: place.Endpoint, zone: e.info.Zone, startedAt: place.EndpointStart, at: c.now, cause: causeRestarted,
+		runs: []*run{{task: t, n: place.Run, ep: e}},
+	})
+}
+
+// attributeCrashes attributes the crashes that have become known since the last call.
+// It waits until all stored jobs are loaded, because other runs may have been on the
+// endpoints of those that are.
+func (c *Controller) attributeCrashes() {
+	if !c.loaded || len(c.newCrashes) == 0 {
+		return
+	}
+	batch := c.newCrashes
+	c.newCrashes = nil
+	c.recentCrashes = slices.DeleteFunc(c.recentCrashes, func(cr *crash) bool { return c.now.Sub(cr.at) > sharedFaultWindow })
+	c.recentCrashes = append(c.recentCrashes, batch...)
+	for _, cr := range batch {
+		c.attributeCrash(cr)
+	}
+}
+
+func (c *Controller) attributeCrash(cr *crash) {
+	starting := cr.starting()
+	shared := c.isSharedFault(cr)
+	c.event(tmevent.EndpointCrashed, "endpoint", cr.endpoint, "zone", cr.zone, "runs", len(cr.runs),
+		"starting", len(starting), "shared_fault", shared, "cause", string(cr.cause))
+	for _, t := range culprits(cr.runs, func(*run) bool { return true }) {
+		j := t.step.occ.job
+		if t.done || j.final {
+			continue
+		}
+		t.crashes++
+		c.markDirty(j)
+		if slices.Contains(starting, t) && !shared {
+			t.addSuspicion(cr.isolated == t && len(starting) == 1)
+		}
+		j.hasSuspects = j.hasSuspects || t.isSuspect()
+		if t.suspicions >= maxSuspicions || t.crashes >= maxCrashes {
+			c.finish(j, tmjob.Failed, "endpoints crashed under task "+t.id.String())
+			continue
 		}
+		if t.isSuspect() {
+			c.event(tmevent.TaskSuspected, "task", t.id.String(), "endpoint", cr.endpoint, "crashes", t.crashes, "suspicions", t.suspicions)
+		}
+	}
+}
+
+// addSuspicion records a crash that the task may have caused by starting. Crashes that
+// other tasks may have caused as well raise the suspicion only once.
+func (t *task) addSuspicion(isolated bool) {
+	if isolated || t.suspicions == 0 {
+		t.suspicions++
+	}
+}
+
+// isSharedFault reports whether an endpoint on which nothing was starting has crashed in
+// the same availability zone at about the same time, so that the cause was probably not
+// a task.
+func (c *Controller) isSharedFault(cr *crash) bool {
+	for _, other := range c.recentCrashes {
+		if other != cr && other.zone == cr.zone && other.endpoint != cr.endpoint && len(other.starting()) == 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// exonerate forgets the crashes under a task of which a run has lasted long enough.
+func (c *Controller) exonerate(r *run, now tmclock.Millis) {
+	t := r.task.culprit()
+	if t.crashes == 0 || !r.atWork || now.Sub(r.startedAt) < exonerationTime {
+		return
 	}
-	c.event(tmevent.EndpointCrashed, "endpoint", e.info.ID, "zone", e.info.Zone,
-		"runs", len(e.runs), "starting", starting, "cause", string(cause))
+	t.crashes, t.suspicions = 0, 0
+	c.markDirty(t.step.occ.job)
 }
--- a/core/tmcontrol/endpoint.go
+++ b/core/tmcontrol/endpoint.go
@@ -55,6 +55,11 @@
 	reserved bool
 	// ending is set once an order was issued that ends all runs here.
 	ending bool
+	// isolated is the suspect for which the endpoint is set aside, or nil.
+	isolated *task
+	// lapsed holds the runs whose lease has lapsed here. They are among those that a crash
+	// may be attributed to, if the endpoint turns out to have crashed.
+	lapsed []*run
 	// failures counts the consecutive runs that failed here.
 	failures int
 	// gone is set once the lifetime has ended.
--- a/core/tmcontrol/gang.go
+++ b/core/tmcontrol/gang.go
@@ -22,6 +22,10 @@
 		c.reportQuotaShortage(s, n, n)
 		return
 	}
+	if s.tasks[0].isSuspect() && c.tryGang(s, p.quietEndpoints(), n+1, now) {
+		s.isolateGang()
+		return
+	}
 	if s.spec.SameRack {
 		for _, rack := range racksOf(p) {
 			if c.tryGang(s, &pool{service: p.service, endpoints: rack}, n+1, now) {
--- a/core/tmcontrol/hold.go
+++ b/core/tmcontrol/hold.go
@@ -77,6 +77,8 @@
 		return idleHoldWait
 	case e.serving > 0 && e.bestEffort > 0:
 		return paceHoldWait
+	case e.isolated != nil:
+		return MinWorkTime
 	}
 	return busyHoldWait
 }
@@ -109,6 +111,7 @@
 		c.event(tmevent.EndpointAnswers, "endpoint", id, "runs", len(response.Active), "ends", len(response.Ended))
 	}
 	e.tokenAccepted, e.answering = true, true
+	e.lapsed = nil
 	listed := map[runKey]bool{}
 	for _, end := range response.Ended {
 		listed[runKey{end.Task, end.Run}] = true
@@ -166,7 +169,8 @@
 	}
 	c.markAnswered(r)
 	r.settledAt, r.unanswered = now, false
-	r.atWork = r.atWork || now.Sub(r.startedAt) >= minWorkTime
+	r.atWork = r.atWork || now.Sub(r.startedAt) >= MinWorkTime
+	c.exonerate(r, now)
 	if a.Percent != r.percent {
 		r.progressedAt = now
 	}
@@ -325,6 +329,9 @@
 	c.dropSlowStarts(now)
 	for _, e := range c.endpoints {
 		if len(e.runs) > 0 && !e.answering && now.After(e.leaseExpiry) {
+			for _, r := range e.runs {
+				e.lapsed = append(e.lapsed, r)
+			}
 			c.loseRuns(e, causeLapsed)
 		}
 		if !e.listed && len(e.runs) == 0 {
--- a/core/tmcontrol/job.go
+++ b/core/tmcontrol/job.go
@@ -25,6 +25,8 @@
 	cause     string
 	// failed is set if a run of some task has failed.
 	failed bool
+	// hasSuspects is set once some task has become a suspect.
+	hasSuspects bool
 	// overShare is set if the team was over its share when the job arrived.
 	overShare bool
 }
@@ -53,13 +55,16 @@
 }
 
 type task struct {
-	id         tmjob.TaskID
-	step       *step
-	runs       int
-	failures   int
-	done       bool
-	checkpoint string
-	active     []*run
+	id       tmjob.TaskID
+	step     *step
+	runs     int
+	failures int
+	// crashes counts the endpoints that have crashed under the task. suspicions tells how
+	// likely the task is the cause, see addSuspicion.
+	crashes, suspicions int
+	done                bool
+	checkpoint          string
+	active              []*run
 	// notBefore is the earliest time of the next start after a start was refused.
 	notBefore tmclock.Millis
 }
@@ -100,7 +105,7 @@
 	unanswered bool
 	tries      int
 	startedAt  tmclock.Millis
-	// atWork is set once the endpoint has listed the run minWorkTime after its start.
+	// atWork is set once the endpoint has listed the run MinWorkTime after its start.
 	atWork  bool
 	percent int
 	// progressedAt is when percent last changed.
@@ -194,9 +199,10 @@
 }
 
 // wantsCopy reports whether a speculative copy of a task should run because the
-// endpoint of its first run doesn't answer.
+// endpoint of its first run doesn't answer. A task under which an endpoint has crashed
+// gets none.
 func (t *task) wantsCopy() bool {
-	return t.step.spec.Speculative && !t.step.spec.Gang && len(t.active) == 1 &&
+	return t.step.spec.Speculative && !t.step.spec.Gang && len(t.active) == 1 && t.crashes == 0 &&
 		t.active[0].phase != planned && !t.active[0].ep.answering
 }
 
@@ -242,12 +248,12 @@
 }
 
 func (t *task) record() (tmjob.TaskRecord, bool) {
-	if t.runs == 0 && !t.done {
+	if t.runs == 0 && !t.done && t.crashes == 0 {
 		return tmjob.TaskRecord{}, false
 	}
 	rec := tmjob.TaskRecord{
 		Occurrence: t.id.Occurrence, Step: t.id.Step, Index: t.id.Index,
-		Runs: t.runs, Failures: t.failures, Done: t.done, Checkpoint: t.checkpoint,
+		Runs: t.runs, Failures: t.failures, Crashes: t.crashes, Suspicions: t.suspicions, Done: t.done, Checkpoint: t.checkpoint,
 	}
 	for _, r := range t.active {
 		rec.Placements = append(rec.Placements, tmjob.Placement{Run: r.n, Endpoint: r.ep.info.ID, EndpointStart: r.ep.info.StartedAt})
--- a/core/tmcontrol/lifetime.go
+++ b/core/tmcontrol/lifetime.go
@@ -62,6 +62,7 @@
 	e.tokenAccepted, e.answering = false, false
 	e.seen, e.acked, e.clock, e.unknownRuns, e.leaseExpiry = 0, 0, 0, 0, 0
 	e.gone, e.reserved, e.ending, e.failures = false, false, false, 0
+	e.isolated, e.lapsed = nil, nil
 }
 
 func (c *Controller) endLifetime(e *endpoint, cause lossCause) {
--- a/core/tmcontrol/order.go
+++ b/core/tmcontrol/order.go
@@ -203,6 +203,7 @@
 // TakeFlush returns the changes to store next, or nil if there are none. Only one
 // flush may be in progress at a time.
 func (c *Controller) TakeFlush(now tmclock.Millis) *Flush {
+	c.attributeCrashes()
 	f := &Flush{}
 	if c.quotas != nil {
 		f.Quotas = c.quotas.TakeRows(maxQuotaRows)
--- a/core/tmcontrol/plan.go
+++ b/core/tmcontrol/plan.go
@@ -76,12 +76,14 @@
 	if !c.loaded || c.deposed || c.rules.Version == 0 {
 		return
 	}
+	c.attributeCrashes()
 	c.planFleet(now, wall)
 	pools := c.pools(now)
 	if len(pools) == 0 {
 		return
 	}
 	defer c.planQuotas(now, wall)
+	c.planSuspects(pools, now)
 	byService := map[string][]rank{}
 	for _, j := range slices.Clone(c.openJobs) {
 		q, ok := c.rules.Queues[j.spec.Queue]
@@ -177,7 +179,10 @@
 			continue
 		}
 		for _, t := range s.tasks {
-			if t.waiting(now) && !c.place(t, p, now) {
+			if t.isSuspect() || !t.waiting(now) {
+				continue
+			}
+			if !c.place(t, p, now) {
 				break
 			}
 		}
@@ -279,19 +284,23 @@
 	return best
 }
 
-// allows reports whether e may run one more task of the step.
+// allows reports whether e may run one more task of the step that is not a suspect.
 func (c *Controller) allows(s *step, e *endpoint) bool {
-	spec := s.spec
-	if e.reserved {
-		return false
-	}
-	if spec.Label != "" && !e.info.hasLabel(spec.Label) {
-		return false
-	}
-	if !spec.Reservation().Fits(e.free()) {
+	return e.isolated == nil && c.fits(s, e)
+}
+
+// fits reports whether e has room for one more task of the step and may run it.
+func (c *Controller) fits(s *step, e *endpoint) bool {
+	return !e.reserved && s.spec.Reservation().Fits(e.free()) && s.permits(e)
+}
+
+// permits reports whether the requirements of the step, other than room, permit one more
+// of its tasks on e.
+func (s *step) permits(e *endpoint) bool {
+	if s.spec.Label != "" && !e.info.hasLabel(s.spec.Label) {
 		return false
 	}
-	return spec.PerEndpoint == 0 || e.stepRuns(s)+e.planned < spec.PerEndpoint
+	return s.spec.PerEndpoint == 0 || e.stepRuns(s)+e.planned < s.spec.PerEndpoint
 }
 
 // rackPreference and spreadPenalty outweigh any difference in load.
--- a/core/tmevent/event.go
+++ b/core/tmevent/event.go
@@ -30,7 +30,7 @@
 	EndpointAnswers Name = "endpoint_answers"
 	// EndpointAvoided: an endpoint gets no new tasks for a time because several runs in a row failed on it: endpoint, failures, for_ms.
 	EndpointAvoided Name = "endpoint_avoided"
-	// EndpointCrashed: the lifetime of an endpoint ended without planned work, starting is the number of runs that were not seen at work yet: endpoint, zone, runs, starting, cause.
+	// EndpointCrashed: the lifetime of an endpoint ended without planned work, starting is the number of tasks that may have crashed it by starting, shared_fault says that others in its zone crashed as well: endpoint, zone, runs, starting, shared_fault, cause.
 	EndpointCrashed Name = "endpoint_crashed"
 	// EndpointDraining: an endpoint started draining: endpoint.
 	EndpointDraining Name = "endpoint_draining"
@@ -114,6 +114,8 @@
 	TaskPaced Name = "task_paced"
 	// TaskPlaced: a task was placed on an endpoint: task, run, endpoint, free_cpu, queue, team, rules, left.
 	TaskPlaced Name = "task_placed"
+	// TaskSuspected: an endpoint crashed under a task, which starts again only in isolation: task, endpoint, crashes, suspicions.
+	TaskSuspected Name = "task_suspected"
 	// UpkeepDone: the maintenance of an instance is done: instance, wave.
 	UpkeepDone Name = "upkeep_done"
 	// WaveBegins: a maintenance wave began: wave, instances, bound, within_ms.
@@ -179,6 +181,7 @@
 	StoreRegained,
 	TaskPaced,
 	TaskPlaced,
+	TaskSuspected,
 	UpkeepDone,
 	WaveBegins,
 	WaveDone,
--- a/core/tmjob/task.go
+++ b/core/tmjob/task.go
@@ -65,7 +65,10 @@
 	// Runs is the highest run number used so far, Failures the number of failed
 	// runs.
 	Runs, Failures int
-	Done           bool
+	// Crashes is the number of endpoints that have crashed under the task, Suspicions the
+	// number of those that speak for the task as the cause.
+	Crashes, Suspicions int
+	Done                bool
 	// Checkpoint is the latest checkpoint, or "".
 	Checkpoint string
 	// Placements lists the runs that may still be active.
--- a/io/tmowner/call.go
+++ b/io/tmowner/call.go
@@ -45,7 +45,11 @@
 	if a == tmcontrol.Accepted {
 		o.startAccepted(s.Ref.Endpoint, now)
 	}
+	isolated := a == tmcontrol.Accepted && o.ctl.IsIsolated(s.Ref.Endpoint)
 	o.mu.Unlock()
+	if isolated {
+		o.work.Go(func() { o.listIsolated(ctx, s.Ref.Endpoint) })
+	}
 	if a != tmcontrol.Accepted {
 		o.requestPlan()
 	}
@@ -115,6 +119,29 @@
 	return o.opts.Advisor.Advise(ctx, q.Step, q.Endpoints)
 }
 
+// listIsolated asks an endpoint on which a suspect has just started for its runs, beside
+// the hold that is under way there, so that its isolation ends soon.
+func (o *Owner) listIsolated(ctx context.Context, id string) {
+	if !tmwait.Pause(ctx, tmcontrol.MinWorkTime.Duration()) {
+		return
+	}
+	sentAt := o.opts.Clock.Now()
+	o.mu.Lock()
+	h, ok := o.ctl.NextHold(id, sentAt)
+	o.mu.Unlock()
+	if !ok {
+		return
+	}
+	h.Wait = 0
+	callCtx, cancel := context.WithTimeout(ctx, holdTimeoutMargin)
+	defer cancel()
+	// The hold that is under way shows whether the endpoint is silent.
+	if response, err := o.opts.Endpoints.Hold(callCtx, id, h); err == nil {
+		o.holdAnswered(id, response, sentAt)
+		o.requestPlan()
+	}
+}
+
 // hold renews the lease of one endpoint and collects its active and ended runs,
 // until the controller no longer wants the endpoint held.
 func (o *Owner) hold(ctx context.Context, id string) {
--- a/io/tmrecord/codec.go
+++ b/io/tmrecord/codec.go
@@ -121,6 +121,8 @@
 	Index      int            `json:"i,omitempty"`
 	Runs       int            `json:"n,omitempty"`
 	Failures   int            `json:"f,omitempty"`
+	Crashes    int            `json:"x,omitempty"`
+	Suspicions int            `json:"y,omitempty"`
 	Done       bool           `json:"d,omitempty"`
 	Checkpoint string         `json:"c,omitempty"`
 	Placements []placementRow `json:"p,omitempty"`
@@ -136,7 +138,7 @@
 	for _, t := range p.Tasks {
 		tr := taskRow{
 			Occurrence: t.Occurrence, Step: t.Step, Index: t.Index, Runs: t.Runs,
-			Failures: t.Failures, Done: t.Done, Checkpoint: t.Checkpoint,
+			Failures: t.Failures, Crashes: t.Crashes, Suspicions: t.Suspicions, Done: t.Done, Checkpoint: t.Checkpoint,
 		}
 		for _, place := range t.Placements {
 			tr.Placements = append(tr.Placements, placementRow(place))
@@ -159,7 +161,7 @@
 		}
 		rec := tmjob.TaskRecord{
 			Occurrence: t.Occurrence, Step: t.Step, Index: t.Index, Runs: t.Runs,
-			Failures: t.Failures, Done: t.Done, Checkpoint: t.Checkpoint,
+			Failures: t.Failures, Crashes: t.Crashes, Suspicions: t.Suspicions, Done: t.Done, Checkpoint: t.Checkpoint,
 		}
 		for _, place := range t.Placements {
 			rec.Placements = append(rec.Placements, tmjob.Placement(place))
