core/tmcontrol: a task that crashes its endpoints is found and given up

Cause: an endpoint that crashes lists no end, so the loss of a run counted against nothing. The task waited again as if it had never started. Ruled out: a count that is lost (there was none), and orders repeated below the planner (each start has a placement on another endpoint).

Change: a crash (a lifetime that ends without an order, a drain or a maintenance) is attributed to the tasks that were just starting on the endpoint. They start again in isolation: on an endpoint where nothing else starts until they are at work. Two crashes in isolation after one in company fail the job; so do five crashes of any kind. Counts and isolations are stored with the placements, so the next owner goes on. Crashes in a zone where an idle endpoint crashed as well blame nobody; ten seconds of work clear a task. Gangs count as one, copies stop.

Why it works: between a crash in isolation and its attribution nothing else can have started there, and no count can be lost, since the flush that removes a placement has its crash.

--- a/core/tmcontrol/controller.go
+++ b/core/tmcontrol/controller.go
@@ -221,6 +221,9 @@
 	e.extendLeaseExpiry(now.Add(maxUnconfirmedTime + tmclock.Span(float64(c.bounds.Lease)/minClockRate) + expiryMargin))
 	r := c.addRun(t, e, place.Run)
 	r.phase = unconfirmed
+	if place.Isolated {
+		r.isolated, e.isolated = true, t.culprit()
+	}
 	if t.step.occ.job.final {
 		c.stopRun(r, "job "+t.step.occ.job.state.String())
 	}
--- a/core/tmcontrol/controller_test.go
+++ b/core/tmcontrol/controller_test.go
@@ -19,6 +19,8 @@
 	now  tmclock.Millis
 	ends map[string]int64
 	runs map[string][]ActiveRun
+	// restarts counts the restarts of endpoints under their id.
+	restarts map[string]int64
 }
 
 func testBounds() Bounds {
@@ -36,7 +38,7 @@
 
 func newFixture(t *testing.T, endpoints int) *fixture {
 	t.Helper()
-	f := &fixture{t: t, now: 1000, ends: map[string]int64{}, runs: map[string][]ActiveRun{}}
+	f := &fixture{t: t, now: 1000, ends: map[string]int64{}, runs: map[string][]ActiveRun{}, restarts: map[string]int64{}}
 	f.c = f.newController(1)
 	for i := range endpoints {
 		f.c.SetEndpoint(f.endpointInfo(i+1), f.now)
@@ -83,7 +85,7 @@
 // answerHold answers a hold of an endpoint with its active runs and the given ends.
 func (f *fixture) answerHold(endpoint string, ends ...EndedRun) {
 	f.now++
-	f.c.HoldAnswered(endpoint, HoldResponse{Clock: int64(f.now), StartedAt: 5, Active: f.runs[endpoint], Ended: ends}, f.now, f.now+1)
+	f.c.HoldAnswered(endpoint, HoldResponse{Clock: int64(f.now), StartedAt: 5 + f.restarts[endpoint], Active: f.runs[endpoint], Ended: ends}, f.now, f.now+1)
 	f.now++
 }
 
--- a/core/tmcontrol/crash.go
+++ b/core/tmcontrol/crash.go
@@ -62,21 +62,26 @@
 	at             tmclock.Millis
 	cause          lossCause
 	runs           []*run
-	// isolated is the task that was isolated on the endpoint, or nil.
-	isolated *task
 }
 
-// starting returns the tasks whose runs may have caused the crash by starting.
-func (cr *crash) starting() []*task {
-	return culprits(cr.runs, (*run).isStarting)
+// isolated returns the task that was starting in isolation on the endpoint, or nil.
+func (cr *crash) isolated() *task {
+	for _, r := range cr.runs {
+		if r.isolated && r.isStarting() {
+			return r.task.culprit()
+		}
+	}
+	return nil
 }
 
-// culprits returns the distinct tasks to which a crash under the runs that match is
-// attributed.
-func culprits(runs []*run, match func(*run) bool) []*task {
+// starting returns the tasks that may have caused the crash by starting.
+func (cr *crash) starting() []*task {
+	if t := cr.isolated(); t != nil {
+		return []*task{t}
+	}
 	var tasks []*task
-	for _, r := range runs {
-		if t := r.task.culprit(); match(r) && !slices.Contains(tasks, t) {
+	for _, r := range cr.runs {
+		if t := r.task.culprit(); r.isStarting() && !slices.Contains(tasks, t) {
 			tasks = append(tasks, t)
 		}
 	}
@@ -97,6 +102,10 @@
 	return !r.atWork || r.task.culprit().crashes >= watchedCrashes
 }
 
+// startedHere reports whether this owner started the run, so that it knows whether the run
+// has been at work.
+func (r *run) startedHere() bool { return r.sentAt != 0 }
+
 // isSuspect reports whether a task may be the cause of a crash.
 func (t *task) isSuspect() bool {
 	u := t.culprit()
@@ -122,8 +131,7 @@
 		return
 	}
 	cr := &crash{
-		endpoint: e.info.ID, zone: e.info.Zone, startedAt: e.info.StartedAt, at: c.now, cause: cause,
-		runs: e.lapsed, isolated: e.isolated,
+		endpoint: e.info.ID, zone: e.info.Zone, startedAt: e.info.StartedAt, at: c.now, cause: cause, runs: e.lapsed,
 	}
 	for _, r := range e.runs {
 		cr.runs = append(cr.runs, r)
@@ -137,18 +145,43 @@
 	if !c.isCrash(e, causeRestarted) {
 		return
 	}
+	r := &run{task: t, n: place.Run, ep: e, isolated: place.Isolated}
 	for _, cr := range c.newCrashes {
 		if cr.endpoint == place.Endpoint && cr.startedAt == place.EndpointStart {
-			cr.runs = append(cr.runs, &run{task: t, n: place.Run, ep: e})
+			cr.runs = append(cr.runs, r)
 			return
 		}
 	}
 	c.newCrashes = append(c.newCrashes, &crash{
 		endpoint: place.Endpoint, zone: e.info.Zone, startedAt: place.EndpointStart, at: c.now, cause: causeRestarted,
-		runs: []*run{{task: t, n: place.Run, ep: e}},
+		runs: []*run{r},
 	})
 }
 
+// recordLapse counts the lapse of a lease under a run that was starting as a crash, since
+// an endpoint that has crashed may be away for longer than the lease.
+func (c *Controller) recordLapse(e *endpoint) {
+	for _, r := range e.runs {
+		if t := r.task.culprit(); r.isStarting() && !t.done {
+			r.counted = true
+			t.crashes++
+			c.markSuspect(t, e.info.ID)
+		}
+		e.lapsed = append(e.lapsed, r)
+	}
+}
+
+// forgetLapse takes back what recordLapse counted: the endpoint was only silent.
+func (c *Controller) forgetLapse(e *endpoint) {
+	for _, r := range e.lapsed {
+		if t := r.task.culprit(); r.counted && t.crashes > 0 {
+			t.crashes--
+			c.markDirty(t.step.occ.job)
+		}
+	}
+	e.lapsed = nil
+}
+
 // attributeCrashes attributes the crashes that have become known since the last call.
 // It waits until all stored jobs are loaded, because other runs may have been on the
 // endpoints of those that are.
@@ -170,24 +203,36 @@
 	shared := c.isSharedFault(cr)
 	c.event(tmevent.EndpointCrashed, "endpoint", cr.endpoint, "zone", cr.zone, "runs", len(cr.runs),
 		"starting", len(starting), "shared_fault", shared, "cause", string(cr.cause))
-	for _, t := range culprits(cr.runs, func(*run) bool { return true }) {
-		j := t.step.occ.job
-		if t.done || j.final {
+	isolated := cr.isolated()
+	counted := map[*task]bool{}
+	for _, r := range cr.runs {
+		t := r.task.culprit()
+		if counted[t] || t.done || t.step.occ.job.final {
 			continue
 		}
-		t.crashes++
-		c.markDirty(j)
-		if slices.Contains(starting, t) && !shared {
-			t.addSuspicion(cr.isolated == t && len(starting) == 1)
-		}
-		j.hasSuspects = j.hasSuspects || t.isSuspect()
-		if t.suspicions >= maxSuspicions || t.crashes >= maxCrashes {
-			c.finish(j, tmjob.Failed, "endpoints crashed under task "+t.id.String())
-			continue
+		counted[t] = true
+		if !r.counted {
+			t.crashes++
 		}
-		if t.isSuspect() {
-			c.event(tmevent.TaskSuspected, "task", t.id.String(), "endpoint", cr.endpoint, "crashes", t.crashes, "suspicions", t.suspicions)
+		if slices.Contains(starting, t) && !shared {
+			t.addSuspicion(t == isolated && r.startedHere())
 		}
+		c.markSuspect(t, cr.endpoint)
+	}
+}
+
+// markSuspect stores that an endpoint has crashed under a task, and fails the job of the
+// task if that was once too often.
+func (c *Controller) markSuspect(t *task, endpoint string) {
+	j := t.step.occ.job
+	c.markDirty(j)
+	if t.suspicions >= maxSuspicions || t.crashes >= maxCrashes {
+		c.finish(j, tmjob.Failed, "endpoints crashed under task "+t.id.String())
+		return
+	}
+	if t.isSuspect() {
+		j.hasSuspects = true
+		c.event(tmevent.TaskSuspected, "task", t.id.String(), "endpoint", endpoint, "crashes", t.crashes, "suspicions", t.suspicions)
 	}
 }
 
--- /dev/null
+++ b/core/tmcontrol/crash_test.go
@@ -0,0 +1,214 @@
+package tmcontrol
+
+import (
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"turmericmoor/core/tmclock"
+	"turmericmoor/core/tmjob"
+)
+
+// restart lets endpoints crash and come back at once under their ids.
+func (f *fixture) restart(endpoints ...string) {
+	for _, id := range endpoints {
+		f.c.HoldFailed(id, "crashed")
+		f.runs[id], f.ends[id] = nil, 0
+		f.restarts[id]++
+		f.answerHold(id)
+	}
+	// The first answer of a lifetime ends the runs of the one before.
+	for _, id := range endpoints {
+		f.answerHold(id)
+	}
+}
+
+// work lets d pass, and all endpoints list their runs.
+func (f *fixture) work(d tmclock.Span) {
+	f.now = f.now.Add(d)
+	for _, e := range f.c.sorted() {
+		f.answerHold(e.info.ID)
+	}
+}
+
+// placeOf returns the endpoint that runs the only task of a job, or "".
+func (f *fixture) placeOf(job string) string {
+	for id, runs := range f.runs {
+		for _, r := range runs {
+			if r.Task.Job == job {
+				return id
+			}
+		}
+	}
+	return ""
+}
+
+// crashUntilGone restarts each endpoint on which a job starts, until it starts no more. It
+// returns the number of crashes.
+func (f *fixture) crashUntilGone(job string) int {
+	for n := range 20 {
+		for range 10 {
+			f.advance(50)
+			if f.placeOf(job) != "" {
+				break
+			}
+			f.work(MinWorkTime)
+		}
+		e := f.placeOf(job)
+		if e == "" {
+			return n
+		}
+		f.restart(e)
+	}
+	f.t.Fatal("the job is started without end")
+	return 0
+}
+
+// Guards against a task that crashes endpoint after endpoint, and against giving up the
+// healthy tasks beside it.
+func TestCrashingTaskIsGivenUpAndItsNeighboursAreNot(t *testing.T) {
+	f := newFixture(t, 4)
+	for i := range 12 {
+		f.c.Submitted(oneTask(fmt.Sprintf("healthy%d", i)))
+	}
+	f.c.Submitted(oneTask("crashing"))
+	assert.Equal(t, f.crashUntilGone("crashing"), 3)
+	assert.Assert(t, f.c.finalAt["crashing"] != 0)
+	for range 40 {
+		f.advance(50)
+		f.work(MinWorkTime)
+	}
+	for i := range 12 {
+		assert.Assert(t, f.placeOf(fmt.Sprintf("healthy%d", i)) != "")
+	}
+}
+
+// Guards against a crashing task that starts anew with each owner.
+func TestCrashesAreCountedAcrossOwners(t *testing.T) {
+	f := newFixture(t, 2)
+	f.c.Submitted(oneTask("j"))
+	f.advance(10)
+	for token := range int64(4) {
+		e := f.placeOf("j")
+		assert.Assert(t, e != "", "not started by owner %d", token+1)
+		progress := f.c.jobs["j"].progress()
+		f.runs[e] = nil
+		f.restarts[e]++
+		f.c = f.newController(token + 2)
+		for i := range 2 {
+			info := f.endpointInfo(i + 1)
+			info.StartedAt += f.restarts[info.ID]
+			f.c.SetEndpoint(info, f.now)
+		}
+		f.c.Submitted(oneTask("j"))
+		f.c.Restore(progress, f.now)
+		f.c.Loaded()
+		f.work(1)
+		f.advance(10)
+		f.work(1)
+		f.advance(10)
+	}
+	assert.Equal(t, f.crashUntilGone("j"), 1)
+}
+
+// Guards against isolating tasks whose endpoint was ended by planned work.
+func TestPlannedEndOfAnEndpointSuspectsNoTask(t *testing.T) {
+	f := newFixture(t, 1)
+	f.c.Submitted(oneTask("j"))
+	f.advance(10)
+	info := f.endpointInfo(1)
+	info.Draining = true
+	f.c.SetEndpoint(info, f.now)
+	f.restart("e1")
+	f.advance(10)
+	assert.Equal(t, f.c.jobs["j"].task(tmjob.TaskID{Job: "j"}).crashes, 0)
+}
+
+// Guards against isolating all tasks that were starting in a zone that was lost.
+func TestLossOfAZoneSuspectsNoTask(t *testing.T) {
+	f := newFixture(t, 4)
+	for i := range 6 {
+		f.c.Submitted(oneTask(fmt.Sprintf("j%d", i)))
+	}
+	f.advance(10)
+	f.restart("e1", "e2", "e3", "e4")
+	f.advance(10)
+	for i := range 6 {
+		assert.Assert(t, f.placeOf(fmt.Sprintf("j%d", i)) != "")
+	}
+}
+
+// Guards against counting an endpoint as crashed that was only silent for longer than its
+// lease.
+func TestSilentEndpointIsNoCrash(t *testing.T) {
+	f := newFixture(t, 1)
+	f.c.Submitted(oneTask("j"))
+	first := f.advance(10)[0].Ref
+	f.c.HoldFailed("e1", "test")
+	f.advance(7000)
+	task := f.c.jobs["j"].task(first.Task)
+	assert.Equal(t, task.crashes, 1)
+	f.runs["e1"] = nil
+	f.end("e1", first.Task, 1, EndLapsed)
+	assert.Equal(t, task.crashes, 0)
+}
+
+// Guards against a gang that crashes endpoint after endpoint.
+func TestGangThatCrashesEndpointsIsGivenUp(t *testing.T) {
+	f := newFixture(t, 4)
+	j := oneTask("j")
+	j.Steps[0].Count, j.Steps[0].Gang, j.Steps[0].Size.CPU = 3, true, 5000
+	f.c.Submitted(j)
+	assert.Equal(t, f.crashGang("j"), 3)
+}
+
+// crashGang restarts an endpoint of a gang each time when the gang has started, and ends
+// the other members. It returns the number of crashes until the gang starts no more.
+func (f *fixture) crashGang(job string) int {
+	for n := range 20 {
+		f.advance(2000)
+		e := f.placeOf(job)
+		if e == "" {
+			return n
+		}
+		f.restart(e)
+		for id, runs := range f.runs {
+			for _, r := range runs {
+				f.end(id, r.Task, r.Run, EndGangBroken)
+			}
+		}
+	}
+	f.t.Fatal("the gang is started without end")
+	return 0
+}
+
+// Guards against copies of a speculative task that crash further endpoints.
+func TestSuspectGetsNoCopy(t *testing.T) {
+	f := newFixture(t, 4)
+	j := oneTask("j")
+	j.Steps[0].Speculative = true
+	f.c.Submitted(j)
+	f.advance(10)
+	f.restart(f.placeOf("j"))
+	f.advance(10)
+	f.c.HoldFailed(f.placeOf("j"), "test")
+	assert.Equal(t, len(f.advance(10)), 0)
+}
+
+// Guards against long-running tasks that are given up in the end, because endpoints crash
+// under each of them now and then.
+func TestTaskThatWorkedForLongIsNoSuspect(t *testing.T) {
+	f := newFixture(t, 2)
+	j := oneTask("j")
+	j.Steps[0].LongRunning = true
+	f.c.Submitted(j)
+	for range 12 {
+		f.advance(10)
+		f.work(MinWorkTime)
+		f.work(exonerationTime)
+		e := f.placeOf("j")
+		assert.Assert(t, e != "")
+		f.restart(e)
+	}
+}
--- a/core/tmcontrol/hold.go
+++ b/core/tmcontrol/hold.go
@@ -111,7 +111,7 @@
 		c.event(tmevent.EndpointAnswers, "endpoint", id, "runs", len(response.Active), "ends", len(response.Ended))
 	}
 	e.tokenAccepted, e.answering = true, true
-	e.lapsed = nil
+	c.forgetLapse(e)
 	listed := map[runKey]bool{}
 	for _, end := range response.Ended {
 		listed[runKey{end.Task, end.Run}] = true
@@ -329,9 +329,7 @@
 	c.dropSlowStarts(now)
 	for _, e := range c.endpoints {
 		if len(e.runs) > 0 && !e.answering && now.After(e.leaseExpiry) {
-			for _, r := range e.runs {
-				e.lapsed = append(e.lapsed, r)
-			}
+			c.recordLapse(e)
 			c.loseRuns(e, causeLapsed)
 		}
 		if !e.listed && len(e.runs) == 0 {
--- a/core/tmcontrol/isolation.go
+++ b/core/tmcontrol/isolation.go
@@ -123,7 +123,7 @@
 func (s *step) isolateGang() {
 	for _, t := range s.tasks {
 		for _, r := range t.active {
-			r.ep.isolated = t.culprit()
+			r.isolated, r.ep.isolated = true, t.culprit()
 		}
 	}
 }
--- a/core/tmcontrol/job.go
+++ b/core/tmcontrol/job.go
@@ -106,8 +106,11 @@
 	tries      int
 	startedAt  tmclock.Millis
 	// atWork is set once the endpoint has listed the run MinWorkTime after its start.
-	atWork  bool
-	percent int
+	atWork bool
+	// isolated is set if the task was started in isolation. counted is set if the run is
+	// already counted as one under which an endpoint has crashed.
+	isolated, counted bool
+	percent           int
 	// progressedAt is when percent last changed.
 	progressedAt  tmclock.Millis
 	usage         int64
@@ -256,7 +259,7 @@
 		Runs: t.runs, Failures: t.failures, Crashes: t.crashes, Suspicions: t.suspicions, Done: t.done, Checkpoint: t.checkpoint,
 	}
 	for _, r := range t.active {
-		rec.Placements = append(rec.Placements, tmjob.Placement{Run: r.n, Endpoint: r.ep.info.ID, EndpointStart: r.ep.info.StartedAt})
+		rec.Placements = append(rec.Placements, tmjob.Placement{Run: r.n, Endpoint: r.ep.info.ID, EndpointStart: r.ep.info.StartedAt, Isolated: r.isolated})
 	}
 	return rec, true
 }
--- a/core/tmcontrol/plan.go
+++ b/core/tmcontrol/plan.go
@@ -253,6 +253,7 @@
 
 func (c *Controller) assign(t *task, e *endpoint, n int) {
 	r := c.addRun(t, e, n)
+	r.isolated = e.isolated != nil
 	r.pending = true
 	c.pending++
 	t.runs = n
--- a/core/tmjob/task.go
+++ b/core/tmjob/task.go
@@ -56,6 +56,9 @@
 	// lifetime in milliseconds since the Unix epoch.
 	Endpoint      string
 	EndpointStart int64
+	// Isolated says that no other task was starting on the endpoint, because the task was
+	// suspected of having crashed endpoints.
+	Isolated bool
 }
 
 // TaskRecord is the stored state of a task. A record with a negative Step says
--- a/internal/fleetsim/fleet_test.go
+++ b/internal/fleetsim/fleet_test.go
@@ -285,7 +285,8 @@
 }
 
 // TestOneWorld runs only the seed in TM_FLEET_SEED, for example to read its log. With
-// TM_FLEET_SHARDED=1 the fleet is divided into shards.
+// TM_FLEET_SHARDED=1 the fleet is divided into shards, with TM_FLEET_CRASHES=1 some tasks
+// crash their endpoints.
 func TestOneWorld(t *testing.T) {
 	text := os.Getenv("TM_FLEET_SEED")
 	if text == "" {
@@ -299,6 +300,9 @@
 	if os.Getenv("TM_FLEET_SHARDED") != "" {
 		shards, prepare = shardCount, limitTeam
 	}
+	if os.Getenv("TM_FLEET_CRASHES") != "" {
+		prepare = crashEndpoints
+	}
 	for _, b := range runSimulation(t, seed, shards, prepare) {
 		t.Error(b)
 	}
--- a/io/tmrecord/codec.go
+++ b/io/tmrecord/codec.go
@@ -113,6 +113,7 @@
 	Run           int    `json:"r"`
 	Endpoint      string `json:"e"`
 	EndpointStart int64  `json:"b,omitempty"`
+	Isolated      bool   `json:"q,omitempty"`
 }
 
 type taskRow struct {
