core/tmcontrol: an overtaken answer to a hold is no restart

Callers saw tasks run at two endpoints at once. An endpoint that is asked for its runs beside the hold that is under way (listIsolated) may answer the later call first. The clock in the earlier answer was then below the one known, which counted as a restart: its runs were lost and started elsewhere while they went on (run_lost with cause endpoint restarted, then run_unexplained).

An answer from an earlier time of the same lifetime, or from an earlier lifetime, is dropped now; its ends are listed again until they are acknowledged. The clock still tells a restart where an endpoint doesn't say when it started. TestOvertakenAnswerIsNoRestart fails without the change. An answer of an earlier lifetime could raise the number of the last end seen before, too. endpoint_isolated is logged, to trace suspects that wait.

--- a/core/tmcontrol/hold.go
+++ b/core/tmcontrol/hold.go
@@ -96,7 +96,7 @@
 // whether the caller has to plan again or to send orders.
 func (c *Controller) HoldAnswered(id string, response HoldResponse, sentAt, now tmclock.Millis) (news bool) {
 	e := c.endpoints[id]
-	if e == nil || e.gone {
+	if e == nil || e.gone || e.isOvertaken(response) {
 		return false
 	}
 	news = len(response.Ended) > 0 || !e.answering
@@ -140,6 +140,16 @@
 	return news || e.stopping > 0 || len(c.stops)+len(c.paces) > 0
 }
 
+// isOvertaken reports whether a response is older than one that was handled before: from
+// an earlier lifetime, or from an earlier time of the same one. Answers to holds that are
+// under way at the same time may arrive in any order.
+func (e *endpoint) isOvertaken(response HoldResponse) bool {
+	if response.StartedAt == 0 || response.StartedAt > e.info.StartedAt {
+		return false
+	}
+	return response.StartedAt < e.info.StartedAt || e.tokenAccepted && response.Clock < e.clock
+}
+
 // HoldFailed records that a hold at an endpoint got no valid response.
 func (c *Controller) HoldFailed(id string, cause string) {
 	e := c.endpoints[id]
--- a/core/tmcontrol/isolation.go
+++ b/core/tmcontrol/isolation.go
@@ -2,6 +2,7 @@
 
 import (
 	"turmericmoor/core/tmclock"
+	"turmericmoor/core/tmevent"
 )
 
 // maxIsolatedShare is the reciprocal of the share of a pool's endpoints on which suspects
@@ -83,6 +84,7 @@
 		return nil
 	}
 	best.isolated = t
+	c.event(tmevent.EndpointIsolated, "endpoint", best.info.ID, "task", t.id.String(), "runs", len(best.runs), "ended", false)
 	return best
 }
 
@@ -132,6 +134,7 @@
 func (c *Controller) endIsolations(now tmclock.Millis) {
 	for _, e := range c.endpoints {
 		if e.isolated != nil && !e.needsIsolation(now) {
+			c.event(tmevent.EndpointIsolated, "endpoint", e.info.ID, "task", e.isolated.id.String(), "runs", len(e.runs), "ended", true)
 			e.isolated = nil
 		}
 	}
--- a/core/tmcontrol/order_test.go
+++ b/core/tmcontrol/order_test.go
@@ -5,6 +5,8 @@
 	"testing"
 
 	"gotest.tools/v3/assert"
+
+	"turmericmoor/core/tmjob"
 )
 
 // Guards against slow endpoints that block all others: their unanswered starts used up
@@ -58,3 +60,18 @@
 	assert.Equal(t, len(stops), 1)
 	assert.Equal(t, stops[0].Ref.Run, 2)
 }
+
+// Guards against running tasks twice: the answer to a hold that had overtaken an earlier
+// one made the earlier answer look like that of a restarted endpoint.
+func TestOvertakenAnswerIsNoRestart(t *testing.T) {
+	f := newFixture(t, 1)
+	f.c.Submitted(oneTask("j"))
+	f.advance(10)
+	f.answerHold("e1")
+	early := HoldResponse{Clock: int64(f.now) - 5, StartedAt: 5, Active: f.runs["e1"]}
+	f.c.HoldAnswered("e1", early, f.now, f.now+1)
+	assert.Equal(t, len(f.c.endpoints["e1"].runs), 1)
+	previous := HoldResponse{Clock: int64(f.now) + 9000, StartedAt: 4, Ended: []EndedRun{{Number: 900, Task: tmjob.TaskID{Job: "x"}}}}
+	f.c.HoldAnswered("e1", previous, f.now, f.now+1)
+	assert.Equal(t, f.c.endpoints["e1"].seen, int64(0))
+}
--- a/core/tmevent/event.go
+++ b/core/tmevent/event.go
@@ -34,6 +34,8 @@
 	EndpointCrashed Name = "endpoint_crashed"
 	// EndpointDraining: an endpoint started draining: endpoint.
 	EndpointDraining Name = "endpoint_draining"
+	// EndpointIsolated: an endpoint was set aside for a suspect, until ended is true: endpoint, task, runs, ended.
+	EndpointIsolated Name = "endpoint_isolated"
 	// EndpointListed: an endpoint appeared in the list: endpoint, service, instance, zone.
 	EndpointListed Name = "endpoint_listed"
 	// EndpointLost: the lifetime of an endpoint has ended: endpoint, runs, cause.
@@ -141,6 +143,7 @@
 	EndpointAvoided,
 	EndpointCrashed,
 	EndpointDraining,
+	EndpointIsolated,
 	EndpointListed,
 	EndpointLost,
 	EndpointRestarted,
