core/tmcontrol: clear the neighbours of a task once it is found to crash endpoints

Cause: tasks that were at work at a crash kept its count although its cause was found, and long-running ones among them held isolated endpoints for ten seconds each. Crashes in isolation count against the suspect only; a crash whose cause is found counts against nobody else any more; the most suspicious are tried first.

--- a/core/tmcontrol/controller.go
+++ b/core/tmcontrol/controller.go
@@ -71,7 +71,7 @@
 	unansweredStarts []*run
 
 	// newCrashes are the crashes of endpoints that are not attributed yet, recentCrashes
-	// those within the last sharedFaultWindow.
+	// those within the last crashRetention.
 	newCrashes, recentCrashes []*crash
 
 	fleet fleet
--- a/core/tmcontrol/crash.go
+++ b/core/tmcontrol/crash.go
@@ -27,8 +27,8 @@
 	// maxCrashes is the number of crashes under a task after which its job fails whatever
 	// else may have caused them.
 	maxCrashes = 5
-	// maxSuspicions is the number of suspicions at which a job fails: one crash that other
-	// tasks may have caused, and two in isolation.
+	// maxSuspicions is the number of suspicions at which a job fails. The first may be due
+	// to a crash that other tasks may have caused as well, the others need isolation.
 	maxSuspicions = 3
 	// exonerationTime is how long a run must last for the earlier crashes under its task
 	// to be forgotten.
@@ -36,6 +36,9 @@
 	// sharedFaultWindow is the time between two crashes in one availability zone that may
 	// have a common cause outside of the endpoints.
 	sharedFaultWindow = 2 * tmclock.Second
+	// crashRetention is how long after a crash other tasks are cleared once its cause is
+	// found.
+	crashRetention = 60 * tmclock.Second
 )
 
 // lossCause says how the loss of an endpoint or of its runs became known. Its text is
@@ -62,6 +65,9 @@
 	at             tmclock.Millis
 	cause          lossCause
 	runs           []*run
+	// counted are the tasks whose number of crashes includes this one, suspected those that
+	// have a suspicion because of it.
+	counted, suspected []*task
 }
 
 // isolated returns the task that was starting in isolation on the endpoint, or nil.
@@ -191,7 +197,7 @@
 	}
 	batch := c.newCrashes
 	c.newCrashes = nil
-	c.recentCrashes = slices.DeleteFunc(c.recentCrashes, func(cr *crash) bool { return c.now.Sub(cr.at) > sharedFaultWindow })
+	c.recentCrashes = slices.DeleteFunc(c.recentCrashes, func(cr *crash) bool { return c.now.Sub(cr.at) > crashRetention })
 	c.recentCrashes = append(c.recentCrashes, batch...)
 	for _, cr := range batch {
 		c.attributeCrash(cr)
@@ -204,18 +210,21 @@
 	c.event(tmevent.EndpointCrashed, "endpoint", cr.endpoint, "zone", cr.zone, "runs", len(cr.runs),
 		"starting", len(starting), "shared_fault", shared, "cause", string(cr.cause))
 	isolated := cr.isolated()
-	counted := map[*task]bool{}
 	for _, r := range cr.runs {
 		t := r.task.culprit()
-		if counted[t] || t.done || t.step.occ.job.final {
+		if t.done || t.step.occ.job.final || slices.Contains(cr.counted, t) {
+			continue
+		}
+		if isolated != nil && isolated != t {
 			continue
 		}
-		counted[t] = true
 		if !r.counted {
 			t.crashes++
 		}
-		if slices.Contains(starting, t) && !shared {
-			t.addSuspicion(t == isolated && r.startedHere())
+		cr.counted = append(cr.counted, t)
+		if slices.Contains(starting, t) && !shared && (t.suspicions == 0 || isolated == t && r.startedHere()) {
+			t.suspicions++
+			cr.suspected = append(cr.suspected, t)
 		}
 		c.markSuspect(t, cr.endpoint)
 	}
@@ -228,6 +237,7 @@
 	c.markDirty(j)
 	if t.suspicions >= maxSuspicions || t.crashes >= maxCrashes {
 		c.finish(j, tmjob.Failed, "endpoints crashed under task "+t.id.String())
+		c.explainCrashes(t)
 		return
 	}
 	if t.isSuspect() {
@@ -236,11 +246,20 @@
 	}
 }
 
-// addSuspicion records a crash that the task may have caused by starting. Crashes that
-// other tasks may have caused as well raise the suspicion only once.
-func (t *task) addSuspicion(isolated bool) {
-	if isolated || t.suspicions == 0 {
-		t.suspicions++
+// explainCrashes clears the other tasks of the crashes that a task has caused.
+func (c *Controller) explainCrashes(cause *task) {
+	for _, cr := range c.recentCrashes {
+		if !slices.Contains(cr.counted, cause) {
+			continue
+		}
+		for _, t := range cr.counted {
+			t.crashes = max(0, t.crashes-1)
+			c.markDirty(t.step.occ.job)
+		}
+		for _, t := range cr.suspected {
+			t.suspicions = max(0, t.suspicions-1)
+		}
+		cr.counted, cr.suspected = nil, nil
 	}
 }
 
@@ -249,7 +268,7 @@
 // a task.
 func (c *Controller) isSharedFault(cr *crash) bool {
 	for _, other := range c.recentCrashes {
-		if other != cr && other.zone == cr.zone && other.endpoint != cr.endpoint && len(other.starting()) == 0 {
+		if other != cr && cr.at.Sub(other.at) <= sharedFaultWindow && other.zone == cr.zone && other.endpoint != cr.endpoint && len(other.starting()) == 0 {
 			return true
 		}
 	}
--- a/core/tmcontrol/isolation.go
+++ b/core/tmcontrol/isolation.go
@@ -1,6 +1,9 @@
 package tmcontrol
 
 import (
+	"cmp"
+	"slices"
+
 	"turmericmoor/core/tmclock"
 	"turmericmoor/core/tmevent"
 )
@@ -11,34 +14,41 @@
 
 // planSuspects starts suspects in isolation. An endpoint is set aside for each: it gets no
 // other tasks until those that it has are at work and the suspect is at work as well.
-// If it crashes meanwhile, nothing but the suspect was starting there.
+// If it crashes meanwhile, nothing but the suspect was starting there. The most suspicious
+// go first, because those beside whom they were suspected are cleared with them.
 func (c *Controller) planSuspects(pools map[string]*pool, now tmclock.Millis) {
 	c.endIsolations(now)
+	suspects := c.waitingSuspects(now)
+	slices.SortStableFunc(suspects, func(a, b *task) int { return cmp.Compare(b.suspicions, a.suspicions) })
+	for _, t := range suspects {
+		p := pools[c.rules.Queues[t.step.occ.job.spec.Queue].Service]
+		if p != nil && c.pending < maxPending && c.withinLimit(t.step, 1) {
+			c.placeIsolated(t, p, now)
+		}
+	}
+}
+
+// waitingSuspects returns the suspects that may start now, other than gangs.
+func (c *Controller) waitingSuspects(now tmclock.Millis) []*task {
+	var suspects []*task
 	for _, j := range c.openJobs {
 		if !j.hasSuspects {
 			continue
 		}
-		p := pools[c.rules.Queues[j.spec.Queue].Service]
-		if p == nil {
-			continue
-		}
 		for _, o := range j.occurrences {
 			for _, s := range o.steps {
-				c.planSuspectsOf(s, p, now)
+				if s.left == 0 || s.spec.Gang || !s.ready() {
+					continue
+				}
+				for _, t := range s.tasks {
+					if t.isSuspect() && t.waiting(now) {
+						suspects = append(suspects, t)
+					}
+				}
 			}
 		}
 	}
-}
-
-func (c *Controller) planSuspectsOf(s *step, p *pool, now tmclock.Millis) {
-	if s.left == 0 || s.spec.Gang || !s.ready() {
-		return
-	}
-	for _, t := range s.tasks {
-		if t.isSuspect() && t.waiting(now) && c.pending < maxPending && c.withinLimit(s, 1) {
-			c.placeIsolated(t, p, now)
-		}
-	}
+	return suspects
 }
 
 // placeIsolated sets an endpoint aside for a suspect, and starts the suspect there once
