core/tmcontrol: count each crash under a starting task for good, clear only suspicions

Crashes under a task that was starting stay counted; tasks that were at work count only a crash at which nothing was starting.

--- a/core/tmcontrol/crash.go
+++ b/core/tmcontrol/crash.go
@@ -18,11 +18,8 @@
 const MinWorkTime = 200 * tmclock.Millisecond
 
 const (
-	// suspectCrashes is how many endpoints must have crashed under a task for it to be a
-	// suspect even though it was at work at each crash.
-	suspectCrashes = 2
-	// watchedCrashes is the number of crashes from which on a task stays isolated while
-	// it runs. It may need a while to cause a crash.
+	// watchedCrashes is the number of crashes from which on a task is isolated for as long
+	// as it runs. It may need a while to cause a crash.
 	watchedCrashes = 3
 	// maxCrashes is the number of crashes under a task after which its job fails whatever
 	// else may have caused them.
@@ -65,35 +62,49 @@
 	at             tmclock.Millis
 	cause          lossCause
 	runs           []*run
-	// counted are the tasks whose number of crashes includes this one, suspected those that
-	// have a suspicion because of it.
-	counted, suspected []*task
+	// suspected are the tasks that have a suspicion because of the crash.
+	suspected []*task
 }
 
-// isolated returns the task that was starting in isolation on the endpoint, or nil.
-func (cr *crash) isolated() *task {
-	for _, r := range cr.runs {
-		if r.isolated && r.isStarting() {
-			return r.task.culprit()
-		}
+// starting returns the tasks that may have caused the crash by starting. Beside one that
+// was isolated, no other was starting.
+func (cr *crash) starting() []*task {
+	isolated := cr.tasksOf(func(r *run) bool { return r.isolated && r.isStarting() })
+	if len(isolated) > 0 {
+		return isolated
 	}
-	return nil
+	return cr.tasksOf((*run).isStarting)
 }
 
-// starting returns the tasks that may have caused the crash by starting.
-func (cr *crash) starting() []*task {
-	if t := cr.isolated(); t != nil {
-		return []*task{t}
-	}
+// isConclusive reports whether t was the only task that was starting, in isolation. That
+// is known only of runs that this owner started.
+func (cr *crash) isConclusive(t *task) bool {
+	return len(cr.starting()) == 1 && slices.ContainsFunc(cr.runs, func(r *run) bool {
+		return r.isolated && r.sentAt != 0 && r.task.culprit() == t
+	})
+}
+
+// tasks returns all tasks that ran on the endpoint.
+func (cr *crash) tasks() []*task {
+	return cr.tasksOf(func(*run) bool { return true })
+}
+
+// tasksOf returns the distinct tasks of the runs that match.
+func (cr *crash) tasksOf(match func(*run) bool) []*task {
 	var tasks []*task
 	for _, r := range cr.runs {
-		if t := r.task.culprit(); r.isStarting() && !slices.Contains(tasks, t) {
+		if t := r.task.culprit(); match(r) && !slices.Contains(tasks, t) {
 			tasks = append(tasks, t)
 		}
 	}
 	return tasks
 }
 
+// isCounted reports whether recordLapse has already counted the crash under a task.
+func (cr *crash) isCounted(t *task) bool {
+	return slices.ContainsFunc(cr.runs, func(r *run) bool { return r.counted && r.task.culprit() == t })
+}
+
 // culprit returns the task to which a crash under t is attributed. All members of a gang
 // start together, so the first stands for all.
 func (t *task) culprit() *task {
@@ -108,14 +119,10 @@
 	return !r.atWork || r.task.culprit().crashes >= watchedCrashes
 }
 
-// startedHere reports whether this owner started the run, so that it knows whether the run
-// has been at work.
-func (r *run) startedHere() bool { return r.sentAt != 0 }
-
 // isSuspect reports whether a task may be the cause of a crash.
 func (t *task) isSuspect() bool {
 	u := t.culprit()
-	return u.suspicions > 0 || u.crashes >= suspectCrashes
+	return u.suspicions > 0 || u.crashes >= watchedCrashes
 }
 
 // isCrash reports whether the end of a lifetime was not planned: no order for the
@@ -209,20 +216,18 @@
 	shared := c.isSharedFault(cr)
 	c.event(tmevent.EndpointCrashed, "endpoint", cr.endpoint, "zone", cr.zone, "runs", len(cr.runs),
 		"starting", len(starting), "shared_fault", shared, "cause", string(cr.cause))
-	isolated := cr.isolated()
-	for _, r := range cr.runs {
-		t := r.task.culprit()
-		if t.done || t.step.occ.job.final || slices.Contains(cr.counted, t) {
-			continue
-		}
-		if isolated != nil && isolated != t {
+	candidates := starting
+	if len(starting) == 0 && !shared {
+		candidates = cr.tasks()
+	}
+	for _, t := range candidates {
+		if t.done || t.step.occ.job.final {
 			continue
 		}
-		if !r.counted {
+		if !cr.isCounted(t) {
 			t.crashes++
 		}
-		cr.counted = append(cr.counted, t)
-		if slices.Contains(starting, t) && !shared && (t.suspicions == 0 || isolated == t && r.startedHere()) {
+		if slices.Contains(starting, t) && !shared && (t.suspicions == 0 || cr.isConclusive(t)) {
 			t.suspicions++
 			cr.suspected = append(cr.suspected, t)
 		}
@@ -246,20 +251,18 @@
 	}
 }
 
-// explainCrashes clears the other tasks of the crashes that a task has caused.
+// explainCrashes clears the tasks that were suspected because of the crashes that a task
+// has caused.
 func (c *Controller) explainCrashes(cause *task) {
 	for _, cr := range c.recentCrashes {
-		if !slices.Contains(cr.counted, cause) {
+		if !slices.Contains(cr.suspected, cause) {
 			continue
 		}
-		for _, t := range cr.counted {
-			t.crashes = max(0, t.crashes-1)
-			c.markDirty(t.step.occ.job)
-		}
 		for _, t := range cr.suspected {
 			t.suspicions = max(0, t.suspicions-1)
+			c.markDirty(t.step.occ.job)
 		}
-		cr.counted, cr.suspected = nil, nil
+		cr.suspected = nil
 	}
 }
 
--- a/core/tmcontrol/isolation.go
+++ b/core/tmcontrol/isolation.go
@@ -144,12 +144,23 @@
 func (c *Controller) endIsolations(now tmclock.Millis) {
 	for _, e := range c.endpoints {
 		if e.isolated != nil && !e.needsIsolation(now) {
+			c.clearIsolated(e)
 			c.event(tmevent.EndpointIsolated, "endpoint", e.info.ID, "task", e.isolated.id.String(), "runs", len(e.runs), "ended", true)
 			e.isolated = nil
 		}
 	}
 }
 
+// clearIsolated records, also for the next owner, that a suspect has started well.
+func (c *Controller) clearIsolated(e *endpoint) {
+	for _, r := range e.runs {
+		if r.isolated {
+			r.isolated = false
+			c.markDirty(r.task.step.occ.job)
+		}
+	}
+}
+
 // needsIsolation reports whether the suspect that is isolated on e is starting there or
 // is about to be placed there.
 func (e *endpoint) needsIsolation(now tmclock.Millis) bool {
