core/tmcontrol: a crash shortly after a hand-over counts

An instance that is down has crashed; other ends on an instance with an earlier order count, but suspect nobody. The end of an idle endpoint that never answered this owner is no crash. TestCrashAfterAnEarlierOrderCounts and TestEndsBeforeThisOwnerClearNoSuspects fail without it.

--- a/core/tmcontrol/crash.go
+++ b/core/tmcontrol/crash.go
@@ -62,6 +62,8 @@
 	at             tmclock.Millis
 	cause          lossCause
 	runs           []*run
+	// mayBeOrder is set if an order of an earlier owner may have ended the lifetime.
+	mayBeOrder bool
 	// suspected are the tasks that have a suspicion because of the crash.
 	suspected []*task
 }
@@ -127,24 +129,31 @@
 
 // isCrash reports whether the end of a lifetime was not planned: no order for the
 // instance ended it, and the endpoint had not announced that it would leave.
-func (c *Controller) isCrash(e *endpoint, cause lossCause) bool {
+func isCrash(e *endpoint, cause lossCause) bool {
 	switch cause {
 	case causeMaintenance, causeMoved, causeUnknown, causeLapsed:
 		return false
 	case causeRestarted, causeReplaced, causeDown:
 	}
-	orderedEarlier := c.now.Before(c.fleet.earliestOrder[e.info.Instance])
-	return !e.ending && !e.info.Draining && !orderedEarlier
+	return !e.ending && !e.info.Draining
+}
+
+// mayHaveBeenOrdered reports whether an order of an earlier owner may have ended a
+// lifetime. An instance that is down has crashed: orders keep it moving or in maintenance.
+func (c *Controller) mayHaveBeenOrdered(e *endpoint, cause lossCause) bool {
+	return cause != causeDown && c.now.Before(c.fleet.earliestOrder[e.info.Instance])
 }
 
 // recordCrash records the end of a lifetime if it was not planned. It is attributed
-// later, together with all others that become known at the same time.
+// later, together with all others that become known at the same time. The end of an idle
+// endpoint that never answered this owner may lie far back.
 func (c *Controller) recordCrash(e *endpoint, cause lossCause) {
-	if !c.isCrash(e, cause) {
+	if !isCrash(e, cause) || len(e.runs)+len(e.lapsed) == 0 && !e.tokenAccepted {
 		return
 	}
 	cr := &crash{
-		endpoint: e.info.ID, zone: e.info.Zone, startedAt: e.info.StartedAt, at: c.now, cause: cause, runs: e.lapsed,
+		endpoint: e.info.ID, zone: e.info.Zone, startedAt: e.info.StartedAt, at: c.now, cause: cause,
+		mayBeOrder: c.mayHaveBeenOrdered(e, cause), runs: e.lapsed,
 	}
 	for _, r := range e.runs {
 		cr.runs = append(cr.runs, r)
@@ -155,9 +164,6 @@
 // recordRestoredCrash records that an endpoint has restarted since an earlier owner
 // stored a run on it.
 func (c *Controller) recordRestoredCrash(t *task, e *endpoint, place tmjob.Placement) {
-	if !c.isCrash(e, causeRestarted) {
-		return
-	}
 	r := &run{task: t, n: place.Run, ep: e, isolated: place.Isolated}
 	for _, cr := range c.newCrashes {
 		if cr.endpoint == place.Endpoint && cr.startedAt == place.EndpointStart {
@@ -167,7 +173,7 @@
 	}
 	c.newCrashes = append(c.newCrashes, &crash{
 		endpoint: place.Endpoint, zone: e.info.Zone, startedAt: place.EndpointStart, at: c.now, cause: causeRestarted,
-		runs: []*run{r},
+		mayBeOrder: c.mayHaveBeenOrdered(e, causeRestarted), runs: []*run{r},
 	})
 }
 
@@ -213,11 +219,11 @@
 
 func (c *Controller) attributeCrash(cr *crash) {
 	starting := cr.starting()
-	shared := c.isSharedFault(cr)
+	blameless := cr.mayBeOrder || c.isSharedFault(cr)
 	c.event(tmevent.EndpointCrashed, "endpoint", cr.endpoint, "zone", cr.zone, "runs", len(cr.runs),
-		"starting", len(starting), "shared_fault", shared, "cause", string(cr.cause))
+		"starting", len(starting), "blameless", blameless, "cause", string(cr.cause))
 	candidates := starting
-	if len(starting) == 0 && !shared {
+	if len(starting) == 0 && !blameless {
 		candidates = cr.tasks()
 	}
 	for _, t := range candidates {
@@ -227,7 +233,7 @@
 		if !cr.isCounted(t) {
 			t.crashes++
 		}
-		if slices.Contains(starting, t) && !shared && (t.suspicions == 0 || cr.isConclusive(t)) {
+		if slices.Contains(starting, t) && !blameless && (t.suspicions == 0 || cr.isConclusive(t)) {
 			t.suspicions++
 			cr.suspected = append(cr.suspected, t)
 		}
@@ -271,7 +277,7 @@
 // a task.
 func (c *Controller) isSharedFault(cr *crash) bool {
 	for _, other := range c.recentCrashes {
-		if other != cr && cr.at.Sub(other.at) <= sharedFaultWindow && other.zone == cr.zone && other.endpoint != cr.endpoint && len(other.starting()) == 0 {
+		if other != cr && cr.at.Sub(other.at) <= sharedFaultWindow && other.zone == cr.zone && !other.mayBeOrder && other.endpoint != cr.endpoint && len(other.starting()) == 0 {
 			return true
 		}
 	}
--- a/core/tmcontrol/crash_test.go
+++ b/core/tmcontrol/crash_test.go
@@ -212,3 +212,34 @@
 		f.restart(e)
 	}
 }
+
+// Guards against clearing the suspects of a crash because of endpoints that had ended
+// long before this owner began.
+func TestEndsBeforeThisOwnerClearNoSuspects(t *testing.T) {
+	f := newFixture(t, 2)
+	f.c.Submitted(oneTask("j"))
+	ref := f.advance(10)[0].Ref
+	stale := f.endpointInfo(3)
+	f.c.SetEndpoint(stale, f.now)
+	stale.ID, stale.StartedAt = "e9", 9
+	f.c.SetEndpoint(stale, f.now)
+	f.restart(ref.Endpoint)
+	f.advance(10)
+	assert.Equal(t, f.c.jobs["j"].task(ref.Task).suspicions, 1)
+}
+
+// Guards against crashes that don't count on an instance that an earlier owner had given
+// an order about shortly before.
+func TestCrashAfterAnEarlierOrderCounts(t *testing.T) {
+	f := newFixture(t, 2)
+	f.c.bounds.HandoverDelay = 3000
+	f.c.RestoreOrders([]string{"i1", "i2"}, f.now)
+	f.c.Submitted(oneTask("j"))
+	ref := f.advance(10)[0].Ref
+	i := f.c.endpoints[ref.Endpoint].info.Instance
+	f.c.SetInstances([]Instance{{ID: i, Pool: "s", State: InstanceDown}}, f.now)
+	f.advance(10)
+	task := f.c.jobs["j"].task(ref.Task)
+	assert.Equal(t, task.crashes, 1)
+	assert.Equal(t, task.suspicions, 1)
+}
--- a/core/tmevent/event.go
+++ b/core/tmevent/event.go
@@ -30,7 +30,7 @@
 	EndpointAnswers Name = "endpoint_answers"
 	// EndpointAvoided: an endpoint gets no new tasks for a time because several runs in a row failed on it: endpoint, failures, for_ms.
 	EndpointAvoided Name = "endpoint_avoided"
-	// EndpointCrashed: the lifetime of an endpoint ended without planned work, starting is the number of tasks that may have crashed it by starting, shared_fault says that others in its zone crashed as well: endpoint, zone, runs, starting, shared_fault, cause.
+	// EndpointCrashed: the lifetime of an endpoint ended without planned work, starting is the number of tasks that may have crashed it by starting, blameless says that the cause was probably none of them: endpoint, zone, runs, starting, blameless, cause.
 	EndpointCrashed Name = "endpoint_crashed"
 	// EndpointDraining: an endpoint started draining: endpoint.
 	EndpointDraining Name = "endpoint_draining"
