--- a/core/tmcontrol/crash.go
+++ b/core/tmcontrol/crash.go
@@ -78,11 +78,14 @@
 	return cr.tasksOf((*run).isStarting)
 }
 
-// isConclusive reports whether t was the only task that was starting, in isolation. That
-// is known only of runs that this owner started.
-func (cr *crash) isConclusive(t *task) bool {
-	return len(cr.starting()) == 1 && slices.ContainsFunc(cr.runs, func(r *run) bool {
-		return r.isolated && r.sentAt != 0 && r.task.culprit() == t
+// suspects reports whether the crash raises a suspicion against a task that was starting.
+// The first one may be due to others; any further one needs a crash under nothing else
+// that was starting, in isolation. Whether a run that an earlier owner started was at work
+// is not known, so none is suspected for it.
+func (cr *crash) suspects(t *task, starting int) bool {
+	return slices.ContainsFunc(cr.runs, func(r *run) bool {
+		isConclusive := r.isolated && starting == 1
+		return r.task.culprit() == t && r.sentAt != 0 && (t.suspicions == 0 || isConclusive)
 	})
 }
 
@@ -233,7 +236,7 @@
 		if !cr.isCounted(t) {
 			t.crashes++
 		}
-		if slices.Contains(starting, t) && !blameless && (t.suspicions == 0 || cr.isConclusive(t)) {
+		if len(starting) > 0 && !blameless && cr.suspects(t, len(starting)) {
 			t.suspicions++
 			cr.suspected = append(cr.suspected, t)
 		}
