--- a/core/tmcontrol/crash.go
+++ b/core/tmcontrol/crash.go
@@ -30,9 +30,10 @@
 	// exonerationTime is how long a run must last for the earlier crashes under its task
 	// to be forgotten.
 	exonerationTime = 10 * tmclock.Second
-	// sharedFaultWindow is the time between two crashes in one availability zone that may
-	// have a common cause outside of the endpoints.
-	sharedFaultWindow = 2 * tmclock.Second
+	// zoneFaultWindow and fleetFaultWindow are the most that two crashes with a common cause
+	// outside of the endpoints lie apart, in one availability zone and anywhere.
+	zoneFaultWindow  = 2 * tmclock.Second
+	fleetFaultWindow = 300 * tmclock.Millisecond
 	// crashRetention is how long after a crash other tasks are cleared once its cause is
 	// found.
 	crashRetention = 60 * tmclock.Second
@@ -275,12 +276,18 @@
 	}
 }
 
-// isSharedFault reports whether an endpoint on which nothing was starting has crashed in
-// the same availability zone at about the same time, so that the cause was probably not
-// a task.
+// isSharedFault reports whether an endpoint on which nothing was starting has crashed at
+// about the same time, so that the cause was probably not a task.
 func (c *Controller) isSharedFault(cr *crash) bool {
 	for _, other := range c.recentCrashes {
-		if other != cr && cr.at.Sub(other.at) <= sharedFaultWindow && other.zone == cr.zone && !other.mayBeOrder && other.endpoint != cr.endpoint && len(other.starting()) == 0 {
+		if other == cr || other.endpoint == cr.endpoint || other.mayBeOrder || len(other.starting()) > 0 {
+			continue
+		}
+		window := fleetFaultWindow
+		if other.zone == cr.zone {
+			window = zoneFaultWindow
+		}
+		if cr.at.Sub(other.at) <= window {
 			return true
 		}
 	}
--- a/core/tmcontrol/crash_test.go
+++ b/core/tmcontrol/crash_test.go
@@ -243,3 +243,19 @@
 	assert.Equal(t, task.crashes, 1)
 	assert.Equal(t, task.suspicions, 1)
 }
+
+// Guards against isolating the tasks of many endpoints that crashed at the same moment in
+// several zones, an idle one among them.
+func TestSimultaneousCrashesSuspectNoTask(t *testing.T) {
+	f := newFixture(t, 4)
+	for i := range 4 {
+		info := f.endpointInfo(i + 1)
+		info.Zone = fmt.Sprintf("z%d", i)
+		f.c.SetEndpoint(info, f.now)
+	}
+	f.c.Submitted(oneTask("j"))
+	f.advance(10)
+	f.restart("e1", "e2", "e3", "e4")
+	f.advance(10)
+	assert.Equal(t, f.c.jobs["j"].task(tmjob.TaskID{Job: "j"}).suspicions, 0)
+}
