--- a/core/tmcontrol/crash.go
+++ b/core/tmcontrol/crash.go
@@ -1,13 +1,43 @@
 package tmcontrol
 
 import (
+	"slices"
+
 	"turmericmoor/core/tmclock"
 	"turmericmoor/core/tmevent"
+	"turmericmoor/core/tmjob"
 )
 
-// minWorkTime is how long after its start a run must be listed by its endpoint to count
-// as being at work.
-const minWorkTime = 200 * tmclock.Millisecond
+// This file attributes crashes of endpoints to the tasks that may have caused them. A
+// crash leaves no end of a run behind, so every task that was just starting on the
+// endpoint is a suspect. Suspects start again in isolation, see isolation.go. The job of
+// a suspect under which endpoints crash in isolation fails.
+
+// MinWorkTime is how long after its start a run must be listed by its endpoint to count as
+// being at work.
+const MinWorkTime = 200 * tmclock.Millisecond
+
+const (
+	// watchedCrashes is the number of crashes from which on a task is isolated for as long
+	// as it runs. It may need a while to cause a crash.
+	watchedCrashes = 3
+	// maxCrashes is the number of crashes under a task after which its job fails whatever
+	// else may have caused them.
+	maxCrashes = 5
+	// maxSuspicions is the number of suspicions at which a job fails. The first may be due
+	// to a crash that other tasks may have caused as well, the others need isolation.
+	maxSuspicions = 3
+	// exonerationTime is how long a run must last for the earlier crashes under its task
+	// to be forgotten.
+	exonerationTime = 10 * tmclock.Second
+	// zoneFaultWindow and fleetFaultWindow are the most that two crashes with a common cause
+	// outside of the endpoints lie apart, in one availability zone and anywhere.
+	zoneFaultWindow  = 2 * tmclock.Second
+	fleetFaultWindow = 300 * tmclock.Millisecond
+	// crashRetention is how long after a crash other tasks are cleared once its cause is
+	// found.
+	crashRetention = 60 * tmclock.Second
+)
 
 // lossCause says how the loss of an endpoint or of its runs became known. Its text is
 // written to logs.
@@ -26,29 +56,250 @@
 	causeMoved       lossCause = "moved to another pool"
 )
 
+// crash is the end of a lifetime of an endpoint that was not planned.
+type crash struct {
+	endpoint, zone string
+	startedAt      int64
+	at             tmclock.Millis
+	cause          lossCause
+	runs           []*run
+	// mayBeOrder is set if an order of an earlier owner may have ended the lifetime.
+	mayBeOrder bool
+	// suspected are the tasks that have a suspicion because of the crash.
+	suspected []*task
+}
+
+// starting returns the tasks that may have caused the crash by starting. Beside one that
+// was isolated, no other was starting.
+func (cr *crash) starting() []*task {
+	isolated := cr.tasksOf(func(r *run) bool { return r.isolated && r.isStarting() })
+	if len(isolated) > 0 {
+		return isolated
+	}
+	return cr.tasksOf((*run).isStarting)
+}
+
+// suspects reports whether the crash raises a suspicion against a task that was starting.
+// The first one may be due to others; any further one needs a crash under nothing else
+// that was starting, in isolation. Whether a run that an earlier owner started was at work
+// is not known, so none is suspected for it.
+func (cr *crash) suspects(t *task, starting int) bool {
+	return slices.ContainsFunc(cr.runs, func(r *run) bool {
+		isConclusive := r.isolated && starting == 1
+		return r.task.culprit() == t && r.sentAt != 0 && (t.suspicions == 0 || isConclusive)
+	})
+}
+
+// tasks returns all tasks that ran on the endpoint.
+func (cr *crash) tasks() []*task {
+	return cr.tasksOf(func(*run) bool { return true })
+}
+
+// tasksOf returns the distinct tasks of the runs that match.
+func (cr *crash) tasksOf(match func(*run) bool) []*task {
+	var tasks []*task
+	for _, r := range cr.runs {
+		if t := r.task.culprit(); match(r) && !slices.Contains(tasks, t) {
+			tasks = append(tasks, t)
+		}
+	}
+	return tasks
+}
+
+// isCounted reports whether recordLapse has already counted the crash under a task.
+func (cr *crash) isCounted(t *task) bool {
+	return slices.ContainsFunc(cr.runs, func(r *run) bool { return r.counted && r.task.culprit() == t })
+}
+
+// culprit returns the task to which a crash under t is attributed. All members of a gang
+// start together, so the first stands for all.
+func (t *task) culprit() *task {
+	if t.step.spec.Gang {
+		return t.step.tasks[0]
+	}
+	return t
+}
+
+// isStarting reports whether a run may still crash its endpoint by starting.
+func (r *run) isStarting() bool {
+	return !r.atWork || r.task.culprit().crashes >= watchedCrashes
+}
+
+// isSuspect reports whether a task may be the cause of a crash.
+func (t *task) isSuspect() bool {
+	u := t.culprit()
+	return u.suspicions > 0 || u.crashes >= watchedCrashes
+}
+
 // isCrash reports whether the end of a lifetime was not planned: no order for the
 // instance ended it, and the endpoint had not announced that it would leave.
-func (c *Controller) isCrash(e *endpoint, cause lossCause) bool {
+func isCrash(e *endpoint, cause lossCause) bool {
 	switch cause {
 	case causeMaintenance, causeMoved, causeUnknown, causeLapsed:
 		return false
 	case causeRestarted, causeReplaced, causeDown:
 	}
-	orderedEarlier := c.now.Before(c.fleet.earliestOrder[e.info.Instance])
-	return !e.ending && !e.info.Draining && !orderedEarlier
+	return !e.ending && !e.info.Draining
+}
+
+// mayHaveBeenOrdered reports whether an order of an earlier owner may have ended a
+// lifetime. An instance that is down has crashed: orders keep it moving or in maintenance.
+func (c *Controller) mayHaveBeenOrdered(e *endpoint, cause lossCause) bool {
+	return cause != causeDown && c.now.Before(c.fleet.earliestOrder[e.info.Instance])
 }
 
-// recordCrash logs the end of a lifetime that was not planned.
+// recordCrash records the end of a lifetime if it was not planned. It is attributed
+// later, together with all others that become known at the same time. The end of an idle
+// endpoint that never answered this owner may lie far back.
 func (c *Controller) recordCrash(e *endpoint, cause lossCause) {
-	if !c.isCrash(e, cause) {
+	if !isCrash(e, cause) || len(e.runs)+len(e.lapsed) == 0 && !e.tokenAccepted {
 		return
 	}
-	starting := 0
+	cr := &crash{
+		endpoint: e.info.ID, zone: e.info.Zone, startedAt: e.info.StartedAt, at: c.now, cause: cause,
+		mayBeOrder: c.mayHaveBeenOrdered(e, cause), runs: e.lapsed,
+	}
+	for _, r := range e.runs {
+		cr.runs = append(cr.runs, r)
+	}
+	c.newCrashes = append(c.newCrashes, cr)
+}
+
+// recordRestoredCrash records that an endpoint has restarted since an earlier owner
+// stored a run on it.
+func (c *Controller) recordRestoredCrash(t *task, e *endpoint, place tmjob.Placement) {
+	r := &run{task: t, n: place.Run, ep: e, isolated: place.Isolated}
+	for _, cr := range c.newCrashes {
+		if cr.endpoint == place.Endpoint && cr.startedAt == place.EndpointStart {
+			cr.runs = append(cr.runs, r)
+			return
+		}
+	}
+	c.newCrashes = append(c.newCrashes, &crash{
+		endpoint: place.Endpoint, zone: e.info.Zone, startedAt: place.EndpointStart, at: c.now, cause: causeRestarted,
+		mayBeOrder: c.mayHaveBeenOrdered(e, causeRestarted), runs: []*run{r},
+	})
+}
+
+// recordLapse counts the lapse of a lease under a run that was starting as a crash, since
+// an endpoint that has crashed may be away for longer than the lease.
+func (c *Controller) recordLapse(e *endpoint) {
 	for _, r := range e.runs {
-		if !r.atWork {
-			starting++
+		if t := r.task.culprit(); r.isStarting() && !t.done {
+			r.counted = true
+			t.crashes++
+			c.markSuspect(t, e.info.ID)
+		}
+		e.lapsed = append(e.lapsed, r)
+	}
+}
+
+// forgetLapse takes back what recordLapse counted: the endpoint was only silent.
+func (c *Controller) forgetLapse(e *endpoint) {
+	for _, r := range e.lapsed {
+		if t := r.task.culprit(); r.counted && t.crashes > 0 {
+			t.crashes--
+			c.markDirty(t.step.occ.job)
 		}
 	}
-	c.event(tmevent.EndpointCrashed, "endpoint", e.info.ID, "zone", e.info.Zone,
-		"runs", len(e.runs), "starting", starting, "cause", string(cause))
+	e.lapsed = nil
+}
+
+// attributeCrashes attributes the crashes that have become known since the last call.
+// It waits until all stored jobs are loaded, because other runs may have been on the
+// endpoints of those that are.
+func (c *Controller) attributeCrashes() {
+	if !c.loaded || len(c.newCrashes) == 0 {
+		return
+	}
+	batch := c.newCrashes
+	c.newCrashes = nil
+	c.recentCrashes = slices.DeleteFunc(c.recentCrashes, func(cr *crash) bool { return c.now.Sub(cr.at) > crashRetention })
+	c.recentCrashes = append(c.recentCrashes, batch...)
+	for _, cr := range batch {
+		c.attributeCrash(cr)
+	}
+}
+
+func (c *Controller) attributeCrash(cr *crash) {
+	starting := cr.starting()
+	blameless := cr.mayBeOrder || c.isSharedFault(cr)
+	c.event(tmevent.EndpointCrashed, "endpoint", cr.endpoint, "zone", cr.zone, "runs", len(cr.runs),
+		"starting", len(starting), "blameless", blameless, "cause", string(cr.cause))
+	candidates := starting
+	if len(starting) == 0 && !blameless {
+		candidates = cr.tasks()
+	}
+	for _, t := range candidates {
+		if t.done || t.step.occ.job.final {
+			continue
+		}
+		if !cr.isCounted(t) {
+			t.crashes++
+		}
+		if len(starting) > 0 && !blameless && cr.suspects(t, len(starting)) {
+			t.suspicions++
+			cr.suspected = append(cr.suspected, t)
+		}
+		c.markSuspect(t, cr.endpoint)
+	}
+}
+
+// markSuspect stores that an endpoint has crashed under a task, and fails the job of the
+// task if that was once too often.
+func (c *Controller) markSuspect(t *task, endpoint string) {
+	j := t.step.occ.job
+	c.markDirty(j)
+	if t.suspicions >= maxSuspicions || t.crashes >= maxCrashes {
+		c.finish(j, tmjob.Failed, "endpoints crashed under task "+t.id.String())
+		c.explainCrashes(t)
+		return
+	}
+	if t.isSuspect() {
+		j.hasSuspects = true
+		c.event(tmevent.TaskSuspected, "task", t.id.String(), "endpoint", endpoint, "crashes", t.crashes, "suspicions", t.suspicions)
+	}
+}
+
+// explainCrashes clears the tasks that were suspected because of the crashes that a task
+// has caused.
+func (c *Controller) explainCrashes(cause *task) {
+	for _, cr := range c.recentCrashes {
+		if !slices.Contains(cr.suspected, cause) {
+			continue
+		}
+		for _, t := range cr.suspected {
+			t.suspicions = max(0, t.suspicions-1)
+			c.markDirty(t.step.occ.job)
+		}
+		cr.suspected = nil
+	}
+}
+
+// isSharedFault reports whether an endpoint on which nothing was starting has crashed at
+// about the same time, so that the cause was probably not a task.
+func (c *Controller) isSharedFault(cr *crash) bool {
+	for _, other := range c.recentCrashes {
+		if other == cr || other.endpoint == cr.endpoint || other.mayBeOrder || len(other.starting()) > 0 {
+			continue
+		}
+		window := fleetFaultWindow
+		if other.zone == cr.zone {
+			window = zoneFaultWindow
+		}
+		if cr.at.Sub(other.at) <= window {
+			return true
+		}
+	}
+	return false
+}
+
+// exonerate forgets the crashes under a task of which a run has lasted long enough.
+func (c *Controller) exonerate(r *run, now tmclock.Millis) {
+	t := r.task.culprit()
+	if t.crashes == 0 || !r.atWork || now.Sub(r.startedAt) < exonerationTime {
+		return
+	}
+	t.crashes, t.suspicions = 0, 0
+	c.markDirty(t.step.occ.job)
 }
--- a/core/tmcontrol/hold.go
+++ b/core/tmcontrol/hold.go
@@ -77,6 +77,8 @@
 		return idleHoldWait
 	case e.serving > 0 && e.bestEffort > 0:
 		return paceHoldWait
+	case e.isolated != nil:
+		return MinWorkTime
 	}
 	return busyHoldWait
 }
@@ -94,7 +96,7 @@
 // whether the caller has to plan again or to send orders.
 func (c *Controller) HoldAnswered(id string, response HoldResponse, sentAt, now tmclock.Millis) (news bool) {
 	e := c.endpoints[id]
-	if e == nil || e.gone {
+	if e == nil || e.gone || e.isOvertaken(response) {
 		return false
 	}
 	news = len(response.Ended) > 0 || !e.answering
@@ -109,6 +111,7 @@
 		c.event(tmevent.EndpointAnswers, "endpoint", id, "runs", len(response.Active), "ends", len(response.Ended))
 	}
 	e.tokenAccepted, e.answering = true, true
+	c.forgetLapse(e)
 	listed := map[runKey]bool{}
 	for _, end := range response.Ended {
 		listed[runKey{end.Task, end.Run}] = true
@@ -137,6 +140,16 @@
 	return news || e.stopping > 0 || len(c.stops)+len(c.paces) > 0
 }
 
+// isOvertaken reports whether a response is older than one that was handled before: from
+// an earlier lifetime, or from an earlier time of the same one. Answers to holds that are
+// under way at the same time may arrive in any order.
+func (e *endpoint) isOvertaken(response HoldResponse) bool {
+	if response.StartedAt == 0 || response.StartedAt > e.info.StartedAt {
+		return false
+	}
+	return response.StartedAt < e.info.StartedAt || e.tokenAccepted && response.Clock < e.clock
+}
+
 // HoldFailed records that a hold at an endpoint got no valid response.
 func (c *Controller) HoldFailed(id string, cause string) {
 	e := c.endpoints[id]
@@ -166,7 +179,8 @@
 	}
 	c.markAnswered(r)
 	r.settledAt, r.unanswered = now, false
-	r.atWork = r.atWork || now.Sub(r.startedAt) >= minWorkTime
+	r.atWork = r.atWork || now.Sub(r.startedAt) >= MinWorkTime
+	c.exonerate(r, now)
 	if a.Percent != r.percent {
 		r.progressedAt = now
 	}
@@ -325,6 +339,7 @@
 	c.dropSlowStarts(now)
 	for _, e := range c.endpoints {
 		if len(e.runs) > 0 && !e.answering && now.After(e.leaseExpiry) {
+			c.recordLapse(e)
 			c.loseRuns(e, causeLapsed)
 		}
 		if !e.listed && len(e.runs) == 0 {
--- a/core/tmevent/event.go
+++ b/core/tmevent/event.go
@@ -30,10 +30,12 @@
 	EndpointAnswers Name = "endpoint_answers"
 	// EndpointAvoided: an endpoint gets no new tasks for a time because several runs in a row failed on it: endpoint, failures, for_ms.
 	EndpointAvoided Name = "endpoint_avoided"
-	// EndpointCrashed: the lifetime of an endpoint ended without planned work, starting is the number of runs that were not seen at work yet: endpoint, zone, runs, starting, cause.
+	// EndpointCrashed: the lifetime of an endpoint ended without planned work, starting is the number of tasks that may have crashed it by starting, blameless says that the cause was probably none of them: endpoint, zone, runs, starting, blameless, cause.
 	EndpointCrashed Name = "endpoint_crashed"
 	// EndpointDraining: an endpoint started draining: endpoint.
 	EndpointDraining Name = "endpoint_draining"
+	// EndpointIsolated: an endpoint was set aside for a suspect, until ended is true: endpoint, task, runs, ended.
+	EndpointIsolated Name = "endpoint_isolated"
 	// EndpointListed: an endpoint appeared in the list: endpoint, service, instance, zone.
 	EndpointListed Name = "endpoint_listed"
 	// EndpointLost: the lifetime of an endpoint has ended: endpoint, runs, cause.
@@ -114,6 +116,8 @@
 	TaskPaced Name = "task_paced"
 	// TaskPlaced: a task was placed on an endpoint: task, run, endpoint, free_cpu, queue, team, rules, left.
 	TaskPlaced Name = "task_placed"
+	// TaskSuspected: an endpoint crashed under a task, which starts again only in isolation: task, endpoint, crashes, suspicions.
+	TaskSuspected Name = "task_suspected"
 	// UpkeepDone: the maintenance of an instance is done: instance, wave.
 	UpkeepDone Name = "upkeep_done"
 	// WaveBegins: a maintenance wave began: wave, instances, bound, within_ms.
@@ -139,6 +143,7 @@
 	EndpointAvoided,
 	EndpointCrashed,
 	EndpointDraining,
+	EndpointIsolated,
 	EndpointListed,
 	EndpointLost,
 	EndpointRestarted,
@@ -179,6 +184,7 @@
 	StoreRegained,
 	TaskPaced,
 	TaskPlaced,
+	TaskSuspected,
 	UpkeepDone,
 	WaveBegins,
 	WaveDone,
--- a/core/tmjob/task.go
+++ b/core/tmjob/task.go
@@ -56,6 +56,9 @@
 	// lifetime in milliseconds since the Unix epoch.
 	Endpoint      string
 	EndpointStart int64
+	// Isolated says that no other task was starting on the endpoint, because the task was
+	// suspected of having crashed endpoints.
+	Isolated bool
 }
 
 // TaskRecord is the stored state of a task. A record with a negative Step says
@@ -65,7 +68,10 @@
 	// Runs is the highest run number used so far, Failures the number of failed
 	// runs.
 	Runs, Failures int
-	Done           bool
+	// Crashes is the number of endpoints that have crashed under the task, Suspicions the
+	// number of those that speak for the task as the cause.
+	Crashes, Suspicions int
+	Done                bool
 	// Checkpoint is the latest checkpoint, or "".
 	Checkpoint string
 	// Placements lists the runs that may still be active.
