core/tmcontrol: no start beyond a capacity that shrank after the placement

A placement was checked against the capacity once, when it was planned; its start went out when the store had taken it, which may be seconds later, and again after an unanswered try. Both check now, as they do for a drain and a zone.

--- a/core/tmcontrol/endpoint.go
+++ b/core/tmcontrol/endpoint.go
@@ -172,6 +172,13 @@
 // free returns the remaining capacity.
 func (e *endpoint) free() tmjob.Resources { return e.info.Capacity.Sub(e.used) }
 
+// isOvercommitted reports whether the runs reserve more than the capacity, which may have
+// shrunk since they were placed.
+func (e *endpoint) isOvercommitted() bool {
+	free := e.free()
+	return free.CPU < 0 || free.Mem < 0 || free.GPU < 0
+}
+
 // usable reports whether new tasks may be placed here at all.
 func (e *endpoint) usable(now tmclock.Millis) bool {
 	return e.tokenAccepted && e.answering && e.listed && !e.info.Draining && !e.reserved &&
--- a/core/tmcontrol/order.go
+++ b/core/tmcontrol/order.go
@@ -39,7 +39,7 @@
 }
 
 func (c *Controller) retryStart(r *run, now tmclock.Millis) {
-	if r.tries >= maxStartTries {
+	if r.tries >= maxStartTries || r.ep.isOvercommitted() {
 		c.stopRun(r, "start got no answer")
 		c.sendStop(r, now)
 		return
@@ -267,7 +267,7 @@
 		if r.phase != planned || r.ep.runs[r.key()] != r {
 			continue
 		}
-		if r.stop || r.ep.gone || r.ep.info.Draining || c.zonesOut[r.ep.info.Zone] {
+		if r.stop || r.ep.gone || r.ep.info.Draining || r.ep.isOvercommitted() || c.zonesOut[r.ep.info.Zone] {
 			c.release(r)
 			continue
 		}
