io/tmowner: no placement by a list of endpoints that is out of date

An owner that got no answer about the list of endpoints, while its jobs and its writes went through, placed tasks by the last list it had, however old. A list older than 2 s stops placements now, as an old configuration does; the feed is asked twice a second, so that a calm list stays younger.

--- a/internal/emulator/endpoint.go
+++ b/internal/emulator/endpoint.go
@@ -299,5 +299,8 @@
 // Capacity returns the resources available to tasks.
 func (e *Endpoint) Capacity() tmjob.Resources { return e.capacity }
 
+// SetCapacity changes the resources available to tasks.
+func (e *Endpoint) SetCapacity(capacity tmjob.Resources) { e.capacity = capacity }
+
 // SetFailing sets whether runs that start from now on fail.
 func (e *Endpoint) SetFailing(failing bool) { e.failing = failing }
--- a/internal/fleetsim/simulation_test.go
+++ b/internal/fleetsim/simulation_test.go
@@ -69,11 +69,12 @@
 	name string
 	node *tmnode.Node
 	mu   sync.Mutex
-	// A killed process reaches nothing; a storePartitioned one can't reach the store, and
-	// a configLost one gets no answers about the table of the operator.
-	killed, storePartitioned, configLost bool
-	stop                                 context.CancelFunc
-	done                                 chan struct{}
+	// A killed process reaches nothing; a storePartitioned one can't reach the store, a
+	// configLost one gets no answers about the table of the operator, and a listLost one
+	// none about the list of endpoints.
+	killed, storePartitioned, configLost, listLost bool
+	stop                                           context.CancelFunc
+	done                                           chan struct{}
 }
 
 func (p *nodeProcess) isKilled() bool {
@@ -113,6 +114,18 @@
 	p.configLost = lost
 }
 
+func (p *nodeProcess) isListLost() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.listLost
+}
+
+func (p *nodeProcess) setListLost(lost bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.listLost = lost
+}
+
 func (p *nodeProcess) setStorePartitioned(partitioned bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -199,7 +212,7 @@
 	ctx, stop := context.WithCancel(context.Background())
 	p.stop = stop
 	p.node = tmnode.New(tmnode.Options{
-		Name: name, Store: &storeView{store: sim.store, partitioned: p.cannotReachStore, configLost: p.isConfigLost}, Endpoints: &endpointClient{sim: sim, node: name, partitioned: p.isKilled},
+		Name: name, Store: &storeView{store: sim.store, partitioned: p.cannotReachStore, configLost: p.isConfigLost, listLost: p.isListLost}, Endpoints: &endpointClient{sim: sim, node: name, partitioned: p.isKilled},
 		Directory: directory{sim}, Clock: tmclock.NewSystem(), BootClock: time.Now, MaxConfigAge: 3 * time.Second,
 		Bounds:    tmcontrol.Bounds{Lease: 5000, HandoverDelay: 3000, Maintenance: 2000},
 		Resources: tmshard.Node{Cores: 1}, KeepOutcomes: outcomeRetention,
--- a/internal/fleetsim/store_test.go
+++ b/internal/fleetsim/store_test.go
@@ -30,8 +30,9 @@
 type storeView struct {
 	store
 	// partitioned reports whether the node can't reach the store, configLost whether its
-	// calls about the table of the operator get no answer.
-	partitioned, configLost func() bool
+	// calls about the table of the operator get no answer, listLost those about the list of
+	// endpoints.
+	partitioned, configLost, listLost func() bool
 }
 
 // reach waits for the latency of a call, or until ctx ends if the store is partitioned.
@@ -72,9 +73,9 @@
 }
 
 func (v *storeView) Feed(ctx context.Context, table string, after int64, wait tmclock.Span) (tmtable.Page, error) {
-	if table == operatorTable && v.configLost() {
+	if table == operatorTable && v.configLost() || table == endpointTable && v.listLost() {
 		<-ctx.Done()
-		return tmtable.Page{}, fmt.Errorf("%w: no answer about the configuration", tmtable.ErrOutcomeUnknown)
+		return tmtable.Page{}, fmt.Errorf("%w: no answer about table %s", tmtable.ErrOutcomeUnknown, table)
 	}
 	if err := v.reach(ctx); err != nil {
 		return tmtable.Page{}, err
--- a/io/tmowner/load.go
+++ b/io/tmowner/load.go
@@ -17,7 +17,13 @@
 func (o *Owner) followEndpoints(ctx context.Context) {
 	known := map[string]bool{}
 	f := tmtable.Follower{
-		Store: o.opts.Store, Table: o.opts.Directory.EndpointTable(), Parts: []string{""}, Pause: endpointPause,
+		Store: o.opts.Store, Table: o.opts.Directory.EndpointTable(), Parts: []string{""},
+		Wait: endpointWait, Pause: endpointPause, Now: o.opts.BootClock,
+		Synced: func(sentAt time.Time) {
+			o.mu.Lock()
+			defer o.mu.Unlock()
+			o.listedAt = sentAt
+		},
 		Snapshot: func(rows []tmtable.Row) {
 			present := map[string]bool{}
 			for _, row := range rows {
--- a/io/tmowner/owner.go
+++ b/io/tmowner/owner.go
@@ -55,6 +55,12 @@
 	// endpointPause is the pause between two calls to the feed of the list of
 	// endpoints. It batches the changes, because each endpoint writes its own row.
 	endpointPause = 100 * time.Millisecond
+	// endpointWait is how long a call to that feed waits for a change.
+	endpointWait = 500 * tmclock.Millisecond
+	// maxListAge is how old the list of endpoints may be for placements. With the time that
+	// a start order stays valid it is at most the time for which an endpoint accepts starts
+	// by a capacity that has shrunk.
+	maxListAge = 2 * time.Second
 )
 
 // Owner manages a shard of the fleet while this node owns it. The mutex mu guards the
@@ -67,9 +73,10 @@
 
 	mu  sync.Mutex
 	ctl *tmcontrol.Controller
-	// confirmedAt is when the ownership was last confirmed, on the BootClock.
-	confirmedAt time.Time
-	held        map[string]bool
+	// confirmedAt is when the ownership was last confirmed, listedAt the time as of which
+	// the list of endpoints is known. Both are on the BootClock.
+	confirmedAt, listedAt time.Time
+	held                  map[string]bool
 	// overdue holds, by endpoint, the channel of a hold that was sent without knowing
 	// when its answer would be overdue.
 	overdue  map[string]chan time.Duration
@@ -213,6 +220,7 @@
 	wall := time.Now().UnixMilli()
 	isCurrent := o.opts.IsConfigCurrent()
 	o.mu.Lock()
+	isCurrent = isCurrent && o.opts.BootClock().Sub(o.listedAt) <= maxListAge
 	if o.ctl.Deposed() {
 		o.mu.Unlock()
 		o.stop()
