--- a/core/tmcontrol/controller.go
+++ b/core/tmcontrol/controller.go
@@ -222,7 +222,7 @@
 	r := c.addRun(t, e, place.Run)
 	r.phase = unconfirmed
 	if place.Isolated {
-		r.isolated, e.isolated = true, t.culprit()
+		r.isolated, e.isolated = true, append(e.isolated, t.culprit())
 	}
 	if t.step.occ.job.final {
 		c.stopRun(r, "job "+t.step.occ.job.state.String())
--- a/core/tmcontrol/crash.go
+++ b/core/tmcontrol/crash.go
@@ -24,9 +24,12 @@
 	// maxCrashes is the number of crashes under a task after which its job fails whatever
 	// else may have caused them.
 	maxCrashes = 5
-	// maxSuspicions is the number of suspicions at which a job fails. The first may be due
-	// to a crash that other tasks may have caused as well, the others need isolation.
-	maxSuspicions = 3
+	// A task is suspectedWithMany after a crash under several tasks that were starting, and
+	// suspectedWithFew after one under itself alone, or under a group of isolated suspects.
+	// Each crash in isolation alone adds one; at maxSuspicions the job of the task fails.
+	suspectedWithMany = 1
+	suspectedWithFew  = 2
+	maxSuspicions     = 4
 	// exonerationTime is how long a run must last for the earlier crashes under its task
 	// to be forgotten.
 	exonerationTime = 10 * tmclock.Second
@@ -65,8 +68,15 @@
 	runs           []*run
 	// mayBeOrder is set if an order of an earlier owner may have ended the lifetime.
 	mayBeOrder bool
-	// suspected are the tasks that have a suspicion because of the crash.
-	suspected []*task
+	// suspected lists the tasks that became more suspicious by the crash.
+	suspected []suspicion
+}
+
+// suspicion is a task that became more suspicious by a crash, and how suspicious it was
+// before.
+type suspicion struct {
+	task   *task
+	before int
 }
 
 // starting returns the tasks that may have caused the crash by starting. Beside one that
@@ -79,15 +89,22 @@
 	return cr.tasksOf((*run).isStarting)
 }
 
-// suspects reports whether the crash raises a suspicion against a task that was starting.
-// The first one may be due to others; any further one needs a crash under nothing else
-// that was starting, in isolation. Whether a run that an earlier owner started was at work
-// is not known, so none is suspected for it.
-func (cr *crash) suspects(t *task, starting int) bool {
-	return slices.ContainsFunc(cr.runs, func(r *run) bool {
-		isConclusive := r.isolated && starting == 1
-		return r.task.culprit() == t && r.sentAt != 0 && (t.suspicions == 0 || isConclusive)
-	})
+// suspicion returns how suspicious a task that was starting becomes by the crash. Whether a
+// run that an earlier owner started was at work is not known, so it adds nothing.
+func (cr *crash) suspicion(t *task, starting int) int {
+	n := t.suspicions
+	for _, r := range cr.runs {
+		switch {
+		case r.task.culprit() != t || r.sentAt == 0:
+		case r.isolated && starting == 1:
+			return max(n, suspectedWithFew) + 1
+		case r.isolated || starting == 1:
+			n = max(n, suspectedWithFew)
+		default:
+			n = max(n, suspectedWithMany)
+		}
+	}
+	return n
 }
 
 // tasks returns all tasks that ran on the endpoint.
@@ -237,9 +254,9 @@
 		if !cr.isCounted(t) {
 			t.crashes++
 		}
-		if len(starting) > 0 && !blameless && cr.suspects(t, len(starting)) {
-			t.suspicions++
-			cr.suspected = append(cr.suspected, t)
+		if n := cr.suspicion(t, len(starting)); n > t.suspicions && len(starting) > 0 && !blameless {
+			cr.suspected = append(cr.suspected, suspicion{task: t, before: t.suspicions})
+			t.suspicions = n
 		}
 		c.markSuspect(t, cr.endpoint)
 	}
@@ -265,12 +282,12 @@
 // has caused.
 func (c *Controller) explainCrashes(cause *task) {
 	for _, cr := range c.recentCrashes {
-		if !slices.Contains(cr.suspected, cause) {
+		if !slices.ContainsFunc(cr.suspected, func(s suspicion) bool { return s.task == cause }) {
 			continue
 		}
-		for _, t := range cr.suspected {
-			t.suspicions = max(0, t.suspicions-1)
-			c.markDirty(t.step.occ.job)
+		for _, s := range cr.suspected {
+			s.task.suspicions = min(s.task.suspicions, s.before)
+			c.markDirty(s.task.step.occ.job)
 		}
 		cr.suspected = nil
 	}
--- a/core/tmcontrol/hold.go
+++ b/core/tmcontrol/hold.go
@@ -77,7 +77,7 @@
 		return idleHoldWait
 	case e.serving > 0 && e.bestEffort > 0:
 		return paceHoldWait
-	case e.isolated != nil:
+	case len(e.isolated) > 0:
 		return MinWorkTime
 	}
 	return busyHoldWait
--- a/core/tmcontrol/job.go
+++ b/core/tmcontrol/job.go
@@ -59,8 +59,8 @@
 	step     *step
 	runs     int
 	failures int
-	// crashes counts the endpoints that have crashed under the task. suspicions counts
-	// those of them that the task may have caused by starting.
+	// crashes counts the endpoints that have crashed under the task. suspicions tells
+	// how likely the task caused them by starting, from 0 to maxSuspicions.
 	crashes, suspicions int
 	done                bool
 	checkpoint          string
--- a/core/tmevent/event.go
+++ b/core/tmevent/event.go
@@ -34,7 +34,7 @@
 	EndpointCrashed Name = "endpoint_crashed"
 	// EndpointDraining: an endpoint started draining: endpoint.
 	EndpointDraining Name = "endpoint_draining"
-	// EndpointIsolated: an endpoint was set aside for a suspect, until ended is true: endpoint, task, runs, ended.
+	// EndpointIsolated: an endpoint was set aside for suspects, until ended is true; task is the first of them: endpoint, task, runs, ended.
 	EndpointIsolated Name = "endpoint_isolated"
 	// EndpointListed: an endpoint appeared in the list: endpoint, service, instance, zone.
 	EndpointListed Name = "endpoint_listed"
--- a/core/tmjob/task.go
+++ b/core/tmjob/task.go
@@ -68,8 +68,8 @@
 	// Runs is the highest run number used so far, Failures the number of failed
 	// runs.
 	Runs, Failures int
-	// Crashes is the number of endpoints that have crashed under the task, Suspicions the
-	// number of those that speak for the task as the cause.
+	// Crashes is the number of endpoints that have crashed under the task, Suspicions tells
+	// how likely the task caused them.
 	Crashes, Suspicions int
 	Done                bool
 	// Checkpoint is the latest checkpoint, or "".
