--- a/core/tmcontrol/isolation.go
+++ b/core/tmcontrol/isolation.go
@@ -9,9 +9,11 @@
 )
 
 const (
-	// maxIsolatedShare is the reciprocal of the share of a pool's endpoints on which suspects
-	// may be isolated at the same time. The others serve the rest of the work.
-	maxIsolatedShare = 3
+	// maxIsolatedShare is the share of a pool's endpoints on which suspects may be isolated
+	// at the same time, maxIsolatedIdleShare that up to which idle endpoints are used as
+	// well. The others serve the rest of the work.
+	maxIsolatedShare     = 1.0 / 3
+	maxIsolatedIdleShare = 2.0 / 3
 	// maxIsolatedGroup is how many suspects that are probably innocent share an endpoint.
 	maxIsolatedGroup = 4
 )
@@ -121,13 +123,23 @@
 			best = e
 		}
 	}
-	if best == nil || isolated >= max(1, len(p.endpoints)/maxIsolatedShare) {
+	if best == nil || isolated >= maxIsolated(len(p.endpoints), len(best.runs) == 0) {
 		return
 	}
 	best.isolated = []*task{t}
 	c.event(tmevent.EndpointIsolated, "endpoint", best.info.ID, "task", t.id.String(), "runs", len(best.runs), "ended", false)
 }
 
+// maxIsolated returns on how many of n endpoints suspects may be isolated, if the next of
+// them is idle or not.
+func maxIsolated(n int, idle bool) int {
+	share := maxIsolatedShare
+	if idle {
+		share = maxIsolatedIdleShare
+	}
+	return max(1, int(share*float64(n)))
+}
+
 // mayJoin reports whether a suspect may join the group for which e is set aside and of
 // which none has started yet.
 func (e *endpoint) mayJoin(t *task) bool {
