io/tmentry: a test that one call reaches at most three endpoints

An idempotent request whose endpoint breaks off is tried at three endpoints at most for one call, within the retry budget; a request that isn't idempotent at one. That holds; the test keeps it.

--- a/io/tmentry/guarantees_test.go
+++ b/io/tmentry/guarantees_test.go
@@ -333,13 +333,7 @@
 			assert.Assert(t, fail.Outcome().String() != "not_run", fail.Error())
 		}
 	}
-	n := 0
-	for _, ev := range f.starts() {
-		if ev.RequestID == p.ID {
-			n++
-		}
-	}
-	return n
+	return len(f.startsOf(p.ID))
 }
 
 // Guarantee: a non-idempotent request runs at most once. Fault: the answer is
@@ -431,3 +425,36 @@
 	t.Parallel()
 	assert.Assert(t, staleEntryCase(t, tmentry.Confirmation) > 0)
 }
+
+// Guards against an idempotent request under which endpoints crash and that is sent to
+// one endpoint after another.
+func TestIdempotentRequestReachesFewEndpoints(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 3)
+	f.configure(24)
+	for _, e := range f.endpoints {
+		e.SetFaults(tmfakeendpoint.Faults{LoseAfterRun: true})
+	}
+	id, err := uuid.NewV7()
+	assert.NilError(t, err)
+	p := tmrequest.Params{ID: id.String(), CallerChoseID: true, Idempotent: true}
+	const maxStartsOfOneCall = 3
+	for entry := range f.entries {
+		before := len(f.startsOf(p.ID))
+		_, fail := f.submit(entry, p, 20)
+		assert.Assert(t, fail != nil)
+		assert.Equal(t, fail.Outcome().String(), "unknown")
+		assert.Assert(t, len(f.startsOf(p.ID))-before <= maxStartsOfOneCall)
+	}
+}
+
+// startsOf returns the starts of a request at all endpoints.
+func (f *fleet) startsOf(id string) []tmfakeendpoint.Event {
+	var starts []tmfakeendpoint.Event
+	for _, ev := range f.starts() {
+		if ev.RequestID == id {
+			starts = append(starts, ev)
+		}
+	}
+	return starts
+}
