core/tmcontrol: two seconds of work clear a task of earlier crashes

A healthy task that runs for long meets crashes that it did not cause; five of them failed its job. The rule is about tasks that crash endpoints by starting, so a run of two seconds clears its task. Names of the attribution are clearer.

--- a/core/tmcontrol/crash.go
+++ b/core/tmcontrol/crash.go
@@ -31,8 +31,8 @@
 	suspectedWithFew  = 2
 	maxSuspicions     = 4
 	// exonerationTime is how long a run must last for the earlier crashes under its task
-	// to be forgotten.
-	exonerationTime = 10 * tmclock.Second
+	// to be forgotten. A healthy task meets few crashes so soon after its starts.
+	exonerationTime = 2 * tmclock.Second
 	// zoneFaultWindow and fleetFaultWindow are the most that two crashes with a common cause
 	// outside of the endpoints lie apart, in one availability zone and anywhere.
 	zoneFaultWindow  = 2 * tmclock.Second
@@ -69,12 +69,12 @@
 	// mayBeOrder is set if an order of an earlier owner may have ended the lifetime.
 	mayBeOrder bool
 	// suspected lists the tasks that became more suspicious by the crash.
-	suspected []suspicion
+	suspected []suspectedTask
 }
 
-// suspicion is a task that became more suspicious by a crash, and how suspicious it was
+// suspectedTask is a task that became more suspicious by a crash, and its suspicions
 // before.
-type suspicion struct {
+type suspectedTask struct {
 	task   *task
 	before int
 }
@@ -89,9 +89,9 @@
 	return cr.tasksOf((*run).isStarting)
 }
 
-// suspicion returns how suspicious a task that was starting becomes by the crash. Whether a
-// run that an earlier owner started was at work is not known, so it adds nothing.
-func (cr *crash) suspicion(t *task, starting int) int {
+// suspicionsAfter returns the suspicions of a task that was starting, the crash included.
+// Whether a run that an earlier owner started was at work is not known, so it adds none.
+func (cr *crash) suspicionsAfter(t *task, starting int) int {
 	n := t.suspicions
 	for _, r := range cr.runs {
 		switch {
@@ -254,8 +254,8 @@
 		if !cr.isCounted(t) {
 			t.crashes++
 		}
-		if n := cr.suspicion(t, len(starting)); n > t.suspicions && len(starting) > 0 && !blameless {
-			cr.suspected = append(cr.suspected, suspicion{task: t, before: t.suspicions})
+		if n := cr.suspicionsAfter(t, len(starting)); n > t.suspicions && len(starting) > 0 && !blameless {
+			cr.suspected = append(cr.suspected, suspectedTask{task: t, before: t.suspicions})
 			t.suspicions = n
 		}
 		c.markSuspect(t, cr.endpoint)
@@ -282,7 +282,7 @@
 // has caused.
 func (c *Controller) explainCrashes(cause *task) {
 	for _, cr := range c.recentCrashes {
-		if !slices.ContainsFunc(cr.suspected, func(s suspicion) bool { return s.task == cause }) {
+		if !slices.ContainsFunc(cr.suspected, func(s suspectedTask) bool { return s.task == cause }) {
 			continue
 		}
 		for _, s := range cr.suspected {
--- a/core/tmcontrol/crash_test.go
+++ b/core/tmcontrol/crash_test.go
@@ -272,3 +272,17 @@
 	f.work(MinWorkTime)
 	assert.Equal(t, len(f.advance(10)), maxIsolatedGroup)
 }
+
+// Guards against failing a healthy task because endpoint after endpoint crashed under it
+// long after it had started.
+func TestCrashesLongAfterTheStartFailNoTask(t *testing.T) {
+	f := newFixture(t, 2)
+	f.c.Submitted(oneTask("j"))
+	for range 2 * maxCrashes {
+		f.advance(10)
+		f.work(exonerationTime)
+		e := f.placeOf("j")
+		assert.Assert(t, e != "")
+		f.restart(e)
+	}
+}
