core/tmcontrol: an endpoint is free once its suspect is cleared

A suspect that was cleared while it waited for the endpoint set aside for it kept that endpoint: nothing else could start there, nor the task itself, which no longer needed isolation. In a pool of one endpoint nothing would have run any more. The test fails without the change.

--- a/core/tmcontrol/crash_test.go
+++ b/core/tmcontrol/crash_test.go
@@ -286,3 +286,13 @@
 		f.restart(e)
 	}
 }
+
+// Guards against an endpoint that stays set aside for a task that was cleared meanwhile.
+func TestEndpointIsFreeOnceItsSuspectIsCleared(t *testing.T) {
+	f := newFixture(t, 1)
+	f.c.Submitted(oneTask("j"))
+	f.c.Tick(f.now, int64(f.now))
+	cleared := f.c.jobs["j"].task(tmjob.TaskID{Job: "j"})
+	f.c.endpoints["e1"].isolated = []*task{cleared}
+	assert.Equal(t, len(f.advance(10)), 1)
+}
--- a/core/tmcontrol/isolation.go
+++ b/core/tmcontrol/isolation.go
@@ -227,5 +227,5 @@
 // awaitsIsolation reports whether a suspect is about to be placed in isolation. Gangs are
 // isolated when they are placed.
 func (t *task) awaitsIsolation() bool {
-	return !t.done && !t.step.occ.job.final && len(t.active) == 0 && !t.step.spec.Gang
+	return t.isSuspect() && !t.done && !t.step.occ.job.final && len(t.active) == 0 && !t.step.spec.Gang
 }
