core/tmcontrol: a silent endpoint gets no acknowledgement of ends

An endpoint had restarted under its id within the time of a hold, accepted a start in its new lifetime and ended it; the next hold, sent before the restart was known, carried the number of the last end of the earlier lifetime, and the endpoint forgot the new end. Its listing is the only thing that tells the lifetimes apart. While an endpoint doesn't answer, holds acknowledge nothing now; what it lists again is known by number. The test fails without it.

--- a/core/tmcontrol/hold.go
+++ b/core/tmcontrol/hold.go
@@ -21,7 +21,12 @@
 	if e == nil || e.gone || (!e.listed && len(e.runs) == 0) || e.info.Address == "" {
 		return HoldRequest{}, false
 	}
-	h := HoldRequest{Address: e.info.Address, Token: c.token, Acked: e.acked}
+	h := HoldRequest{Address: e.info.Address, Token: c.token}
+	if e.answering {
+		// An endpoint that is silent may have restarted, and would take this for an
+		// acknowledgement of ends of its new lifetime.
+		h.Acked = e.acked
+	}
 	// The lease of an endpoint that doesn't answer is not extended. Each unanswered
 	// hold may still arrive and extend the lease, so the runs of the endpoint could
 	// never be considered ended. No lease is extended either if the ownership has not
--- a/core/tmcontrol/order_test.go
+++ b/core/tmcontrol/order_test.go
@@ -75,3 +75,19 @@
 	f.c.HoldAnswered("e1", previous, f.now, f.now+1)
 	assert.Equal(t, f.c.endpoints["e1"].seen, int64(0))
 }
+
+// Guards against running a task again after it was done: an endpoint restarted and ended
+// a run before it was held again, and took the number of the last end of its earlier
+// lifetime for an acknowledgement.
+func TestSilentEndpointGetsNoAcknowledgement(t *testing.T) {
+	f := newFixture(t, 1)
+	f.c.Submitted(oneTask("j"))
+	ref := f.advance(10)[0].Ref
+	f.end("e1", ref.Task, ref.Run, EndDone)
+	f.advance(10)
+	h, _ := f.c.NextHold("e1", f.now)
+	assert.Equal(t, h.Acked, int64(1))
+	f.c.HoldFailed("e1", "test")
+	h, _ = f.c.NextHold("e1", f.now)
+	assert.Equal(t, h.Acked, int64(0))
+}
