internal/emulator: a task may be given up once five endpoints crashed under it

Trace: five endpoints had crashed under one of its tasks (a lapsed lease, two crashes around killed owners, two random ones), each within two seconds of a start. The users' page allows that from two crashes on, whatever the cause; the check allows it from five, and is as before for anything less.

--- a/internal/emulator/checker.go
+++ b/internal/emulator/checker.go
@@ -19,6 +19,8 @@
 	// crashes counts the endpoints that a task has crashed, startsAfterCrashes its starts
 	// since there were maxCrashes of them.
 	crashes, startsAfterCrashes map[tmjob.TaskID]int
+	// losses counts the endpoints that have crashed under a task, whatever the cause.
+	losses map[tmjob.TaskID]int
 	starts                      int
 	violations                  []string
 }
@@ -27,7 +29,7 @@
 	return checker{
 		active: map[tmjob.TaskID]map[string]int{}, acknowledged: map[tmjob.TaskID]bool{},
 		finished: map[tmjob.TaskID]bool{}, failures: map[tmjob.TaskID]int{},
-		crashes: map[tmjob.TaskID]int{}, startsAfterCrashes: map[tmjob.TaskID]int{},
+		crashes: map[tmjob.TaskID]int{}, startsAfterCrashes: map[tmjob.TaskID]int{}, losses: map[tmjob.TaskID]int{},
 	}
 }
 
@@ -40,6 +42,9 @@
 	minCrashes            = 2
 	maxCrashes            = 3
 	maxStartsAfterCrashes = 3
+	// minLosses is how many endpoints must have crashed under a task that did not cause it
+	// for the task to be given up.
+	minLosses = 5
 )
 
 // ReportViolation records the violation of a guarantee.
@@ -134,7 +139,10 @@
 	}
 }
 
-func (c *checker) recordLoss(e *Endpoint, key taskRun) { delete(c.active[key.task], e.id) }
+func (c *checker) recordLoss(e *Endpoint, key taskRun) {
+	delete(c.active[key.task], e.id)
+	c.losses[key.task]++
+}
 
 // recordAcknowledgement records that the owner acknowledged an end to its endpoint.
 func (c *checker) recordAcknowledgement(end tmcontrol.EndedRun) {
@@ -150,7 +158,7 @@
 	for s := range job.Steps {
 		for i := range job.Steps[s].Count {
 			t := tmjob.TaskID{Job: id, Step: s, Index: i}
-			failed = failed || f.checker.failures[t] >= maxAttempts || f.checker.crashes[t] >= minCrashes
+			failed = failed || f.checker.failures[t] >= maxAttempts || f.checker.crashes[t] >= minCrashes || f.checker.losses[t] >= minLosses
 			if state == tmjob.Completed && !f.checker.finished[t] {
 				f.ReportViolation("job %s is reported as completed but task %s is not done", id, t)
 			}
