--- a/core/tmcontrol/crash_test.go
+++ b/core/tmcontrol/crash_test.go
@@ -225,7 +225,7 @@
 	f.c.SetEndpoint(stale, f.now)
 	f.restart(ref.Endpoint)
 	f.advance(10)
-	assert.Equal(t, f.c.jobs["j"].task(ref.Task).suspicions, 1)
+	assert.Equal(t, f.c.jobs["j"].task(ref.Task).suspicions, suspectedWithFew)
 }
 
 // Guards against crashes that don't count on an instance that an earlier owner had given
@@ -241,7 +241,7 @@
 	f.advance(10)
 	task := f.c.jobs["j"].task(ref.Task)
 	assert.Equal(t, task.crashes, 1)
-	assert.Equal(t, task.suspicions, 1)
+	assert.Equal(t, task.suspicions, suspectedWithFew)
 }
 
 // Guards against isolating the tasks of many endpoints that crashed at the same moment in
@@ -259,3 +259,40 @@
 	f.advance(10)
 	assert.Equal(t, f.c.jobs["j"].task(tmjob.TaskID{Job: "j"}).suspicions, 0)
 }
+
+// Guards against healthy suspects that wait for long because each is tried by itself.
+func TestProbablyInnocentSuspectsAreIsolatedTogether(t *testing.T) {
+	f := newFixture(t, 2)
+	for i := range 8 {
+		f.c.Submitted(oneTask(fmt.Sprintf("j%d", i)))
+	}
+	f.advance(10)
+	f.restart("e1")
+	assert.Equal(t, len(f.advance(10)), maxIsolatedGroup)
+	f.work(MinWorkTime)
+	assert.Equal(t, len(f.advance(10)), maxIsolatedGroup)
+}
+
+// Guards against failing a healthy task because endpoint after endpoint crashed under it
+// long after it had started.
+func TestCrashesLongAfterTheStartFailNoTask(t *testing.T) {
+	f := newFixture(t, 2)
+	f.c.Submitted(oneTask("j"))
+	for range 2 * maxCrashes {
+		f.advance(10)
+		f.work(exonerationTime)
+		e := f.placeOf("j")
+		assert.Assert(t, e != "")
+		f.restart(e)
+	}
+}
+
+// Guards against an endpoint that stays set aside for a task that was cleared meanwhile.
+func TestEndpointIsFreeOnceItsSuspectIsCleared(t *testing.T) {
+	f := newFixture(t, 1)
+	f.c.Submitted(oneTask("j"))
+	f.c.Tick(f.now, int64(f.now))
+	cleared := f.c.jobs["j"].task(tmjob.TaskID{Job: "j"})
+	f.c.endpoints["e1"].isolated = []*task{cleared}
+	assert.Equal(t, len(f.advance(10)), 1)
+}
