--- a/internal/emulator/checker.go
+++ b/internal/emulator/checker.go
@@ -20,9 +20,9 @@
 	// since there were maxCrashes of them.
 	crashes, startsAfterCrashes map[tmjob.TaskID]int
 	// losses counts the endpoints that have crashed under a task, whatever the cause.
-	losses map[tmjob.TaskID]int
-	starts                      int
-	violations                  []string
+	losses     map[tmjob.TaskID]int
+	starts     int
+	violations []string
 }
 
 func newChecker() checker {
