core/tmcontrol: a gang that waits for a lost member is not cleared of its crash

A gang with a member that crashes its endpoint was started without end where the crash became known only two seconds later (no list of instances, a silent endpoint). The other members wait for the lost one for gangTimeoutMs, are listed as running all the while, and after two seconds of that the gang was cleared of its earlier crashes: one at a time they never added up.

Found by reading. Ruled out: a count that is lost otherwise (the same test with an early crash passes). A task is cleared now once the endpoint of each member of its gang has listed it for two seconds; the time between two lists counts, not the time since the start.

TestGangWaitingForALostMemberIsNotCleared fails without the change: five crashes, and the gang starts a sixth time.

--- a/core/tmcontrol/crash.go
+++ b/core/tmcontrol/crash.go
@@ -311,12 +311,31 @@
 	return false
 }
 
-// exonerate forgets the crashes under a task of which a run has lasted long enough.
-func (c *Controller) exonerate(r *run, now tmclock.Millis) {
-	t := r.task.culprit()
-	if t.crashes == 0 || !r.atWork || now.Sub(r.startedAt) < exonerationTime {
+// exonerate forgets the crashes under a task that has lasted long enough.
+func (c *Controller) exonerate(t *task) {
+	if t.crashes == 0 || !t.hasLasted() {
 		return
 	}
 	t.crashes, t.suspicions = 0, 0
 	c.markDirty(t.step.occ.job)
 }
+
+// hasLasted reports whether an endpoint has listed a run of the task for exonerationTime. In
+// a gang each member must have lasted, since the others wait for one that has crashed its
+// endpoint.
+func (t *task) hasLasted() bool {
+	members := []*task{t}
+	if t.step.spec.Gang {
+		members = t.step.tasks
+	}
+	for _, m := range members {
+		if !slices.ContainsFunc(m.active, (*run).hasLasted) {
+			return false
+		}
+	}
+	return true
+}
+
+func (r *run) hasLasted() bool {
+	return r.atWork && r.settledAt.Sub(r.startedAt) >= exonerationTime
+}
--- a/core/tmcontrol/crash_test.go
+++ b/core/tmcontrol/crash_test.go
@@ -296,3 +296,34 @@
 	f.c.endpoints["e1"].isolated = []*task{cleared}
 	assert.Equal(t, len(f.advance(10)), 1)
 }
+
+// Guards against a gang that crashes endpoint after endpoint because its other members,
+// which wait for the lost one, count as being at work.
+func TestGangWaitingForALostMemberIsNotCleared(t *testing.T) {
+	f := newFixture(t, 4)
+	j := oneTask("j")
+	j.Steps[0].Count, j.Steps[0].Gang, j.Steps[0].Size.CPU = 3, true, 5000
+	f.c.Submitted(j)
+	for range maxCrashes {
+		f.advance(2000)
+		crashed := f.placeOf("j")
+		if crashed == "" {
+			return
+		}
+		f.c.HoldFailed(crashed, "crashed")
+		f.now = f.now.Add(exonerationTime)
+		for id, runs := range f.runs {
+			if id != crashed && len(runs) > 0 {
+				f.answerHold(id)
+			}
+		}
+		f.restart(crashed)
+		for id, runs := range f.runs {
+			for _, r := range runs {
+				f.end(id, r.Task, r.Run, EndGangIncomplete)
+			}
+		}
+	}
+	f.advance(2000)
+	assert.Equal(t, f.placeOf("j"), "")
+}
--- a/core/tmcontrol/hold.go
+++ b/core/tmcontrol/hold.go
@@ -185,7 +185,7 @@
 	c.markAnswered(r)
 	r.settledAt, r.unanswered = now, false
 	r.atWork = r.atWork || now.Sub(r.startedAt) >= MinWorkTime
-	c.exonerate(r, now)
+	c.exonerate(r.task.culprit())
 	if a.Percent != r.percent {
 		r.progressedAt = now
 	}
