core/tmcontrol: a crash before the start order counts against no task

Tasks that were placed on an endpoint, but not ordered there yet when it crashed, counted a crash each and were suspected; with a slow store that is up to a second of placements. They can't have caused it: a start is ordered only once its placement is stored.

TestCrashBeforeTheStartOrderCountsAgainstNoTask fails without the change (crashes 1, expected 0).

--- a/core/tmcontrol/crash.go
+++ b/core/tmcontrol/crash.go
@@ -177,7 +177,9 @@
 		mayBeOrder: c.mayHaveBeenOrdered(e, cause), runs: e.lapsed,
 	}
 	for _, r := range e.runs {
-		cr.runs = append(cr.runs, r)
+		if r.phase != planned {
+			cr.runs = append(cr.runs, r)
+		}
 	}
 	c.newCrashes = append(c.newCrashes, cr)
 }
@@ -202,6 +204,9 @@
 // an endpoint that has crashed may be away for longer than the lease.
 func (c *Controller) recordLapse(e *endpoint) {
 	for _, r := range e.runs {
+		if r.phase == planned {
+			continue
+		}
 		if t := r.task.culprit(); r.isStarting() && !t.done {
 			r.counted = true
 			t.crashes++
--- a/core/tmcontrol/crash_test.go
+++ b/core/tmcontrol/crash_test.go
@@ -327,3 +327,14 @@
 	f.advance(2000)
 	assert.Equal(t, f.placeOf("j"), "")
 }
+
+// Guards against counting crashes against a task whose start was not ordered yet.
+func TestCrashBeforeTheStartOrderCountsAgainstNoTask(t *testing.T) {
+	f := newFixture(t, 1)
+	f.c.Submitted(oneTask("j"))
+	f.c.Tick(f.now, int64(f.now))
+	f.c.Plan(f.now, int64(f.now))
+	f.restart("e1")
+	f.advance(10)
+	assert.Equal(t, f.c.jobs["j"].task(tmjob.TaskID{Job: "j"}).crashes, 0)
+}
