core/tmcontrol: a flush acknowledges ends of its own lifetime only

A flush holds the number of the last end of each endpoint whose effects it stores. If an endpoint restarted under its id while the flush was on its way, that number acknowledged ends of the new lifetime, whose numbers start anew and whose effects were not stored: the endpoint forgets them, and after a change of owner their tasks run again. The guard (no more than the ends seen by now) passes once the new lifetime has ended as many.

Found by reading, after the like fault in holds to silent endpoints. Flushes name the lifetime now. TestFlushOfAnEarlierLifetimeAcknowledgesNothing fails without the change (acked 1, expected 0).

--- a/core/tmcontrol/endpoint.go
+++ b/core/tmcontrol/endpoint.go
@@ -35,6 +35,9 @@
 	clockAt tmclock.Millis
 	// leaseExpiry is when every lease that was ever granted has certainly expired.
 	leaseExpiry tmclock.Millis
+	// lifetime counts the restarts under the same ID. The numbers of ends start anew with
+	// each.
+	lifetime int
 	// seen is the highest number of an end that was processed, acked the highest whose
 	// effects are stored.
 	seen, acked int64
--- a/core/tmcontrol/lifetime.go
+++ b/core/tmcontrol/lifetime.go
@@ -59,6 +59,7 @@
 	c.recordCrash(e, causeRestarted)
 	c.loseRuns(e, causeRestarted)
 	e.info.StartedAt = startedAt
+	e.lifetime++
 	e.tokenAccepted, e.answering = false, false
 	e.seen, e.acked, e.clock, e.unknownRuns, e.leaseExpiry = 0, 0, 0, 0, 0
 	e.gone, e.reserved, e.ending, e.failures = false, false, false, 0
--- a/core/tmcontrol/message.go
+++ b/core/tmcontrol/message.go
@@ -184,5 +184,12 @@
 
 	instanceOrders []InstanceOrder
 	starts         []*run
-	acks           map[string]int64
+	acks           []ack
+}
+
+// ack is the number of the last end of an endpoint's lifetime whose effects a flush holds.
+type ack struct {
+	endpoint *endpoint
+	lifetime int
+	end      int64
 }
--- a/core/tmcontrol/order.go
+++ b/core/tmcontrol/order.go
@@ -237,10 +237,9 @@
 	}
 	c.dirty = append([]*job(nil), c.dirty[n:]...)
 	if len(c.dirty) == 0 {
-		f.acks = map[string]int64{}
-		for id, e := range c.endpoints {
+		for _, e := range c.endpoints {
 			if e.seen > e.acked {
-				f.acks[id] = e.seen
+				f.acks = append(f.acks, ack{endpoint: e, lifetime: e.lifetime, end: e.seen})
 			}
 		}
 	}
@@ -255,9 +254,9 @@
 // Stored records that a flush is stored. The starts that it places may now be ordered
 // and the ends whose effects it contains acknowledged.
 func (c *Controller) Stored(f *Flush, now tmclock.Millis) {
-	for id, seen := range f.acks {
-		if e := c.endpoints[id]; e != nil && seen <= e.seen {
-			e.acked = max(e.acked, seen)
+	for _, a := range f.acks {
+		if e := a.endpoint; a.lifetime == e.lifetime {
+			e.acked = max(e.acked, a.end)
 		}
 	}
 	for _, row := range f.Quotas {
--- a/core/tmcontrol/order_test.go
+++ b/core/tmcontrol/order_test.go
@@ -91,3 +91,18 @@
 	h, _ = f.c.NextHold("e1", f.now)
 	assert.Equal(t, h.Acked, int64(0))
 }
+
+// Guards against acknowledging ends of a new lifetime of an endpoint by the numbers of ends
+// of the one before: the ends would be forgotten before they are stored.
+func TestFlushOfAnEarlierLifetimeAcknowledgesNothing(t *testing.T) {
+	f := newFixture(t, 1)
+	f.c.Submitted(oneTask("j"))
+	first := f.advance(10)[0].Ref
+	f.end("e1", first.Task, 1, EndFailed)
+	flush := f.c.TakeFlush(f.now)
+	f.restart("e1")
+	f.c.Submitted(oneTask("k"))
+	f.end("e1", tmjob.TaskID{Job: "k"}, 1, EndDone)
+	f.c.Stored(flush, f.now)
+	assert.Equal(t, f.c.endpoints["e1"].acked, int64(0))
+}
