core/tmcontrol: a start that a new lifetime carried out is not started elsewhere

Callers could see a task run at two endpoints at once. An endpoint that crashes and starts again under its id takes start orders as before, since an order names the endpoint, not its lifetime. When the owner learned of the restart, by a hold or the list of endpoints, it took every run there for lost and started the tasks elsewhere: also those whose order was still under way, or had been accepted by the new lifetime.

On a restart a run goes on if the new lifetime lists it, and is lost if an earlier list had it or if the list was asked for after its order was answered. Any other is stopped first; its task starts again once the endpoint shows that it is gone. The lease of a restarted endpoint counts as the longest one that it accepts, since times on the clock of the earlier lifetime may still arrive. Holds at an endpoint with runs to stop are answered within 200 ms.

--- a/core/tmcontrol/controller_test.go
+++ b/core/tmcontrol/controller_test.go
@@ -24,7 +24,7 @@
 }
 
 func testBounds() Bounds {
-	return Bounds{Lease: 5000, Maintenance: 2000}
+	return Bounds{Lease: 5000, MaxLease: 10000, Maintenance: 2000}
 }
 
 func testRules(version int64) Rules {
@@ -65,9 +65,9 @@
 	}
 }
 
-// advance moves time forward by d, runs one planning pass and stores its changes. It
-// accepts and returns the start orders.
-func (f *fixture) advance(d tmclock.Span) []StartOrder {
+// order moves time forward by d, runs one planning pass and stores its changes. It returns
+// the start orders, without an answer to them.
+func (f *fixture) order(d tmclock.Span) []StartOrder {
 	f.now = f.now.Add(d)
 	f.c.Tick(f.now, int64(f.now))
 	f.c.Plan(f.now, int64(f.now))
@@ -75,6 +75,12 @@
 		f.c.Stored(flush, f.now)
 	}
 	starts, _, _ := f.c.TakeOrders(f.now)
+	return starts
+}
+
+// advance does the same, and accepts the start orders.
+func (f *fixture) advance(d tmclock.Span) []StartOrder {
+	starts := f.order(d)
 	for _, s := range starts {
 		f.c.Started(s.Ref, Accepted, f.now)
 		f.runs[s.Ref.Endpoint] = append(f.runs[s.Ref.Endpoint], ActiveRun{Task: s.Ref.Task, Run: s.Ref.Run, Percent: 100})
--- a/core/tmcontrol/crash.go
+++ b/core/tmcontrol/crash.go
@@ -165,10 +165,10 @@
 	return cause != causeDown && c.now.Before(c.fleet.earliestOrder[e.info.Instance])
 }
 
-// recordCrash records the end of a lifetime if it was not planned. It is attributed
-// later, together with all others that become known at the same time. The end of an idle
-// endpoint that never answered this owner may lie far back.
-func (c *Controller) recordCrash(e *endpoint, cause lossCause) {
+// recordCrash records the end of a lifetime with the runs that it ended, if it was not
+// planned. It is attributed later, together with all others that become known at the same
+// time. The end of an idle endpoint that never answered this owner may lie far back.
+func (c *Controller) recordCrash(e *endpoint, cause lossCause, lost []*run) {
 	if !isCrash(e, cause) || len(e.runs)+len(e.lapsed) == 0 && !e.tokenAccepted {
 		return
 	}
@@ -176,8 +176,8 @@
 		endpoint: e.info.ID, zone: e.info.Zone, startedAt: e.info.StartedAt, at: c.now, cause: cause,
 		mayBeOrder: c.mayHaveBeenOrdered(e, cause), runs: e.lapsed,
 	}
-	for _, r := range e.runs {
-		if r.phase != planned {
+	for _, r := range lost {
+		if r.phase != planned && !r.crashed {
 			cr.runs = append(cr.runs, r)
 		}
 	}
--- a/core/tmcontrol/hold.go
+++ b/core/tmcontrol/hold.go
@@ -82,7 +82,7 @@
 		return idleHoldWait
 	case e.serving > 0 && e.bestEffort > 0:
 		return paceHoldWait
-	case len(e.isolated) > 0:
+	case len(e.isolated) > 0 || e.stopping > 0:
 		return MinWorkTime
 	}
 	return busyHoldWait
@@ -105,9 +105,10 @@
 		return false
 	}
 	news = len(response.Ended) > 0 || !e.answering
+	list := response.list(sentAt)
 	if response.StartedAt > e.info.StartedAt && e.info.StartedAt != 0 || e.tokenAccepted && response.Clock < e.clock {
 		c.event(tmevent.EndpointRestarted, "endpoint", id, "born", response.StartedAt)
-		c.resetLifetime(e, max(response.StartedAt, e.info.StartedAt))
+		c.resetLifetime(e, max(response.StartedAt, e.info.StartedAt), list)
 	}
 	if response.Clock > e.clock {
 		e.clock, e.clockAt = response.Clock, now
@@ -117,9 +118,7 @@
 	}
 	e.tokenAccepted, e.answering = true, true
 	c.forgetLapse(e)
-	listed := map[runKey]bool{}
 	for _, end := range response.Ended {
-		listed[runKey{end.Task, end.Run}] = true
 		if end.Number > e.seen {
 			e.seen = end.Number
 			c.recordEnd(e, end, now)
@@ -127,16 +126,14 @@
 	}
 	e.unknownRuns = 0
 	for _, a := range response.Active {
-		key := runKey{a.Task, a.Run}
-		listed[key] = true
-		if r := e.runs[key]; r != nil {
+		if r := e.runs[runKey{a.Task, a.Run}]; r != nil {
 			c.updateActive(r, a, now)
 		} else {
 			c.stopUnknown(e, a, now)
 		}
 	}
 	for key, r := range e.runs {
-		if !listed[key] {
+		if !list.runs[key] {
 			c.reconcileMissing(r, sentAt, now)
 		}
 	}
@@ -155,6 +152,18 @@
 	return response.StartedAt < e.info.StartedAt || e.tokenAccepted && response.Clock < e.clock
 }
 
+// list returns the runs that the response lists. The hold was sent at sentAt.
+func (response *HoldResponse) list(sentAt tmclock.Millis) *runList {
+	l := &runList{runs: map[runKey]bool{}, sentAt: sentAt}
+	for _, end := range response.Ended {
+		l.runs[runKey{end.Task, end.Run}] = true
+	}
+	for _, a := range response.Active {
+		l.runs[runKey{a.Task, a.Run}] = true
+	}
+	return l
+}
+
 // HoldFailed records that a hold at an endpoint got no valid response.
 func (c *Controller) HoldFailed(id string, cause string) {
 	e := c.endpoints[id]
@@ -184,6 +193,7 @@
 	}
 	c.markAnswered(r)
 	r.settledAt, r.unanswered = now, false
+	r.listed, r.crashed = true, false
 	r.atWork = r.atWork || now.Sub(r.startedAt) >= MinWorkTime
 	c.exonerate(r.task.culprit())
 	if a.Percent != r.percent {
--- a/core/tmcontrol/job.go
+++ b/core/tmcontrol/job.go
@@ -107,6 +107,10 @@
 	startedAt  tmclock.Millis
 	// atWork is set once the endpoint has listed the run MinWorkTime after its start.
 	atWork bool
+	// listed is set once the endpoint has listed the run as active. crashed is set if the
+	// endpoint has crashed since the start order; the run may have started late, on the new
+	// lifetime.
+	listed, crashed bool
 	// isolated is set if the task was started in isolation. counted is set if the run is
 	// already counted as one under which an endpoint has crashed.
 	isolated, counted bool
--- a/core/tmcontrol/lifetime.go
+++ b/core/tmcontrol/lifetime.go
@@ -21,7 +21,7 @@
 		return
 	}
 	if info.StartedAt > e.info.StartedAt && e.info.StartedAt != 0 {
-		c.resetLifetime(e, info.StartedAt)
+		c.resetLifetime(e, info.StartedAt, nil)
 		e.listedAt = now
 	}
 	if info.Draining && !e.info.Draining {
@@ -53,17 +53,67 @@
 	}
 }
 
-// resetLifetime ends the runs of the earlier lifetime of an endpoint that
-// restarted under its id.
-func (c *Controller) resetLifetime(e *endpoint, startedAt int64) {
-	c.recordCrash(e, causeRestarted)
-	c.loseRuns(e, causeRestarted)
+// runList is what an endpoint has listed as active or ended, in answer to a hold that was
+// sent at sentAt.
+type runList struct {
+	runs   map[runKey]bool
+	sentAt tmclock.Millis
+}
+
+// shows reports whether the list tells what became of a run: it is there, or it can no
+// longer start.
+func (l *runList) shows(r *run) bool {
+	return l.runs[r.key()] || !r.inFlight && !r.unanswered && l.sentAt.After(r.settledAt)
+}
+
+// resetLifetime ends the runs of the earlier lifetime of an endpoint that restarted under
+// its id. list is what the new lifetime has listed, nil if that isn't known yet.
+func (c *Controller) resetLifetime(e *endpoint, startedAt int64, list *runList) {
+	lost := runsLostBy(e, list)
+	c.recordCrash(e, causeRestarted, lost)
 	e.info.StartedAt = startedAt
 	e.lifetime++
 	e.tokenAccepted, e.answering = false, false
-	e.seen, e.acked, e.clock, e.unknownRuns, e.leaseExpiry = 0, 0, 0, 0, 0
+	e.seen, e.acked, e.clock, e.unknownRuns = 0, 0, 0, 0
+	// A call with a time on the clock of the earlier lifetime may still arrive, and extend
+	// the lease as far as possible.
+	e.leaseExpiry = c.now.Add(tmclock.Span(float64(c.bounds.MaxLease)/minClockRate) + expiryMargin)
 	e.gone, e.reserved, e.ending, e.failures = false, false, false, 0
 	e.isolated, e.lapsed = nil, nil
+	for _, r := range lost {
+		if r.mayStartLate(list) {
+			c.stopLateStart(r)
+		} else {
+			c.loseRun(r, causeRestarted)
+		}
+	}
+}
+
+// runsLostBy returns the runs that the new lifetime of an endpoint has not listed.
+func runsLostBy(e *endpoint, list *runList) []*run {
+	var lost []*run
+	for key, r := range e.runs {
+		if list == nil || !list.runs[key] {
+			lost = append(lost, r)
+		}
+	}
+	return lost
+}
+
+// mayStartLate reports whether the new lifetime of its endpoint may have carried out the
+// start order of a run, or may still do so. An order is not bound to a lifetime.
+func (r *run) mayStartLate(list *runList) bool {
+	if r.phase == planned || r.listed {
+		return false
+	}
+	return list == nil || !list.shows(r)
+}
+
+// stopLateStart stops a run whose start order the new lifetime of its endpoint may carry out.
+// Until the endpoint shows that it is gone, the task must not start elsewhere.
+func (c *Controller) stopLateStart(r *run) {
+	c.stopRun(r, string(causeRestarted))
+	r.stopSentAt, r.stopConfirmed, r.crashed = 0, false, true
 }
 
 func (c *Controller) endLifetime(e *endpoint, cause lossCause) {
@@ -72,17 +122,21 @@
 	}
 	e.gone, e.listed, e.answering = true, false, false
 	c.event(tmevent.EndpointLost, "endpoint", e.info.ID, "runs", len(e.runs), "cause", string(cause))
-	c.recordCrash(e, cause)
+	c.recordCrash(e, cause, runsLostBy(e, nil))
 	c.loseRuns(e, cause)
 }
 
 func (c *Controller) loseRuns(e *endpoint, cause lossCause) {
 	for _, r := range e.runs {
-		c.event(tmevent.RunLost, "task", r.task.id.String(), "run", r.n, "endpoint", e.info.ID, "at_work", r.atWork, "cause", string(cause))
-		c.release(r)
+		c.loseRun(r, cause)
 	}
 }
 
+func (c *Controller) loseRun(r *run, cause lossCause) {
+	c.event(tmevent.RunLost, "task", r.task.id.String(), "run", r.n, "endpoint", r.ep.info.ID, "at_work", r.atWork, "cause", string(cause))
+	c.release(r)
+}
+
 // drainLongRunning stops the long-running tasks of a draining endpoint that can be
 // placed elsewhere, before the endpoint exits.
 func (c *Controller) drainLongRunning(e *endpoint, now tmclock.Millis) {
--- a/core/tmcontrol/rules.go
+++ b/core/tmcontrol/rules.go
@@ -73,9 +73,9 @@
 
 // Bounds holds the time spans that are set for the whole installation.
 type Bounds struct {
-	// Lease is the length of a lease granted to an endpoint. It must not exceed the
-	// longest lease that the endpoint accepts.
-	Lease tmclock.Span
+	// Lease is the length of a lease granted to an endpoint. It must not exceed MaxLease,
+	// to which an endpoint shortens any longer one.
+	Lease, MaxLease tmclock.Span
 	// HandoverDelay is the minimum time between an order of one owner about an instance
 	// and an order of the next owner about the same instance.
 	HandoverDelay tmclock.Span
--- a/internal/fleetsim/endpoint_test.go
+++ b/internal/fleetsim/endpoint_test.go
@@ -50,8 +50,10 @@
 	late, delay := c.sim.drawOrderDelay()
 	c.sim.fleet.Lock()
 	if !late {
-		defer c.sim.fleet.Unlock()
-		return do(e, false)
+		a := do(e, false)
+		c.sim.fleet.Unlock()
+		time.Sleep(c.sim.currentAnswerDelay())
+		return a
 	}
 	startedAt := e.StartedAt()
 	c.sim.fleet.Unlock()
--- a/internal/fleetsim/simulation_test.go
+++ b/internal/fleetsim/simulation_test.go
@@ -53,6 +53,8 @@
 	isolatedEndpoints map[string]bool
 	lateOrderRatio    float64
 	lostHoldRatio     float64
+	// answerDelay is the time from an order to its answer.
+	answerDelay time.Duration
 
 	// shards is the number of shards, limit the CPU limit of the team or 0 for none.
 	shards int
@@ -214,7 +216,7 @@
 	p.node = tmnode.New(tmnode.Options{
 		Name: name, Store: &storeView{store: sim.store, partitioned: p.cannotReachStore, configLost: p.isConfigLost, listLost: p.isListLost}, Endpoints: &endpointClient{sim: sim, node: name, partitioned: p.isKilled},
 		Directory: directory{sim}, Clock: tmclock.NewSystem(), BootClock: time.Now, MaxConfigAge: 3 * time.Second,
-		Bounds:    tmcontrol.Bounds{Lease: 5000, HandoverDelay: 3000, Maintenance: 2000},
+		Bounds:    tmcontrol.Bounds{Lease: 5000, MaxLease: 10000, HandoverDelay: 3000, Maintenance: 2000},
 		Resources: tmshard.Node{Cores: 1}, KeepOutcomes: outcomeRetention,
 		Emit: func(e tmevent.Event) {
 			if testing.Verbose() {
@@ -253,6 +255,12 @@
 	return true, time.Duration(sim.orderRNG.Int64N(int64(4 * time.Second)))
 }
 
+func (sim *simulation) currentAnswerDelay() time.Duration {
+	sim.mu.Lock()
+	defer sim.mu.Unlock()
+	return sim.answerDelay
+}
+
 // drawLostHold chooses at random whether a hold gets no answer.
 func (sim *simulation) drawLostHold() bool {
 	sim.mu.Lock()
--- a/io/tmnodesettings/settings.go
+++ b/io/tmnodesettings/settings.go
@@ -135,6 +135,7 @@
 			r.values[e.Name()] = e
 		}
 	}
+	maxLease := r.span("bounds.lease_max_ms", defaultMaxLease)
 	s := Settings{
 		name: r.text("node.name"),
 		zone: r.text("node.zone"),
@@ -155,7 +156,8 @@
 		keepOutcomes: r.seconds("bounds.keep_outcomes_s", defaultKeepOutcomes) + outcomeMargin,
 		keyWithdrawn: r.span("bounds.key_withdrawn_ms", tmclock.SpanOf(defaultKeyWithdrawn)).Duration(),
 		bounds: tmcontrol.Bounds{
-			Lease:         min(leaseDuration, r.span("bounds.lease_max_ms", defaultMaxLease)),
+			Lease:         min(leaseDuration, maxLease),
+			MaxLease:      maxLease,
 			HandoverDelay: r.span("bounds.turn_ms", defaultHandoverDelay),
 			Maintenance:   tmclock.SpanOf(r.seconds("bounds.upkeep_s", defaultMaintenance.Duration())),
 			Move:          tmclock.SpanOf(r.seconds("bounds.move_s", defaultMove.Duration())),
