core/tmcontrol, io/tmowner: no hold acknowledges ends of another lifetime

Found by the simulation that this commit adds: a task that was done started again. Each hold carries the number of the last end that is stored. After a restart numbers start anew, so a hold meant for the earlier lifetime made the new one forget its first ends before the owner had seen them. Three ways there: the second copy of a hold whose answer is overdue, the call for the list of an endpoint with isolated suspects, and the next hold after a pause of up to 0.5 s in which the owner waits for its flush.

The first two acknowledge nothing now, nor does a hold that is sent more than 200 ms after the last answer of the endpoint; the next one does. The pause for a flush is made only while ends wait for it, or such holds would not come to an end.

--- a/core/tmcontrol/endpoint.go
+++ b/core/tmcontrol/endpoint.go
@@ -28,8 +28,9 @@
 	// listedAt is when this lifetime was first seen in the list.
 	listedAt tmclock.Millis
 	// tokenAccepted is set once the endpoint has accepted this owner's fencing token.
-	// answering is set while the endpoint answers holds.
+	// answering is set while the endpoint answers holds, answeredAt is when it last did.
 	tokenAccepted, answering bool
+	answeredAt               tmclock.Millis
 	// clock is the reading of the endpoint's clock at clockAt.
 	clock   int64
 	clockAt tmclock.Millis
--- a/core/tmcontrol/hold.go
+++ b/core/tmcontrol/hold.go
@@ -21,11 +21,9 @@
 	if e == nil || e.gone || (!e.listed && len(e.runs) == 0) || e.info.Address == "" {
 		return HoldRequest{}, false
 	}
-	h := HoldRequest{Address: e.info.Address, Token: c.token}
-	if e.answering {
-		// An endpoint that is silent may have restarted, and would take this for an
-		// acknowledgement of ends of its new lifetime.
-		h.Acked = e.acked
+	h := HoldRequest{Address: e.info.Address, Token: c.token, Acked: e.acked}
+	if !e.answering || now.Sub(e.answeredAt) > minRestartTime {
+		h = h.WithoutAcks()
 	}
 	// The lease of an endpoint that doesn't answer is not extended. Each unanswered
 	// hold may still arrive and extend the lease, so the runs of the endpoint could
@@ -41,6 +39,18 @@
 	return h, true
 }
 
+// minRestartTime is the least time in which an endpoint can crash and start again. After a
+// longer pause it may be another lifetime that a hold reaches, and that would take an
+// acknowledgement for one of its own ends.
+const minRestartTime = 200 * tmclock.Millisecond
+
+// HasUnstoredEnds reports whether an endpoint has listed ends whose effects are not stored
+// yet.
+func (c *Controller) HasUnstoredEnds(id string) bool {
+	e := c.endpoints[id]
+	return e != nil && e.seen > e.acked
+}
+
 // holdOverdueMargin is added to the time at which a hold is expected to be answered. It
 // covers run times that are longer than expected.
 const holdOverdueMargin = 150 * tmclock.Millisecond
@@ -116,7 +126,7 @@
 	if !e.answering {
 		c.event(tmevent.EndpointAnswers, "endpoint", id, "runs", len(response.Active), "ends", len(response.Ended))
 	}
-	e.tokenAccepted, e.answering = true, true
+	e.tokenAccepted, e.answering, e.answeredAt = true, true, now
 	c.forgetLapse(e)
 	for _, end := range response.Ended {
 		if end.Number > e.seen {
--- a/core/tmcontrol/message.go
+++ b/core/tmcontrol/message.go
@@ -162,6 +162,13 @@
 	Overdue tmclock.Span
 }
 
+// WithoutAcks returns the request without an acknowledgement of ends, for a call that may
+// reach another lifetime of the endpoint than the one that listed them.
+func (h HoldRequest) WithoutAcks() HoldRequest {
+	h.Acked = 0
+	return h
+}
+
 // Change is what has to be stored of one job.
 type Change struct {
 	Job string
--- a/core/tmcontrol/order_test.go
+++ b/core/tmcontrol/order_test.go
@@ -106,3 +106,17 @@
 	f.c.Stored(flush, f.now)
 	assert.Equal(t, f.c.endpoints["e1"].acked, int64(0))
 }
+
+// Guards against a hold that acknowledges ends of a new lifetime, whose numbers start anew: the
+// endpoint would forget them before they are stored.
+func TestHoldAfterAPauseAcknowledgesNothing(t *testing.T) {
+	f := newFixture(t, 1)
+	f.c.Submitted(oneTask("j"))
+	first := f.advance(10)[0].Ref
+	f.end("e1", first.Task, 1, EndDone)
+	f.advance(10)
+	h, _ := f.c.NextHold("e1", f.now)
+	assert.Equal(t, h.Acked, int64(1))
+	h, _ = f.c.NextHold("e1", f.now.Add(2*minRestartTime))
+	assert.Equal(t, h.Acked, int64(0))
+}
--- /dev/null
+++ b/internal/fleetsim/restart_test.go
@@ -0,0 +1,57 @@
+package fleetsim
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"turmericmoor/core/tmjob"
+	"turmericmoor/internal/tmseed"
+)
+
+const (
+	// slowAnswer is how late endpoints answer orders that they have carried out.
+	slowAnswer = 60 * time.Millisecond
+	// restartInterval is the time between the restarts of two endpoints, shortOutage the
+	// time for which an endpoint is then down.
+	restartInterval = 400 * time.Millisecond
+	shortOutage     = 250 * time.Millisecond
+)
+
+// Guards against two runs of a task at once: an endpoint restarted while a start order was
+// on its way, and the new lifetime carried the order out.
+func TestOrdersOnTheirWayAtARestartRunOnce(t *testing.T) {
+	for i := range uint64(fleetSeeds) {
+		synctest.Test(t, func(t *testing.T) {
+			sim := newSimulation(t, tmseed.First()+i, 1)
+			sim.fleet.TaskDuration = func(tmjob.TaskID) time.Duration { return shortTask }
+			sim.start()
+			time.Sleep(warmupDuration)
+			sim.mu.Lock()
+			sim.answerDelay = slowAnswer
+			sim.mu.Unlock()
+			for n := range jobCount {
+				sim.submit(n + 1)
+				sim.restartEndpoint(fmt.Sprintf("w%d", sim.rng.IntN(endpointsPerShard)))
+				time.Sleep(restartInterval)
+			}
+			sim.awaitFinalStates()
+			sim.close()
+			for _, v := range sim.fleet.Violations() {
+				t.Errorf("seed %d: %s", tmseed.First()+i, v)
+			}
+		})
+	}
+}
+
+// restartEndpoint lets an endpoint crash and restart under its id.
+func (sim *simulation) restartEndpoint(id string) {
+	sim.fleet.Lock()
+	sim.fleet.Endpoint(id).Crash()
+	sim.fleet.Unlock()
+	time.Sleep(shortOutage)
+	sim.fleet.Lock()
+	sim.fleet.Endpoint(id).Restart()
+	sim.fleet.Unlock()
+}
--- a/io/tmowner/call.go
+++ b/io/tmowner/call.go
@@ -132,6 +132,7 @@
 	if !ok {
 		return
 	}
+	h = h.WithoutAcks()
 	h.Wait = 0
 	callCtx, cancel := context.WithTimeout(ctx, holdTimeoutMargin)
 	defer cancel()
@@ -167,25 +168,25 @@
 			o.holdFailed(ctx, id, held.err)
 			continue
 		}
-		stored := o.holdAnswered(id, held.response, held.sentAt)
-		if len(held.response.Ended) > 0 {
+		if stored, ends := o.holdAnswered(id, held.response, held.sentAt); ends {
 			o.awaitStored(ctx, stored)
 		}
 	}
 }
 
 // holdAnswered passes the response of a hold to the controller. It returns the
-// channel that is closed when the next flush is stored.
-func (o *Owner) holdAnswered(id string, resp tmcontrol.HoldResponse, sent tmclock.Millis) <-chan struct{} {
+// channel that is closed when the next flush is stored, and whether ends of the endpoint
+// wait for that.
+func (o *Owner) holdAnswered(id string, resp tmcontrol.HoldResponse, sent tmclock.Millis) (<-chan struct{}, bool) {
 	now := o.opts.Clock.Now()
 	o.mu.Lock()
 	changed := o.ctl.HoldAnswered(id, resp, sent, now)
-	stored := o.storedCh
+	stored, ends := o.storedCh, o.ctl.HasUnstoredEnds(id)
 	o.mu.Unlock()
 	if changed {
 		o.requestPlan()
 	}
-	return stored
+	return stored, ends
 }
 
 func (o *Owner) holdFailed(ctx context.Context, id string, err error) {
--- a/io/tmowner/hedge.go
+++ b/io/tmowner/hedge.go
@@ -19,9 +19,9 @@
 // allow permits it. A delay of 0 means no second call, unless a delay arrives from later.
 // hedged returns the results in the order in which they arrived, up to the first one that
 // settles the matter.
-func hedged[T any](delay time.Duration, later <-chan time.Duration, allow func() bool, call func() T, settles func(T) bool) []T {
+func hedged[T any](delay time.Duration, later <-chan time.Duration, allow func() bool, call func(attempt int) T, settles func(T) bool) []T {
 	results := make(chan T, 2)
-	go func() { results <- call() }()
+	go func() { results <- call(1) }()
 	outstanding := 1
 	timer := time.NewTimer(delay)
 	defer timer.Stop()
@@ -38,7 +38,7 @@
 			later = nil
 			if allow() {
 				outstanding++
-				go func() { results <- call() }()
+				go func() { results <- call(2) }()
 			}
 		case r := <-results:
 			outstanding--
@@ -80,7 +80,7 @@
 	defer cancel()
 	o.startHedges.recordCall()
 	answers := hedged(startHedgeDelay, nil, o.startHedges.allow,
-		func() tmcontrol.Answer { return o.opts.Endpoints.Start(ctx, s) }, tmcontrol.Answer.IsDefinite)
+		func(int) tmcontrol.Answer { return o.opts.Endpoints.Start(ctx, s) }, tmcontrol.Answer.IsDefinite)
 	last := answers[len(answers)-1]
 	if !last.IsDefinite() {
 		for _, a := range answers {
@@ -109,7 +109,11 @@
 	ctx, cancel := context.WithTimeout(ctx, h.Wait.Duration()+holdTimeoutMargin)
 	defer cancel()
 	o.holdHedges.recordCall()
-	results := hedged(h.Overdue.Duration(), o.awaitOverdue(id, h), o.holdHedges.allow, func() heldRuns {
+	results := hedged(h.Overdue.Duration(), o.awaitOverdue(id, h), o.holdHedges.allow, func(attempt int) heldRuns {
+		h := h
+		if attempt > 1 {
+			h = h.WithoutAcks()
+		}
 		sentAt := o.opts.Clock.Now()
 		response, err := o.opts.Endpoints.Hold(ctx, id, h)
 		return heldRuns{response: response, sentAt: sentAt, err: err}
