core/tmcontrol: a run of a new lifetime outlives a hand-over

If the endpoint had restarted by then, the new lifetime runs the task, and the next owner took it for gone since the endpoint had "restarted since", and started it elsewhere.

The next owner asks the endpoint first, as it does for all other restored runs; one that can't be reached is waited for as long as its longest lease. The crash is counted as before. TestRunOfANewLifetimeOutlivesAHandover fails without the change.

--- a/core/tmcontrol/controller.go
+++ b/core/tmcontrol/controller.go
@@ -206,23 +206,25 @@
 
 func (c *Controller) restoreRun(t *task, place tmjob.Placement, now tmclock.Millis) {
 	e := c.endpoints[place.Endpoint]
-	if e != nil && place.EndpointStart != 0 && e.info.StartedAt > place.EndpointStart {
-		// The endpoint has restarted since, so the run no longer exists.
-		c.event(tmevent.RunGone, "task", t.id.String(), "run", place.Run, "endpoint", place.Endpoint, "cause", string(causeRestarted))
-		c.recordRestoredCrash(t, e, place)
-		return
-	}
 	if e == nil {
 		e = c.addEndpoint(EndpointInfo{ID: place.Endpoint, StartedAt: place.EndpointStart})
 		e.listed = false
 	}
-	// If this owner can't reach the endpoint, the earlier owner may still be renewing
-	// its lease.
-	e.extendLeaseExpiry(now.Add(maxUnconfirmedTime + tmclock.Span(float64(c.bounds.Lease)/minClockRate) + expiryMargin))
 	r := c.addRun(t, e, place.Run)
 	r.phase = unconfirmed
-	if place.Isolated {
-		r.isolated, e.isolated = true, append(e.isolated, t.culprit())
+	if place.EndpointStart != 0 && e.info.StartedAt > place.EndpointStart {
+		// The endpoint has restarted since. The run is gone, unless the earlier owner did not
+		// know that and the new lifetime carried out its order.
+		r.crashed = true
+		c.recordRestoredCrash(t, e, place)
+		e.extendLeaseExpiry(now.Add(maxLeaseTime(c.bounds.MaxLease)))
+	} else {
+		// If this owner can't reach the endpoint, the earlier owner may still be renewing
+		// its lease.
+		e.extendLeaseExpiry(now.Add(maxUnconfirmedTime + maxLeaseTime(c.bounds.Lease)))
+		if place.Isolated {
+			r.isolated, e.isolated = true, append(e.isolated, t.culprit())
+		}
 	}
 	if t.step.occ.job.final {
 		c.stopRun(r, "job "+t.step.occ.job.state.String())
--- a/core/tmcontrol/crash.go
+++ b/core/tmcontrol/crash.go
@@ -204,7 +204,7 @@
 // an endpoint that has crashed may be away for longer than the lease.
 func (c *Controller) recordLapse(e *endpoint) {
 	for _, r := range e.runs {
-		if r.phase == planned {
+		if r.phase == planned || r.crashed {
 			continue
 		}
 		if t := r.task.culprit(); r.isStarting() && !t.done {
--- a/core/tmcontrol/endpoint.go
+++ b/core/tmcontrol/endpoint.go
@@ -163,10 +163,15 @@
 // records until when the lease may be in force on the local clock.
 func (e *endpoint) grantLease(d tmclock.Span, now tmclock.Millis) int64 {
 	until := e.estimatedClock(now) + int64(d)
-	e.extendLeaseExpiry(e.clockAt.Add(tmclock.Span(float64(until-e.clock)/minClockRate) + expiryMargin))
+	e.extendLeaseExpiry(e.clockAt.Add(maxLeaseTime(tmclock.Span(until - e.clock))))
 	return until
 }
 
+// maxLeaseTime returns how long a lease of length d may last on the local clock.
+func maxLeaseTime(d tmclock.Span) tmclock.Span {
+	return tmclock.Span(float64(d)/minClockRate) + expiryMargin
+}
+
 func (e *endpoint) extendLeaseExpiry(t tmclock.Millis) {
 	if t.After(e.leaseExpiry) {
 		e.leaseExpiry = t
--- a/core/tmcontrol/lifetime.go
+++ b/core/tmcontrol/lifetime.go
@@ -77,7 +77,7 @@
 	e.seen, e.acked, e.clock, e.unknownRuns = 0, 0, 0, 0
 	// A call with a time on the clock of the earlier lifetime may still arrive, and extend
 	// the lease as far as possible.
-	e.leaseExpiry = c.now.Add(tmclock.Span(float64(c.bounds.MaxLease)/minClockRate) + expiryMargin)
+	e.leaseExpiry = c.now.Add(maxLeaseTime(c.bounds.MaxLease))
 	e.gone, e.reserved, e.ending, e.failures = false, false, false, 0
 	e.isolated, e.lapsed = nil, nil
 	for _, r := range lost {
--- a/core/tmcontrol/restart_test.go
+++ b/core/tmcontrol/restart_test.go
@@ -69,3 +69,38 @@
 	f.answerHold(first.Endpoint)
 	assert.Equal(t, len(f.advance(10)), 1)
 }
+
+// Guards against the same across a hand-over: the earlier owner stored the start with the
+// lifetime that it knew.
+func TestRunOfANewLifetimeOutlivesAHandover(t *testing.T) {
+	f := newFixture(t, 2)
+	f.c.Submitted(oneTask("j"))
+	first := f.advance(10)[0].Ref
+	f.restarts[first.Endpoint]++
+	f.restoreAtNewOwner("j")
+	for _, id := range []string{"e1", "e2"} {
+		if id != first.Endpoint {
+			f.answerHold(id)
+		}
+	}
+	assert.Equal(t, len(f.advance(10)), 0)
+	f.answerHold(first.Endpoint)
+	f.end(first.Endpoint, first.Task, first.Run, EndDone)
+	f.advance(10)
+	assert.Equal(t, len(f.c.jobs), 0)
+}
+
+// restoreAtNewOwner replaces the owner by one that reads the job and the list of endpoints.
+func (f *fixture) restoreAtNewOwner(job string) {
+	progress := f.c.jobs[job].progress()
+	endpoints := len(f.c.endpoints)
+	f.c = f.newController(2)
+	for i := range endpoints {
+		info := f.endpointInfo(i + 1)
+		info.StartedAt += f.restarts[info.ID]
+		f.c.SetEndpoint(info, f.now)
+	}
+	f.c.Submitted(oneTask(job))
+	f.c.Restore(progress, f.now)
+	f.c.Loaded()
+}
