core/tmcontrol: no start at an endpoint that fell silent while its placement was stored

A placement is stored before its start is ordered, which takes up to a second with a slow store. If the endpoint crashed meanwhile and its hold had failed, the order went out all the same: it got no answer, the task waited for the restart or the end of a lease, and counted a crash that it could not have caused. The placement is dropped now, as for an endpoint that drains, and the task is placed elsewhere. TestNoStartAtAnEndpointThatFellSilent fails without the change.

--- a/core/tmcontrol/endpoint.go
+++ b/core/tmcontrol/endpoint.go
@@ -188,6 +188,11 @@
 	return free.CPU < 0 || free.Mem < 0 || free.GPU < 0
 }
 
+// mayStart reports whether a task that was placed on e may still be started there.
+func (e *endpoint) mayStart() bool {
+	return e.answering && !e.gone && !e.info.Draining && !e.isOvercommitted()
+}
+
 // usable reports whether new tasks may be placed here at all.
 func (e *endpoint) usable(now tmclock.Millis) bool {
 	return e.tokenAccepted && e.answering && e.listed && !e.info.Draining && !e.reserved &&
--- a/core/tmcontrol/order.go
+++ b/core/tmcontrol/order.go
@@ -266,7 +266,7 @@
 		if r.phase != planned || r.ep.runs[r.key()] != r {
 			continue
 		}
-		if r.stop || r.ep.gone || r.ep.info.Draining || r.ep.isOvercommitted() || c.zonesOut[r.ep.info.Zone] {
+		if r.stop || !r.ep.mayStart() || c.zonesOut[r.ep.info.Zone] {
 			c.release(r)
 			continue
 		}
--- a/core/tmcontrol/order_test.go
+++ b/core/tmcontrol/order_test.go
@@ -120,3 +120,18 @@
 	h, _ = f.c.NextHold("e1", f.now.Add(2*minRestartTime))
 	assert.Equal(t, h.Acked, int64(0))
 }
+
+// Guards against a start order to an endpoint that fell silent while its placement was
+// stored: the task would wait for the end of a lease.
+func TestNoStartAtAnEndpointThatFellSilent(t *testing.T) {
+	f := newFixture(t, 2)
+	f.c.Submitted(oneTask("j"))
+	f.c.Tick(f.now, int64(f.now))
+	f.c.Plan(f.now, int64(f.now))
+	flush := f.c.TakeFlush(f.now)
+	f.c.HoldFailed("e1", "test")
+	f.c.Stored(flush, f.now)
+	starts := f.advance(10)
+	assert.Equal(t, len(starts), 1)
+	assert.Equal(t, starts[0].Ref.Endpoint, "e2")
+}
