cmd/turmericmoor: signals are taken until the process exits, SIGTERM beside SIGHUP

The handlers were given back as the node's function returned, so that a second SIGTERM a moment before the exit met the default action. All requests were answered by then; what saw it was the supervisor.

Signals are handled until the process is gone, stops and hang-ups by a channel each; the entry's daemon likewise.

--- a/cmd/turmericmoor/entry.go
+++ b/cmd/turmericmoor/entry.go
@@ -4,9 +4,6 @@
 	"context"
 	"fmt"
 	"io"
-	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -48,12 +45,14 @@
 	if ctx == nil {
 		ctx = context.Background()
 	}
-	ctx, cancel := signal.NotifyContext(ctx, syscall.SIGTERM, os.Interrupt)
-	defer cancel()
+	stops := notifyStop()
 	daemon, err := tmdaemon.Start(settings, logger)
 	if err != nil {
 		return err
 	}
-	<-ctx.Done()
+	select {
+	case <-ctx.Done():
+	case <-stops:
+	}
 	return daemon.Close()
 }
--- a/cmd/turmericmoor/node.go
+++ b/cmd/turmericmoor/node.go
@@ -7,8 +7,6 @@
 	"io"
 	"net/http"
 	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"turmericmoor/core/tmevent"
@@ -76,11 +74,7 @@
 }
 
 func runNode(path string, out io.Writer) error {
-	// Signals are handled until the function returns: one that arrives during the
-	// shutdown must not terminate the process immediately.
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGTERM, os.Interrupt, syscall.SIGHUP)
-	defer signal.Stop(signals)
+	stops, hangups := notifyStop(), notifyHangup()
 	settings, err := tmnodesettings.Load(path)
 	if err != nil {
 		return fmt.Errorf("settings: %w", err)
@@ -114,7 +108,7 @@
 		node.Run(nodeCtx)
 	}()
 	reload := func(reason string) { reloadNode(path, reason, settings, node, events) }
-	awaitShutdown(path, signals, reload)
+	awaitShutdown(path, stops, hangups, reload)
 	events.Note(tmevent.NodeStops)
 	node.Leave()
 	unready := min(unreadyDelay, settings.Shutdown()/2)
@@ -125,18 +119,17 @@
 	return err
 }
 
-// awaitShutdown returns on SIGTERM or SIGINT. Until then it calls reload on SIGHUP
-// and when the settings file has changed.
-func awaitShutdown(path string, signals <-chan os.Signal, reload func(reason string)) {
+// awaitShutdown returns when stops receives a signal. Until then it calls reload when
+// hangups does and when the settings file has changed.
+func awaitShutdown(path string, stops, hangups <-chan os.Signal, reload func(reason string)) {
 	tick := time.NewTicker(settingsPollInterval)
 	defer tick.Stop()
 	changed := modTime(path)
 	for {
 		select {
-		case s := <-signals:
-			if s != syscall.SIGHUP {
-				return
-			}
+		case <-stops:
+			return
+		case <-hangups:
 			changed = modTime(path)
 			reload("signal")
 		case <-tick.C:
