core/tmcontrol: a job fails once its task has crashed an endpoint while starting alone

Storms of crashing tasks still kept a pool down: each task ended three to four lifetimes, with up to 17 healthy runs each. The users' page allows to give up after two.

Ruled out: one crash alone as it was counted before. Ruled out as well: groups of two and four, which end a lifetime more for each guilty task among them.

Suspects are isolated one to an endpoint, the least suspicious first and long-running ones before all. A start that is not known to have begun adds the least suspicion; one in company the half of what fails a job, one alone in isolation the other half. So two endpoints have crashed under the task.

The check of the emulator on healthy jobs that are given up was five crashes; the page says two.

--- a/core/tmcontrol/controller.go
+++ b/core/tmcontrol/controller.go
@@ -223,7 +223,7 @@
 		// its lease.
 		e.extendLeaseExpiry(now.Add(maxUnconfirmedTime + maxLeaseTime(c.bounds.Lease)))
 		if place.Isolated {
-			r.isolated, e.isolated = true, append(e.isolated, t.culprit())
+			r.isolated, e.isolated = true, t.culprit()
 		}
 	}
 	if t.step.occ.job.final {
--- a/core/tmcontrol/crash.go
+++ b/core/tmcontrol/crash.go
@@ -24,12 +24,15 @@
 	// maxCrashes is the number of crashes under a task after which its job fails whatever
 	// else may have caused them.
 	maxCrashes = 5
-	// A task is suspectedWithMany after a crash under several tasks that were starting, and
-	// suspectedWithFew after one under itself alone, or under a group of isolated suspects.
-	// Each crash in isolation alone adds one; at maxSuspicions the job of the task fails.
-	suspectedWithMany = 1
-	suspectedWithFew  = 2
-	maxSuspicions     = 4
+	// The suspicions of a task that was starting when its endpoint crashed: at least
+	// suspectedUnstarted if its start order had no answer, so that it may not have begun, and
+	// suspectedInCompany if it had begun. Each crash while it was starting in isolation adds
+	// suspicionAlone. The job fails at maxSuspicions, so not before two endpoints have crashed
+	// under the task.
+	suspectedUnstarted = 1
+	suspectedInCompany = 2
+	suspicionAlone     = 2
+	maxSuspicions      = 4
 	// exonerationTime is how long a run must last for the earlier crashes under its task
 	// to be forgotten. A healthy task meets few crashes so soon after its starts.
 	exonerationTime = 2 * tmclock.Second
@@ -96,12 +99,12 @@
 	for _, r := range cr.runs {
 		switch {
 		case r.task.culprit() != t || r.sentAt == 0:
-		case r.isolated && starting == 1:
-			return max(n, suspectedWithFew) + 1
-		case r.isolated || starting == 1:
-			n = max(n, suspectedWithFew)
+		case !r.begun:
+			n = max(n, suspectedUnstarted)
+		case !r.isolated || starting > 1:
+			n = max(n, suspectedInCompany)
 		default:
-			n = max(n, suspectedWithMany)
+			return n + suspicionAlone
 		}
 	}
 	return n
--- a/core/tmcontrol/endpoint.go
+++ b/core/tmcontrol/endpoint.go
@@ -59,8 +59,8 @@
 	reserved bool
 	// ending is set once an order was issued that ends all runs here.
 	ending bool
-	// isolated holds the suspects for which the endpoint is set aside.
-	isolated []*task
+	// isolated is the suspect for which the endpoint is set aside, or nil.
+	isolated *task
 	// lapsed holds the runs whose lease has lapsed here. They are among those that a crash
 	// may be attributed to, if the endpoint turns out to have crashed.
 	lapsed []*run
--- a/core/tmcontrol/hold.go
+++ b/core/tmcontrol/hold.go
@@ -92,7 +92,7 @@
 		return idleHoldWait
 	case e.serving > 0 && e.bestEffort > 0:
 		return paceHoldWait
-	case len(e.isolated) > 0 || e.stopping > 0:
+	case e.isolated != nil || e.stopping > 0:
 		return MinWorkTime
 	}
 	return busyHoldWait
@@ -203,7 +203,7 @@
 	}
 	c.markAnswered(r)
 	r.settledAt, r.unanswered = now, false
-	r.listed, r.crashed = true, false
+	r.begun, r.listed, r.crashed = true, true, false
 	r.atWork = r.atWork || now.Sub(r.startedAt) >= MinWorkTime
 	c.exonerate(r.task.culprit())
 	if a.Percent != r.percent {
--- a/core/tmcontrol/isolation.go
+++ b/core/tmcontrol/isolation.go
@@ -14,13 +14,11 @@
 	// well. The others serve the rest of the work.
 	maxIsolatedShare     = 1.0 / 3
 	maxIsolatedIdleShare = 2.0 / 3
-	// maxIsolatedGroup is how many suspects that are probably innocent share an endpoint.
-	maxIsolatedGroup = 4
 )
 
-// planSuspects starts suspects in isolation. An endpoint is set aside for them: it gets no
-// other tasks until those that it has are at work and the suspects are at work as well.
-// If it crashes meanwhile, nothing but the suspects was starting there.
+// planSuspects starts suspects in isolation. An endpoint is set aside for each: it gets no
+// other tasks until those that it has are at work and the suspect is at work as well.
+// If it crashes meanwhile, nothing but the suspect was starting there.
 func (c *Controller) planSuspects(pools map[string]*pool, now tmclock.Millis) {
 	c.endIsolations(now)
 	suspects := c.waitingSuspects(now)
@@ -42,19 +40,13 @@
 	}
 }
 
-// compareSuspects orders suspects: those that are probably innocent go first, since they
-// pass quickly, and of the others the most suspicious.
+// compareSuspects orders suspects: long-running tasks go first, then the least suspicious,
+// which are probably innocent.
 func compareSuspects(a, b *task) int {
-	if a.mayShareIsolation() != b.mayShareIsolation() {
-		return boolOrder(a.mayShareIsolation())
+	if a.step.spec.LongRunning != b.step.spec.LongRunning {
+		return boolOrder(a.step.spec.LongRunning)
 	}
-	return cmp.Compare(b.suspicions, a.suspicions)
-}
-
-// mayShareIsolation reports whether a suspect was suspected only together with many
-// others, so that it may start beside other such suspects.
-func (t *task) mayShareIsolation() bool {
-	return t.suspicions <= suspectedWithMany && t.crashes < watchedCrashes
+	return cmp.Compare(a.suspicions, b.suspicions)
 }
 
 // waitingSuspects returns the suspects that may start now, other than gangs.
@@ -91,42 +83,32 @@
 
 func (p *pool) isolatedFor(t *task) *endpoint {
 	for _, e := range p.endpoints {
-		if slices.Contains(e.isolated, t) {
+		if e.isolated == t {
 			return e
 		}
 	}
 	return nil
 }
 
-// isolate adds a suspect to the group of an endpoint that is set aside, or sets aside the
-// endpoint where a crash would end the fewest runs, unless too many are.
+// isolate sets aside the endpoint where a crash would end the fewest runs for a suspect,
+// unless too many are set aside.
 func (c *Controller) isolate(t *task, p *pool, now tmclock.Millis) {
 	var best *endpoint
 	isolated := 0
 	advised := c.adviceFor(t.step, p, now)
 	for _, e := range p.endpoints {
-		isShared := e.mayJoin(t)
-		if len(e.isolated) > 0 {
+		if e.isolated != nil {
 			isolated++
-			if !isShared {
-				continue
-			}
-		}
-		if !c.couldFit(t.step, e) || !advised(e) {
 			continue
 		}
-		if isShared {
-			e.isolated = append(e.isolated, t)
-			return
-		}
-		if best == nil || len(e.runs) < len(best.runs) {
+		if c.couldFit(t.step, e) && advised(e) && (best == nil || len(e.runs) < len(best.runs)) {
 			best = e
 		}
 	}
 	if best == nil || isolated >= maxIsolated(len(p.endpoints), len(best.runs) == 0) {
 		return
 	}
-	best.isolated = []*task{t}
+	best.isolated = t
 	c.event(tmevent.EndpointIsolated, "endpoint", best.info.ID, "task", t.id.String(), "runs", len(best.runs), "ended", false)
 }
 
@@ -140,31 +122,22 @@
 	return max(1, int(share*float64(n)))
 }
 
-// mayJoin reports whether a suspect may join the group for which e is set aside and of
-// which none has started yet.
-func (e *endpoint) mayJoin(t *task) bool {
-	if len(e.isolated) == 0 || len(e.isolated) >= maxIsolatedGroup || !t.mayShareIsolation() || !e.isolated[0].mayShareIsolation() {
-		return false
-	}
-	return !slices.ContainsFunc(e.isolated, func(other *task) bool { return len(other.active) > 0 })
-}
-
 // couldFit reports whether a task of the step fits on e once the tasks there that end by
 // themselves have ended.
 func (c *Controller) couldFit(s *step, e *endpoint) bool {
 	return !e.reserved && s.permits(e) && s.spec.Reservation().Fits(e.info.Capacity.Sub(e.longRunning))
 }
 
-// IsIsolated reports whether suspects are isolated on an endpoint.
+// IsIsolated reports whether a suspect is isolated on an endpoint.
 func (c *Controller) IsIsolated(endpoint string) bool {
 	e := c.endpoints[endpoint]
-	return e != nil && len(e.isolated) > 0
+	return e != nil && e.isolated != nil
 }
 
-// isQuiet reports whether no run is starting on e other than those of isolated suspects.
+// isQuiet reports whether no run is starting on e other than that of an isolated suspect.
 func (e *endpoint) isQuiet() bool {
 	for _, r := range e.runs {
-		if r.isStarting() && !slices.Contains(e.isolated, r.task.culprit()) {
+		if r.isStarting() && r.task.culprit() != e.isolated {
 			return false
 		}
 	}
@@ -175,7 +148,7 @@
 func (p *pool) quietEndpoints() *pool {
 	quiet := &pool{service: p.service}
 	for _, e := range p.endpoints {
-		if len(e.isolated) == 0 && e.isQuiet() {
+		if e.isolated == nil && e.isQuiet() {
 			quiet.endpoints = append(quiet.endpoints, e)
 		}
 	}
@@ -186,18 +159,18 @@
 func (s *step) isolateGang() {
 	for _, t := range s.tasks {
 		for _, r := range t.active {
-			r.isolated, r.ep.isolated = true, []*task{t.culprit()}
+			r.isolated, r.ep.isolated = true, t.culprit()
 		}
 	}
 }
 
-// endIsolations ends the isolations whose suspects are at work or no longer need them.
+// endIsolations ends the isolations whose suspect is at work or no longer needs it.
 func (c *Controller) endIsolations(now tmclock.Millis) {
 	for _, e := range c.endpoints {
-		if len(e.isolated) == 0 || e.needsIsolation(now) {
+		if e.isolated == nil || e.needsIsolation(now) {
 			continue
 		}
-		c.event(tmevent.EndpointIsolated, "endpoint", e.info.ID, "task", e.isolated[0].id.String(), "runs", len(e.runs), "ended", true)
+		c.event(tmevent.EndpointIsolated, "endpoint", e.info.ID, "task", e.isolated.id.String(), "runs", len(e.runs), "ended", true)
 		e.isolated = nil
 		for _, r := range e.runs {
 			if r.isolated {
@@ -209,19 +182,15 @@
 	}
 }
 
-// needsIsolation reports whether a suspect that is isolated on e is starting there, or
-// all of them are about to be placed there.
+// needsIsolation reports whether the suspect that is isolated on e is starting there, or
+// is about to be placed there.
 func (e *endpoint) needsIsolation(now tmclock.Millis) bool {
-	isPlaced := false
 	for _, r := range e.runs {
-		if slices.Contains(e.isolated, r.task.culprit()) {
-			if r.isStarting() {
-				return true
-			}
-			isPlaced = true
+		if r.task.culprit() == e.isolated {
+			return r.isStarting()
 		}
 	}
-	return !isPlaced && e.usable(now) && slices.ContainsFunc(e.isolated, (*task).awaitsIsolation)
+	return e.usable(now) && e.isolated.awaitsIsolation()
 }
 
 // awaitsIsolation reports whether a suspect is about to be placed in isolation. Gangs are
--- a/core/tmcontrol/job.go
+++ b/core/tmcontrol/job.go
@@ -105,6 +105,8 @@
 	unanswered bool
 	tries      int
 	startedAt  tmclock.Millis
+	// begun is set once the endpoint has accepted or listed the run.
+	begun bool
 	// atWork is set once the endpoint has listed the run MinWorkTime after its start.
 	atWork bool
 	// listed is set once the endpoint has listed the run as active. crashed is set if the
--- a/core/tmcontrol/order.go
+++ b/core/tmcontrol/order.go
@@ -78,7 +78,7 @@
 	}
 	switch a {
 	case Accepted:
-		r.phase, r.settledAt, r.unanswered = active, now, false
+		r.phase, r.settledAt, r.unanswered, r.begun = active, now, false, true
 		if r.startedAt == 0 {
 			r.startedAt = now
 		}
--- a/core/tmcontrol/plan.go
+++ b/core/tmcontrol/plan.go
@@ -253,7 +253,7 @@
 
 func (c *Controller) assign(t *task, e *endpoint, n int) {
 	r := c.addRun(t, e, n)
-	r.isolated = len(e.isolated) > 0
+	r.isolated = e.isolated != nil
 	r.pending = true
 	c.pending++
 	t.runs = n
@@ -287,7 +287,7 @@
 
 // allows reports whether e may run one more task of the step that is not a suspect.
 func (c *Controller) allows(s *step, e *endpoint) bool {
-	return len(e.isolated) == 0 && c.fits(s, e)
+	return e.isolated == nil && c.fits(s, e)
 }
 
 // fits reports whether e has room for one more task of the step and may run it.
--- a/internal/emulator/checker.go
+++ b/internal/emulator/checker.go
@@ -19,17 +19,18 @@
 	// crashes counts the endpoints that a task has crashed, startsAfterCrashes its starts
 	// since there were maxCrashes of them.
 	crashes, startsAfterCrashes map[tmjob.TaskID]int
-	// losses counts the endpoints that have crashed under a task, whatever the cause.
-	losses     map[tmjob.TaskID]int
-	starts     int
-	violations []string
+	// losses counts the endpoints that have crashed under a task, whatever the cause,
+	// soleLosses those of them on which no other task was starting.
+	losses, soleLosses map[tmjob.TaskID]int
+	starts             int
+	violations         []string
 }
 
 func newChecker() checker {
 	return checker{
 		active: map[tmjob.TaskID]map[string]int{}, acknowledged: map[tmjob.TaskID]bool{},
 		finished: map[tmjob.TaskID]bool{}, failures: map[tmjob.TaskID]int{},
-		crashes: map[tmjob.TaskID]int{}, startsAfterCrashes: map[tmjob.TaskID]int{}, losses: map[tmjob.TaskID]int{},
+		crashes: map[tmjob.TaskID]int{}, startsAfterCrashes: map[tmjob.TaskID]int{}, losses: map[tmjob.TaskID]int{}, soleLosses: map[tmjob.TaskID]int{},
 	}
 }
 
@@ -42,9 +43,14 @@
 	minCrashes            = 2
 	maxCrashes            = 3
 	maxStartsAfterCrashes = 3
-	// minLosses is how many endpoints must have crashed under a task that did not cause it
-	// for the task to be given up.
-	minLosses = 5
+	// A task that crashed none may be given up as well if as many endpoints have crashed
+	// under it, and it was the only one that was starting on one of them, or if maxLosses
+	// have.
+	maxLosses = 5
+	// startingTime is how long a run can't be told from one that crashes its endpoint,
+	// unlistedTime the longest time for which it may be unlisted.
+	startingTime = 200 * time.Millisecond
+	unlistedTime = time.Second
 )
 
 // ReportViolation records the violation of a guarantee.
@@ -139,9 +145,32 @@
 	}
 }
 
-func (c *checker) recordLoss(e *Endpoint, key taskRun) {
-	delete(c.active[key.task], e.id)
-	c.losses[key.task]++
+// recordLosses records the runs that end as their endpoint crashes.
+func (c *checker) recordLosses(e *Endpoint) {
+	now := time.Now()
+	for key, r := range e.runs {
+		delete(c.active[key.task], e.id)
+		c.losses[key.task]++
+		if now.Sub(r.startedAt) < unlistedTime && !e.startedBeside(key, now.Add(-startingTime)) {
+			c.soleLosses[key.task]++
+		}
+	}
+}
+
+// startedBeside reports whether a run other than the given one has started since t.
+func (e *Endpoint) startedBeside(key taskRun, t time.Time) bool {
+	for other, r := range e.runs {
+		if other != key && r.startedAt.After(t) {
+			return true
+		}
+	}
+	return false
+}
+
+// mayBeGivenUp reports whether a job may fail because of endpoints that crashed under a task.
+func (c *checker) mayBeGivenUp(t tmjob.TaskID) bool {
+	losses := c.losses[t]
+	return c.crashes[t] >= minCrashes || losses >= minCrashes && c.soleLosses[t] > 0 || losses >= maxLosses
 }
 
 // recordAcknowledgement records that the owner acknowledged an end to its endpoint.
@@ -158,7 +187,7 @@
 	for s := range job.Steps {
 		for i := range job.Steps[s].Count {
 			t := tmjob.TaskID{Job: id, Step: s, Index: i}
-			failed = failed || f.checker.failures[t] >= maxAttempts || f.checker.crashes[t] >= minCrashes || f.checker.losses[t] >= minLosses
+			failed = failed || f.checker.failures[t] >= maxAttempts || f.checker.mayBeGivenUp(t)
 			if state == tmjob.Completed && !f.checker.finished[t] {
 				f.ReportViolation("job %s is reported as completed but task %s is not done", id, t)
 			}
--- a/internal/emulator/endpoint.go
+++ b/internal/emulator/endpoint.go
@@ -128,10 +128,8 @@
 
 // Crash ends the process and all its runs without reporting their ends.
 func (e *Endpoint) Crash() {
-	for key := range e.runs {
-		delete(e.runs, key)
-		e.fleet.checker.recordLoss(e, key)
-	}
+	e.fleet.checker.recordLosses(e)
+	clear(e.runs)
 	e.down = true
 }
 
