core/tmcontrol: a suspect that may be innocent waits for isolation for ten seconds at most

Suspects were started in isolation only, however long that took.

A suspect of at most one crash in company starts beside others after ten seconds; if the endpoint crashes again it is isolated again, from the third crash on for good.

TestSuspectThatMayBeInnocentWaitsForABoundedTime fails with the bound removed by hand.

--- a/core/tmcontrol/controller.go
+++ b/core/tmcontrol/controller.go
@@ -187,7 +187,7 @@
 		}
 		j.begun = true
 		t.runs, t.failures, t.checkpoint = rec.Runs, rec.Failures, rec.Checkpoint
-		t.crashes, t.suspicions = rec.Crashes, rec.Suspicions
+		t.crashes, t.suspicions, t.suspectedAt = rec.Crashes, rec.Suspicions, now
 		j.hasSuspects = j.hasSuspects || t.isSuspect()
 		j.failed = j.failed || t.failures > 0
 		if rec.Done {
--- a/core/tmcontrol/crash.go
+++ b/core/tmcontrol/crash.go
@@ -92,13 +92,14 @@
 	return cr.tasksOf((*run).isStarting)
 }
 
-// suspicionsAfter returns the suspicions of a task that was starting, the crash included.
-// Whether a run that an earlier owner started was at work is not known, so it adds none.
+// suspicionsAfter returns the suspicions of a task that was starting, the crash included. A
+// run that was at work adds none, nor one that an earlier owner started, of which that is
+// not known.
 func (cr *crash) suspicionsAfter(t *task, starting int) int {
 	n := t.suspicions
 	for _, r := range cr.runs {
 		switch {
-		case r.task.culprit() != t || r.sentAt == 0:
+		case r.task.culprit() != t || r.sentAt == 0 || r.atWork:
 		case !r.begun:
 			n = max(n, suspectedUnstarted)
 		case !r.isolated || starting > 1:
@@ -151,6 +152,16 @@
 	return u.suspicions > 0 || u.crashes >= watchedCrashes
 }
 
+// mustBeIsolated reports whether a task may start in isolation only. One that may well be
+// innocent waits for that no longer than maxIsolationWait.
+func (t *task) mustBeIsolated(now tmclock.Millis) bool {
+	u := t.culprit()
+	if u.crashes < watchedCrashes && u.suspicions <= suspectedInCompany && now.Sub(u.suspectedAt) >= maxIsolationWait {
+		return false
+	}
+	return t.isSuspect()
+}
+
 // isCrash reports whether the end of a lifetime was not planned: no order for the
 // instance ended it, and the endpoint had not announced that it would leave.
 func isCrash(e *endpoint, cause lossCause) bool {
@@ -274,6 +285,7 @@
 // task if that was once too often.
 func (c *Controller) markSuspect(t *task, endpoint string) {
 	j := t.step.occ.job
+	t.suspectedAt = c.now
 	c.markDirty(j)
 	if t.suspicions >= maxSuspicions || t.crashes >= maxCrashes {
 		c.finish(j, tmjob.Failed, "endpoints crashed under task "+t.id.String())
--- a/core/tmcontrol/crash_test.go
+++ b/core/tmcontrol/crash_test.go
@@ -325,3 +325,22 @@
 	f.advance(10)
 	assert.Equal(t, f.c.jobs["j"].task(tmjob.TaskID{Job: "j"}).crashes, 0)
 }
+
+// Guards against a healthy suspect that never starts because others keep all endpoints that
+// may be set aside.
+func TestSuspectThatMayBeInnocentWaitsForABoundedTime(t *testing.T) {
+	f := newFixture(t, 2)
+	f.c.Submitted(oneTask("watched"))
+	f.c.Tick(f.now, int64(f.now))
+	f.c.jobs["watched"].task(tmjob.TaskID{Job: "watched"}).crashes = watchedCrashes
+	f.c.jobs["watched"].hasSuspects = true
+	assert.Equal(t, len(f.advance(10)), 1)
+	f.c.Submitted(oneTask("j"))
+	ref := f.advance(10)[0].Ref
+	f.restart(ref.Endpoint)
+	assert.Equal(t, len(f.advance(10)), 0)
+	for range int(maxIsolationWait/1000) - 1 {
+		assert.Equal(t, len(f.advance(1000)), 0)
+	}
+	assert.Equal(t, f.advance(1000)[0].Ref.Task, ref.Task)
+}
--- a/core/tmcontrol/isolation.go
+++ b/core/tmcontrol/isolation.go
@@ -14,6 +14,8 @@
 	// well. The others serve the rest of the work.
 	maxIsolatedShare     = 1.0 / 3
 	maxIsolatedIdleShare = 2.0 / 3
+	// maxIsolationWait is how long a suspect that may be innocent waits for an endpoint.
+	maxIsolationWait = 10000 * tmclock.Millisecond
 )
 
 // planSuspects starts suspects in isolation. An endpoint is set aside for each: it gets no
@@ -62,7 +64,7 @@
 					continue
 				}
 				for _, t := range s.tasks {
-					if t.isSuspect() && t.waiting(now) {
+					if t.mustBeIsolated(now) && t.waiting(now) {
 						suspects = append(suspects, t)
 					}
 				}
@@ -190,11 +192,11 @@
 			return r.isStarting()
 		}
 	}
-	return e.usable(now) && e.isolated.awaitsIsolation()
+	return e.usable(now) && e.isolated.awaitsIsolation(now)
 }
 
 // awaitsIsolation reports whether a suspect is about to be placed in isolation. Gangs are
 // isolated when they are placed.
-func (t *task) awaitsIsolation() bool {
-	return t.isSuspect() && !t.done && !t.step.occ.job.final && len(t.active) == 0 && !t.step.spec.Gang
+func (t *task) awaitsIsolation(now tmclock.Millis) bool {
+	return t.mustBeIsolated(now) && !t.done && !t.step.occ.job.final && len(t.active) == 0 && !t.step.spec.Gang
 }
--- a/core/tmcontrol/job.go
+++ b/core/tmcontrol/job.go
@@ -62,9 +62,11 @@
 	// crashes counts the endpoints that have crashed under the task. suspicions tells
 	// how likely the task caused them by starting, from 0 to maxSuspicions.
 	crashes, suspicions int
-	done                bool
-	checkpoint          string
-	active              []*run
+	// suspectedAt is when the task last became a suspect.
+	suspectedAt tmclock.Millis
+	done        bool
+	checkpoint  string
+	active      []*run
 	// notBefore is the earliest time of the next start after a start was refused.
 	notBefore tmclock.Millis
 }
--- a/core/tmcontrol/plan.go
+++ b/core/tmcontrol/plan.go
@@ -179,7 +179,7 @@
 			continue
 		}
 		for _, t := range s.tasks {
-			if t.isSuspect() || !t.waiting(now) {
+			if t.mustBeIsolated(now) || !t.waiting(now) {
 				continue
 			}
 			if !c.place(t, p, now) {
