core/tmcontrol: a crash counts although the next owner no longer finds the endpoint

An endpoint that crashes may come back under another id. An owner that took over meanwhile restored the runs there on an endpoint that no list names, and ended it with the cause "no instance runs the endpoint", which passed for planned work: each hand-over could lose the count of a crash, and BUDGET has a bound of five. Such an end counts now under the tasks that may have been starting, and suspects nobody, as after an order of an earlier owner.

Found by reading. TestCrashOfAnEndpointThatIsNoLongerListedCounts fails without it (crashes 0). The search for a common cause ends at crashes that lie too far back; it went through a minute of them.

--- a/core/tmcontrol/crash.go
+++ b/core/tmcontrol/crash.go
@@ -166,9 +166,9 @@
 // instance ended it, and the endpoint had not announced that it would leave.
 func isCrash(e *endpoint, cause lossCause) bool {
 	switch cause {
-	case causeMaintenance, causeMoved, causeUnknown, causeLapsed:
+	case causeMaintenance, causeMoved, causeLapsed:
 		return false
-	case causeRestarted, causeReplaced, causeDown:
+	case causeRestarted, causeReplaced, causeDown, causeUnknown:
 	}
 	return !e.ending && !e.info.Draining
 }
@@ -176,7 +176,14 @@
 // mayHaveBeenOrdered reports whether an order of an earlier owner may have ended a
 // lifetime. An instance that is down has crashed: orders keep it moving or in maintenance.
 func (c *Controller) mayHaveBeenOrdered(e *endpoint, cause lossCause) bool {
-	return cause != causeDown && c.now.Before(c.fleet.earliestOrder[e.info.Instance])
+	switch cause {
+	case causeDown:
+		return false
+	case causeUnknown:
+		return true
+	case causeRestarted, causeReplaced, causeMaintenance, causeMoved, causeLapsed:
+	}
+	return c.now.Before(c.fleet.earliestOrder[e.info.Instance])
 }
 
 // recordCrash records the end of a lifetime with the runs that it ended, if it was not
@@ -316,15 +323,15 @@
 // isSharedFault reports whether an endpoint on which nothing was starting has crashed at
 // about the same time, so that the cause was probably not a task.
 func (c *Controller) isSharedFault(cr *crash) bool {
-	for _, other := range c.recentCrashes {
-		if other == cr || other.endpoint == cr.endpoint || other.mayBeOrder || len(other.starting()) > 0 {
-			continue
+	for _, other := range slices.Backward(c.recentCrashes) {
+		since := cr.at.Sub(other.at)
+		if since > zoneFaultWindow {
+			return false
 		}
-		window := fleetFaultWindow
-		if other.zone == cr.zone {
-			window = zoneFaultWindow
+		if other.endpoint == cr.endpoint || other.mayBeOrder || len(other.starting()) > 0 {
+			continue
 		}
-		if cr.at.Sub(other.at) <= window {
+		if other.zone == cr.zone || since <= fleetFaultWindow {
 			return true
 		}
 	}
--- a/core/tmcontrol/crash_test.go
+++ b/core/tmcontrol/crash_test.go
@@ -344,3 +344,25 @@
 	}
 	assert.Equal(t, f.advance(1000)[0].Ref.Task, ref.Task)
 }
+
+// Guards against a crash that doesn't count because the next owner finds neither the endpoint
+// nor an instance that runs it.
+func TestCrashOfAnEndpointThatIsNoLongerListedCounts(t *testing.T) {
+	f := newFixture(t, 1)
+	f.c.Submitted(oneTask("j"))
+	ref := f.advance(10)[0].Ref
+	progress := f.c.jobs["j"].progress()
+	f.c = f.newController(2)
+	info := f.endpointInfo(1)
+	info.ID, info.StartedAt = "e2", 9
+	f.c.SetEndpoint(info, f.now)
+	f.c.Submitted(oneTask("j"))
+	f.c.Restore(progress, f.now)
+	f.c.Loaded()
+	f.c.SetInstances([]Instance{{ID: "i1", Pool: "s", State: InstanceUp, Endpoint: "e2"}}, f.now.Add(1))
+	f.advance(10)
+	task := f.c.jobs["j"].task(ref.Task)
+	assert.Equal(t, len(task.active), 0)
+	assert.Equal(t, task.crashes, 1)
+	assert.Equal(t, task.suspicions, 0)
+}
