core/tmcontrol: suspicions in a file of their own, a test for unanswered starts

crash.go records and attributes crashes, suspicion.go keeps what is held against a task, isolation.go starts suspects. No logic changed. The new test plays a task that crashes its endpoints before they answer its start: such starts add the least suspicion, so that only the bound of five crashes ends it.

--- a/core/tmcontrol/crash.go
+++ b/core/tmcontrol/crash.go
@@ -8,34 +8,11 @@
 	"turmericmoor/core/tmjob"
 )
 
-// This file attributes crashes of endpoints to the tasks that may have caused them. A
-// crash leaves no end of a run behind, so every task that was just starting on the
-// endpoint is a suspect. Suspects start again in isolation, see isolation.go. The job of
-// a suspect under which endpoints crash in isolation fails.
-
-// MinWorkTime is how long after its start a run must be listed by its endpoint to count as
-// being at work.
-const MinWorkTime = 200 * tmclock.Millisecond
+// This file records crashes of endpoints and attributes them to the tasks that may have
+// caused them. A crash leaves no end of a run behind, so every task that was just starting on
+// the endpoint is a suspect: see suspicion.go.
 
 const (
-	// watchedCrashes is the number of crashes from which on a task is isolated for as long
-	// as it runs. It may need a while to cause a crash.
-	watchedCrashes = 3
-	// maxCrashes is the number of crashes under a task after which its job fails whatever
-	// else may have caused them.
-	maxCrashes = 5
-	// The suspicions of a task that was starting when its endpoint crashed: at least
-	// suspectedUnstarted if its start order had no answer, so that it may not have begun, and
-	// suspectedInCompany if it had begun. Each crash while it was starting in isolation adds
-	// suspicionAlone. The job fails at maxSuspicions, so not before two endpoints have crashed
-	// under the task.
-	suspectedUnstarted = 1
-	suspectedInCompany = 2
-	suspicionAlone     = 2
-	maxSuspicions      = 4
-	// exonerationTime is how long a run must last for the earlier crashes under its task
-	// to be forgotten. A healthy task meets few crashes so soon after its starts.
-	exonerationTime = 2 * tmclock.Second
 	// zoneFaultWindow and fleetFaultWindow are the most that two crashes with a common cause
 	// outside of the endpoints lie apart, in one availability zone and anywhere.
 	zoneFaultWindow  = 2 * tmclock.Second
@@ -75,13 +52,6 @@
 	suspected []suspectedTask
 }
 
-// suspectedTask is a task that became more suspicious by a crash, and its suspicions
-// before.
-type suspectedTask struct {
-	task   *task
-	before int
-}
-
 // starting returns the tasks that may have caused the crash by starting. Beside one that
 // was isolated, no other was starting.
 func (cr *crash) starting() []*task {
@@ -92,25 +62,6 @@
 	return cr.tasksOf((*run).isStarting)
 }
 
-// suspicionsAfter returns the suspicions of a task that was starting, the crash included. A
-// run that was at work adds none, nor one that an earlier owner started, of which that is
-// not known.
-func (cr *crash) suspicionsAfter(t *task, starting int) int {
-	n := t.suspicions
-	for _, r := range cr.runs {
-		switch {
-		case r.task.culprit() != t || r.sentAt == 0 || r.atWork:
-		case !r.begun:
-			n = max(n, suspectedUnstarted)
-		case !r.isolated || starting > 1:
-			n = max(n, suspectedInCompany)
-		default:
-			return n + suspicionAlone
-		}
-	}
-	return n
-}
-
 // tasks returns all tasks that ran on the endpoint.
 func (cr *crash) tasks() []*task {
 	return cr.tasksOf(func(*run) bool { return true })
@@ -132,36 +83,6 @@
 	return slices.ContainsFunc(cr.runs, func(r *run) bool { return r.counted && r.task.culprit() == t })
 }
 
-// culprit returns the task to which a crash under t is attributed. All members of a gang
-// start together, so the first stands for all.
-func (t *task) culprit() *task {
-	if t.step.spec.Gang {
-		return t.step.tasks[0]
-	}
-	return t
-}
-
-// isStarting reports whether a run may still crash its endpoint by starting.
-func (r *run) isStarting() bool {
-	return !r.atWork || r.task.culprit().crashes >= watchedCrashes
-}
-
-// isSuspect reports whether a task may be the cause of a crash.
-func (t *task) isSuspect() bool {
-	u := t.culprit()
-	return u.suspicions > 0 || u.crashes >= watchedCrashes
-}
-
-// mustBeIsolated reports whether a task may start in isolation only. One that may well be
-// innocent waits for that no longer than maxIsolationWait.
-func (t *task) mustBeIsolated(now tmclock.Millis) bool {
-	u := t.culprit()
-	if u.crashes < watchedCrashes && u.suspicions <= suspectedInCompany && now.Sub(u.suspectedAt) >= maxIsolationWait {
-		return false
-	}
-	return t.isSuspect()
-}
-
 // isCrash reports whether the end of a lifetime was not planned: no order for the
 // instance ended it, and the endpoint had not announced that it would leave.
 func isCrash(e *endpoint, cause lossCause) bool {
@@ -288,38 +209,6 @@
 	}
 }
 
-// markSuspect stores that an endpoint has crashed under a task, and fails the job of the
-// task if that was once too often.
-func (c *Controller) markSuspect(t *task, endpoint string) {
-	j := t.step.occ.job
-	t.suspectedAt = c.now
-	c.markDirty(j)
-	if t.suspicions >= maxSuspicions || t.crashes >= maxCrashes {
-		c.finish(j, tmjob.Failed, "endpoints crashed under task "+t.id.String())
-		c.explainCrashes(t)
-		return
-	}
-	if t.isSuspect() {
-		j.hasSuspects = true
-		c.event(tmevent.TaskSuspected, "task", t.id.String(), "endpoint", endpoint, "crashes", t.crashes, "suspicions", t.suspicions)
-	}
-}
-
-// explainCrashes clears the tasks that were suspected because of the crashes that a task
-// has caused.
-func (c *Controller) explainCrashes(cause *task) {
-	for _, cr := range c.recentCrashes {
-		if !slices.ContainsFunc(cr.suspected, func(s suspectedTask) bool { return s.task == cause }) {
-			continue
-		}
-		for _, s := range cr.suspected {
-			s.task.suspicions = min(s.task.suspicions, s.before)
-			c.markDirty(s.task.step.occ.job)
-		}
-		cr.suspected = nil
-	}
-}
-
 // isSharedFault reports whether an endpoint on which nothing was starting has crashed at
 // about the same time, so that the cause was probably not a task.
 func (c *Controller) isSharedFault(cr *crash) bool {
@@ -337,32 +226,3 @@
 	}
 	return false
 }
-
-// exonerate forgets the crashes under a task that has lasted long enough.
-func (c *Controller) exonerate(t *task) {
-	if t.crashes == 0 || !t.hasLasted() {
-		return
-	}
-	t.crashes, t.suspicions = 0, 0
-	c.markDirty(t.step.occ.job)
-}
-
-// hasLasted reports whether an endpoint has listed a run of the task for exonerationTime. In
-// a gang each member must have lasted, since the others wait for one that has crashed its
-// endpoint.
-func (t *task) hasLasted() bool {
-	members := []*task{t}
-	if t.step.spec.Gang {
-		members = t.step.tasks
-	}
-	for _, m := range members {
-		if !slices.ContainsFunc(m.active, (*run).hasLasted) {
-			return false
-		}
-	}
-	return true
-}
-
-func (r *run) hasLasted() bool {
-	return r.atWork && r.settledAt.Sub(r.startedAt) >= exonerationTime
-}
--- a/core/tmcontrol/crash_test.go
+++ b/core/tmcontrol/crash_test.go
@@ -342,7 +342,9 @@
 	for range int(maxIsolationWait/1000) - 1 {
 		assert.Equal(t, len(f.advance(1000)), 0)
 	}
-	assert.Equal(t, f.advance(1000)[0].Ref.Task, ref.Task)
+	starts := f.advance(1000)
+	assert.Equal(t, len(starts), 1)
+	assert.Equal(t, starts[0].Ref.Task, ref.Task)
 }
 
 // Guards against a crash that doesn't count because the next owner finds neither the endpoint
@@ -366,3 +368,24 @@
 	assert.Equal(t, task.crashes, 1)
 	assert.Equal(t, task.suspicions, 0)
 }
+
+// Guards against a task that crashes each endpoint before that has answered its start order.
+func TestTaskThatCrashesBeforeItsStartIsAnsweredIsGivenUp(t *testing.T) {
+	f := newFixture(t, 2)
+	f.c.Submitted(oneTask("j"))
+	starts := 0
+	for range 100 {
+		for _, s := range f.order(100) {
+			starts++
+			f.restart(s.Ref.Endpoint)
+			f.c.Started(s.Ref, NoAnswer, f.now)
+		}
+		f.work(MinWorkTime)
+		_, stops, _ := f.c.TakeOrders(f.now)
+		for _, s := range stops {
+			f.c.Stopped(s.Ref, Accepted, f.now)
+		}
+	}
+	assert.Equal(t, starts, maxCrashes)
+	assert.Assert(t, f.c.finalAt["j"] != 0)
+}
--- /dev/null
+++ b/core/tmcontrol/suspicion.go
@@ -0,0 +1,155 @@
+package tmcontrol
+
+import (
+	"slices"
+
+	"turmericmoor/core/tmclock"
+	"turmericmoor/core/tmevent"
+	"turmericmoor/core/tmjob"
+)
+
+// This file keeps the suspicions against tasks under which endpoints have crashed. Suspects
+// start again in isolation, see isolation.go. The job of a suspect fails if its endpoint
+// crashes there as well. A task that lasts is cleared.
+
+// MinWorkTime is how long after its start a run must be listed by its endpoint to count as
+// being at work.
+const MinWorkTime = 200 * tmclock.Millisecond
+
+const (
+	// watchedCrashes is the number of crashes from which on a task is isolated for as long
+	// as it runs. It may need a while to cause a crash.
+	watchedCrashes = 3
+	// maxCrashes is the number of crashes under a task after which its job fails whatever
+	// else may have caused them.
+	maxCrashes = 5
+	// The suspicions of a task that was starting when its endpoint crashed: at least
+	// suspectedUnstarted if its start order had no answer, so that it may not have begun, and
+	// suspectedInCompany if it had begun. Each crash while it was starting in isolation adds
+	// suspicionAlone. The job fails at maxSuspicions, so not before two endpoints have crashed
+	// under the task.
+	suspectedUnstarted = 1
+	suspectedInCompany = 2
+	suspicionAlone     = 2
+	maxSuspicions      = 4
+	// exonerationTime is how long a run must last for the earlier crashes under its task
+	// to be forgotten. A healthy task meets few crashes so soon after its starts.
+	exonerationTime = 2 * tmclock.Second
+)
+
+// suspectedTask is a task that became more suspicious by a crash, and its suspicions
+// before.
+type suspectedTask struct {
+	task   *task
+	before int
+}
+
+// suspicionsAfter returns the suspicions of a task that was starting, the crash included. A
+// run that was at work adds none, nor one that an earlier owner started, of which that is
+// not known.
+func (cr *crash) suspicionsAfter(t *task, starting int) int {
+	n := t.suspicions
+	for _, r := range cr.runs {
+		switch {
+		case r.task.culprit() != t || r.sentAt == 0 || r.atWork:
+		case !r.begun:
+			n = max(n, suspectedUnstarted)
+		case !r.isolated || starting > 1:
+			n = max(n, suspectedInCompany)
+		default:
+			return n + suspicionAlone
+		}
+	}
+	return n
+}
+
+// culprit returns the task to which a crash under t is attributed. All members of a gang
+// start together, so the first stands for all.
+func (t *task) culprit() *task {
+	if t.step.spec.Gang {
+		return t.step.tasks[0]
+	}
+	return t
+}
+
+// isStarting reports whether a run may still crash its endpoint by starting.
+func (r *run) isStarting() bool {
+	return !r.atWork || r.task.culprit().crashes >= watchedCrashes
+}
+
+// isSuspect reports whether a task may be the cause of a crash.
+func (t *task) isSuspect() bool {
+	u := t.culprit()
+	return u.suspicions > 0 || u.crashes >= watchedCrashes
+}
+
+// mustBeIsolated reports whether a task may start in isolation only. One that may well be
+// innocent waits for that no longer than maxIsolationWait.
+func (t *task) mustBeIsolated(now tmclock.Millis) bool {
+	u := t.culprit()
+	if u.crashes < watchedCrashes && u.suspicions <= suspectedInCompany && now.Sub(u.suspectedAt) >= maxIsolationWait {
+		return false
+	}
+	return t.isSuspect()
+}
+
+// markSuspect stores that an endpoint has crashed under a task, and fails the job of the
+// task if that was once too often.
+func (c *Controller) markSuspect(t *task, endpoint string) {
+	j := t.step.occ.job
+	t.suspectedAt = c.now
+	c.markDirty(j)
+	if t.suspicions >= maxSuspicions || t.crashes >= maxCrashes {
+		c.finish(j, tmjob.Failed, "endpoints crashed under task "+t.id.String())
+		c.explainCrashes(t)
+		return
+	}
+	if t.isSuspect() {
+		j.hasSuspects = true
+		c.event(tmevent.TaskSuspected, "task", t.id.String(), "endpoint", endpoint, "crashes", t.crashes, "suspicions", t.suspicions)
+	}
+}
+
+// explainCrashes clears the tasks that were suspected because of the crashes that a task
+// has caused.
+func (c *Controller) explainCrashes(cause *task) {
+	for _, cr := range c.recentCrashes {
+		if !slices.ContainsFunc(cr.suspected, func(s suspectedTask) bool { return s.task == cause }) {
+			continue
+		}
+		for _, s := range cr.suspected {
+			s.task.suspicions = min(s.task.suspicions, s.before)
+			c.markDirty(s.task.step.occ.job)
+		}
+		cr.suspected = nil
+	}
+}
+
+// exonerate forgets the crashes under a task that has lasted long enough.
+func (c *Controller) exonerate(t *task) {
+	if t.crashes == 0 || !t.hasLasted() {
+		return
+	}
+	t.crashes, t.suspicions = 0, 0
+	c.markDirty(t.step.occ.job)
+}
+
+// hasLasted reports whether an endpoint has listed a run of the task for exonerationTime. In
+// a gang each member must have lasted, since the others wait for one that has crashed its
+// endpoint.
+func (t *task) hasLasted() bool {
+	members := []*task{t}
+	if t.step.spec.Gang {
+		members = t.step.tasks
+	}
+	for _, m := range members {
+		if !slices.ContainsFunc(m.active, (*run).hasLasted) {
+			return false
+		}
+	}
+	return true
+}
+
+func (r *run) hasLasted() bool {
+	return r.atWork && r.settledAt.Sub(r.startedAt) >= exonerationTime
+}
