core/tmcontrol: a busy owner withholds acknowledgements only once

It withholds them for one hold now. The call for the list of an endpoint with an isolated suspect is a request of its own, without a lease. TestSlowOwnerAcknowledgesEnds fails without the change.

--- a/core/tmcontrol/endpoint.go
+++ b/core/tmcontrol/endpoint.go
@@ -31,6 +31,9 @@
 	// answering is set while the endpoint answers holds, answeredAt is when it last did.
 	tokenAccepted, answering bool
 	answeredAt               tmclock.Millis
+	// acksWithheld is set if the last hold carried no acknowledgement, because it might reach
+	// another lifetime.
+	acksWithheld bool
 	// clock is the reading of the endpoint's clock at clockAt.
 	clock   int64
 	clockAt tmclock.Millis
--- a/core/tmcontrol/hold.go
+++ b/core/tmcontrol/hold.go
@@ -22,7 +22,10 @@
 		return HoldRequest{}, false
 	}
 	h := HoldRequest{Address: e.info.Address, Token: c.token, Acked: e.acked}
-	if !e.answering || now.Sub(e.answeredAt) > minRestartTime {
+	// A busy owner may always be late, so that it withholds them only once.
+	isLate := now.Sub(e.answeredAt) > minRestartTime && !e.acksWithheld
+	e.acksWithheld = !e.answering || isLate
+	if e.acksWithheld {
 		h = h.WithoutAcks()
 	}
 	// The lease of an endpoint that doesn't answer is not extended. Each unanswered
@@ -39,6 +42,16 @@
 	return h, true
 }
 
+// ListRequest returns a call for the list of runs of an endpoint, beside the hold that is
+// under way there. It reports false if there is nothing to list.
+func (c *Controller) ListRequest(id string) (HoldRequest, bool) {
+	e := c.endpoints[id]
+	if e == nil || e.gone || len(e.runs) == 0 {
+		return HoldRequest{}, false
+	}
+	return HoldRequest{Address: e.info.Address, Token: c.token}, true
+}
+
 // minRestartTime is the least time in which an endpoint can crash and start again. After a
 // longer pause it may be another lifetime that a hold reaches, and that would take an
 // acknowledgement for one of its own ends.
--- a/core/tmcontrol/order_test.go
+++ b/core/tmcontrol/order_test.go
@@ -119,6 +119,22 @@
 	assert.Equal(t, h.Acked, int64(1))
 	h, _ = f.c.NextHold("e1", f.now.Add(2*minRestartTime))
 	assert.Equal(t, h.Acked, int64(0))
+	f.answerHold("e1")
+	h, _ = f.c.NextHold("e1", f.now)
+	assert.Equal(t, h.Acked, int64(1))
+}
+
+// Guards against an owner that is too busy to acknowledge ends, ever.
+func TestSlowOwnerAcknowledgesEnds(t *testing.T) {
+	f := newFixture(t, 1)
+	f.c.Submitted(oneTask("j"))
+	first := f.advance(10)[0].Ref
+	f.end("e1", first.Task, 1, EndDone)
+	f.advance(10)
+	_, _ = f.c.NextHold("e1", f.now.Add(2*minRestartTime))
+	f.answerHold("e1")
+	h, _ := f.c.NextHold("e1", f.now.Add(2*minRestartTime))
+	assert.Equal(t, h.Acked, int64(1))
 }
 
 // Guards against a start order to an endpoint that fell silent while its placement was
--- a/io/tmowner/call.go
+++ b/io/tmowner/call.go
@@ -127,13 +127,11 @@
 	}
 	sentAt := o.opts.Clock.Now()
 	o.mu.Lock()
-	h, ok := o.ctl.NextHold(id, sentAt)
+	h, ok := o.ctl.ListRequest(id)
 	o.mu.Unlock()
 	if !ok {
 		return
 	}
-	h = h.WithoutAcks()
-	h.Wait = 0
 	callCtx, cancel := context.WithTimeout(ctx, holdTimeoutMargin)
 	defer cancel()
 	// The hold that is under way shows whether the endpoint is silent.
