core/tmcontrol: suspects that have waited for too long go first

Cause: suspects get endpoints in the order of their suspicions. Ruled out: an endpoint that keeps its run without end, a quota, a gang, an endpoint that stays set aside for it.

Change: a suspect that has waited for maxIsolationWait goes before all that have not, the one that has waited longest first. Long-running tasks still go before both. Why it works: each isolation ends within seconds, so each suspect reaches the head of the queue. The least suspicious still go first as long as nobody has waited for ten seconds, so the wait of healthy tasks in an ordinary storm is as before.

--- a/core/tmcontrol/isolation.go
+++ b/core/tmcontrol/isolation.go
@@ -14,7 +14,8 @@
 	// well. The others serve the rest of the work.
 	maxIsolatedShare     = 1.0 / 3
 	maxIsolatedIdleShare = 2.0 / 3
-	// maxIsolationWait is how long a suspect that may be innocent waits for an endpoint.
+	// maxIsolationWait is how long suspects wait for an endpoint until they go first, or, if
+	// they may be innocent, start beside others.
 	maxIsolationWait = 10000 * tmclock.Millisecond
 )
 
@@ -27,7 +28,7 @@
 	if len(suspects) == 0 {
 		return
 	}
-	slices.SortStableFunc(suspects, compareSuspects)
+	slices.SortStableFunc(suspects, func(a, b *task) int { return compareSuspects(a, b, now) })
 	for _, t := range suspects {
 		p := pools[c.rules.Queues[t.step.occ.job.spec.Queue].Service]
 		if p != nil && p.isolatedFor(t) == nil && c.withinLimit(t.step, 1) {
@@ -42,15 +43,26 @@
 	}
 }
 
-// compareSuspects orders suspects: long-running tasks go first, then the least suspicious,
-// which are probably innocent.
-func compareSuspects(a, b *task) int {
+// compareSuspects orders suspects: long-running tasks go first, then those that have waited
+// for too long, then the least suspicious, which are probably innocent.
+func compareSuspects(a, b *task, now tmclock.Millis) int {
 	if a.step.spec.LongRunning != b.step.spec.LongRunning {
 		return boolOrder(a.step.spec.LongRunning)
 	}
+	if a.isOverdue(now) != b.isOverdue(now) {
+		return boolOrder(a.isOverdue(now))
+	}
+	if a.isOverdue(now) {
+		return cmp.Compare(a.suspectedAt, b.suspectedAt)
+	}
 	return cmp.Compare(a.suspicions, b.suspicions)
 }
 
+// isOverdue reports whether a suspect has waited for its isolation for too long.
+func (t *task) isOverdue(now tmclock.Millis) bool {
+	return now.Sub(t.culprit().suspectedAt) >= maxIsolationWait
+}
+
 // waitingSuspects returns the suspects that may start now, other than gangs.
 func (c *Controller) waitingSuspects(now tmclock.Millis) []*task {
 	var suspects []*task
--- a/core/tmcontrol/suspicion.go
+++ b/core/tmcontrol/suspicion.go
@@ -87,7 +87,7 @@
 // innocent waits for that no longer than maxIsolationWait.
 func (t *task) mustBeIsolated(now tmclock.Millis) bool {
 	u := t.culprit()
-	if u.crashes < watchedCrashes && u.suspicions <= suspectedInCompany && now.Sub(u.suspectedAt) >= maxIsolationWait {
+	if u.crashes < watchedCrashes && u.suspicions <= suspectedInCompany && u.isOverdue(now) {
 		return false
 	}
 	return t.isSuspect()
