core/tmcontrol: a crash that is explained takes back only the suspicions it added

Cause: once the cause of a crash is found, its other suspects got back the suspicions from before that crash, whatever had happened to them since. A task that had crashed an endpoint alone meanwhile was cleared by it, so it crashed others in company again. The opposite too: an explained crash before a task was cleared could clear a suspicion that it got after that.

Change: a crash notes how much it has added, and takes back just that; a task that is cleared is struck from the crashes noted so far. Amounts commute, so the order in which causes are found doesn't matter, and a suspicion is taken back at most once.

TestCrashAloneIsNotExplainedByAnotherTask and TestExonerationLeavesNothingToExplain fail without it.

--- a/core/tmcontrol/crash.go
+++ b/core/tmcontrol/crash.go
@@ -202,7 +202,7 @@
 			t.crashes++
 		}
 		if n := cr.suspicionsAfter(t, len(starting)); n > t.suspicions && len(starting) > 0 && !blameless {
-			cr.suspected = append(cr.suspected, suspectedTask{task: t, before: t.suspicions})
+			cr.suspected = append(cr.suspected, suspectedTask{task: t, added: n - t.suspicions})
 			t.suspicions = n
 		}
 		c.markSuspect(t, cr.endpoint)
--- a/core/tmcontrol/crash_test.go
+++ b/core/tmcontrol/crash_test.go
@@ -32,6 +32,14 @@
 	}
 }
 
+// answerStops accepts all stop orders.
+func (f *fixture) answerStops() {
+	_, stops, _ := f.c.TakeOrders(f.now)
+	for _, s := range stops {
+		f.c.Stopped(s.Ref, Accepted, f.now)
+	}
+}
+
 // placeOf returns the endpoint that runs the only task of a job, or "".
 func (f *fixture) placeOf(job string) string {
 	for id, runs := range f.runs {
@@ -381,10 +389,7 @@
 			f.c.Started(s.Ref, NoAnswer, f.now)
 		}
 		f.work(MinWorkTime)
-		_, stops, _ := f.c.TakeOrders(f.now)
-		for _, s := range stops {
-			f.c.Stopped(s.Ref, Accepted, f.now)
-		}
+		f.answerStops()
 	}
 	assert.Equal(t, starts, maxCrashes)
 	assert.Assert(t, f.c.finalAt["j"] != 0)
--- a/core/tmcontrol/isolation_test.go
+++ b/core/tmcontrol/isolation_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"testing"
 
+	"gotest.tools/v3/assert"
+
 	"turmericmoor/core/tmclock"
 	"turmericmoor/core/tmjob"
 )
@@ -41,3 +43,52 @@
 	}
 	t.Fatal("the task waited for twice the time that others may wait")
 }
+
+// Guards against forgetting that a task has crashed an endpoint alone, once another task
+// turns out to have caused an earlier crash.
+func TestCrashAloneIsNotExplainedByAnotherTask(t *testing.T) {
+	f := newFixture(t, 3)
+	f.c.Submitted(oneTask("a"))
+	f.c.Submitted(oneTask("b"))
+	starts := f.order(10)
+	assert.Equal(t, starts[0].Ref.Endpoint, starts[1].Ref.Endpoint)
+	f.restart(starts[0].Ref.Endpoint)
+	for _, s := range starts {
+		f.c.Started(s.Ref, NoAnswer, f.now)
+	}
+	f.answerStops()
+	f.crashAlone("a")
+	for f.c.jobs["b"] != nil && !f.c.jobs["b"].final {
+		f.crashAlone("b")
+	}
+	a := f.c.jobs["a"].task(tmjob.TaskID{Job: "a"})
+	assert.Equal(t, a.suspicions, suspicionAlone)
+}
+
+// crashAlone restarts the endpoint on which a suspect has started in isolation.
+func (f *fixture) crashAlone(job string) {
+	f.t.Helper()
+	for range 40 {
+		f.advance(50)
+		if e := f.placeOf(job); e != "" {
+			f.restart(e)
+			f.advance(10)
+			return
+		}
+		f.work(MinWorkTime)
+	}
+	f.t.Fatal("not started")
+}
+
+// Guards against clearing a task that became a suspect again after it was cleared.
+func TestExonerationLeavesNothingToExplain(t *testing.T) {
+	f := newFixture(t, 1)
+	f.c.Submitted(oneTask("j"))
+	f.advance(10)
+	f.restart("e1")
+	f.advance(10)
+	crash := f.c.recentCrashes[0]
+	assert.Equal(t, len(crash.suspected), 1)
+	f.work(exonerationTime)
+	assert.Equal(t, len(crash.suspected), 0)
+}
--- a/core/tmcontrol/suspicion.go
+++ b/core/tmcontrol/suspicion.go
@@ -37,11 +37,10 @@
 	exonerationTime = 2 * tmclock.Second
 )
 
-// suspectedTask is a task that became more suspicious by a crash, and its suspicions
-// before.
+// suspectedTask is a task that became more suspicious by a crash, and how much.
 type suspectedTask struct {
-	task   *task
-	before int
+	task  *task
+	added int
 }
 
 // suspicionsAfter returns the suspicions of a task that was starting, the crash included. A
@@ -110,15 +109,15 @@
 	}
 }
 
-// explainCrashes clears the tasks that were suspected because of the crashes that a task
-// has caused.
+// explainCrashes takes back the suspicions that the crashes caused by a task have added to
+// others.
 func (c *Controller) explainCrashes(cause *task) {
 	for _, cr := range c.recentCrashes {
 		if !slices.ContainsFunc(cr.suspected, func(s suspectedTask) bool { return s.task == cause }) {
 			continue
 		}
 		for _, s := range cr.suspected {
-			s.task.suspicions = min(s.task.suspicions, s.before)
+			s.task.suspicions -= s.added
 			c.markDirty(s.task.step.occ.job)
 		}
 		cr.suspected = nil
@@ -131,6 +130,9 @@
 		return
 	}
 	t.crashes, t.suspicions = 0, 0
+	for _, cr := range c.recentCrashes {
+		cr.suspected = slices.DeleteFunc(cr.suspected, func(s suspectedTask) bool { return s.task == t })
+	}
 	c.markDirty(t.step.occ.job)
 }
 
