core/tmcontrol: a silent endpoint counts once against a gang

A gang with five members on one endpoint that fell silent while they started failed as soon as the lease had lapsed, though no endpoint had crashed.

Cause: crashes are counted per run when a lease lapses, and all members of a gang stand for one task, so one silent endpoint counted as often as members ran there. Crashes that are known to be crashes were counted by distinct tasks already, and so were the losses of a gang across a hand-over.

Change: a lapse counts once for each distinct task, and an answer takes back as many. TestSilentEndpointCountsOnceForAGang fails without the change (the job is final).

--- a/core/tmcontrol/crash.go
+++ b/core/tmcontrol/crash.go
@@ -145,16 +145,20 @@
 // recordLapse counts the lapse of a lease under a run that was starting as a crash, since
 // an endpoint that has crashed may be away for longer than the lease.
 func (c *Controller) recordLapse(e *endpoint) {
+	var counted []*task
 	for _, r := range e.runs {
 		if r.phase == planned || r.crashed {
 			continue
 		}
-		if t := r.task.culprit(); r.isStarting() && !t.done {
-			r.counted = true
-			t.crashes++
-			c.markSuspect(t, e.info.ID)
-		}
 		e.lapsed = append(e.lapsed, r)
+		t := r.task.culprit()
+		if !r.isStarting() || t.done || slices.Contains(counted, t) {
+			continue
+		}
+		counted = append(counted, t)
+		r.counted = true
+		t.crashes++
+		c.markSuspect(t, e.info.ID)
 	}
 }
 
--- a/core/tmcontrol/crash_test.go
+++ b/core/tmcontrol/crash_test.go
@@ -162,6 +162,23 @@
 	assert.Equal(t, task.crashes, 0)
 }
 
+// Guards against giving up a gang because of one silent endpoint: each member on it counted
+// as a crash.
+func TestSilentEndpointCountsOnceForAGang(t *testing.T) {
+	f := newFixture(t, 1)
+	j := oneTask("j")
+	j.Steps[0].Count, j.Steps[0].Gang = maxCrashes, true
+	f.c.Submitted(j)
+	first := f.advance(10)[0].Ref
+	f.c.HoldFailed("e1", "test")
+	f.advance(7000)
+	assert.Equal(t, f.c.finalAt["j"], tmclock.Millis(0))
+	task := f.c.jobs["j"].task(first.Task).culprit()
+	assert.Equal(t, task.crashes, 1)
+	f.answerHold("e1")
+	assert.Equal(t, task.crashes, 0)
+}
+
 // Guards against a gang that crashes endpoint after endpoint.
 func TestGangThatCrashesEndpointsIsGivenUp(t *testing.T) {
 	f := newFixture(t, 4)
