core/tmcontrol: work clears a suspect that has no crash left

What callers saw: nothing known; found by reading. Such a task would be isolated at each of its starts until its job ends.

Cause: a task was cleared only if crashes were counted. A lapse that was counted before the task had been cleared once is taken back when its endpoint answers, also if the task has become a suspect by another crash meanwhile: no crash is left, but the suspicions are.

Change: work clears crashes and suspicions each. TestWorkClearsASuspectAfterALapseIsForgiven fails without the change.

--- a/core/tmcontrol/isolation_test.go
+++ b/core/tmcontrol/isolation_test.go
@@ -92,3 +92,27 @@
 	f.work(exonerationTime)
 	assert.Equal(t, len(crash.suspected), 0)
 }
+
+// Guards against a suspect that no work clears: a lapse that was counted before it was
+// cleared once was taken back after its next crash, and no crash was left.
+func TestWorkClearsASuspectAfterALapseIsForgiven(t *testing.T) {
+	f := newFixture(t, 2)
+	f.c.Submitted(oneTask("j"))
+	silent := f.advance(10)[0].Ref
+	j := f.c.jobs["j"].task(silent.Task)
+	f.c.HoldFailed(silent.Endpoint, "test")
+	f.advance(7000)
+	f.runs[silent.Endpoint] = nil
+	second := f.placeOf("j")
+	f.now = f.now.Add(exonerationTime)
+	f.answerHold(second)
+	assert.Equal(t, j.crashes, 0)
+	f.end(second, j.id, 2, EndFailed)
+	f.advance(10)
+	f.restart(second)
+	f.advance(10)
+	f.answerHold(silent.Endpoint)
+	f.advance(10)
+	f.work(exonerationTime)
+	assert.Equal(t, j.suspicions, 0)
+}
--- a/core/tmcontrol/suspicion.go
+++ b/core/tmcontrol/suspicion.go
@@ -126,7 +126,7 @@
 
 // exonerate forgets the crashes under a task that has lasted long enough.
 func (c *Controller) exonerate(t *task) {
-	if t.crashes == 0 || !t.hasLasted() {
+	if t.crashes == 0 && t.suspicions == 0 || !t.hasLasted() {
 		return
 	}
 	t.crashes, t.suspicions = 0, 0
