--- a/core/tmcontrol/order_test.go
+++ b/core/tmcontrol/order_test.go
@@ -76,15 +76,20 @@
 	assert.Equal(t, f.c.endpoints["e1"].seen, int64(0))
 }
 
+// storeEnd runs a task on the endpoint and stores its end.
+func (f *fixture) storeEnd(endpoint string) {
+	f.c.Submitted(oneTask("stored"))
+	ref := f.advance(10)[0].Ref
+	f.end(endpoint, ref.Task, ref.Run, EndDone)
+	f.advance(10)
+}
+
 // Guards against running a task again after it was done: an endpoint restarted and ended
 // a run before it was held again, and took the number of the last end of its earlier
 // lifetime for an acknowledgement.
 func TestSilentEndpointGetsNoAcknowledgement(t *testing.T) {
 	f := newFixture(t, 1)
-	f.c.Submitted(oneTask("j"))
-	ref := f.advance(10)[0].Ref
-	f.end("e1", ref.Task, ref.Run, EndDone)
-	f.advance(10)
+	f.storeEnd("e1")
 	h, _ := f.c.NextHold("e1", f.now)
 	assert.Equal(t, h.Acked, int64(1))
 	f.c.HoldFailed("e1", "test")
@@ -111,10 +116,7 @@
 // endpoint would forget them before they are stored.
 func TestHoldAfterAPauseAcknowledgesNothing(t *testing.T) {
 	f := newFixture(t, 1)
-	f.c.Submitted(oneTask("j"))
-	first := f.advance(10)[0].Ref
-	f.end("e1", first.Task, 1, EndDone)
-	f.advance(10)
+	f.storeEnd("e1")
 	h, _ := f.c.NextHold("e1", f.now)
 	assert.Equal(t, h.Acked, int64(1))
 	h, _ = f.c.NextHold("e1", f.now.Add(2*minRestartTime))
@@ -127,10 +129,7 @@
 // Guards against an owner that is too busy to acknowledge ends, ever.
 func TestSlowOwnerAcknowledgesEnds(t *testing.T) {
 	f := newFixture(t, 1)
-	f.c.Submitted(oneTask("j"))
-	first := f.advance(10)[0].Ref
-	f.end("e1", first.Task, 1, EndDone)
-	f.advance(10)
+	f.storeEnd("e1")
 	_, _ = f.c.NextHold("e1", f.now.Add(2*minRestartTime))
 	f.answerHold("e1")
 	h, _ := f.c.NextHold("e1", f.now.Add(2*minRestartTime))
--- a/core/tmevent/event.go
+++ b/core/tmevent/event.go
@@ -34,7 +34,7 @@
 	EndpointCrashed Name = "endpoint_crashed"
 	// EndpointDraining: an endpoint started draining: endpoint.
 	EndpointDraining Name = "endpoint_draining"
-	// EndpointIsolated: an endpoint was set aside for suspects, until ended is true; task is the first of them: endpoint, task, runs, ended.
+	// EndpointIsolated: an endpoint was set aside for a suspect, until ended is true: endpoint, task, runs, ended.
 	EndpointIsolated Name = "endpoint_isolated"
 	// EndpointListed: an endpoint appeared in the list: endpoint, service, instance, zone.
 	EndpointListed Name = "endpoint_listed"
@@ -116,7 +116,7 @@
 	TaskPaced Name = "task_paced"
 	// TaskPlaced: a task was placed on an endpoint: task, run, endpoint, free_cpu, queue, team, rules, left.
 	TaskPlaced Name = "task_placed"
-	// TaskSuspected: an endpoint crashed under a task, which starts again only in isolation: task, endpoint, crashes, suspicions.
+	// TaskSuspected: an endpoint crashed under a task, which starts again in isolation: task, endpoint, crashes, suspicions.
 	TaskSuspected Name = "task_suspected"
 	// UpkeepDone: the maintenance of an instance is done: instance, wave.
 	UpkeepDone Name = "upkeep_done"
--- a/io/tmowner/hedge.go
+++ b/io/tmowner/hedge.go
@@ -110,12 +110,13 @@
 	defer cancel()
 	o.holdHedges.recordCall()
 	results := hedged(h.Overdue.Duration(), o.awaitOverdue(id, h), o.holdHedges.allow, func(attempt int) heldRuns {
-		h := h
+		req := h
 		if attempt > 1 {
-			h = h.WithoutAcks()
+			// The answer may be overdue because the endpoint has restarted.
+			req = req.WithoutAcks()
 		}
 		sentAt := o.opts.Clock.Now()
-		response, err := o.opts.Endpoints.Hold(ctx, id, h)
+		response, err := o.opts.Endpoints.Hold(ctx, id, req)
 		return heldRuns{response: response, sentAt: sentAt, err: err}
 	}, heldRuns.isSettled)
 	return results[len(results)-1]
