--- /dev/null
+++ b/core/tmcontrol/tick.go
@@ -0,0 +1,69 @@
+package tmcontrol
+
+import "turmericmoor/core/tmclock"
+
+// Tick handles the passage of time: leases that have certainly expired, orders to
+// repeat and occurrences that have become due.
+func (c *Controller) Tick(now tmclock.Millis, wall int64) {
+	c.now = now
+	c.pruneFinal(now)
+	c.dropSlowStarts(now)
+	for _, e := range c.endpoints {
+		if len(e.runs) > 0 && !e.answering && now.After(e.leaseExpiry) {
+			c.recordLapse(e)
+			c.loseRuns(e, causeLapsed)
+		}
+		if !e.listed && len(e.runs) == 0 {
+			c.removeEndpoint(e)
+			continue
+		}
+		if e.info.Draining && e.listed {
+			c.drainLongRunning(e, now)
+		}
+		if e.stopping == 0 {
+			continue
+		}
+		for _, r := range e.runs {
+			if r.stop {
+				c.sendStop(r, now)
+			}
+		}
+	}
+	for _, j := range c.openJobs {
+		c.openDue(j, now, wall)
+	}
+}
+
+// finalRetention is how long a final job is kept in finalAt. It is longer than the
+// lag of any change feed of the store.
+const finalRetention = 2 * tmclock.Minute
+
+// pruneFinal deletes the records in finalAt that are older than finalRetention. It
+// does so at most once in a quarter of finalRetention.
+func (c *Controller) pruneFinal(now tmclock.Millis) {
+	if now.Sub(c.finalPrunedAt) < finalRetention/4 {
+		return
+	}
+	c.finalPrunedAt = now
+	for id, at := range c.finalAt {
+		if now.Sub(at) > finalRetention && c.jobs[id] == nil {
+			delete(c.finalAt, id)
+		}
+	}
+}
+
+// maxOpenOccurrences limits the occurrences of one job that are due and not done. Later
+// ones wait, so that a job whose start lies long ago doesn't flood its queue.
+const maxOpenOccurrences = 50
+
+func (c *Controller) openDue(j *job, now tmclock.Millis, wall int64) {
+	for j.next < j.spec.Occurrences() && j.openOccurrences() < maxOpenOccurrences {
+		if j.spec.Repeats > 0 && wall < j.spec.Due(j.next) {
+			return
+		}
+		c.addOccurrence(j.open(j.next), now, wall)
+		if j.spec.Repeats > 0 {
+			c.markDirty(j)
+		}
+	}
+}
