core/tmcontrol: planning suspects looks at each endpoint once in a pass

Change: a pass indexes the endpoints that are set aside, and stops looking once their share is reached. No decision changes.

--- a/core/tmcontrol/bench_test.go
+++ b/core/tmcontrol/bench_test.go
@@ -59,3 +59,29 @@
 		})
 	}
 }
+
+// BenchmarkPlanSuspects plans while a crash storm has left hundreds of suspects.
+func BenchmarkPlanSuspects(b *testing.B) {
+	for _, n := range []int{50, 300, 740} {
+		b.Run(fmt.Sprintf("%d_endpoints", n), func(b *testing.B) {
+			c, now := benchFleet(n, 4*n)
+			suspects := 0
+			for _, j := range c.openJobs {
+				for _, t := range j.occurrences[0].steps[0].tasks {
+					if suspects < 500 {
+						t.crashes, t.suspicions, t.suspectedAt, j.hasSuspects = 1, maxSuspicions-1, now, true
+						suspects++
+					}
+				}
+			}
+			c.Plan(now, 1000)
+			b.ResetTimer()
+			for range b.N {
+				now++
+				c.Tick(now, int64(now))
+				c.Plan(now, int64(now))
+				c.TakeOrders(now)
+			}
+		})
+	}
+}
--- a/core/tmcontrol/isolation.go
+++ b/core/tmcontrol/isolation.go
@@ -28,10 +28,13 @@
 	if len(suspects) == 0 {
 		return
 	}
+	for _, p := range pools {
+		p.indexIsolated()
+	}
 	slices.SortStableFunc(suspects, func(a, b *task) int { return compareSuspects(a, b, now) })
 	for _, t := range suspects {
 		p := pools[c.rules.Queues[t.step.occ.job.spec.Queue].Service]
-		if p != nil && p.isolatedFor(t) == nil && c.withinLimit(t.step, 1) {
+		if p != nil && p.isolatedFor[t] == nil && p.mayIsolate(true) && c.withinLimit(t.step, 1) {
 			c.isolate(t, p, now)
 		}
 	}
@@ -89,53 +92,51 @@
 // placeIsolated starts a suspect on the endpoint that is set aside for it, once nothing
 // else is starting there.
 func (c *Controller) placeIsolated(t *task, p *pool) {
-	e := p.isolatedFor(t)
+	e := p.isolatedFor[t]
 	if e != nil && e.isQuiet() && c.fits(t.step, e) {
 		c.assign(t, e, t.runs+1)
 	}
 }
 
-func (p *pool) isolatedFor(t *task) *endpoint {
+// indexIsolated finds the endpoints of p that are set aside.
+func (p *pool) indexIsolated() {
+	p.isolated, p.isolatedFor = 0, map[*task]*endpoint{}
 	for _, e := range p.endpoints {
-		if e.isolated == t {
-			return e
+		if e.isolated != nil {
+			p.isolated++
+			p.isolatedFor[e.isolated] = e
 		}
 	}
-	return nil
+}
+
+// mayIsolate reports whether one more endpoint of p may be set aside, an idle one or not.
+func (p *pool) mayIsolate(idle bool) bool {
+	share := maxIsolatedShare
+	if idle {
+		share = maxIsolatedIdleShare
+	}
+	return p.isolated < max(1, int(share*float64(len(p.endpoints))))
 }
 
 // isolate sets aside the endpoint where a crash would end the fewest runs for a suspect,
 // unless too many are set aside.
 func (c *Controller) isolate(t *task, p *pool, now tmclock.Millis) {
 	var best *endpoint
-	isolated := 0
 	advised := c.adviceFor(t.step, p, now)
 	for _, e := range p.endpoints {
-		if e.isolated != nil {
-			isolated++
-			continue
-		}
-		if c.couldFit(t.step, e) && advised(e) && (best == nil || len(e.runs) < len(best.runs)) {
+		if e.isolated == nil && c.couldFit(t.step, e) && advised(e) && (best == nil || len(e.runs) < len(best.runs)) {
 			best = e
 		}
 	}
-	if best == nil || isolated >= maxIsolated(len(p.endpoints), len(best.runs) == 0) {
+	if best == nil || !p.mayIsolate(len(best.runs) == 0) {
 		return
 	}
 	best.isolated = t
+	p.isolated++
+	p.isolatedFor[t] = best
 	c.event(tmevent.EndpointIsolated, "endpoint", best.info.ID, "task", t.id.String(), "runs", len(best.runs), "ended", false)
 }
 
-// maxIsolated returns on how many of n endpoints suspects may be isolated, if the next of
-// them is idle or not.
-func maxIsolated(n int, idle bool) int {
-	share := maxIsolatedShare
-	if idle {
-		share = maxIsolatedIdleShare
-	}
-	return max(1, int(share*float64(n)))
-}
-
 // couldFit reports whether a task of the step fits on e once the tasks there that end by
 // themselves have ended.
 func (c *Controller) couldFit(s *step, e *endpoint) bool {
--- a/core/tmcontrol/plan.go
+++ b/core/tmcontrol/plan.go
@@ -52,6 +52,10 @@
 type pool struct {
 	service   string
 	endpoints []*endpoint
+	// isolated is the number of endpoints that are set aside, isolatedFor holds one for
+	// each suspect. Both are known while suspects are planned.
+	isolated    int
+	isolatedFor map[*task]*endpoint
 	// tooLarge holds reservations that fit on no endpoint for the rest of the pass.
 	tooLarge []tmjob.Resources
 }
