core/tmcontrol: a crash long after a start that nobody saw is weak evidence

What callers saw: a healthy job failed although only one endpoint had crashed under it.

Cause: three tasks began at 14.71 s on an endpoint whose hold had been sent while it was down and so got no answer. They were done at 15.01, the endpoint crashed at 15.40 and took their ends along, and the owner noticed at 15.81. It took tasks that it had not seen at work for tasks that were starting; the crash of the next endpoint, on which one was isolated, failed its job.

Change: an owner that couldn't see the endpoint for longer than 400 ms after a start adds the least suspicion, as for a start that got no answer. In isolation, where the owner asks for the list after 200 ms, a crash counts in full as before. A crashing task under which all holds time out needs one crash more; the bound of five stays.

--- a/core/tmcontrol/controller_test.go
+++ b/core/tmcontrol/controller_test.go
@@ -178,7 +178,7 @@
 	f.answerHold(stopped)
 	_, ok := f.c.NextHold(stopped, f.now)
 	assert.Assert(t, ok)
-	f.c.HoldFailed(stopped, "test")
+	f.c.HoldFailed(stopped, "test", f.now)
 	granted := f.now
 	for f.now.Sub(granted) < tmclock.Span(float64(testBounds().Lease)/minClockRate)+2*expiryMargin {
 		_, _ = f.c.NextHold(stopped, f.now)
@@ -299,7 +299,7 @@
 		j.Steps[0].Speculative = speculative
 		f.c.Submitted(j)
 		first := f.advance(10)[0].Ref
-		f.c.HoldFailed(first.Endpoint, "test")
+		f.c.HoldFailed(first.Endpoint, "test", f.now)
 		assert.Equal(t, len(f.advance(10)) == 1, speculative)
 	}
 }
--- a/core/tmcontrol/crash.go
+++ b/core/tmcontrol/crash.go
@@ -43,9 +43,10 @@
 type crash struct {
 	endpoint, zone string
 	startedAt      int64
-	at             tmclock.Millis
-	cause          lossCause
-	runs           []*run
+	// noticedAt is when the endpoint fell silent, at is when the crash became known.
+	noticedAt, at tmclock.Millis
+	cause         lossCause
+	runs          []*run
 	// mayBeOrder is set if an order of an earlier owner may have ended the lifetime.
 	mayBeOrder bool
 	// suspected lists the tasks that became more suspicious by the crash.
@@ -115,8 +116,8 @@
 		return
 	}
 	cr := &crash{
-		endpoint: e.info.ID, zone: e.info.Zone, startedAt: e.info.StartedAt, at: c.now, cause: cause,
-		mayBeOrder: c.mayHaveBeenOrdered(e, cause), runs: e.lapsed,
+		endpoint: e.info.ID, zone: e.info.Zone, startedAt: e.info.StartedAt, noticedAt: e.silentSince(c.now), at: c.now,
+		cause: cause, mayBeOrder: c.mayHaveBeenOrdered(e, cause), runs: e.lapsed,
 	}
 	for _, r := range lost {
 		if r.phase != planned && !r.crashed {
--- a/core/tmcontrol/crash_gang_test.go
+++ b/core/tmcontrol/crash_gang_test.go
@@ -16,7 +16,7 @@
 	j.Steps[0].Count, j.Steps[0].Gang = maxCrashes, true
 	f.c.Submitted(j)
 	first := f.advance(10)[0].Ref
-	f.c.HoldFailed("e1", "test")
+	f.c.HoldFailed("e1", "test", f.now)
 	f.advance(7000)
 	assert.Equal(t, f.c.finalAt["j"], tmclock.Millis(0))
 	task := f.c.jobs["j"].task(first.Task).culprit()
@@ -67,7 +67,7 @@
 		if crashed == "" {
 			return
 		}
-		f.c.HoldFailed(crashed, "crashed")
+		f.c.HoldFailed(crashed, "crashed", f.now)
 		f.now = f.now.Add(exonerationTime)
 		for id, runs := range f.runs {
 			if id != crashed && len(runs) > 0 {
--- a/core/tmcontrol/crash_test.go
+++ b/core/tmcontrol/crash_test.go
@@ -13,7 +13,7 @@
 // restart lets endpoints crash and come back at once under their ids.
 func (f *fixture) restart(endpoints ...string) {
 	for _, id := range endpoints {
-		f.c.HoldFailed(id, "crashed")
+		f.c.HoldFailed(id, "crashed", f.now)
 		f.runs[id], f.ends[id] = nil, 0
 		f.restarts[id]++
 		f.answerHold(id)
@@ -153,7 +153,7 @@
 	f := newFixture(t, 1)
 	f.c.Submitted(oneTask("j"))
 	first := f.advance(10)[0].Ref
-	f.c.HoldFailed("e1", "test")
+	f.c.HoldFailed("e1", "test", f.now)
 	f.advance(7000)
 	task := f.c.jobs["j"].task(first.Task)
 	assert.Equal(t, task.crashes, 1)
@@ -171,7 +171,7 @@
 	f.advance(10)
 	f.restart(f.placeOf("j"))
 	f.advance(10)
-	f.c.HoldFailed(f.placeOf("j"), "test")
+	f.c.HoldFailed(f.placeOf("j"), "test", f.now)
 	assert.Equal(t, len(f.advance(10)), 0)
 }
 
@@ -334,3 +334,20 @@
 	assert.Equal(t, starts, maxCrashes)
 	assert.Assert(t, f.c.finalAt["j"] != 0)
 }
+
+// Guards against failing a healthy job after two crashes, before the first of which its task
+// was long at work: the endpoint could not be asked meanwhile.
+func TestCrashLongAfterAnUnseenStartIsWeakEvidence(t *testing.T) {
+	f := newFixture(t, 2)
+	f.c.Submitted(oneTask("j"))
+	ref := f.advance(10)[0].Ref
+	f.advance(1000)
+	f.restart(ref.Endpoint)
+	f.advance(10)
+	task := f.c.jobs["j"].task(ref.Task)
+	assert.Equal(t, task.crashes, 1)
+	assert.Equal(t, task.suspicions, suspectedWeakly)
+	f.restart(f.placeOf("j"))
+	f.advance(10)
+	assert.Equal(t, f.c.finalAt["j"], tmclock.Millis(0))
+}
--- a/core/tmcontrol/endpoint.go
+++ b/core/tmcontrol/endpoint.go
@@ -28,9 +28,10 @@
 	// listedAt is when this lifetime was first seen in the list.
 	listedAt tmclock.Millis
 	// tokenAccepted is set once the endpoint has accepted this owner's fencing token.
-	// answering is set while the endpoint answers holds, answeredAt is when it last did.
+	// answering is set while the endpoint answers holds, answeredAt is when it last did,
+	// silentAt when it last ceased to.
 	tokenAccepted, answering bool
-	answeredAt               tmclock.Millis
+	answeredAt, silentAt     tmclock.Millis
 	// acksWithheld is set if the last hold carried no acknowledgement, because it might reach
 	// another lifetime.
 	acksWithheld bool
@@ -175,6 +176,14 @@
 	return tmclock.Span(float64(d)/minClockRate) + expiryMargin
 }
 
+// silentSince returns since when the endpoint doesn't answer, or now.
+func (e *endpoint) silentSince(now tmclock.Millis) tmclock.Millis {
+	if !e.silentAt.Before(e.answeredAt) {
+		return e.silentAt
+	}
+	return now
+}
+
 func (e *endpoint) extendLeaseExpiry(t tmclock.Millis) {
 	if t.After(e.leaseExpiry) {
 		e.leaseExpiry = t
--- a/core/tmcontrol/hold.go
+++ b/core/tmcontrol/hold.go
@@ -187,12 +187,12 @@
 }
 
 // HoldFailed records that a hold at an endpoint got no valid response.
-func (c *Controller) HoldFailed(id string, cause string) {
+func (c *Controller) HoldFailed(id string, cause string, now tmclock.Millis) {
 	e := c.endpoints[id]
 	if e == nil || !e.answering {
 		return
 	}
-	e.answering = false
+	e.answering, e.silentAt = false, now
 	c.event(tmevent.EndpointSilent, "endpoint", id, "runs", len(e.runs), "cause", cause)
 }
 
--- a/core/tmcontrol/isolation_test.go
+++ b/core/tmcontrol/isolation_test.go
@@ -34,7 +34,7 @@
 	f.submitSuspect("j", maxSuspicions-1)
 	const step = 500 * tmclock.Millisecond
 	for i := range int(2 * maxIsolationWait / step) {
-		f.submitSuspect(fmt.Sprintf("other%d", i), suspectedUnstarted)
+		f.submitSuspect(fmt.Sprintf("other%d", i), suspectedWeakly)
 		f.advance(step)
 		if f.placeOf("j") != "" {
 			return
@@ -100,7 +100,7 @@
 	f.c.Submitted(oneTask("j"))
 	silent := f.advance(10)[0].Ref
 	j := f.c.jobs["j"].task(silent.Task)
-	f.c.HoldFailed(silent.Endpoint, "test")
+	f.c.HoldFailed(silent.Endpoint, "test", f.now)
 	f.advance(7000)
 	f.runs[silent.Endpoint] = nil
 	second := f.placeOf("j")
--- a/core/tmcontrol/order_test.go
+++ b/core/tmcontrol/order_test.go
@@ -46,7 +46,7 @@
 	f.c.Submitted(oneTask("j"))
 	first := f.advance(10)
 	f.answerHold(first[0].Ref.Endpoint)
-	f.c.HoldFailed(first[0].Ref.Endpoint, "partitioned")
+	f.c.HoldFailed(first[0].Ref.Endpoint, "partitioned", f.now)
 	f.now = f.now.Add(7000)
 	for _, id := range []string{"e1", "e2"} {
 		if id != first[0].Ref.Endpoint {
@@ -92,7 +92,7 @@
 	f.storeEnd("e1")
 	h, _ := f.c.NextHold("e1", f.now)
 	assert.Equal(t, h.Acked, int64(1))
-	f.c.HoldFailed("e1", "test")
+	f.c.HoldFailed("e1", "test", f.now)
 	h, _ = f.c.NextHold("e1", f.now)
 	assert.Equal(t, h.Acked, int64(0))
 }
@@ -144,7 +144,7 @@
 	f.c.Tick(f.now, int64(f.now))
 	f.c.Plan(f.now, int64(f.now))
 	flush := f.c.TakeFlush(f.now)
-	f.c.HoldFailed("e1", "test")
+	f.c.HoldFailed("e1", "test", f.now)
 	f.c.Stored(flush, f.now)
 	starts := f.advance(10)
 	assert.Equal(t, len(starts), 1)
--- a/core/tmcontrol/suspicion.go
+++ b/core/tmcontrol/suspicion.go
@@ -23,15 +23,18 @@
 	// maxCrashes is the number of crashes under a task after which its job fails whatever
 	// else may have caused them.
 	maxCrashes = 5
-	// The suspicions of a task that was starting when its endpoint crashed: at least
-	// suspectedUnstarted if its start order had no answer, so that it may not have begun, and
-	// suspectedInCompany if it had begun. Each crash while it was starting in isolation adds
+	// The suspicions of a task that was starting when its endpoint crashed: suspectedWeakly
+	// or more if it may not have begun or may have been at work, suspectedInCompany or more
+	// otherwise. Each crash while it was starting in isolation adds
 	// suspicionAlone. The job fails at maxSuspicions, so not before two endpoints have crashed
 	// under the task.
-	suspectedUnstarted = 1
+	suspectedWeakly    = 1
 	suspectedInCompany = 2
 	suspicionAlone     = 2
 	maxSuspicions      = 4
+	// maxStartingTime is how long after a start the endpoint must have been known to be up, at
+	// least, for a task that it has not listed to have been at work perhaps.
+	maxStartingTime = 2 * MinWorkTime
 	// exonerationTime is how long a run must last for the earlier crashes under its task
 	// to be forgotten. A healthy task meets few crashes so soon after its starts.
 	exonerationTime = 2 * tmclock.Second
@@ -51,8 +54,8 @@
 	for _, r := range cr.runs {
 		switch {
 		case r.task.culprit() != t || r.sentAt == 0 || r.atWork:
-		case !r.begun:
-			n = max(n, suspectedUnstarted)
+		case !r.begun || cr.noticedAt.Sub(r.startedAt) > maxStartingTime && !r.isolated:
+			n = max(n, suspectedWeakly)
 		case !r.isolated || starting > 1:
 			n = max(n, suspectedInCompany)
 		default:
--- a/core/tmcontrol/wave_test.go
+++ b/core/tmcontrol/wave_test.go
@@ -118,7 +118,7 @@
 	f.answerHold("e1")
 	f.answerHold("e2")
 	assert.Assert(t, f.c.mayEndAll(f.c.endpoints["e1"]))
-	f.c.HoldFailed("e2", "test")
+	f.c.HoldFailed("e2", "test", f.now)
 	assert.Assert(t, !f.c.mayEndAll(f.c.endpoints["e1"]))
 }
 
--- a/io/tmowner/call.go
+++ b/io/tmowner/call.go
@@ -192,7 +192,7 @@
 	if errors.Is(err, ErrFenced) {
 		o.ctl.OwnerFenced(id)
 	} else {
-		o.ctl.HoldFailed(id, err.Error())
+		o.ctl.HoldFailed(id, err.Error(), o.opts.Clock.Now())
 	}
 	o.mu.Unlock()
 	o.requestPlan()
