--- a/core/tmcontrol/crash.go
+++ b/core/tmcontrol/crash.go
@@ -43,7 +43,7 @@
 type crash struct {
 	endpoint, zone string
 	startedAt      int64
-	// noticedAt is when the endpoint fell silent, at is when the crash became known.
+	// noticedAt is the time of the first sign of the crash, at when it became known.
 	noticedAt, at tmclock.Millis
 	cause         lossCause
 	runs          []*run
--- a/core/tmcontrol/suspicion.go
+++ b/core/tmcontrol/suspicion.go
@@ -23,17 +23,16 @@
 	// maxCrashes is the number of crashes under a task after which its job fails whatever
 	// else may have caused them.
 	maxCrashes = 5
-	// The suspicions of a task that was starting when its endpoint crashed: suspectedWeakly
-	// or more if it may not have begun or may have been at work, suspectedInCompany or more
-	// otherwise. Each crash while it was starting in isolation adds
-	// suspicionAlone. The job fails at maxSuspicions, so not before two endpoints have crashed
-	// under the task.
+	// What a crash holds against a task that was starting: suspectedWeakly or more if it may
+	// not have begun or may have been at work, otherwise suspectedInCompany or more, and
+	// suspicionAlone on top of the earlier ones if it was isolated. The job fails at
+	// maxSuspicions, so not before two endpoints have crashed under the task.
 	suspectedWeakly    = 1
 	suspectedInCompany = 2
 	suspicionAlone     = 2
 	maxSuspicions      = 4
-	// maxStartingTime is how long after a start the endpoint must have been known to be up, at
-	// least, for a task that it has not listed to have been at work perhaps.
+	// maxStartingTime is the most time between a start and the first sign of a crash for
+	// which a task that was not listed meanwhile was certainly starting.
 	maxStartingTime = 2 * MinWorkTime
 	// exonerationTime is how long a run must last for the earlier crashes under its task
 	// to be forgotten. A healthy task meets few crashes so soon after its starts.
@@ -54,7 +53,7 @@
 	for _, r := range cr.runs {
 		switch {
 		case r.task.culprit() != t || r.sentAt == 0 || r.atWork:
-		case !r.begun || cr.noticedAt.Sub(r.startedAt) > maxStartingTime && !r.isolated:
+		case !r.begun || cr.mayHaveBeenAtWork(r):
 			n = max(n, suspectedWeakly)
 		case !r.isolated || starting > 1:
 			n = max(n, suspectedInCompany)
@@ -65,6 +64,12 @@
 	return n
 }
 
+// mayHaveBeenAtWork reports whether the owner could not see the endpoint for so long after the
+// start of a run that the run may have been at work. In isolation that was asked for.
+func (cr *crash) mayHaveBeenAtWork(r *run) bool {
+	return !r.isolated && cr.noticedAt.Sub(r.startedAt) > maxStartingTime
+}
+
 // culprit returns the task to which a crash under t is attributed. All members of a gang
 // start together, so the first stands for all.
 func (t *task) culprit() *task {
