internal/fleetsim: gangs and speculative tasks crash endpoints, faults draw endpoints by the seed

TestGangThatCrashesEndpointsIsGivenUp plays the crashing jobs as gangs or as speculative tasks, with owners killed and endpoints crashed and cut off, whole and divided. The emulator lets members of a gang wait for each other (3 s), work together and end broken or alone; a crash counts once for a gang.

The check that a job may fail counts a start order to an endpoint that is down as a loss under its task, once for each lifetime.

--- a/internal/emulator/checker.go
+++ b/internal/emulator/checker.go
@@ -13,7 +13,7 @@
 	// active holds the active runs of a task by endpoint, acknowledged the tasks whose
 	// done end was acknowledged, finished all tasks of which a run ended as done.
 	active       map[tmjob.TaskID]map[string]int
-	acknowledged map[tmjob.TaskID]bool
+	acknowledged map[tmjob.TaskID]time.Time
 	finished     map[tmjob.TaskID]bool
 	failures     map[tmjob.TaskID]int
 	// crashes counts the endpoints that a task has crashed, startsAfterCrashes its starts
@@ -22,18 +22,33 @@
 	// losses counts the endpoints that have crashed under a task, whatever the cause,
 	// soleLosses those of them on which no other task was starting.
 	losses, soleLosses map[tmjob.TaskID]int
-	starts             int
-	violations         []string
+	// lostOrders holds the orders to crashed endpoints that are counted in losses.
+	lostOrders map[lostOrder]bool
+	starts     int
+	violations []string
+}
+
+// lostOrder is a start of a task that was ordered at an endpoint after the end of its
+// lifetime.
+type lostOrder struct {
+	task      tmjob.TaskID
+	endpoint  string
+	startedAt int64
 }
 
 func newChecker() checker {
 	return checker{
-		active: map[tmjob.TaskID]map[string]int{}, acknowledged: map[tmjob.TaskID]bool{},
+		active: map[tmjob.TaskID]map[string]int{}, acknowledged: map[tmjob.TaskID]time.Time{},
 		finished: map[tmjob.TaskID]bool{}, failures: map[tmjob.TaskID]int{},
 		crashes: map[tmjob.TaskID]int{}, startsAfterCrashes: map[tmjob.TaskID]int{}, losses: map[tmjob.TaskID]int{}, soleLosses: map[tmjob.TaskID]int{},
+		lostOrders: map[lostOrder]bool{},
 	}
 }
 
+// copyTimeout is how long copies of a speculative task may start after its end was
+// acknowledged.
+const copyTimeout = time.Second
+
 // maxAttempts is how many runs of a task may fail before its job fails.
 const maxAttempts = 4
 
@@ -76,9 +91,11 @@
 		c.active[key.task] = map[string]int{}
 	}
 	for other := range c.active[key.task] {
-		f.ReportViolation("%s runs on two endpoints at once, %s and %s", key.task, other, e.id)
+		if !step.Speculative {
+			f.ReportViolation("%s runs on two endpoints at once, %s and %s", key.task, other, e.id)
+		}
 	}
-	if c.acknowledged[key.task] {
+	if at, ok := c.acknowledged[key.task]; ok && (!step.Speculative || !late && time.Since(at) > copyTimeout) {
 		f.ReportViolation("%s starts again after its end was acknowledged", key.task)
 	}
 	if c.crashes[key.task] >= maxCrashes && !late {
@@ -134,11 +151,14 @@
 	}
 }
 
-func (c *checker) recordEnd(e *Endpoint, key taskRun, reason tmcontrol.EndReason) {
+func (f *Fleet) recordEnd(e *Endpoint, key taskRun, reason tmcontrol.EndReason) {
+	c := &f.checker
 	delete(c.active[key.task], e.id)
 	switch reason {
 	case tmcontrol.EndDone:
-		c.finished[key.task] = true
+		for _, t := range f.representedBy(key.task) {
+			c.finished[t] = true
+		}
 	case tmcontrol.EndFailed:
 		c.failures[key.task]++
 	case tmcontrol.EndStopped, tmcontrol.EndLapsed, tmcontrol.EndGangBroken, tmcontrol.EndGangIncomplete:
@@ -148,19 +168,36 @@
 // recordLosses records the runs that end as their endpoint crashes.
 func (c *checker) recordLosses(e *Endpoint) {
 	now := time.Now()
+	lost := map[tmjob.TaskID]bool{}
 	for key, r := range e.runs {
 		delete(c.active[key.task], e.id)
-		c.losses[key.task]++
-		if now.Sub(r.startedAt) < unlistedTime && !e.startedBeside(key, now.Add(-startingTime)) {
-			c.soleLosses[key.task]++
+		t := e.fleet.representative(key.task)
+		if lost[t] {
+			continue
+		}
+		lost[t] = true
+		c.losses[t]++
+		if now.Sub(r.startedAt) < unlistedTime && !e.startedBeside(t, now.Add(-startingTime)) {
+			c.soleLosses[t]++
 		}
 	}
 }
 
-// startedBeside reports whether a run other than the given one has started since t.
-func (e *Endpoint) startedBeside(key taskRun, t time.Time) bool {
+// RecordOrder records a start order that is about to be sent. One to an endpoint that is
+// down may have arrived just before the crash, as far as its sender can tell.
+func (e *Endpoint) RecordOrder(t tmjob.TaskID) {
+	order := lostOrder{task: e.fleet.representative(t), endpoint: e.id, startedAt: e.startedAt}
+	if c := &e.fleet.checker; e.down && !c.lostOrders[order] {
+		c.lostOrders[order] = true
+		c.losses[order.task]++
+	}
+}
+
+// startedBeside reports whether another task than t, or than the gang of t, has started
+// since a time.
+func (e *Endpoint) startedBeside(t tmjob.TaskID, since time.Time) bool {
 	for other, r := range e.runs {
-		if other != key && r.startedAt.After(t) {
+		if e.fleet.representative(other.task) != t && r.startedAt.After(since) {
 			return true
 		}
 	}
@@ -174,9 +211,14 @@
 }
 
 // recordAcknowledgement records that the owner acknowledged an end to its endpoint.
-func (c *checker) recordAcknowledgement(end tmcontrol.EndedRun) {
-	if end.Reason == tmcontrol.EndDone {
-		c.acknowledged[end.Task] = true
+func (f *Fleet) recordAcknowledgement(end tmcontrol.EndedRun) {
+	if end.Reason != tmcontrol.EndDone {
+		return
+	}
+	for _, t := range f.representedBy(end.Task) {
+		if _, ok := f.checker.acknowledged[t]; !ok {
+			f.checker.acknowledged[t] = time.Now()
+		}
 	}
 }
 
@@ -187,7 +229,7 @@
 	for s := range job.Steps {
 		for i := range job.Steps[s].Count {
 			t := tmjob.TaskID{Job: id, Step: s, Index: i}
-			failed = failed || f.checker.failures[t] >= maxAttempts || f.checker.mayBeGivenUp(t)
+			failed = failed || f.checker.failures[t] >= maxAttempts || f.checker.mayBeGivenUp(f.representative(t))
 			if state == tmjob.Completed && !f.checker.finished[t] {
 				f.ReportViolation("job %s is reported as completed but task %s is not done", id, t)
 			}
--- a/internal/emulator/endpoint.go
+++ b/internal/emulator/endpoint.go
@@ -1,6 +1,8 @@
 package emulator
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"turmericmoor/core/tmcontrol"
@@ -31,6 +33,8 @@
 	endsAt    time.Time
 	// At endsAt a stopping run ends as stopped, a failing one as failed.
 	stopping, failing bool
+	// waiting is set while a member of a gang waits for the others, until endsAt.
+	waiting bool
 }
 
 // Endpoint emulates a process that runs tasks under leases. It is guarded by the mutex
@@ -102,6 +106,8 @@
 			e.endRun(key, tmcontrol.EndStopped)
 		case !now.Before(r.endsAt) && r.failing:
 			e.endRun(key, tmcontrol.EndFailed)
+		case !now.Before(r.endsAt) && r.waiting:
+			e.endRun(key, tmcontrol.EndGangIncomplete)
 		case !now.Before(r.endsAt):
 			e.endRun(key, tmcontrol.EndDone)
 		}
@@ -116,8 +122,15 @@
 	e.lastEndNumber++
 	e.endedRuns = append(e.endedRuns, tmcontrol.EndedRun{Number: e.lastEndNumber, Task: key.task, Run: key.run, Reason: reason})
 	e.closedRuns[key.task] = max(e.closedRuns[key.task], key.run)
-	e.fleet.checker.recordEnd(e, key, reason)
+	e.fleet.recordEnd(e, key, reason)
 	e.notify()
+	switch reason {
+	case tmcontrol.EndFailed, tmcontrol.EndStopped, tmcontrol.EndLapsed:
+		if e.fleet.isGang(key.task) {
+			e.fleet.breakGang(key)
+		}
+	case tmcontrol.EndDone, tmcontrol.EndGangBroken, tmcontrol.EndGangIncomplete:
+	}
 }
 
 // notify wakes the holds that wait for the end of a run.
@@ -129,8 +142,14 @@
 // Crash ends the process and all its runs without reporting their ends.
 func (e *Endpoint) Crash() {
 	e.fleet.checker.recordLosses(e)
+	lost := slices.Collect(maps.Keys(e.runs))
 	clear(e.runs)
 	e.down = true
+	for _, key := range lost {
+		if e.fleet.isGang(key.task) {
+			e.fleet.awaitLostMember(key)
+		}
+	}
 }
 
 // crashUnder crashes the process soon because of a run that has just started, and starts
@@ -143,7 +162,7 @@
 		if e.down || e.startedAt != startedAt || e.runs[key] == nil {
 			return
 		}
-		e.fleet.checker.crashes[key.task]++
+		e.fleet.checker.crashes[e.fleet.representative(key.task)]++
 		e.Crash()
 		time.AfterFunc(restartDelay, func() {
 			e.fleet.Lock()
@@ -202,6 +221,9 @@
 		duration = failDelay
 	}
 	e.runs[key] = &activeRun{taskRun: key, size: step.Size, startedAt: time.Now(), endsAt: time.Now().Add(duration), failing: e.failing}
+	if step.Gang {
+		e.fleet.joinGang(e, key)
+	}
 	e.fleet.recordStart(e, key, step, late)
 	e.notify()
 	if e.fleet.CrashesEndpoint(key.task) {
@@ -258,7 +280,7 @@
 		if end.Number > acked {
 			kept = append(kept, end)
 		} else if end.Number > e.lastEndAtExpiry {
-			e.fleet.checker.recordAcknowledgement(end)
+			e.fleet.recordAcknowledgement(end)
 		}
 	}
 	e.endedRuns = kept
--- a/internal/emulator/fleet.go
+++ b/internal/emulator/fleet.go
@@ -60,14 +60,6 @@
 // Endpoint returns the endpoint with the given ID, or nil.
 func (f *Fleet) Endpoint(id string) *Endpoint { return f.endpoints[id] }
 
-// AnyEndpoint returns an arbitrary endpoint, or nil if there is none.
-func (f *Fleet) AnyEndpoint() *Endpoint {
-	for _, e := range f.endpoints {
-		return e
-	}
-	return nil
-}
-
 // Submitted records a job that a caller is about to submit.
 func (f *Fleet) Submitted(j *tmjob.Job) { f.jobs[j.ID] = j }
 
--- a/internal/fleetsim/crash_test.go
+++ b/internal/fleetsim/crash_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"turmericmoor/core/tmjob"
 	"turmericmoor/internal/tmknownred"
@@ -21,14 +22,36 @@
 	sim.faults = []namedFault{{"kill the owner", killOwner}, {"crash an endpoint", crashEndpoint}}
 }
 
+// crashGangsAndCopies does the same with gangs and speculative tasks, while endpoints are cut
+// off as well. No task takes long, so that the queue drains although gangs wait for room.
+func crashGangsAndCopies(sim *simulation) {
+	crashEndpoints(sim)
+	sim.fleet.TaskDuration = func(t tmjob.TaskID) time.Duration { return shortTask + time.Duration(t.Index)*shortTask/2 }
+	sim.faults = append(sim.faults, namedFault{"partition an endpoint", partitionEndpoint})
+	sim.shapeStep = func(n int, step *tmjob.Step) {
+		step.Gang = n&0x10 == 0
+		step.Speculative = !step.Gang
+	}
+}
+
 // Guards against a task that crashes endpoint after endpoint, also while owners change.
 func TestTaskThatCrashesEndpointsIsGivenUp(t *testing.T) {
 	tmknownred.SkipListed(t)
+	runCrashSimulations(t, crashEndpoints)
+}
+
+// Guards against gangs and speculative tasks that crash endpoint after endpoint.
+func TestGangThatCrashesEndpointsIsGivenUp(t *testing.T) {
+	tmknownred.SkipListed(t)
+	runCrashSimulations(t, crashGangsAndCopies)
+}
+
+func runCrashSimulations(t *testing.T, prepare func(sim *simulation)) {
 	for name, shards := range map[string]int{"whole": 1, "sharded": shardCount} {
 		t.Run(name, func(t *testing.T) {
 			for i := range uint64(fleetSeeds) {
 				seed := tmseed.First() + i
-				for _, v := range runSimulation(t, seed, shards, crashEndpoints) {
+				for _, v := range runSimulation(t, seed, shards, prepare) {
 					t.Errorf("seed %d: %s", seed, v)
 				}
 			}
--- a/internal/fleetsim/endpoint_test.go
+++ b/internal/fleetsim/endpoint_test.go
@@ -72,6 +72,9 @@
 }
 
 func (c *endpointClient) Start(ctx context.Context, o tmcontrol.StartOrder) tmcontrol.Answer {
+	c.sim.fleet.Lock()
+	c.sim.fleet.Endpoint(o.Ref.Endpoint).RecordOrder(o.Ref.Task)
+	c.sim.fleet.Unlock()
 	return c.sendOrder(ctx, o.Ref.Endpoint, func(e *emulator.Endpoint, late bool) tmcontrol.Answer { return e.Start(o, late) })
 }
 
--- a/internal/fleetsim/fleet_test.go
+++ b/internal/fleetsim/fleet_test.go
@@ -80,8 +80,9 @@
 func dropStoreHistory(sim *simulation) { sim.store.DropHistory() }
 
 func crashEndpoint(sim *simulation) {
+	id := sim.drawEndpoint()
 	sim.fleet.Lock()
-	e := sim.fleet.AnyEndpoint()
+	e := sim.fleet.Endpoint(id)
 	e.Crash()
 	sim.fleet.Unlock()
 	sim.sleep(3 * time.Second)
@@ -91,9 +92,7 @@
 }
 
 func partitionEndpoint(sim *simulation) {
-	sim.fleet.Lock()
-	id := sim.fleet.AnyEndpoint().ID()
-	sim.fleet.Unlock()
+	id := sim.drawEndpoint()
 	sim.mu.Lock()
 	sim.partitionedEndpoints[id] = true
 	sim.mu.Unlock()
@@ -286,7 +285,7 @@
 
 // TestOneWorld runs only the seed in TM_FLEET_SEED, for example to read its log. With
 // TM_FLEET_SHARDED=1 the fleet is divided into shards, with TM_FLEET_CRASHES=1 some tasks
-// crash their endpoints.
+// crash their endpoints, with TM_FLEET_CRASHES=gangs some gangs and speculative tasks.
 func TestOneWorld(t *testing.T) {
 	text := os.Getenv("TM_FLEET_SEED")
 	if text == "" {
@@ -300,7 +299,11 @@
 	if os.Getenv("TM_FLEET_SHARDED") != "" {
 		shards, prepare = shardCount, limitTeam
 	}
-	if os.Getenv("TM_FLEET_CRASHES") != "" {
+	switch os.Getenv("TM_FLEET_CRASHES") {
+	case "":
+	case "gangs":
+		prepare = crashGangsAndCopies
+	default:
 		prepare = crashEndpoints
 	}
 	for _, b := range runSimulation(t, seed, shards, prepare) {
--- a/internal/fleetsim/simulation_test.go
+++ b/internal/fleetsim/simulation_test.go
@@ -53,6 +53,8 @@
 	isolatedEndpoints map[string]bool
 	lateOrderRatio    float64
 	lostHoldRatio     float64
+	// shapeStep changes the steps of the n-th job, if it is set.
+	shapeStep func(n int, step *tmjob.Step)
 	// answerDelay is the time from an order to its answer.
 	answerDelay time.Duration
 
@@ -158,6 +160,11 @@
 	return sim
 }
 
+// drawEndpoint returns the ID of a random endpoint.
+func (sim *simulation) drawEndpoint() string {
+	return fmt.Sprintf("w%d", sim.store.IntN(endpointsPerShard*sim.shards))
+}
+
 // configure writes a version of the configuration with a limit of the team, 0 for none.
 func (sim *simulation) configure(version int, limit int64) {
 	sim.limit = limit
@@ -299,6 +306,9 @@
 		if s > 0 {
 			step.After = []int{s - 1}
 		}
+		if sim.shapeStep != nil {
+			sim.shapeStep(n, &step)
+		}
 		j.Steps = append(j.Steps, step)
 	}
 	sim.fleet.Lock()
