core/tmcontrol: silence fails no job

What callers saw: a healthy job failed because an endpoint was cut off.

Cause: a lapse counts as a crash until the endpoint answers, because a crashed endpoint may be away for longer than the lease; but a job that has failed can't be taken back.

Ruled out: not counting lapses towards the bound at all. Waiting without the run lost what the next owner needs to know (: the new owner started it at once).

Change: the run with which a task would reach the bound is kept for up to ten seconds after its lease has expired. It stays placed and stored, so this owner or the next learns from the endpoint's next answer whether it has crashed; then the job fails, otherwise the task goes on. After ten seconds the run is given up like any other, and the task starts in isolation.

TestSilenceFailsNoJob and TestCrashBehindALapsedLeaseFailsTheJob fail without it; TestTaskOfASilentEndpointStartsInTheEnd bounds the wait.

--- a/core/tmcontrol/crash.go
+++ b/core/tmcontrol/crash.go
@@ -143,23 +143,50 @@
 	})
 }
 
+// lapse ends the runs of a silent endpoint whose leases have expired.
+func (c *Controller) lapse(e *endpoint) {
+	var lapsed []*run
+	for _, r := range e.runs {
+		if !r.awaitsEvidence(c.now) {
+			lapsed = append(lapsed, r)
+		}
+	}
+	c.recordLapse(e, lapsed)
+	for _, r := range lapsed {
+		c.loseRun(r, causeLapsed)
+	}
+}
+
+// awaitsEvidence reports whether a run is kept although its lease has expired, because the
+// job of its task fails if the endpoint has crashed.
+func (r *run) awaitsEvidence(now tmclock.Millis) bool {
+	t := r.task.culprit()
+	return t.crashes >= maxCrashes-1 && !r.stop && r.mayHaveCrashed() && now.Sub(r.ep.leaseExpiry) < maxIsolationWait
+}
+
+// mayHaveCrashed reports whether a run on a silent endpoint was starting there.
+func (r *run) mayHaveCrashed() bool {
+	return r.phase != planned && !r.crashed && r.isStarting() && !r.task.culprit().done
+}
+
 // recordLapse counts the lapse of a lease under a run that was starting as a crash, since
-// an endpoint that has crashed may be away for longer than the lease.
-func (c *Controller) recordLapse(e *endpoint) {
+// an endpoint that has crashed may be away for longer than the lease. It fails no job, since
+// the endpoint may only be silent.
+func (c *Controller) recordLapse(e *endpoint, lapsed []*run) {
 	var counted []*task
-	for _, r := range e.runs {
+	for _, r := range lapsed {
 		if r.phase == planned || r.crashed {
 			continue
 		}
 		e.lapsed = append(e.lapsed, r)
 		t := r.task.culprit()
-		if !r.isStarting() || t.done || slices.Contains(counted, t) {
+		if !r.mayHaveCrashed() || slices.Contains(counted, t) {
 			continue
 		}
 		counted = append(counted, t)
 		r.counted = true
 		t.crashes++
-		c.markSuspect(t, e.info.ID)
+		c.suspect(t, e.info.ID)
 	}
 }
 
@@ -210,7 +237,7 @@
 			cr.suspected = append(cr.suspected, suspectedTask{task: t, added: n - t.suspicions})
 			t.suspicions = n
 		}
-		c.markSuspect(t, cr.endpoint)
+		c.recordCrashUnder(t, cr.endpoint)
 	}
 }
 
--- a/core/tmcontrol/crash_test.go
+++ b/core/tmcontrol/crash_test.go
@@ -162,6 +162,48 @@
 	assert.Equal(t, task.crashes, 0)
 }
 
+// silenceLast lets the endpoint of a task fall silent that may not crash another one, and the
+// lease of its run expire.
+func (f *fixture) silenceLast() RunRef {
+	f.c.Submitted(oneTask("j"))
+	ref := f.advance(10)[0].Ref
+	f.c.jobs["j"].task(ref.Task).crashes, f.c.jobs["j"].hasSuspects = maxCrashes-1, true
+	f.c.HoldFailed(ref.Endpoint, "test", f.now)
+	assert.Equal(f.t, len(f.advance(7000)), 0)
+	return ref
+}
+
+// Guards against giving up a job because an endpoint fell silent.
+func TestSilenceFailsNoJob(t *testing.T) {
+	f := newFixture(t, 2)
+	ref := f.silenceLast()
+	f.runs[ref.Endpoint] = nil
+	f.answerHold(ref.Endpoint)
+	assert.Equal(t, len(f.advance(10)), 1)
+	assert.Equal(t, f.c.finalAt["j"], tmclock.Millis(0))
+}
+
+// Guards against another start of a task before it is known whether its endpoint has crashed,
+// also across a hand-over.
+func TestCrashBehindALapsedLeaseFailsTheJob(t *testing.T) {
+	f := newFixture(t, 2)
+	ref := f.silenceLast()
+	f.restarts[ref.Endpoint]++
+	f.restoreAtNewOwner("j")
+	for _, id := range []string{"e1", "e2"} {
+		f.answerHold(id)
+	}
+	assert.Equal(t, len(f.advance(10)), 0)
+	assert.Assert(t, f.c.finalAt["j"] != 0)
+}
+
+// Guards against a task that never starts because the endpoint of its last run stays silent.
+func TestTaskOfASilentEndpointStartsInTheEnd(t *testing.T) {
+	f := newFixture(t, 2)
+	f.silenceLast()
+	assert.Equal(t, len(f.advance(maxIsolationWait)), 1)
+}
+
 // Guards against copies of a speculative task that crash further endpoints.
 func TestSuspectGetsNoCopy(t *testing.T) {
 	f := newFixture(t, 4)
--- a/core/tmcontrol/suspicion.go
+++ b/core/tmcontrol/suspicion.go
@@ -100,17 +100,23 @@
 	return t.isSuspect()
 }
 
-// markSuspect stores that an endpoint has crashed under a task, and fails the job of the
-// task if that was once too often.
-func (c *Controller) markSuspect(t *task, endpoint string) {
+// recordCrashUnder stores that an endpoint has crashed under a task, and fails the job of
+// the task if that was once too often.
+func (c *Controller) recordCrashUnder(t *task, endpoint string) {
+	if t.suspicions < maxSuspicions && t.crashes < maxCrashes {
+		c.suspect(t, endpoint)
+		return
+	}
+	c.markDirty(t.step.occ.job)
+	c.finish(t.step.occ.job, tmjob.Failed, "endpoints crashed under task "+t.id.String())
+	c.explainCrashes(t)
+}
+
+// suspect stores that an endpoint has, or may have, crashed under a task.
+func (c *Controller) suspect(t *task, endpoint string) {
 	j := t.step.occ.job
 	t.suspectedAt = c.now
 	c.markDirty(j)
-	if t.suspicions >= maxSuspicions || t.crashes >= maxCrashes {
-		c.finish(j, tmjob.Failed, "endpoints crashed under task "+t.id.String())
-		c.explainCrashes(t)
-		return
-	}
 	if t.isSuspect() {
 		j.hasSuspects = true
 		c.event(tmevent.TaskSuspected, "task", t.id.String(), "endpoint", endpoint, "crashes", t.crashes, "suspicions", t.suspicions)
--- a/core/tmcontrol/tick.go
+++ b/core/tmcontrol/tick.go
@@ -10,8 +10,7 @@
 	c.dropSlowStarts(now)
 	for _, e := range c.endpoints {
 		if len(e.runs) > 0 && !e.answering && now.After(e.leaseExpiry) {
-			c.recordLapse(e)
-			c.loseRuns(e, causeLapsed)
+			c.lapse(e)
 		}
 		if !e.listed && len(e.runs) == 0 {
 			c.removeEndpoint(e)
