--- a/internal/emulator/checker.go
+++ b/internal/emulator/checker.go
@@ -19,6 +19,8 @@
 	// crashes counts the endpoints that a task has crashed, startsAfterCrashes its starts
 	// since there were maxCrashes of them.
 	crashes, startsAfterCrashes map[tmjob.TaskID]int
+	// lastCrash is when a task last crashed its endpoint.
+	lastCrash time.Time
 	// losses counts the endpoints that have crashed under a task, whatever the cause,
 	// soleLosses those of them on which no other task was starting.
 	losses, soleLosses map[tmjob.TaskID]int
@@ -80,6 +82,9 @@
 // Crashes returns how many endpoints a task has crashed.
 func (f *Fleet) Crashes(t tmjob.TaskID) int { return f.checker.crashes[t] }
 
+// LastCrash returns when a task last crashed its endpoint, the zero time if none has.
+func (f *Fleet) LastCrash() time.Time { return f.checker.lastCrash }
+
 // Starts returns how many runs were started.
 func (f *Fleet) Starts() int { return f.checker.starts }
 
--- a/internal/emulator/endpoint.go
+++ b/internal/emulator/endpoint.go
@@ -163,6 +163,7 @@
 			return
 		}
 		e.fleet.checker.crashes[e.fleet.representative(key.task)]++
+		e.fleet.checker.lastCrash = time.Now()
 		e.Crash()
 		time.AfterFunc(restartDelay, func() {
 			e.fleet.Lock()
