core/tmcontrol: silence before a hand-over is forgiven after it

What callers saw: a healthy gang failed after four crashes.

Cause: the count of crashes was stored, but not which part of it an answer takes back. The same in one owner: a lapse from before a task was cleared was taken back from a later count.

Change: lapses that are counted are stored beside the placements. The next owner takes one back when its endpoint answers, and attributes a crash when it has restarted; one at an endpoint that is no longer listed stays counted. Clearing a task drops its lapses.

--- a/core/tmcontrol/controller.go
+++ b/core/tmcontrol/controller.go
@@ -199,7 +199,11 @@
 			continue
 		}
 		for _, place := range rec.Placements {
-			c.restoreRun(t, place, now)
+			if place.Lapsed {
+				c.restoreLapse(t, place)
+			} else {
+				c.restoreRun(t, place, now)
+			}
 		}
 	}
 }
--- a/core/tmcontrol/crash.go
+++ b/core/tmcontrol/crash.go
@@ -79,7 +79,7 @@
 	return tasks
 }
 
-// isCounted reports whether recordLapse has already counted the crash under a task.
+// isCounted reports whether the crash is already counted under a task as a lapse.
 func (cr *crash) isCounted(t *task) bool {
 	return slices.ContainsFunc(cr.runs, func(r *run) bool { return r.counted && r.task.culprit() == t })
 }
@@ -130,7 +130,7 @@
 // recordRestoredCrash records that an endpoint has restarted since an earlier owner
 // stored a run on it.
 func (c *Controller) recordRestoredCrash(t *task, e *endpoint, place tmjob.Placement) {
-	r := &run{task: t, n: place.Run, ep: e, isolated: place.Isolated}
+	r := &run{task: t, n: place.Run, ep: e, isolated: place.Isolated, counted: place.Lapsed}
 	for _, cr := range c.newCrashes {
 		if cr.endpoint == place.Endpoint && cr.startedAt == place.EndpointStart {
 			cr.runs = append(cr.runs, r)
@@ -143,64 +143,6 @@
 	})
 }
 
-// lapse ends the runs of a silent endpoint whose leases have expired.
-func (c *Controller) lapse(e *endpoint) {
-	var lapsed []*run
-	for _, r := range e.runs {
-		if !r.awaitsEvidence(c.now) {
-			lapsed = append(lapsed, r)
-		}
-	}
-	c.recordLapse(e, lapsed)
-	for _, r := range lapsed {
-		c.loseRun(r, causeLapsed)
-	}
-}
-
-// awaitsEvidence reports whether a run is kept although its lease has expired, because the
-// job of its task fails if the endpoint has crashed.
-func (r *run) awaitsEvidence(now tmclock.Millis) bool {
-	t := r.task.culprit()
-	return t.crashes >= maxCrashes-1 && !r.stop && r.mayHaveCrashed() && now.Sub(r.ep.leaseExpiry) < maxIsolationWait
-}
-
-// mayHaveCrashed reports whether a run on a silent endpoint was starting there.
-func (r *run) mayHaveCrashed() bool {
-	return r.phase != planned && !r.crashed && r.isStarting() && !r.task.culprit().done
-}
-
-// recordLapse counts the lapse of a lease under a run that was starting as a crash, since
-// an endpoint that has crashed may be away for longer than the lease. It fails no job, since
-// the endpoint may only be silent.
-func (c *Controller) recordLapse(e *endpoint, lapsed []*run) {
-	var counted []*task
-	for _, r := range lapsed {
-		if r.phase == planned || r.crashed {
-			continue
-		}
-		e.lapsed = append(e.lapsed, r)
-		t := r.task.culprit()
-		if !r.mayHaveCrashed() || slices.Contains(counted, t) {
-			continue
-		}
-		counted = append(counted, t)
-		r.counted = true
-		t.crashes++
-		c.suspect(t, e.info.ID)
-	}
-}
-
-// forgetLapse takes back what recordLapse counted: the endpoint was only silent.
-func (c *Controller) forgetLapse(e *endpoint) {
-	for _, r := range e.lapsed {
-		if t := r.task.culprit(); r.counted && t.crashes > 0 {
-			t.crashes--
-			c.markDirty(t.step.occ.job)
-		}
-	}
-	e.lapsed = nil
-}
-
 // attributeCrashes attributes the crashes that have become known since the last call.
 // It waits until all stored jobs are loaded, because other runs may have been on the
 // endpoints of those that are.
--- a/core/tmcontrol/crash_test.go
+++ b/core/tmcontrol/crash_test.go
@@ -197,6 +197,25 @@
 	assert.Assert(t, f.c.finalAt["j"] != 0)
 }
 
+// Guards against an endpoint that was only silent and counts as crashed because the owner
+// changed before it answered.
+func TestSilenceIsForgivenAcrossAHandover(t *testing.T) {
+	for _, restarts := range []int64{0, 1} {
+		f := newFixture(t, 2)
+		f.c.Submitted(oneTask("j"))
+		ref := f.advance(10)[0].Ref
+		f.c.HoldFailed(ref.Endpoint, "test", f.now)
+		f.advance(7000)
+		assert.Equal(t, f.c.jobs["j"].task(ref.Task).crashes, 1)
+		f.runs[ref.Endpoint] = nil
+		f.restarts[ref.Endpoint] += restarts
+		f.restoreAtNewOwner("j")
+		f.answerHold(ref.Endpoint)
+		f.advance(10)
+		assert.Equal(t, f.c.jobs["j"].task(ref.Task).crashes, int(restarts))
+	}
+}
+
 // Guards against a task that never starts because the endpoint of its last run stays silent.
 func TestTaskOfASilentEndpointStartsInTheEnd(t *testing.T) {
 	f := newFixture(t, 2)
--- a/core/tmcontrol/endpoint.go
+++ b/core/tmcontrol/endpoint.go
@@ -112,6 +112,7 @@
 }
 
 func (c *Controller) removeEndpoint(e *endpoint) {
+	c.settleLapse(e)
 	c.detachInstance(e)
 	delete(c.endpoints, e.info.ID)
 	c.byID = slices.DeleteFunc(c.byID, func(other *endpoint) bool { return other == e })
--- a/core/tmcontrol/job.go
+++ b/core/tmcontrol/job.go
@@ -67,6 +67,9 @@
 	done        bool
 	checkpoint  string
 	active      []*run
+	// lapsed holds the runs whose lapse counts as a crash as long as their endpoints are
+	// silent.
+	lapsed []*run
 	// notBefore is the earliest time of the next start after a start was refused.
 	notBefore tmclock.Millis
 }
@@ -258,6 +261,10 @@
 	return p
 }
 
+func (r *run) placement() tmjob.Placement {
+	return tmjob.Placement{Run: r.n, Endpoint: r.ep.info.ID, EndpointStart: r.ep.info.StartedAt, Isolated: r.isolated}
+}
+
 func (t *task) record() (tmjob.TaskRecord, bool) {
 	if t.runs == 0 && !t.done && t.crashes == 0 {
 		return tmjob.TaskRecord{}, false
@@ -267,7 +274,12 @@
 		Runs: t.runs, Failures: t.failures, Crashes: t.crashes, Suspicions: t.suspicions, Done: t.done, Checkpoint: t.checkpoint,
 	}
 	for _, r := range t.active {
-		rec.Placements = append(rec.Placements, tmjob.Placement{Run: r.n, Endpoint: r.ep.info.ID, EndpointStart: r.ep.info.StartedAt, Isolated: r.isolated})
+		rec.Placements = append(rec.Placements, r.placement())
+	}
+	for _, r := range t.lapsed {
+		place := r.placement()
+		place.Lapsed = true
+		rec.Placements = append(rec.Placements, place)
 	}
 	return rec, true
 }
--- a/core/tmcontrol/lifetime.go
+++ b/core/tmcontrol/lifetime.go
@@ -71,6 +71,7 @@
 func (c *Controller) resetLifetime(e *endpoint, startedAt int64, list *runList) {
 	lost := runsLostBy(e, list)
 	c.recordCrash(e, causeRestarted, lost)
+	c.settleLapse(e)
 	e.info.StartedAt = startedAt
 	e.lifetime++
 	e.tokenAccepted, e.answering = false, false
@@ -79,7 +80,7 @@
 	// the lease as far as possible.
 	e.leaseExpiry = c.now.Add(maxLeaseTime(c.bounds.MaxLease))
 	e.gone, e.reserved, e.ending, e.failures = false, false, false, 0
-	e.isolated, e.lapsed = nil, nil
+	e.isolated = nil
 	for _, r := range lost {
 		if r.mayStartLate(list) {
 			c.stopLateStart(r)
@@ -123,6 +124,7 @@
 	e.gone, e.listed, e.answering = true, false, false
 	c.event(tmevent.EndpointLost, "endpoint", e.info.ID, "runs", len(e.runs), "cause", string(cause))
 	c.recordCrash(e, cause, runsLostBy(e, nil))
+	c.settleLapse(e)
 	c.loseRuns(e, cause)
 }
 
--- a/core/tmcontrol/suspicion.go
+++ b/core/tmcontrol/suspicion.go
@@ -79,6 +79,14 @@
 	return t
 }
 
+// members returns the tasks that start together with t.
+func (t *task) members() []*task {
+	if t.step.spec.Gang {
+		return t.step.tasks
+	}
+	return []*task{t}
+}
+
 // isStarting reports whether a run may still crash its endpoint by starting.
 func (r *run) isStarting() bool {
 	return !r.atWork || r.task.culprit().crashes >= watchedCrashes
@@ -144,6 +152,9 @@
 		return
 	}
 	t.crashes, t.suspicions = 0, 0
+	for _, m := range t.members() {
+		m.forgetLapses()
+	}
 	for _, cr := range c.recentCrashes {
 		cr.suspected = slices.DeleteFunc(cr.suspected, func(s suspectedTask) bool { return s.task == t })
 	}
@@ -154,11 +165,7 @@
 // a gang each member must have lasted, since the others wait for one that has crashed its
 // endpoint.
 func (t *task) hasLasted() bool {
-	members := []*task{t}
-	if t.step.spec.Gang {
-		members = t.step.tasks
-	}
-	for _, m := range members {
+	for _, m := range t.members() {
 		if !slices.ContainsFunc(m.active, (*run).hasLasted) {
 			return false
 		}
--- a/core/tmjob/task.go
+++ b/core/tmjob/task.go
@@ -59,6 +59,9 @@
 	// Isolated says that no other task was starting on the endpoint, because the task was
 	// suspected of having crashed endpoints.
 	Isolated bool
+	// Lapsed says that the run is gone because the endpoint was silent, which counts as a
+	// crash as long as that lasts.
+	Lapsed bool
 }
 
 // TaskRecord is the stored state of a task. A record with a negative Step says
--- a/io/tmrecord/codec.go
+++ b/io/tmrecord/codec.go
@@ -114,6 +114,7 @@
 	Endpoint      string `json:"e"`
 	EndpointStart int64  `json:"b,omitempty"`
 	Isolated      bool   `json:"q,omitempty"`
+	Lapsed        bool   `json:"l,omitempty"`
 }
 
 type taskRow struct {
