core/tmcontrol: overdue suspects get more endpoints instead of company

Cause: suspects of one crash started beside others after ten seconds. Meanwhile only 6 to 14 of 38 endpoints were set aside.

Change: a suspect never starts beside others. While one has waited for ten seconds, a third more of its pool may be set aside, all of it if idle; it goes first, so the queue drains in order.

TestSuspectNeverStartsBesideOthers and TestOverdueSuspectsGetMoreEndpoints fail without the change.

--- a/core/tmcontrol/crash_test.go
+++ b/core/tmcontrol/crash_test.go
@@ -220,7 +220,7 @@
 func TestTaskOfASilentEndpointStartsInTheEnd(t *testing.T) {
 	f := newFixture(t, 2)
 	f.silenceLast()
-	assert.Equal(t, len(f.advance(maxIsolationWait)), 1)
+	assert.Equal(t, len(f.advance(maxEvidenceWait)), 1)
 }
 
 // Guards against copies of a speculative task that crash further endpoints.
--- a/core/tmcontrol/isolation.go
+++ b/core/tmcontrol/isolation.go
@@ -14,8 +14,9 @@
 	// well. The others serve the rest of the work.
 	maxIsolatedShare     = 1.0 / 3
 	maxIsolatedIdleShare = 2.0 / 3
-	// maxIsolationWait is how long suspects wait for an endpoint until they go first, or, if
-	// they may be innocent, start beside others.
+	// overdueShare is the share that is added to both while suspects are overdue.
+	overdueShare = 1.0 / 3
+	// maxIsolationWait is how long suspects wait for an endpoint until they are overdue.
 	maxIsolationWait = 10000 * tmclock.Millisecond
 )
 
@@ -33,19 +34,28 @@
 	}
 	slices.SortStableFunc(suspects, func(a, b *task) int { return compareSuspects(a, b, now) })
 	for _, t := range suspects {
-		p := pools[c.rules.Queues[t.step.occ.job.spec.Queue].Service]
-		if p != nil && p.isolatedFor[t] == nil && p.mayIsolate(true) && c.withinLimit(t.step, 1) {
+		p := c.poolOf(t, pools)
+		if p == nil {
+			continue
+		}
+		p.hasOverdue = p.hasOverdue || t.isOverdue(now)
+		if p.isolatedFor[t] == nil && p.mayIsolate(true) && c.withinLimit(t.step, 1) {
 			c.isolate(t, p, now)
 		}
 	}
 	for _, t := range suspects {
-		p := pools[c.rules.Queues[t.step.occ.job.spec.Queue].Service]
+		p := c.poolOf(t, pools)
 		if p != nil && c.pending < maxPending && c.withinLimit(t.step, 1) {
 			c.placeIsolated(t, p)
 		}
 	}
 }
 
+// poolOf returns the pool on which a task runs, or nil.
+func (c *Controller) poolOf(t *task, pools map[string]*pool) *pool {
+	return pools[c.rules.Queues[t.step.occ.job.spec.Queue].Service]
+}
+
 // compareSuspects orders suspects: long-running tasks go first, then those that have waited
 // for too long, then the least suspicious, which are probably innocent.
 func compareSuspects(a, b *task, now tmclock.Millis) int {
@@ -61,7 +71,8 @@
 	return cmp.Compare(a.suspicions, b.suspicions)
 }
 
-// isOverdue reports whether a suspect has waited for its isolation for too long.
+// isOverdue reports whether a suspect has waited for its isolation for too long. It goes
+// first then, and more endpoints are set aside.
 func (t *task) isOverdue(now tmclock.Millis) bool {
 	return now.Sub(t.culprit().suspectedAt) >= maxIsolationWait
 }
@@ -79,7 +90,7 @@
 					continue
 				}
 				for _, t := range s.tasks {
-					if t.mustBeIsolated(now) && t.waiting(now) {
+					if t.isSuspect() && t.waiting(now) {
 						suspects = append(suspects, t)
 					}
 				}
@@ -115,6 +126,9 @@
 	if idle {
 		share = maxIsolatedIdleShare
 	}
+	if p.hasOverdue {
+		share += overdueShare
+	}
 	return p.isolated < max(1, int(share*float64(len(p.endpoints))))
 }
 
@@ -205,11 +219,11 @@
 			return r.isStarting()
 		}
 	}
-	return e.usable(now) && e.isolated.awaitsIsolation(now)
+	return e.usable(now) && e.isolated.awaitsIsolation()
 }
 
 // awaitsIsolation reports whether a suspect is about to be placed in isolation. Gangs are
 // isolated when they are placed.
-func (t *task) awaitsIsolation(now tmclock.Millis) bool {
-	return t.mustBeIsolated(now) && !t.done && !t.step.occ.job.final && len(t.active) == 0 && !t.step.spec.Gang
+func (t *task) awaitsIsolation() bool {
+	return t.isSuspect() && !t.done && !t.step.occ.job.final && len(t.active) == 0 && !t.step.spec.Gang
 }
--- a/core/tmcontrol/isolation_test.go
+++ b/core/tmcontrol/isolation_test.go
@@ -116,3 +116,29 @@
 	f.work(exonerationTime)
 	assert.Equal(t, j.suspicions, 0)
 }
+
+// Guards against starting suspects beside others because they have waited for long: those
+// that wait longest in a storm have crashed endpoints in company before.
+func TestSuspectNeverStartsBesideOthers(t *testing.T) {
+	f := newFixture(t, 1)
+	f.submitSuspect("other", suspectedInCompany)
+	assert.Equal(t, len(f.advance(10)), 1)
+	f.submitSuspect("j", suspectedInCompany)
+	for range 3 {
+		assert.Equal(t, len(f.advance(maxIsolationWait)), 0)
+	}
+	f.work(MinWorkTime)
+	assert.Equal(t, len(f.advance(10)), 1)
+}
+
+// Guards against suspects that wait while most of the pool is idle or at work.
+func TestOverdueSuspectsGetMoreEndpoints(t *testing.T) {
+	p := &pool{endpoints: make([]*endpoint, 6), isolated: 2}
+	assert.Assert(t, !p.mayIsolate(false))
+	assert.Assert(t, p.mayIsolate(true))
+	p.isolated = 4
+	assert.Assert(t, !p.mayIsolate(true))
+	p.hasOverdue = true
+	assert.Assert(t, !p.mayIsolate(false))
+	assert.Assert(t, p.mayIsolate(true))
+}
--- a/core/tmcontrol/lapse.go
+++ b/core/tmcontrol/lapse.go
@@ -10,6 +10,10 @@
 // This file ends runs on silent endpoints. An endpoint that doesn't answer may have crashed
 // or be cut off: a lapse under a task that was starting counts as a crash until that is known.
 
+// maxEvidenceWait is how long a run is kept after its lease has expired until its endpoint
+// shows whether it has crashed.
+const maxEvidenceWait = 10 * tmclock.Second
+
 // lapse ends the runs of a silent endpoint whose leases have expired.
 func (c *Controller) lapse(e *endpoint) {
 	var lapsed []*run
@@ -28,7 +32,7 @@
 // job of its task fails if the endpoint has crashed.
 func (r *run) awaitsEvidence(now tmclock.Millis) bool {
 	t := r.task.culprit()
-	return t.crashes >= maxCrashes-1 && !r.stop && r.mayHaveCrashed() && now.Sub(r.ep.leaseExpiry) < maxIsolationWait
+	return t.crashes >= maxCrashes-1 && !r.stop && r.mayHaveCrashed() && now.Sub(r.ep.leaseExpiry) < maxEvidenceWait
 }
 
 // mayHaveCrashed reports whether a run on a silent endpoint was starting there.
--- a/core/tmcontrol/plan.go
+++ b/core/tmcontrol/plan.go
@@ -53,9 +53,11 @@
 	service   string
 	endpoints []*endpoint
 	// isolated is the number of endpoints that are set aside, isolatedFor holds one for
-	// each suspect. Both are known while suspects are planned.
+	// each suspect. hasOverdue is set if a suspect has waited for too long. All are known
+	// while suspects are planned.
 	isolated    int
 	isolatedFor map[*task]*endpoint
+	hasOverdue  bool
 	// tooLarge holds reservations that fit on no endpoint for the rest of the pass.
 	tooLarge []tmjob.Resources
 }
@@ -183,7 +185,7 @@
 			continue
 		}
 		for _, t := range s.tasks {
-			if t.mustBeIsolated(now) || !t.waiting(now) {
+			if t.isSuspect() || !t.waiting(now) {
 				continue
 			}
 			if !c.place(t, p, now) {
--- a/core/tmcontrol/suspicion.go
+++ b/core/tmcontrol/suspicion.go
@@ -92,22 +92,12 @@
 	return !r.atWork || r.task.culprit().crashes >= watchedCrashes
 }
 
-// isSuspect reports whether a task may be the cause of a crash.
+// isSuspect reports whether a task may be the cause of a crash. It starts in isolation only.
 func (t *task) isSuspect() bool {
 	u := t.culprit()
 	return u.suspicions > 0 || u.crashes >= watchedCrashes
 }
 
-// mustBeIsolated reports whether a task may start in isolation only. One that may well be
-// innocent waits for that no longer than maxIsolationWait.
-func (t *task) mustBeIsolated(now tmclock.Millis) bool {
-	u := t.culprit()
-	if u.crashes < watchedCrashes && u.suspicions <= suspectedInCompany && u.isOverdue(now) {
-		return false
-	}
-	return t.isSuspect()
-}
-
 // recordCrashUnder stores that an endpoint has crashed under a task, and fails the job of
 // the task if that was once too often.
 func (c *Controller) recordCrashUnder(t *task, endpoint string) {
