scripts/regress.sh: prints its comparison

awk took the comparison with the noise as a redirection, so that the script wrote its lines to a file of that name and printed none.

--- a/scripts/regress.sh
+++ b/scripts/regress.sh
@@ -18,7 +18,7 @@
 		/BROKEN/ { print site, $1, "a rule is broken"; failed = 1 }
 		$1 in worth && $2 ~ "/" {
 			lost = worth[$1] - $4
-			printf "%s %s worth %.3f (%.3f), served %.3f (%.3f)%s\n", site, $1, $4, worth[$1], $5, served[$1], lost > noise ? " LESS" : ""
+			printf "%s %s worth %.3f (%.3f), served %.3f (%.3f)%s\n", site, $1, $4, worth[$1], $5, served[$1], (lost > noise ? " LESS" : "")
 			if (lost > noise) failed = 1
 		}
 		END { exit failed }
