--- a/scripts/regress.sh
+++ b/scripts/regress.sh
@@ -21,7 +21,10 @@
 			printf "%s %s worth %.3f (%.3f), served %.3f (%.3f)%s\n", site, $1, $4, worth[$1], $5, served[$1], (lost > noise ? " LESS" : "")
 			if (lost > noise) failed = 1
 		}
-		END { exit failed }
+		END {
+			if (length(worth) == 0) print site, "has no figures in docs/regress.tsv"
+			exit failed
+		}
 	' docs/regress.tsv "$OUT" || status=1
 done
 exit $status
