--- a/core/tmcontrol/isolation_test.go
+++ b/core/tmcontrol/isolation_test.go
@@ -120,9 +120,11 @@
 // Guards against starting suspects beside others because they have waited for long: those
 // that wait longest in a storm have crashed endpoints in company before.
 func TestSuspectNeverStartsBesideOthers(t *testing.T) {
-	f := newFixture(t, 1)
+	f := newFixture(t, 2)
 	f.submitSuspect("other", suspectedInCompany)
 	assert.Equal(t, len(f.advance(10)), 1)
+	f.c.Submitted(oneTask("healthy"))
+	assert.Equal(t, len(f.advance(10)), 1)
 	f.submitSuspect("j", suspectedInCompany)
 	for range 3 {
 		assert.Equal(t, len(f.advance(maxIsolationWait)), 0)
