--- a/review/standin/site.go
+++ b/review/standin/site.go
@@ -183,6 +183,20 @@
 	return "", errors.New("no free port")
 }
 
+// config returns a configuration with one route.
+func config(version int, path string) map[string]any {
+	return map[string]any{
+		"version": version,
+		"routes": []map[string]any{{
+			"name": "r" + strings.ReplaceAll(path, "/", "-"), "host": host, "pathPrefix": path, "kind": "unsafe", "timeoutMs": 3000, "sloMs": 600,
+			"priority": 1, "service": service, "maxAttempts": 4, "stretch": 1.6, "public": false,
+		}},
+		"services": []map[string]any{{"name": service, "rejectsOverload": false, "healthPath": "/health"}},
+		"tenants":  []map[string]any{{"name": "tenant-1", "apiKeys": []string{apiKey}, "weight": 50.0, "upperBound": map[string]any{"cpu": 0, "memMb": 0, "gpu": 0}}},
+		"limits":   map[string]any{"maxBodyBytes": 262144},
+	}
+}
+
 // newSite starts the platform with its configuration, the workers and the nodes, and
 // waits until they are ready.
 func newSite(rec *record, nodes, workers int, cpu, mem int64, labels func(i int) string) (s *site, err error) {
@@ -201,16 +215,7 @@
 	}
 	s = &site{rec: rec, store: newStore(rec), dir: dir, http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 32}}}
 	s.fleet = newFleet(rec, s.store, service)
-	s.store.set("op", "config", map[string]any{
-		"version": 7,
-		"routes": []map[string]any{{
-			"name": "r-4jcda9r", "host": host, "pathPrefix": prefix, "kind": "unsafe", "timeoutMs": 3000, "sloMs": 600,
-			"priority": 1, "service": service, "maxAttempts": 4, "stretch": 1.6, "public": false,
-		}},
-		"services": []map[string]any{{"name": service, "rejectsOverload": false, "healthPath": "/health"}},
-		"tenants":  []map[string]any{{"name": "tenant-1", "apiKeys": []string{apiKey}, "weight": 50.0, "upperBound": map[string]any{"cpu": 0, "memMb": 0, "gpu": 0}}},
-		"limits":   map[string]any{"maxBodyBytes": 262144},
-	})
+	s.store.set("op", "config", config(7, prefix))
 	for i := range workers {
 		label := "a"
 		if labels != nil {
