--- a/review/standin/site.go
+++ b/review/standin/site.go
@@ -16,6 +16,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -143,7 +144,7 @@
 	fleet *fleet
 	nodes []*node
 	dir   string
-	next  int
+	next  atomic.Int64
 	http  *http.Client
 }
 
@@ -289,11 +290,11 @@
 		data, _ := json.Marshal(body)
 		payload = bytes.NewReader(data)
 	}
-	s.next++
-	n := s.nodes[s.next%len(s.nodes)]
+	turn := int(s.next.Add(1))
+	n := s.nodes[turn%len(s.nodes)]
 	if n.cmd.ProcessState != nil {
-		s.next++
-		n = s.nodes[s.next%len(s.nodes)]
+		turn++
+		n = s.nodes[turn%len(s.nodes)]
 	}
 	req, err := http.NewRequest(method, "http://"+n.callers+prefix+id, payload)
 	if err != nil {
--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -53,6 +53,10 @@
 	Across  bool     `json:"across"`
 }
 
+// linkRate is the bandwidth of the link of each node to the store in bytes a second, 0 for
+// no limit.
+var linkRate float64
+
 // store is the platform's metadata store. Each node reaches it at an address of its own,
 // so that the store knows who called.
 type store struct {
@@ -90,6 +94,9 @@
 		return "", err
 	}
 	srv := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { s.serve(node, w, r) })}
+	if linkRate > 0 {
+		l = linkListener{Listener: l, link: &link{bytesPerSec: linkRate}}
+	}
 	go func() { _ = srv.Serve(l) }()
 	return l.Addr().String(), nil
 }
