--- a/internal/emulator/table.go
+++ b/internal/emulator/table.go
@@ -24,11 +24,18 @@
 	ExtraLatency time.Duration
 	// Unavailable makes the service reject all calls.
 	Unavailable bool
+	// Silent makes the service answer no call, UnreadTable no read of one table. A call
+	// that was made meanwhile stays without an answer for good.
+	Silent      bool
+	UnreadTable string
 	// IgnoreConditions is a negative control: writes are applied without a check of
 	// their expected versions.
 	IgnoreConditions bool
 }
 
+// HidesTable reports whether reads of a table get no answer.
+func (f TableFaults) HidesTable(table string) bool { return f.Silent || table == f.UnreadTable }
+
 // Table emulates the state of a table service. It is safe for concurrent use.
 type Table struct {
 	mu      sync.Mutex
--- a/internal/fleetsim/endpoint_test.go
+++ b/internal/fleetsim/endpoint_test.go
@@ -22,6 +22,9 @@
 
 // reach returns the endpoint, or waits until ctx ends if it can't be reached.
 func (c *endpointClient) reach(ctx context.Context, endpoint string) (*emulator.Endpoint, bool) {
+	if _, ok := ctx.Deadline(); !ok {
+		c.sim.reportUnbounded("call to endpoint " + endpoint)
+	}
 	select {
 	case <-ctx.Done():
 		return nil, false
--- a/internal/fleetsim/fleet_test.go
+++ b/internal/fleetsim/fleet_test.go
@@ -77,6 +77,13 @@
 	sim.store.SetFaults(func(f *emulator.TableFaults) { f.Unavailable = false })
 }
 
+// silenceStore makes the store answer no call for a while.
+func silenceStore(sim *simulation) {
+	sim.store.SetFaults(func(f *emulator.TableFaults) { f.Silent = true })
+	sim.sleep(4 * time.Second)
+	sim.store.SetFaults(func(f *emulator.TableFaults) { f.Silent = false })
+}
+
 func dropStoreHistory(sim *simulation) { sim.store.DropHistory() }
 
 func crashEndpoint(sim *simulation) {
@@ -145,6 +152,7 @@
 	{"slow store", slowDownStore},
 	{"drop the store history", dropStoreHistory},
 	{"store unavailable", makeStoreUnavailable},
+	{"silent store", silenceStore},
 	{"crash an endpoint", crashEndpoint},
 	{"partition an endpoint", partitionEndpoint},
 	{"late orders", delayOrders},
--- a/internal/fleetsim/simulation_test.go
+++ b/internal/fleetsim/simulation_test.go
@@ -221,7 +221,7 @@
 	ctx, stop := context.WithCancel(context.Background())
 	p.stop = stop
 	p.node = tmnode.New(tmnode.Options{
-		Name: name, Store: &storeView{store: sim.store, partitioned: p.cannotReachStore, configLost: p.isConfigLost, listLost: p.isListLost}, Endpoints: &endpointClient{sim: sim, node: name, partitioned: p.isKilled},
+		Name: name, Store: &storeView{store: sim.store, partitioned: p.cannotReachStore, configLost: p.isConfigLost, listLost: p.isListLost, unbounded: sim.reportUnbounded}, Endpoints: &endpointClient{sim: sim, node: name, partitioned: p.isKilled},
 		Directory: directory{sim}, Clock: tmclock.NewSystem(), BootClock: time.Now, MaxConfigAge: 3 * time.Second,
 		Bounds:    tmcontrol.Bounds{Lease: 5000, MaxLease: 10000, HandoverDelay: 3000, Maintenance: 2000},
 		Resources: tmshard.Node{Cores: 1}, KeepOutcomes: outcomeRetention,
@@ -404,6 +404,12 @@
 	sim.fleet.ReportViolation(format, args...)
 }
 
+// reportUnbounded reports a call of a node that has no time limit: if it got no answer, the
+// node would wait for good.
+func (sim *simulation) reportUnbounded(what string) {
+	sim.reportViolation("%s has no time limit", what)
+}
+
 func (sim *simulation) isFinal(id string) bool {
 	for i := range nodeCount {
 		p := sim.process(i)
--- a/internal/fleetsim/store_test.go
+++ b/internal/fleetsim/store_test.go
@@ -33,13 +33,18 @@
 	// calls about the table of the operator get no answer, listLost those about the list of
 	// endpoints.
 	partitioned, configLost, listLost func() bool
+	// unbounded is called for each call that has no time limit.
+	unbounded func(what string)
 }
 
-// reach waits for the latency of a call, or until ctx ends if the store is partitioned.
-func (v *storeView) reach(ctx context.Context) error {
-	if v.partitioned() {
-		<-ctx.Done()
-		return fmt.Errorf("%w: network partition", tmtable.ErrOutcomeUnknown)
+// reach waits for the latency of a call, or until ctx ends if the store can't be reached or
+// does not answer.
+func (v *storeView) reach(ctx context.Context, silent bool) error {
+	if _, ok := ctx.Deadline(); !ok {
+		v.unbounded("a call to the store")
+	}
+	if v.partitioned() || silent {
+		return v.awaitEnd(ctx)
 	}
 	faults := v.Faults()
 	select {
@@ -53,31 +58,33 @@
 	return nil
 }
 
+// awaitEnd waits until a call without an answer ends.
+func (v *storeView) awaitEnd(ctx context.Context) error {
+	<-ctx.Done()
+	return fmt.Errorf("%w: %w", tmtable.ErrOutcomeUnknown, ctx.Err())
+}
+
 func (v *storeView) Write(ctx context.Context, t tmtable.Txn) (tmtable.Result, error) {
-	if err := v.reach(ctx); err != nil {
+	if err := v.reach(ctx, v.Faults().Silent); err != nil {
 		return tmtable.Result{}, err
 	}
 	res, err := v.Apply(t)
-	if v.Float64() < v.Faults().LostResponses || v.partitioned() {
-		<-ctx.Done()
-		return tmtable.Result{}, fmt.Errorf("%w: response lost", tmtable.ErrOutcomeUnknown)
+	if v.Float64() < v.Faults().LostResponses || v.partitioned() || v.Faults().Silent {
+		return tmtable.Result{}, v.awaitEnd(ctx)
 	}
 	return res, err
 }
 
 func (v *storeView) Read(ctx context.Context, r tmtable.Range) (tmtable.Page, error) {
-	if err := v.reach(ctx); err != nil {
+	if err := v.reach(ctx, v.Faults().HidesTable(r.Table)); err != nil {
 		return tmtable.Page{}, err
 	}
 	return v.Range(r), nil
 }
 
 func (v *storeView) Feed(ctx context.Context, table string, after int64, wait tmclock.Span) (tmtable.Page, error) {
-	if table == operatorTable && v.configLost() || table == endpointTable && v.listLost() {
-		<-ctx.Done()
-		return tmtable.Page{}, fmt.Errorf("%w: no answer about table %s", tmtable.ErrOutcomeUnknown, table)
-	}
-	if err := v.reach(ctx); err != nil {
+	lost := table == operatorTable && v.configLost() || table == endpointTable && v.listLost()
+	if err := v.reach(ctx, lost || v.Faults().HidesTable(table)); err != nil {
 		return tmtable.Page{}, err
 	}
 	deadline := time.After(wait.Duration())
@@ -87,9 +94,8 @@
 			return tmtable.Page{}, err
 		}
 		if len(page.Rows) > 0 {
-			if v.partitioned() {
-				<-ctx.Done()
-				return tmtable.Page{}, fmt.Errorf("%w: network partition", tmtable.ErrOutcomeUnknown)
+			if v.partitioned() || v.Faults().HidesTable(table) {
+				return tmtable.Page{}, v.awaitEnd(ctx)
 			}
 			return page, nil
 		}
--- a/io/tmowner/load.go
+++ b/io/tmowner/load.go
@@ -154,10 +154,7 @@
 // restore loads the progress of all live jobs and of waves. Run has acquired the
 // guard before, so no earlier owner can still change the progress of jobs.
 func (o *Owner) restore(ctx context.Context) {
-	if !o.retryRead(ctx, "progress of jobs", func() error { return o.restoreRuns(ctx) }) {
-		return
-	}
-	if !o.retryRead(ctx, "rows of the shard", func() error { return o.restoreShard(ctx) }) {
+	if !o.retryRead(ctx, "progress of jobs", o.restoreRuns) || !o.retryRead(ctx, "rows of the shard", o.restoreShard) {
 		return
 	}
 	o.mu.Lock()
@@ -168,10 +165,18 @@
 	o.requestPlan()
 }
 
+const (
+	// loadPageTimeout bounds the first attempt to read a page of the stored rows. Each
+	// failed attempt doubles the timeout, up to maxLoadPageTimeout, because a slow store or
+	// link may need longer.
+	loadPageTimeout    = 1200 * time.Millisecond
+	maxLoadPageTimeout = 5 * time.Second
+)
+
 // retryRead repeats a read until it succeeds. It reports false when ctx ends.
-func (o *Owner) retryRead(ctx context.Context, what string, read func() error) bool {
-	for {
-		err := read()
+func (o *Owner) retryRead(ctx context.Context, what string, read func(ctx context.Context, pageTimeout time.Duration) error) bool {
+	for timeout := loadPageTimeout; ; timeout = min(2*timeout, maxLoadPageTimeout) {
+		err := read(ctx, timeout)
 		if err == nil {
 			return true
 		}
@@ -182,8 +187,9 @@
 	}
 }
 
-func (o *Owner) restoreRuns(ctx context.Context) error {
-	page, err := tmtable.ReadAll(ctx, o.opts.Store, tmtable.Range{Table: tmrecord.RunTable, Part: tmrecord.OwnerPart(o.shard)})
+func (o *Owner) restoreRuns(ctx context.Context, pageTimeout time.Duration) error {
+	rows := tmtable.Range{Table: tmrecord.RunTable, Part: tmrecord.OwnerPart(o.shard)}
+	page, err := tmtable.ReadAll(ctx, o.opts.Store, rows, pageTimeout)
 	if err != nil {
 		return err
 	}
--- a/io/tmtable/follow.go
+++ b/io/tmtable/follow.go
@@ -105,10 +105,11 @@
 }
 
 func (f *Follower) snapshot(ctx context.Context) (int64, error) {
-	ctx, cancel := context.WithTimeout(ctx, readTimeout+time.Duration(len(f.Parts))*readTimeoutPerPart)
+	timeout := readTimeout + time.Duration(len(f.Parts))*readTimeoutPerPart
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	sent := f.Now()
-	pages, err := f.readParts(ctx)
+	pages, err := f.readParts(ctx, timeout)
 	if err != nil {
 		return 0, err
 	}
@@ -127,13 +128,13 @@
 
 // readParts reads all parts concurrently, since each call to a slow store takes
 // long.
-func (f *Follower) readParts(ctx context.Context) ([]Page, error) {
+func (f *Follower) readParts(ctx context.Context, pageTimeout time.Duration) ([]Page, error) {
 	pages := make([]Page, len(f.Parts))
 	errs := make([]error, len(f.Parts))
 	var reads sync.WaitGroup
 	for i, part := range f.Parts {
 		reads.Go(func() {
-			pages[i], errs[i] = ReadAll(ctx, f.Store, Range{Table: f.Table, Part: part})
+			pages[i], errs[i] = ReadAll(ctx, f.Store, Range{Table: f.Table, Part: part}, pageTimeout)
 		})
 	}
 	reads.Wait()
--- a/io/tmtable/table.go
+++ b/io/tmtable/table.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"errors"
+	"time"
 
 	"turmericmoor/core/tmclock"
 )
@@ -94,7 +95,8 @@
 	Limit int
 }
 
-// Store is the platform's table service.
+// Store is the platform's table service. A call waits for its answer until ctx ends, so each
+// caller sets a deadline.
 type Store interface {
 	Write(ctx context.Context, t Txn) (Result, error)
 	Read(ctx context.Context, r Range) (Page, error)
@@ -103,11 +105,12 @@
 	Feed(ctx context.Context, table string, after int64, wait tmclock.Span) (Page, error)
 }
 
-// ReadAll returns all rows of a range, with the Result of the first page.
-func ReadAll(ctx context.Context, s Store, r Range) (Page, error) {
+// ReadAll returns all rows of a range, with the Result of the first page. The read of each
+// page may take as long as pageTimeout.
+func ReadAll(ctx context.Context, s Store, r Range, pageTimeout time.Duration) (Page, error) {
 	var all Page
 	for first := true; ; first = false {
-		page, err := s.Read(ctx, r)
+		page, err := readPage(ctx, s, r, pageTimeout)
 		if err != nil {
 			return Page{}, err
 		}
@@ -121,3 +124,9 @@
 		r.From = page.Rows[len(page.Rows)-1].Key.Key + "\x00"
 	}
 }
+
+func readPage(ctx context.Context, s Store, r Range, timeout time.Duration) (Page, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	return s.Read(ctx, r)
+}
