--- a/core/tmcontrol/controller.go
+++ b/core/tmcontrol/controller.go
@@ -15,6 +15,8 @@
 package tmcontrol
 
 import (
+	"slices"
+
 	"turmericmoor/core/tmclock"
 	"turmericmoor/core/tmevent"
 	"turmericmoor/core/tmjob"
@@ -148,6 +150,7 @@
 	c.finalAt[id] = c.now
 	if j := c.jobs[id]; j != nil {
 		c.removeOpenJob(j)
+		c.markClean(j)
 		delete(c.jobs, id)
 	}
 }
@@ -283,6 +286,12 @@
 	}
 }
 
+// markClean discards the changes of a job that are not stored yet.
+func (c *Controller) markClean(j *job) {
+	j.dirty = false
+	c.dirty = slices.DeleteFunc(c.dirty, func(other *job) bool { return other == j })
+}
+
 // finish sets the outcome of a job and stops its runs.
 func (c *Controller) finish(j *job, state tmjob.State, cause string) {
 	if j.final {
--- /dev/null
+++ b/core/tmcontrol/load_test.go
@@ -0,0 +1,51 @@
+package tmcontrol
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"turmericmoor/core/tmjob"
+)
+
+func timedJob(id string, repeats int) tmjob.Job {
+	j := oneTask(id)
+	j.Repeats, j.StartAt, j.Interval = repeats, 1000, 1000
+	return j
+}
+
+// Guards against an owner that replaces what an earlier one has stored by what it knows
+// before it has read that: a timed job that is due and a cancelled one.
+func TestNothingIsStoredBeforeAllIsLoaded(t *testing.T) {
+	f := newFixture(t, 1)
+	c := f.newController(2)
+	c.Submitted(timedJob("timed", 3))
+	c.Submitted(oneTask("cancelled"))
+	c.Cancelled("cancelled")
+	c.Tick(f.now, int64(f.now))
+	c.Plan(f.now, int64(f.now))
+	assert.Assert(t, c.TakeFlush(f.now) == nil)
+	c.Restore(tmjob.Progress{ID: "timed", Tasks: []tmjob.TaskRecord{{Runs: 4, Done: true}}}, f.now)
+	c.Loaded()
+	const secondDue = 2000
+	c.Tick(f.now, secondDue)
+	flush := c.TakeFlush(f.now)
+	assert.Equal(t, len(flush.Changes), 2)
+	for _, change := range flush.Changes {
+		if change.Job == "timed" {
+			assert.Equal(t, change.Progress.Tasks[0].Runs, 4)
+		}
+	}
+}
+
+// Guards against an outcome that changes: a job had completed when its cancellation was
+// stored, and the next owner read the cancellation first.
+func TestStoredOutcomeStays(t *testing.T) {
+	f := newFixture(t, 1)
+	c := f.newController(2)
+	c.Submitted(oneTask("j"))
+	c.Cancelled("j")
+	c.Finished("j")
+	c.Loaded()
+	assert.Assert(t, c.TakeFlush(f.now) == nil)
+}
--- a/core/tmcontrol/order.go
+++ b/core/tmcontrol/order.go
@@ -201,8 +201,12 @@
 }
 
 // TakeFlush returns the changes to store next, or nil if there are none. Only one
-// flush may be in progress at a time.
+// flush may be in progress at a time. Nothing is stored before all stored jobs are
+// loaded: it would replace what an earlier owner has stored.
 func (c *Controller) TakeFlush(now tmclock.Millis) *Flush {
+	if !c.loaded {
+		return nil
+	}
 	c.attributeCrashes()
 	f := &Flush{}
 	if c.quotas != nil {
--- a/core/tmcontrol/tick.go
+++ b/core/tmcontrol/tick.go
@@ -28,6 +28,10 @@
 			}
 		}
 	}
+	if !c.loaded {
+		// Which occurrences are done is not known yet.
+		return
+	}
 	for _, j := range c.openJobs {
 		c.openDue(j, now, wall)
 	}
--- a/internal/emulator/checker.go
+++ b/internal/emulator/checker.go
@@ -51,6 +51,9 @@
 // acknowledged.
 const copyTimeout = time.Second
 
+// maxEarlyMillis is how long before its due time a task may start, in milliseconds.
+const maxEarlyMillis = 250
+
 // maxAttempts is how many runs of a task may fail before its job fails.
 const maxAttempts = 4
 
@@ -110,9 +113,12 @@
 		}
 	}
 	job := f.jobs[key.task.Job]
+	if early := job.Due(key.task.Occurrence) - time.Now().UnixMilli(); early > maxEarlyMillis {
+		f.ReportViolation("%s starts %d ms before it is due", key.task, early)
+	}
 	for _, a := range step.After {
 		for i := range job.Steps[a].Count {
-			if !c.finished[tmjob.TaskID{Job: key.task.Job, Step: a, Index: i}] {
+			if !c.finished[tmjob.TaskID{Job: key.task.Job, Occurrence: key.task.Occurrence, Step: a, Index: i}] {
 				f.ReportViolation("%s starts before step %d is done", key.task, a)
 			}
 		}
@@ -227,17 +233,26 @@
 	}
 }
 
+// tasksOf returns the tasks of all occurrences of a job.
+func tasksOf(j *tmjob.Job) []tmjob.TaskID {
+	var tasks []tmjob.TaskID
+	for k := range j.Occurrences() {
+		for s := range j.Steps {
+			for i := range j.Steps[s].Count {
+				tasks = append(tasks, tmjob.TaskID{Job: j.ID, Occurrence: k, Step: s, Index: i})
+			}
+		}
+	}
+	return tasks
+}
+
 // CheckReportedState checks a job state that was reported to a caller.
 func (f *Fleet) CheckReportedState(id string, state tmjob.State) {
-	job := f.jobs[id]
 	failed := false
-	for s := range job.Steps {
-		for i := range job.Steps[s].Count {
-			t := tmjob.TaskID{Job: id, Step: s, Index: i}
-			failed = failed || f.checker.failures[t] >= maxAttempts || f.checker.mayBeGivenUp(f.representative(t))
-			if state == tmjob.Completed && !f.checker.finished[t] {
-				f.ReportViolation("job %s is reported as completed but task %s is not done", id, t)
-			}
+	for _, t := range tasksOf(f.jobs[id]) {
+		failed = failed || f.checker.failures[t] >= maxAttempts || f.checker.mayBeGivenUp(f.representative(t))
+		if state == tmjob.Completed && !f.checker.finished[t] {
+			f.ReportViolation("job %s is reported as completed but task %s is not done", id, t)
 		}
 	}
 	if state == tmjob.Failed && !failed {
--- a/internal/fleetsim/load_test.go
+++ b/internal/fleetsim/load_test.go
@@ -7,6 +7,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"turmericmoor/core/tmjob"
 	"turmericmoor/internal/emulator"
 	"turmericmoor/internal/tmseed"
 	"turmericmoor/io/tmrecord"
@@ -38,3 +39,39 @@
 		})
 	}
 }
+
+// Guards against tasks that run again after hand-overs: an owner stored a timed job as
+// untouched before it had read what its predecessor had stored, and the owner after that
+// began the job anew.
+func TestHandoverKeepsTheProgressOfTimedJobs(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		sim := newSimulation(t, tmseed.First(), 1)
+		sim.fleet.TaskDuration = func(id tmjob.TaskID) time.Duration {
+			return 500*time.Millisecond + time.Duration(id.Step)*12*time.Second
+		}
+		sim.start()
+		time.Sleep(warmupDuration)
+		j := tmjob.Job{
+			ID: "00000000000000aa", Queue: "q", Team: "t", Accepted: time.Now().UnixMilli(), StartAt: time.Now().UnixMilli(),
+			Repeats: 2, Interval: 20_000, Steps: []tmjob.Step{
+				{Count: 3, Size: tmjob.Resources{CPU: 1000, Mem: 500}, Estimate: 500},
+				{Count: 2, Size: tmjob.Resources{CPU: 1000, Mem: 500}, Estimate: 12000, After: []int{0}},
+			},
+		}
+		sim.submitJob(j, 0, -1)
+		time.Sleep(2 * time.Second)
+		for range 2 {
+			// The owner reads the jobs at once, and their progress later.
+			sim.store.SetFaults(func(f *emulator.TableFaults) { f.UnreadTable = tmrecord.RunTable })
+			killOwner(sim)
+			time.Sleep(2 * time.Second)
+			sim.store.SetFaults(func(f *emulator.TableFaults) { f.UnreadTable = "" })
+			time.Sleep(2 * time.Second)
+		}
+		sim.awaitFinalStates()
+		sim.close()
+		sim.fleet.Lock()
+		defer sim.fleet.Unlock()
+		assert.Equal(t, len(sim.fleet.Violations()), 0, "%q", sim.fleet.Violations())
+	})
+}
--- a/internal/fleetsim/simulation_test.go
+++ b/internal/fleetsim/simulation_test.go
@@ -297,8 +297,7 @@
 	return -1
 }
 
-// submit sends a random job to one node after another until one accepts it, and may
-// cancel it later.
+// submit sends a random job, and may cancel it later.
 func (sim *simulation) submit(n int) {
 	j := tmjob.Job{ID: fmt.Sprintf("%016x", n), Queue: "q", Team: "t", Accepted: time.Now().UnixMilli()}
 	for s := range 1 + sim.rng.IntN(3) {
@@ -311,14 +310,20 @@
 		}
 		j.Steps = append(j.Steps, step)
 	}
-	sim.fleet.Lock()
-	sim.fleet.Submitted(&j)
-	sim.fleet.Unlock()
 	first := sim.rng.IntN(nodeCount)
 	cancelAfter := time.Duration(-1)
 	if sim.rng.IntN(8) == 0 {
 		cancelAfter = time.Duration(sim.rng.Int64N(int64(2 * time.Second)))
 	}
+	sim.submitJob(j, first, cancelAfter)
+}
+
+// submitJob sends a job to one node after another until one accepts it, and cancels it
+// later unless cancelAfter is negative.
+func (sim *simulation) submitJob(j tmjob.Job, first int, cancelAfter time.Duration) {
+	sim.fleet.Lock()
+	sim.fleet.Submitted(&j)
+	sim.fleet.Unlock()
 	sim.work.Go(func() {
 		if !sim.call(first, func(ctx context.Context, n *tmnode.Node) error { return n.Submit(ctx, j) }) {
 			return
