--- a/core/tmcontrol/controller.go
+++ b/core/tmcontrol/controller.go
@@ -172,14 +172,14 @@
 	if j == nil {
 		return
 	}
+	defer j.openUnrecorded()
 	for _, rec := range p.Tasks {
 		if rec.Occurrence >= j.spec.Occurrences() {
 			c.event(tmevent.RecordIgnored, "job", p.ID, "step", rec.Step, "index", rec.Index)
 			continue
 		}
 		if rec.Step < 0 {
-			delete(j.occurrences, rec.Occurrence)
-			j.next = max(j.next, rec.Occurrence+1)
+			j.restoreDone(rec.Occurrence)
 			continue
 		}
 		j.open(rec.Occurrence)
--- a/core/tmcontrol/end.go
+++ b/core/tmcontrol/end.go
@@ -113,10 +113,7 @@
 	j := o.job
 	c.event(tmevent.OccurrenceDone, "job", j.spec.ID, "occurrence", o.number)
 	for k := range j.spec.Occurrences() {
-		if k >= j.next {
-			return
-		}
-		if open := j.occurrences[k]; open != nil && open.left > 0 {
+		if !j.isOccurrenceDone(k) {
 			return
 		}
 	}
--- a/core/tmcontrol/job.go
+++ b/core/tmcontrol/job.go
@@ -10,8 +10,9 @@
 	spec        tmjob.Job
 	longRunning bool
 	// occurrences holds, by number, the occurrences that have become due, except those
-	// that were restored as done.
-	occurrences map[int]*occurrence
+	// that were restored as done, which are in restoredDone.
+	occurrences  map[int]*occurrence
+	restoredDone map[int]bool
 	// next is the number of the first occurrence that has not become due.
 	next int
 	// final is set once the outcome is decided; state is that outcome.
@@ -137,7 +138,9 @@
 func (r *run) key() runKey { return runKey{task: r.task.id, run: r.n} }
 
 func newJob(spec tmjob.Job) *job {
-	return &job{spec: spec, longRunning: spec.LongRunning(), occurrences: map[int]*occurrence{}}
+	return &job{
+		spec: spec, longRunning: spec.LongRunning(), occurrences: map[int]*occurrence{}, restoredDone: map[int]bool{},
+	}
 }
 
 // open adds occurrence k with all tasks waiting, unless it exists.
@@ -162,6 +165,32 @@
 	return o
 }
 
+// restoreDone records that an earlier owner has stored an occurrence as done.
+func (j *job) restoreDone(k int) {
+	delete(j.occurrences, k)
+	j.restoredDone[k] = true
+	j.next = max(j.next, k+1)
+}
+
+// openUnrecorded opens the occurrences that had become due by the time of the last one
+// with a record and have none themselves. All their tasks are waiting: a done occurrence
+// always has a record.
+func (j *job) openUnrecorded() {
+	for k := range j.next {
+		if !j.restoredDone[k] {
+			j.open(k)
+		}
+	}
+}
+
+// isOccurrenceDone reports whether all tasks of an occurrence are done.
+func (j *job) isOccurrenceDone(k int) bool {
+	if o := j.occurrences[k]; o != nil {
+		return o.left == 0
+	}
+	return j.restoredDone[k]
+}
+
 // openOccurrences counts the occurrences that are due and not done.
 func (j *job) openOccurrences() int {
 	if j.spec.Repeats == 0 {
@@ -244,13 +273,12 @@
 func (j *job) progress() tmjob.Progress {
 	p := tmjob.Progress{ID: j.spec.ID}
 	for k := range j.next {
-		o := j.occurrences[k]
-		if o == nil {
-			// The occurrence is done, which is recorded as step -1.
+		if j.restoredDone[k] {
+			// A done occurrence is recorded as step -1.
 			p.Tasks = append(p.Tasks, tmjob.TaskRecord{Occurrence: k, Step: -1, Done: true})
 			continue
 		}
-		for _, s := range o.steps {
+		for _, s := range j.occurrences[k].steps {
 			for _, t := range s.tasks {
 				if r, ok := t.record(); ok {
 					p.Tasks = append(p.Tasks, r)
--- a/core/tmcontrol/occurrence_test.go
+++ b/core/tmcontrol/occurrence_test.go
@@ -4,6 +4,8 @@
 	"testing"
 
 	"gotest.tools/v3/assert"
+
+	"turmericmoor/core/tmjob"
 )
 
 // Guards against a timed job whose start lies long ago: all its occurrences became due at
@@ -22,3 +24,21 @@
 	f.advance(100)
 	assert.Equal(t, len(f.c.jobs["j"].occurrences), maxOpenOccurrences+1)
 }
+
+// Guards against occurrences that never run although the job is shown as completed: they
+// waited, while a later one had started, when the owner changed.
+func TestWaitingOccurrencesOutliveAHandover(t *testing.T) {
+	f := newFixture(t, 1)
+	c := f.newController(2)
+	c.Submitted(timedJob("j", 4))
+	task := tmjob.TaskRecord{Occurrence: 3, Runs: 1, Done: true}
+	c.Restore(tmjob.Progress{ID: "j", Tasks: []tmjob.TaskRecord{{Occurrence: 0, Step: -1, Done: true}, task}}, f.now)
+	c.Loaded()
+	j := c.jobs["j"]
+	c.closeOccurrence(j.occurrences[3])
+	assert.Assert(t, !j.final)
+	for k, waiting := range []bool{false, true, true, false} {
+		assert.Equal(t, j.isOccurrenceDone(k), !waiting, "occurrence %d", k)
+	}
+	assert.DeepEqual(t, j.progress().Tasks, []tmjob.TaskRecord{{Occurrence: 0, Step: -1, Done: true}, task})
+}
--- a/internal/fleetsim/simulation_test.go
+++ b/internal/fleetsim/simulation_test.go
@@ -310,6 +310,9 @@
 		}
 		j.Steps = append(j.Steps, step)
 	}
+	if n%timedJobInterval == 0 {
+		j.Repeats, j.StartAt, j.Interval = 3, j.Accepted, 900
+	}
 	first := sim.rng.IntN(nodeCount)
 	cancelAfter := time.Duration(-1)
 	if sim.rng.IntN(8) == 0 {
@@ -318,6 +321,9 @@
 	sim.submitJob(j, first, cancelAfter)
 }
 
+// timedJobInterval is the interval of timed jobs among all jobs.
+const timedJobInterval = 6
+
 // submitJob sends a job to one node after another until one accepts it, and cancels it
 // later unless cancelAfter is negative.
 func (sim *simulation) submitJob(j tmjob.Job, first int, cancelAfter time.Duration) {
