a job whose stored progress can't be read does not begin anew

The owner logged row_unreadable, started the job from its first task and replaced the row.

Change: such a job is withheld. Nothing of it starts and its rows stay, until it is cancelled; other jobs go on.

Evidence: on the code before, TestUnreadableRowStartsNothingAnew sees two tasks start again after their ends were acknowledged. Rows of limits, waves and orders that can't be read are logged and passed over as before; that was read, not tested.

--- a/core/tmcontrol/controller.go
+++ b/core/tmcontrol/controller.go
@@ -155,6 +155,16 @@
 	}
 }
 
+// Withhold keeps a job from starting anything, because what an earlier owner has stored
+// about it can't be read: it would begin anew. The stored rows stay until the job is
+// cancelled.
+func (c *Controller) Withhold(id string) {
+	if j := c.jobs[id]; j != nil && !j.final {
+		c.removeOpenJob(j)
+		c.markClean(j)
+	}
+}
+
 // Removed records that the row of a job is gone, which makes the job final.
 func (c *Controller) Removed(id string) {
 	if j := c.jobs[id]; j == nil || !j.final {
--- a/core/tmcontrol/load_test.go
+++ b/core/tmcontrol/load_test.go
@@ -49,3 +49,22 @@
 	c.Loaded()
 	assert.Assert(t, c.TakeFlush(f.now) == nil)
 }
+
+// Guards against a job that begins anew because the row of its progress can't be read, and
+// against a new row in place of that one. It can still be cancelled.
+func TestUnreadableProgressIsNotTakenForNone(t *testing.T) {
+	f := newFixture(t, 1)
+	f.c = f.newController(2)
+	f.c.SetEndpoint(f.endpointInfo(1), f.now)
+	f.c.Submitted(oneTask("j"))
+	f.c.Submitted(oneTask("other"))
+	f.c.Withhold("j")
+	f.c.Loaded()
+	f.answerHold("e1")
+	for _, s := range f.advance(10) {
+		assert.Equal(t, s.Ref.Task.Job, "other")
+	}
+	assert.Assert(t, f.c.jobs["j"] != nil && !f.c.jobs["j"].dirty)
+	f.c.Cancelled("j")
+	assert.Equal(t, f.c.TakeFlush(f.now).Changes[0].Final, tmjob.Cancelled)
+}
--- a/internal/fleetsim/load_test.go
+++ b/internal/fleetsim/load_test.go
@@ -11,6 +11,7 @@
 	"turmericmoor/internal/emulator"
 	"turmericmoor/internal/tmseed"
 	"turmericmoor/io/tmrecord"
+	"turmericmoor/io/tmtable"
 )
 
 // Guards against an owner that waits for good for an answer about the stored progress,
@@ -75,3 +76,35 @@
 		assert.Equal(t, len(sim.fleet.Violations()), 0, "%q", sim.fleet.Violations())
 	})
 }
+
+// Guards against an owner that begins a job anew because it can't read the row of the job's
+// progress. Other jobs go on.
+func TestUnreadableRowStartsNothingAnew(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		sim := newSimulation(t, tmseed.First(), 1)
+		sim.fleet.TaskDuration = func(id tmjob.TaskID) time.Duration {
+			return 500*time.Millisecond + time.Duration(id.Step)*30*time.Second
+		}
+		sim.start()
+		time.Sleep(warmupDuration)
+		step := tmjob.Step{Count: 2, Size: tmjob.Resources{CPU: 1000, Mem: 500}, Estimate: 500}
+		next := step
+		next.After = []int{0}
+		j := tmjob.Job{ID: "00000000000000aa", Queue: "q", Team: "t", Steps: []tmjob.Step{step, next}}
+		sim.submitJob(j, 0, -1)
+		time.Sleep(2 * time.Second)
+		row := tmtable.Put{Key: tmrecord.ProgressKey(0, j.ID), Value: []byte(`{"t":7}`)}
+		_, err := sim.store.Apply(tmtable.Txn{Puts: []tmtable.Put{row}})
+		assert.NilError(t, err)
+		killOwner(sim)
+		time.Sleep(5 * time.Second)
+		other := tmjob.Job{ID: "00000000000000ab", Queue: "q", Team: "t", Steps: []tmjob.Step{step}}
+		sim.submitJob(other, 0, -1)
+		time.Sleep(5 * time.Second)
+		assert.Assert(t, sim.isFinal(other.ID))
+		sim.close()
+		sim.fleet.Lock()
+		defer sim.fleet.Unlock()
+		assert.Equal(t, len(sim.fleet.Violations()), 0, "%q", sim.fleet.Violations())
+	})
+}
--- a/io/tmowner/load.go
+++ b/io/tmowner/load.go
@@ -199,6 +199,8 @@
 	for _, row := range page.Rows {
 		if err := o.restoreRow(row, now); err != nil {
 			o.emit(tmevent.RowUnreadable, "table", row.Table, "key", row.Key.Key, "cause", err.Error())
+			_, job := tmrecord.ParseKey(row.Key.Key)
+			o.ctl.Withhold(job)
 		}
 	}
 	return nil
