--- a/core/tmcontrol/controller_test.go
+++ b/core/tmcontrol/controller_test.go
@@ -167,6 +167,21 @@
 	assert.Equal(t, f.c.openJobs[0].task(ref.Task).failures, 1)
 }
 
+// Guards against a run that is taken for gone, and started again, because its end did not
+// fit into the list of its endpoint.
+func TestTruncatedListEndsNoRun(t *testing.T) {
+	f := newFixture(t, 1)
+	f.c.Submitted(oneTask("j"))
+	ref := f.advance(10)[0].Ref
+	f.now += 10
+	f.c.HoldAnswered("e1", HoldResponse{Clock: int64(f.now), StartedAt: 5, Truncated: true}, f.now, f.now+1)
+	assert.Equal(t, len(f.advance(10)), 0)
+	f.runs["e1"] = nil
+	f.answerHold("e1", EndedRun{Number: 501, Task: ref.Task, Run: ref.Run, Reason: EndDone})
+	assert.Equal(t, len(f.advance(10)), 0)
+	assert.Equal(t, len(f.c.jobs), 0)
+}
+
 // Guards against unanswered holds that extend the lease of an endpoint: the tasks of an
 // endpoint that had stopped never started elsewhere.
 func TestSilentEndpointLapses(t *testing.T) {
--- a/core/tmcontrol/hold.go
+++ b/core/tmcontrol/hold.go
@@ -154,11 +154,7 @@
 			c.stopUnknown(e, a, now)
 		}
 	}
-	for key, r := range e.runs {
-		if !list.runs[key] {
-			c.reconcileMissing(r, sentAt, now)
-		}
-	}
+	c.reconcileAllMissing(e, list, now)
 	c.planPaces(e, now)
 	c.checkProgress(e, now)
 	return news || e.stopping > 0 || len(c.stops)+len(c.paces) > 0
@@ -176,7 +172,7 @@
 
 // list returns the runs that the response lists. The hold was sent at sentAt.
 func (response *HoldResponse) list(sentAt tmclock.Millis) *runList {
-	l := &runList{runs: map[runKey]bool{}, sentAt: sentAt}
+	l := &runList{runs: map[runKey]bool{}, sentAt: sentAt, truncated: response.Truncated}
 	for _, end := range response.Ended {
 		l.runs[runKey{end.Task, end.Run}] = true
 	}
@@ -238,6 +234,19 @@
 	c.stops = append(c.stops, StopOrder{Ref: ref, Address: e.info.Address, Token: c.token})
 }
 
+// reconcileAllMissing handles the runs that an endpoint doesn't list. A truncated list
+// doesn't tell what became of them.
+func (c *Controller) reconcileAllMissing(e *endpoint, list *runList, now tmclock.Millis) {
+	if list.truncated {
+		return
+	}
+	for key, r := range e.runs {
+		if !list.runs[key] {
+			c.reconcileMissing(r, list.sentAt, now)
+		}
+	}
+}
+
 // reconcileMissing handles a run that its endpoint doesn't list. The list was
 // requested at sentAt.
 func (c *Controller) reconcileMissing(r *run, sentAt, now tmclock.Millis) {
--- a/core/tmcontrol/lifetime.go
+++ b/core/tmcontrol/lifetime.go
@@ -58,12 +58,14 @@
 type runList struct {
 	runs   map[runKey]bool
 	sentAt tmclock.Millis
+	// truncated is set if runs that are not listed may have ended.
+	truncated bool
 }
 
 // shows reports whether the list tells what became of a run: it is there, or it can no
 // longer start.
 func (l *runList) shows(r *run) bool {
-	return l.runs[r.key()] || !r.inFlight && !r.unanswered && l.sentAt.After(r.settledAt)
+	return l.runs[r.key()] || !l.truncated && !r.inFlight && !r.unanswered && l.sentAt.After(r.settledAt)
 }
 
 // resetLifetime ends the runs of the earlier lifetime of an endpoint that restarted under
--- a/core/tmcontrol/message.go
+++ b/core/tmcontrol/message.go
@@ -144,6 +144,9 @@
 	StartedAt int64
 	Active    []ActiveRun
 	Ended     []EndedRun
+	// Truncated says that Ended may not hold all ends, so that a run that is not listed may
+	// have ended. The others are listed once these are acknowledged.
+	Truncated bool
 }
 
 // HoldRequest is the content of a hold: a long poll that renews the lease of an
--- a/core/tmcontrol/restart_test.go
+++ b/core/tmcontrol/restart_test.go
@@ -55,6 +55,22 @@
 	assert.Equal(t, len(f.c.jobs), 0)
 }
 
+// Guards against the same where the run has ended on the new lifetime, beyond the ends that
+// fit into a list.
+func TestRunBeyondTheListOfANewLifetimeIsNotLost(t *testing.T) {
+	f := newFixture(t, 2)
+	f.c.Submitted(oneTask("j"))
+	first := f.advance(10)[0].Ref
+	f.restarts[first.Endpoint]++
+	f.runs[first.Endpoint] = nil
+	f.now += 10
+	f.c.HoldAnswered(first.Endpoint, HoldResponse{Clock: 1, StartedAt: 6, Truncated: true}, f.now, f.now+1)
+	assert.Equal(t, len(f.advance(10)), 0)
+	f.end(first.Endpoint, first.Task, first.Run, EndDone)
+	f.advance(10)
+	assert.Equal(t, len(f.c.jobs), 0)
+}
+
 // Guards against the same where the list of endpoints shows the restart first.
 func TestRunThatWasNeverListedOutlivesARestartInTheList(t *testing.T) {
 	f := newFixture(t, 2)
--- a/internal/emulator/endpoint.go
+++ b/internal/emulator/endpoint.go
@@ -270,7 +270,9 @@
 	for _, r := range e.runs {
 		l.Active = append(l.Active, tmcontrol.ActiveRun{Task: r.task, Run: r.run, Percent: r.percent()})
 	}
-	l.Ended = append(l.Ended, e.endedRuns...)
+	listed := min(len(e.endedRuns), e.fleet.MaxListedEnds)
+	l.Ended = append(l.Ended, e.endedRuns[:listed]...)
+	l.Truncated = listed == e.fleet.MaxListedEnds
 	return l, true
 }
 
--- a/internal/emulator/fleet.go
+++ b/internal/emulator/fleet.go
@@ -19,6 +19,8 @@
 	// job may still start, EvacuationTimeout how long they may start in a zone after it
 	// was taken out of service.
 	CancelTimeout, EvacuationTimeout time.Duration
+	// MaxListedEnds is how many ended runs an endpoint lists at a time.
+	MaxListedEnds int
 	// IgnoreTokens and LongLeases are negative controls: endpoints accept outdated
 	// fencing tokens, and every lease lasts maxLeaseDuration.
 	IgnoreTokens, LongLeases bool
@@ -35,12 +37,15 @@
 // NewFleet returns a fleet without endpoints.
 func NewFleet() *Fleet {
 	return &Fleet{
-		TaskDuration: taskDuration, CrashesEndpoint: func(tmjob.TaskID) bool { return false }, began: time.Now(),
+		TaskDuration: taskDuration, MaxListedEnds: maxListedEnds, CrashesEndpoint: func(tmjob.TaskID) bool { return false }, began: time.Now(),
 		endpoints: map[string]*Endpoint{}, jobs: map[string]*tmjob.Job{}, cancelled: map[string]time.Time{},
 		limits: map[string]int64{}, zonesOutOfService: map[string]time.Time{}, checker: newChecker(),
 	}
 }
 
+// maxListedEnds is the usual value of MaxListedEnds.
+const maxListedEnds = 500
+
 // longTaskDuration is the run time of the longest tasks, one in twelve.
 const longTaskDuration = 8 * time.Second
 
--- a/internal/fleetsim/simulation_test.go
+++ b/internal/fleetsim/simulation_test.go
@@ -148,6 +148,8 @@
 	}
 	sim.store = store{emulator.NewTable(rand.New(rand.NewPCG(seed, 2)))}
 	sim.fleet.CancelTimeout = cancelTimeout
+	// Fewer than an endpoint runs at a time, so that ends often don't fit.
+	sim.fleet.MaxListedEnds = 4
 	for i := range endpointsPerShard * shards {
 		id := fmt.Sprintf("w%d", i)
 		sim.fleet.AddEndpoint(id, "z", tmjob.Resources{CPU: 8000, Mem: 8000}, 0.98+0.02*sim.rng.Float64())
--- a/io/tmtable/follow_test.go
+++ b/io/tmtable/follow_test.go
@@ -55,3 +55,16 @@
 		assert.Assert(t, took < 2*time.Second, "%v", took)
 	})
 }
+
+// emptyPages answers each read with no rows, but says that more follow.
+type emptyPages struct{ hangingStore }
+
+func (*emptyPages) Read(context.Context, tmtable.Range) (tmtable.Page, error) {
+	return tmtable.Page{More: true}, nil
+}
+
+// Guards against a range that is cut short and read as whole.
+func TestRangeWithoutItsEndIsNoRange(t *testing.T) {
+	_, err := tmtable.ReadAll(t.Context(), &emptyPages{}, tmtable.Range{Table: "t"}, time.Second)
+	assert.ErrorContains(t, err, "no rows")
+}
--- a/io/tmtable/table.go
+++ b/io/tmtable/table.go
@@ -26,6 +26,9 @@
 	ErrInvalid = errors.New("tmtable: call is invalid")
 )
 
+// errEmptyPage is returned instead of a range whose end is missing.
+var errEmptyPage = errors.New("tmtable: a page has no rows, but more are said to follow")
+
 // Key identifies a row. Part is the partition of the table.
 type Key struct {
 	Table, Part, Key string
@@ -118,9 +121,12 @@
 			all.Result = page.Result
 		}
 		all.Rows = append(all.Rows, page.Rows...)
-		if !page.More || len(page.Rows) == 0 {
+		if !page.More {
 			return all, nil
 		}
+		if len(page.Rows) == 0 {
+			return Page{}, errEmptyPage
+		}
 		r.From = page.Rows[len(page.Rows)-1].Key.Key + "\x00"
 	}
 }
