advice is asked about all endpoints of a pool in turn

Each request now continues where the last one ended.

Evidence: on the code before, TestAdviceIsAskedAboutAllEndpoints sees 100 of 101 endpoints asked.

--- a/core/tmcontrol/advice.go
+++ b/core/tmcontrol/advice.go
@@ -15,6 +15,8 @@
 	tickets    map[string]string
 	validUntil tmclock.Millis
 	asked      bool
+	// next is the index of the endpoint of the pool with which the next request begins.
+	next int
 }
 
 func (a *advice) removeTicket(endpoint string) { delete(a.tickets, endpoint) }
@@ -45,12 +47,13 @@
 	}
 }
 
+// requestAdvice asks about as many endpoints of a pool as one request may name. The next
+// request continues with the others.
 func (c *Controller) requestAdvice(s *step, p *pool) {
 	q := AdviceRequest{Step: s.tasks[0].id.StepName(), step: s}
-	for _, e := range p.endpoints {
-		if len(q.Endpoints) < maxAdviceEndpoints {
-			q.Endpoints = append(q.Endpoints, e.info.ID)
-		}
+	for range min(len(p.endpoints), maxAdviceEndpoints) {
+		q.Endpoints = append(q.Endpoints, p.endpoints[s.advice.next%len(p.endpoints)].info.ID)
+		s.advice.next++
 	}
 	s.advice.asked = true
 	c.adviceRequests = append(c.adviceRequests, q)
