a placement that was stored late is checked again before its start

Callers would see: a team above its lowered limit, or a start in a zone that was taken out, seconds after the change. This is what users reported of similar systems: a process that was delayed acted on a permission that had ended.

Cause: a placement was started as soon as it was stored, however long that took, after a look at zones, draining and capacity as far as this owner knew. Limits, routes and whether that knowledge was current were not looked at, and for a repeated start order not even zones and draining. Ruled out: the quotas of shards (the limit was exceeded by a start decided before the change), configuration read late (read at 19.3 s, started at 20.0 s).

Change: mayStart is asked before each start order. What fails it is released or stopped; gangs start whole or not at all. While nothing is confirmed, an unanswered start is neither repeated nor stopped.

TestPlacementThatWasStoredLateIsCheckedAgain, TestGangThatWasStoredLateStartsAsAWhole and TestUnansweredStartIsNotRepeatedWithoutPermission fail without the change.

--- a/core/tmcontrol/controller.go
+++ b/core/tmcontrol/controller.go
@@ -56,8 +56,9 @@
 
 	dirty   []*job
 	flushes int64
-	// loaded is set once all jobs of the store have been loaded.
-	loaded         bool
+	// loaded is set once all jobs of the store have been loaded, stale while the store has
+	// not confirmed lately what the operator and the endpoints have written.
+	loaded, stale  bool
 	starts         []StartOrder
 	stops          []StopOrder
 	paces          []PaceOrder
@@ -252,6 +253,10 @@
 // begin.
 func (c *Controller) Loaded() { c.loaded = true }
 
+// SetStale records whether what the operator and the endpoints have written may have
+// changed without this owner's knowledge. While it may have, nothing starts.
+func (c *Controller) SetStale(stale bool) { c.stale = stale }
+
 func (c *Controller) addRun(t *task, e *endpoint, n int) *run {
 	j := t.step.occ.job
 	r := &run{
--- a/core/tmcontrol/order.go
+++ b/core/tmcontrol/order.go
@@ -38,8 +38,13 @@
 	})
 }
 
+// retryStart repeats a start order that got no answer, or stops the run if the start is not
+// permitted any more. While that is not known it does neither.
 func (c *Controller) retryStart(r *run, now tmclock.Millis) {
-	if r.tries >= maxStartTries || r.ep.isOvercommitted() {
+	if c.stale {
+		return
+	}
+	if r.tries >= maxStartTries || !c.mayStart(r) {
 		c.stopRun(r, "start got no answer")
 		c.sendStop(r, now)
 		return
@@ -266,16 +271,7 @@
 	for _, row := range f.Quotas {
 		c.quotas.Stored(row)
 	}
-	for _, r := range f.starts {
-		if r.phase != planned || r.ep.runs[r.key()] != r {
-			continue
-		}
-		if r.stop || !r.ep.mayStart() || c.zonesOut[r.ep.info.Zone] {
-			c.release(r)
-			continue
-		}
-		c.sendStart(r, now)
-	}
+	c.startPlaced(f.starts, now)
 	c.fleet.orders = append(c.fleet.orders, f.instanceOrders...)
 	for _, change := range f.Changes {
 		if j := c.jobs[change.Job]; j != nil {
@@ -283,3 +279,36 @@
 		}
 	}
 }
+
+// startPlaced orders the starts whose placements are stored, and releases those that are
+// not permitted any more: storing them may have taken long. The members of a gang start
+// together or not at all.
+func (c *Controller) startPlaced(runs []*run, now tmclock.Millis) {
+	broken := map[*step]bool{}
+	for _, r := range runs {
+		if s := r.task.step; s.spec.Gang && r.isPlaced() && !c.mayStart(r) {
+			broken[s] = true
+		}
+	}
+	for _, r := range runs {
+		switch {
+		case !r.isPlaced():
+		case broken[r.task.step] || !c.mayStart(r):
+			c.release(r)
+		default:
+			c.sendStart(r, now)
+		}
+	}
+}
+
+// isPlaced reports whether a run is still planned.
+func (r *run) isPlaced() bool { return r.phase == planned && r.ep.runs[r.key()] == r }
+
+// mayStart reports whether a run that was placed earlier may be started by what is known
+// now. The run is included in what its team and its endpoint use.
+func (c *Controller) mayStart(r *run) bool {
+	s := r.task.step
+	q, ok := c.rules.Queues[s.occ.job.spec.Queue]
+	return !c.stale && !r.stop && ok && q.Service == r.ep.info.Service &&
+		r.ep.mayStart() && !c.zonesOut[r.ep.info.Zone] && c.withinLimit(s, 0)
+}
--- a/core/tmcontrol/order_test.go
+++ b/core/tmcontrol/order_test.go
@@ -150,3 +150,82 @@
 	assert.Equal(t, len(starts), 1)
 	assert.Equal(t, starts[0].Ref.Endpoint, "e2")
 }
+
+// Guards against a start by a permission that ended while the placement was being stored,
+// which takes seconds if the store doesn't answer, or while the process was paused.
+func TestPlacementThatWasStoredLateIsCheckedAgain(t *testing.T) {
+	changed := func(change func(r *Rules)) func(c *Controller) {
+		return func(c *Controller) {
+			rules := testRules(2)
+			change(&rules)
+			c.SetRules(rules)
+		}
+	}
+	for name, change := range map[string]func(c *Controller){
+		"zone out of service": func(c *Controller) { c.SetZoneOut("z", true) },
+		"nothing confirmed":   func(c *Controller) { c.SetStale(true) },
+		"limit lowered": changed(func(r *Rules) {
+			r.Teams["t"] = Team{Name: "t", Weight: 1, Limit: tmjob.Resources{CPU: 500}}
+		}),
+		"queue moved":   changed(func(r *Rules) { r.Queues["q"] = Queue{Name: "q", Service: "other"} }),
+		"queue removed": changed(func(r *Rules) { delete(r.Queues, "q") }),
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, 1)
+			f.c.Submitted(oneTask("j"))
+			f.c.Tick(f.now, int64(f.now))
+			f.c.Plan(f.now, int64(f.now))
+			flush := f.c.TakeFlush(f.now)
+			change(f.c)
+			f.now = f.now.Add(4000)
+			f.c.Stored(flush, f.now)
+			starts, _, _ := f.c.TakeOrders(f.now)
+			assert.Equal(t, len(starts), 0)
+			assert.Equal(t, len(f.c.endpoints["e1"].runs), 0)
+		})
+	}
+}
+
+// Guards against a gang of which only some members start, because their placement was
+// stored late and the endpoint of another one is draining by then.
+func TestGangThatWasStoredLateStartsAsAWhole(t *testing.T) {
+	f := newFixture(t, 2)
+	j := oneTask("j")
+	j.Steps[0].Count, j.Steps[0].Gang, j.Steps[0].PerEndpoint = 2, true, 1
+	f.c.Submitted(j)
+	f.c.Tick(f.now, int64(f.now))
+	f.c.Plan(f.now, int64(f.now))
+	flush := f.c.TakeFlush(f.now)
+	info := f.endpointInfo(2)
+	info.Draining = true
+	f.c.SetEndpoint(info, f.now)
+	f.c.Stored(flush, f.now)
+	starts, _, _ := f.c.TakeOrders(f.now)
+	assert.Equal(t, len(starts), 0)
+	assert.Equal(t, f.c.jobs["j"].idle(), true)
+}
+
+// Guards against a start order that is repeated although the endpoint is draining or its
+// zone was taken out of service after the first one got no answer.
+func TestUnansweredStartIsNotRepeatedWithoutPermission(t *testing.T) {
+	for name, change := range map[string]func(f *fixture){
+		"draining": func(f *fixture) {
+			info := f.endpointInfo(1)
+			info.Draining = true
+			f.c.SetEndpoint(info, f.now)
+		},
+		"zone out of service": func(f *fixture) { f.c.SetZoneOut("z", true) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, 1)
+			f.c.Submitted(oneTask("j"))
+			ref := f.order(10)[0].Ref
+			f.c.Started(ref, NoAnswer, f.now)
+			change(f)
+			f.answerHold("e1")
+			starts, stops, _ := f.c.TakeOrders(f.now)
+			assert.Equal(t, len(starts), 0)
+			assert.Equal(t, len(stops), 1)
+		})
+	}
+}
--- a/core/tmcontrol/plan.go
+++ b/core/tmcontrol/plan.go
@@ -79,7 +79,7 @@
 
 // Plan places waiting tasks. Placements become start orders once they are stored.
 func (c *Controller) Plan(now tmclock.Millis, wall int64) {
-	if !c.loaded || c.deposed || c.rules.Version == 0 {
+	if !c.loaded || c.stale || c.deposed || c.rules.Version == 0 {
 		return
 	}
 	c.attributeCrashes()
--- a/io/tmowner/call.go
+++ b/io/tmowner/call.go
@@ -177,7 +177,7 @@
 // wait for that.
 func (o *Owner) holdAnswered(id string, resp tmcontrol.HoldResponse, sent tmclock.Millis) (<-chan struct{}, bool) {
 	now := o.opts.Clock.Now()
-	o.mu.Lock()
+	o.lockForStarts()
 	changed := o.ctl.HoldAnswered(id, resp, sent, now)
 	stored, ends := o.storedCh, o.ctl.HasUnstoredEnds(id)
 	o.mu.Unlock()
--- a/io/tmowner/flush.go
+++ b/io/tmowner/flush.go
@@ -138,7 +138,7 @@
 	}
 	o.queueOutcomes(outcomes)
 	now := o.opts.Clock.Now()
-	o.mu.Lock()
+	o.lockForStarts()
 	o.ctl.Stored(f, now)
 	close(o.storedCh)
 	o.storedCh = make(chan struct{})
--- a/io/tmowner/owner.go
+++ b/io/tmowner/owner.go
@@ -214,22 +214,28 @@
 	}
 }
 
+// lockForStarts locks mu for a call after which the controller may order starts, and tells
+// the controller whether what it knows is current. The process may have been paused, or a
+// call may have taken long.
+func (o *Owner) lockForStarts() {
+	// Lock order: the mutex of the node before the mutex of the owner.
+	isConfigCurrent := o.opts.IsConfigCurrent()
+	o.mu.Lock()
+	o.ctl.SetStale(!isConfigCurrent || o.opts.BootClock().Sub(o.listedAt) > maxListAge)
+}
+
 // planOnce runs one pass of the controller and sends the orders that result.
 func (o *Owner) planOnce(ctx context.Context) {
 	now := o.opts.Clock.Now()
 	wall := time.Now().UnixMilli()
-	isCurrent := o.opts.IsConfigCurrent()
-	o.mu.Lock()
-	isCurrent = isCurrent && o.opts.BootClock().Sub(o.listedAt) <= maxListAge
+	o.lockForStarts()
 	if o.ctl.Deposed() {
 		o.mu.Unlock()
 		o.stop()
 		return
 	}
 	o.ctl.Tick(now, wall)
-	if isCurrent {
-		o.ctl.Plan(now, wall)
-	}
+	o.ctl.Plan(now, wall)
 	starts, stops, paces := o.ctl.TakeOrders(now)
 	adviceRequests := o.ctl.TakeAdviceRequests()
 	instanceOrders, reports := o.ctl.TakeInstanceOrders()
