--- a/internal/fleetsim/simulation_test.go
+++ b/internal/fleetsim/simulation_test.go
@@ -313,7 +313,7 @@
 		j.Steps = append(j.Steps, step)
 	}
 	if n%timedJobInterval == 0 {
-		j.Repeats, j.StartAt, j.Interval = 3, j.Accepted, 900
+		makeTimed(&j)
 	}
 	first := sim.rng.IntN(nodeCount)
 	cancelAfter := time.Duration(-1)
@@ -326,6 +326,13 @@
 // timedJobInterval is the interval of timed jobs among all jobs.
 const timedJobInterval = 6
 
+// makeTimed turns a job into a timed one that has about as much work.
+func makeTimed(j *tmjob.Job) {
+	j.Repeats, j.StartAt, j.Interval = 3, j.Accepted, 900
+	j.Steps = j.Steps[:1]
+	j.Steps[0].Count = (j.Steps[0].Count + 1) / 2
+}
+
 // submitJob sends a job to one node after another until one accepts it, and cancels it
 // later unless cancelAfter is negative.
 func (sim *simulation) submitJob(j tmjob.Job, first int, cancelAfter time.Duration) {
