runs of a final job stay stored until they have ended

Callers would see: a team above its limit right after a hand-over, as users reported of similar systems ("around a hand-over both acted for a moment").

Cause: the flush with the outcome of a job removed its progress, although runs of it were still being stopped. An owner that took over within that time took what was not written for gone, and gave their room away. Ruled out: quotas of shards (the excess was within one shard), late orders of the earlier owner (fenced).

Change: the progress of a final job is stored until its last run has ended, and its outcome is moved to the table of jobs only then. The next owner counts these runs and stops them.

TestRunsOfAFinalJobOutliveAHandover fails before: the flush holds no progress.

--- a/core/tmcontrol/controller.go
+++ b/core/tmcontrol/controller.go
@@ -146,14 +146,24 @@
 	c.finish(j, tmjob.Cancelled, "cancelled by the caller")
 }
 
-// Finished drops a job whose outcome an earlier owner has stored.
-func (c *Controller) Finished(id string) {
+// Finished loads the outcome of a job that an earlier owner has stored. It reports whether
+// the job has no runs left. Otherwise the runs are stopped, and a later flush has the
+// outcome again.
+func (c *Controller) Finished(id string, state tmjob.State) (idle bool) {
 	c.finalAt[id] = c.now
-	if j := c.jobs[id]; j != nil {
-		c.removeOpenJob(j)
-		c.markClean(j)
+	j := c.jobs[id]
+	if j == nil {
+		return true
+	}
+	c.removeOpenJob(j)
+	c.markClean(j)
+	if j.idle() {
 		delete(c.jobs, id)
+		return true
 	}
+	j.final, j.state, j.hasStoredRuns = true, state, true
+	c.stopRuns(j)
+	return false
 }
 
 // Withhold keeps a job from starting anything, because what an earlier owner has stored
@@ -279,11 +289,11 @@
 	c.teams[r.team] = c.teams[r.team].Sub(r.size)
 	r.task.removeRun(r)
 	j := r.task.step.occ.job
-	if j.final {
-		c.removeIfIdle(j)
+	if !j.final || j.hasStoredRuns && j.idle() {
+		c.markDirty(j)
 		return
 	}
-	c.markDirty(j)
+	c.removeIfIdle(j)
 }
 
 // markAnswered removes a run from the count of pending starts.
@@ -315,17 +325,22 @@
 	j.final, j.state, j.cause = true, state, cause
 	c.finalAt[j.spec.ID] = c.now
 	c.event(tmevent.JobFinal, "job", j.spec.ID, "queue", j.spec.Queue, "team", j.spec.Team, "state", state.String(), "cause", cause)
+	c.stopRuns(j)
+	c.removeOpenJob(j)
+	c.markDirty(j)
+}
+
+// stopRuns stops all runs of a final job.
+func (c *Controller) stopRuns(j *job) {
 	for _, o := range j.occurrences {
 		for _, s := range o.steps {
 			for _, t := range s.tasks {
 				for _, r := range append([]*run(nil), t.active...) {
-					c.stopRun(r, "job "+state.String())
+					c.stopRun(r, "job "+j.state.String())
 				}
 			}
 		}
 	}
-	c.removeOpenJob(j)
-	c.markDirty(j)
 }
 
 func (c *Controller) removeOpenJob(j *job) {
--- a/core/tmcontrol/job.go
+++ b/core/tmcontrol/job.go
@@ -21,6 +21,9 @@
 	// begun is set once some task was started.
 	begun bool
 	dirty bool
+	// hasStoredRuns is set if the job is final and its progress is stored nevertheless,
+	// because runs had not ended.
+	hasStoredRuns bool
 	// cancelled is set if the caller cancelled the job.
 	cancelled bool
 	cause     string
--- a/core/tmcontrol/load_test.go
+++ b/core/tmcontrol/load_test.go
@@ -45,7 +45,7 @@
 	c := f.newController(2)
 	c.Submitted(oneTask("j"))
 	c.Cancelled("j")
-	c.Finished("j")
+	assert.Assert(t, c.Finished("j", tmjob.Completed))
 	c.Loaded()
 	assert.Assert(t, c.TakeFlush(f.now) == nil)
 }
@@ -68,3 +68,38 @@
 	f.c.Cancelled("j")
 	assert.Equal(t, f.c.TakeFlush(f.now).Changes[0].Final, tmjob.Cancelled)
 }
+
+// Guards against a team that exceeds its limit, and an endpoint its capacity, after a
+// hand-over: a job was cancelled, and its runs, which had not ended yet, were forgotten.
+func TestRunsOfAFinalJobOutliveAHandover(t *testing.T) {
+	f := newFixture(t, 2)
+	f.c.Submitted(oneTask("j"))
+	first := f.advance(10)[0].Ref
+	f.c.Cancelled("j")
+	change := f.c.TakeFlush(f.now).Changes[0]
+	assert.Equal(t, change.Final, tmjob.Cancelled)
+
+	f.c = f.newController(2)
+	rules := testRules(2)
+	rules.Teams["t"] = Team{Name: "t", Weight: 1, Limit: tmjob.Resources{CPU: 1000}}
+	f.c.SetRules(rules)
+	f.c.Submitted(oneTask("j"))
+	f.c.Submitted(oneTask("other"))
+	f.c.SetEndpoint(f.endpointInfo(1), f.now)
+	f.c.SetEndpoint(f.endpointInfo(2), f.now)
+	f.c.Restore(*change.Progress, f.now)
+	assert.Assert(t, !f.c.Finished("j", change.Final))
+	f.c.Loaded()
+	f.answerHold("e1")
+	f.answerHold("e2")
+	assert.Equal(t, len(f.order(10)), 0)
+	f.end(first.Endpoint, first.Task, first.Run, EndStopped)
+	f.c.Tick(f.now, int64(f.now))
+	f.c.Plan(f.now, int64(f.now))
+	for _, c := range f.c.TakeFlush(f.now).Changes {
+		if c.Job == "j" {
+			assert.Assert(t, c.Progress == nil && c.Final == tmjob.Cancelled)
+		}
+	}
+	assert.Equal(t, f.c.jobs["other"].begun, true)
+}
--- a/core/tmcontrol/message.go
+++ b/core/tmcontrol/message.go
@@ -175,9 +175,9 @@
 // Change is what has to be stored of one job.
 type Change struct {
 	Job string
-	// Progress is nil when the job is final.
+	// Progress is nil when the job is final and has no runs left.
 	Progress *tmjob.Progress
-	// Final is the outcome of the job, valid if Progress is nil.
+	// Final is the outcome of the job once it is final, and Pending before.
 	Final       tmjob.State
 	Queue, Team string
 }
--- a/core/tmcontrol/order.go
+++ b/core/tmcontrol/order.go
@@ -227,7 +227,11 @@
 		change := Change{Job: j.spec.ID, Queue: j.spec.Queue, Team: j.spec.Team}
 		if j.final {
 			change.Final = j.state
-		} else {
+		}
+		// A final job keeps its progress until its last run has ended: the next owner has
+		// to count these runs, and to stop them.
+		j.hasStoredRuns = j.final && !j.idle()
+		if !j.final || j.hasStoredRuns {
 			p := j.progress()
 			change.Progress = &p
 		}
--- a/io/tmowner/flush.go
+++ b/io/tmowner/flush.go
@@ -147,22 +147,28 @@
 	return true
 }
 
-// flushTxn returns the transaction that stores a flush, and the outcomes that the
-// transaction contains. The first condition and the first row of the transaction are
+// flushTxn returns the transaction that stores a flush, and the outcomes in it of jobs
+// that have no runs left, which may replace the jobs. The first condition and the first row of the transaction are
 // those of the guard.
 func (o *Owner) flushTxn(f *tmcontrol.Flush) (tmtable.Txn, map[string]tmrecord.Outcome) {
 	var txn tmtable.Txn
 	outcomes := map[string]tmrecord.Outcome{}
 	o.addGuard(&txn, f.Number)
 	for _, c := range f.Changes {
+		progress := tmrecord.ProgressKey(o.shard, c.Job)
 		if c.Progress != nil {
-			txn.Puts = append(txn.Puts, tmtable.Put{Key: tmrecord.ProgressKey(o.shard, c.Job), Value: tmrecord.EncodeProgress(*c.Progress)})
+			txn.Puts = append(txn.Puts, tmtable.Put{Key: progress, Value: tmrecord.EncodeProgress(*c.Progress)})
+		} else {
+			txn.Removes = append(txn.Removes, progress)
+		}
+		if !c.Final.Final() {
 			continue
 		}
 		out := tmrecord.Outcome{State: c.Final, Queue: c.Queue, Team: c.Team, At: time.Now().UnixMilli()}
-		outcomes[c.Job] = out
 		txn.Puts = append(txn.Puts, tmtable.Put{Key: tmrecord.OwnerOutcomeKey(o.shard, c.Job), Value: tmrecord.EncodeOutcome(out)})
-		txn.Removes = append(txn.Removes, tmrecord.ProgressKey(o.shard, c.Job))
+		if c.Progress == nil {
+			outcomes[c.Job] = out
+		}
 	}
 	for _, row := range f.Quotas {
 		txn.Puts = append(txn.Puts, tmtable.Put{Key: tmrecord.QuotaKey(o.shard, row.Team), Value: tmrecord.EncodeQuota(row)})
--- a/io/tmowner/load.go
+++ b/io/tmowner/load.go
@@ -223,8 +223,9 @@
 		if err != nil {
 			return err
 		}
-		o.ctl.Finished(id)
-		o.queueOutcomes(map[string]tmrecord.Outcome{id: out})
+		if o.ctl.Finished(id, out.State) {
+			o.queueOutcomes(map[string]tmrecord.Outcome{id: out})
+		}
 		return nil
 	}
 	p, err := tmrecord.DecodeProgress(id, row.Value)
