internal/fleetsim, io/tmowner: nothing outlives its Close

The race detector reported a race in TestUnansweredOrdersDelayFewJobs: late orders were added to a wait group on which close was waiting already. They have one of their own, which is waited for after the nodes have stopped. Second calls of hedged orders are counted among the work of the owner, so that Run waits for them too.

--- a/internal/fleetsim/capacity_test.go
+++ b/internal/fleetsim/capacity_test.go
@@ -34,9 +34,7 @@
 		}
 		time.Sleep(capacityTimeout)
 		sim.close()
-		sim.fleet.Lock()
-		defer sim.fleet.Unlock()
-		for _, v := range sim.fleet.Violations() {
+		for _, v := range sim.violations() {
 			t.Error(v)
 		}
 	})
--- a/internal/fleetsim/config_test.go
+++ b/internal/fleetsim/config_test.go
@@ -36,20 +36,16 @@
 			sim.submit(n + 1)
 		}
 		time.Sleep(configTimeout)
-		sim.fleet.Lock()
-		if n := sim.fleet.Starts(); n > 0 {
+		if n := sim.starts(); n > 0 {
 			t.Errorf("%d tasks started without a current configuration", n)
 		}
-		sim.fleet.Unlock()
 		sim.process(stale).setConfigLost(false)
 		time.Sleep(configTimeout)
 		sim.close()
-		sim.fleet.Lock()
-		defer sim.fleet.Unlock()
-		if sim.fleet.Starts() == 0 {
+		if sim.starts() == 0 {
 			t.Error("no task started after the node had read the configuration")
 		}
-		for _, v := range sim.fleet.Violations() {
+		for _, v := range sim.violations() {
 			t.Error(v)
 		}
 	})
--- a/internal/fleetsim/endpoint_test.go
+++ b/internal/fleetsim/endpoint_test.go
@@ -60,7 +60,7 @@
 	}
 	startedAt := e.StartedAt()
 	c.sim.fleet.Unlock()
-	c.sim.work.Go(func() {
+	c.sim.lateOrders.Go(func() {
 		if !c.sim.sleep(delay) {
 			return
 		}
--- a/internal/fleetsim/fleet_test.go
+++ b/internal/fleetsim/fleet_test.go
@@ -177,9 +177,7 @@
 		time.Sleep(faultPhaseDuration / 2)
 		sim.awaitFinalStates()
 		sim.close()
-		sim.fleet.Lock()
-		defer sim.fleet.Unlock()
-		violations = sim.fleet.Violations()
+		violations = sim.violations()
 	})
 	return violations
 }
--- a/internal/fleetsim/late_test.go
+++ b/internal/fleetsim/late_test.go
@@ -55,7 +55,7 @@
 			t.Errorf("%d of %d jobs were done within %v", prompt, jobCount, promptTime)
 		}
 		sim.close()
-		for _, v := range sim.fleet.Violations() {
+		for _, v := range sim.violations() {
 			t.Error(v)
 		}
 	})
--- a/internal/fleetsim/load_test.go
+++ b/internal/fleetsim/load_test.go
@@ -14,28 +14,55 @@
 	"turmericmoor/io/tmtable"
 )
 
+// playScenario starts a fleet whose tasks run for the given time, calls play once there is
+// an owner, and expects no violation.
+func playScenario(t *testing.T, duration func(tmjob.TaskID) time.Duration, play func(t *testing.T, sim *simulation)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		sim := newSimulation(t, tmseed.First(), 1)
+		sim.fleet.TaskDuration = duration
+		sim.start()
+		time.Sleep(warmupDuration)
+		play(t, sim)
+		sim.close()
+		assert.DeepEqual(t, sim.violations(), []string(nil))
+	})
+}
+
+// durationByStep returns the run time of tasks: that of the first step, and more for each
+// later one.
+func durationByStep(first, more time.Duration) func(tmjob.TaskID) time.Duration {
+	return func(id tmjob.TaskID) time.Duration { return first + time.Duration(id.Step)*more }
+}
+
+// twoSteps returns a job whose second step waits for the first one.
+func twoSteps(id string) tmjob.Job {
+	step := tmjob.Step{Count: 3, Size: tmjob.Resources{CPU: 1000, Mem: 500}, Estimate: 500}
+	next := step
+	next.After = []int{0}
+	return tmjob.Job{ID: id, Queue: "q", Team: "t", Accepted: time.Now().UnixMilli(), Steps: []tmjob.Step{step, next}}
+}
+
+// setUnreadTable sets the table of which no read is answered, "" for none.
+func (sim *simulation) setUnreadTable(table string) {
+	sim.store.SetFaults(func(f *emulator.TableFaults) { f.UnreadTable = table })
+}
+
 // Guards against an owner that waits for good for an answer about the stored progress,
 // because the store fell silent while it loaded: it kept the shard and started nothing.
 func TestOwnerLoadsAfterTheStoreFellSilent(t *testing.T) {
 	for _, table := range []string{tmrecord.RunTable, tmrecord.ShardTable, tmrecord.JobTable(0)} {
 		t.Run(table, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				sim := newSimulation(t, tmseed.First(), 1)
-				sim.start()
-				time.Sleep(warmupDuration)
+			playScenario(t, durationByStep(time.Second, time.Second), func(_ *testing.T, sim *simulation) {
 				for n := range 5 {
 					sim.submit(n + 1)
 				}
 				time.Sleep(300 * time.Millisecond)
-				sim.store.SetFaults(func(f *emulator.TableFaults) { f.UnreadTable = table })
+				sim.setUnreadTable(table)
 				killOwner(sim)
 				time.Sleep(4500 * time.Millisecond)
-				sim.store.SetFaults(func(f *emulator.TableFaults) { f.UnreadTable = "" })
+				sim.setUnreadTable("")
 				sim.awaitFinalStates()
-				sim.close()
-				sim.fleet.Lock()
-				defer sim.fleet.Unlock()
-				assert.Equal(t, len(sim.fleet.Violations()), 0, "%q", sim.fleet.Violations())
 			})
 		})
 	}
@@ -45,52 +72,28 @@
 // untouched before it had read what its predecessor had stored, and the owner after that
 // began the job anew.
 func TestHandoverKeepsTheProgressOfTimedJobs(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		sim := newSimulation(t, tmseed.First(), 1)
-		sim.fleet.TaskDuration = func(id tmjob.TaskID) time.Duration {
-			return 500*time.Millisecond + time.Duration(id.Step)*12*time.Second
-		}
-		sim.start()
-		time.Sleep(warmupDuration)
-		j := tmjob.Job{
-			ID: "00000000000000aa", Queue: "q", Team: "t", Accepted: time.Now().UnixMilli(), StartAt: time.Now().UnixMilli(),
-			Repeats: 2, Interval: 20_000, Steps: []tmjob.Step{
-				{Count: 3, Size: tmjob.Resources{CPU: 1000, Mem: 500}, Estimate: 500},
-				{Count: 2, Size: tmjob.Resources{CPU: 1000, Mem: 500}, Estimate: 12000, After: []int{0}},
-			},
-		}
+	playScenario(t, durationByStep(500*time.Millisecond, 12*time.Second), func(_ *testing.T, sim *simulation) {
+		j := twoSteps("00000000000000aa")
+		j.Repeats, j.StartAt, j.Interval = 2, j.Accepted, 20_000
 		sim.submitJob(j, 0, -1)
 		time.Sleep(2 * time.Second)
 		for range 2 {
 			// The owner reads the jobs at once, and their progress later.
-			sim.store.SetFaults(func(f *emulator.TableFaults) { f.UnreadTable = tmrecord.RunTable })
+			sim.setUnreadTable(tmrecord.RunTable)
 			killOwner(sim)
 			time.Sleep(2 * time.Second)
-			sim.store.SetFaults(func(f *emulator.TableFaults) { f.UnreadTable = "" })
+			sim.setUnreadTable("")
 			time.Sleep(2 * time.Second)
 		}
 		sim.awaitFinalStates()
-		sim.close()
-		sim.fleet.Lock()
-		defer sim.fleet.Unlock()
-		assert.Equal(t, len(sim.fleet.Violations()), 0, "%q", sim.fleet.Violations())
 	})
 }
 
 // Guards against an owner that begins a job anew because it can't read the row of the job's
 // progress. Other jobs go on.
 func TestUnreadableRowStartsNothingAnew(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		sim := newSimulation(t, tmseed.First(), 1)
-		sim.fleet.TaskDuration = func(id tmjob.TaskID) time.Duration {
-			return 500*time.Millisecond + time.Duration(id.Step)*30*time.Second
-		}
-		sim.start()
-		time.Sleep(warmupDuration)
-		step := tmjob.Step{Count: 2, Size: tmjob.Resources{CPU: 1000, Mem: 500}, Estimate: 500}
-		next := step
-		next.After = []int{0}
-		j := tmjob.Job{ID: "00000000000000aa", Queue: "q", Team: "t", Steps: []tmjob.Step{step, next}}
+	playScenario(t, durationByStep(500*time.Millisecond, 30*time.Second), func(t *testing.T, sim *simulation) {
+		j := twoSteps("00000000000000aa")
 		sim.submitJob(j, 0, -1)
 		time.Sleep(2 * time.Second)
 		row := tmtable.Put{Key: tmrecord.ProgressKey(0, j.ID), Value: []byte(`{"t":7}`)}
@@ -98,13 +101,10 @@
 		assert.NilError(t, err)
 		killOwner(sim)
 		time.Sleep(5 * time.Second)
-		other := tmjob.Job{ID: "00000000000000ab", Queue: "q", Team: "t", Steps: []tmjob.Step{step}}
+		other := twoSteps("00000000000000ab")
+		other.Steps = other.Steps[:1]
 		sim.submitJob(other, 0, -1)
 		time.Sleep(5 * time.Second)
 		assert.Assert(t, sim.isFinal(other.ID))
-		sim.close()
-		sim.fleet.Lock()
-		defer sim.fleet.Unlock()
-		assert.Equal(t, len(sim.fleet.Violations()), 0, "%q", sim.fleet.Violations())
 	})
 }
--- a/internal/fleetsim/restart_test.go
+++ b/internal/fleetsim/restart_test.go
@@ -38,7 +38,7 @@
 			}
 			sim.awaitFinalStates()
 			sim.close()
-			for _, v := range sim.fleet.Violations() {
+			for _, v := range sim.violations() {
 				t.Errorf("seed %d: %s", tmseed.First()+i, v)
 			}
 		})
--- a/internal/fleetsim/simulation_test.go
+++ b/internal/fleetsim/simulation_test.go
@@ -64,8 +64,10 @@
 	// faults are the faults that injectFaults chooses from.
 	faults []namedFault
 	nodes  []*nodeProcess
-	work   sync.WaitGroup
-	closed chan struct{}
+	// work are the callers, the operator and the faults, lateOrders the orders that nodes
+	// have sent and that arrive later.
+	work, lateOrders sync.WaitGroup
+	closed           chan struct{}
 }
 
 // nodeProcess is the process of a node with its injected faults.
@@ -459,4 +461,19 @@
 		p.stop()
 		<-p.done
 	}
+	sim.lateOrders.Wait()
+}
+
+// violations returns the violations of guarantees that the checker has found.
+func (sim *simulation) violations() []string {
+	sim.fleet.Lock()
+	defer sim.fleet.Unlock()
+	return sim.fleet.Violations()
+}
+
+// starts returns how many runs were started.
+func (sim *simulation) starts() int {
+	sim.fleet.Lock()
+	defer sim.fleet.Unlock()
+	return sim.fleet.Starts()
 }
--- a/io/tmowner/hedge.go
+++ b/io/tmowner/hedge.go
@@ -15,13 +15,15 @@
 // sent a second time. Endpoints answer within a few milliseconds.
 const startHedgeDelay = 80 * time.Millisecond
 
-// hedged makes a call, and makes it a second time if there is no result after delay and
-// allow permits it. A delay of 0 means no second call, unless a delay arrives from later.
+// hedged makes a call in a goroutine of work, and makes it a second time if there is no
+// result after delay and allow permits it. A delay of 0 means no second call, unless a delay arrives from later.
 // hedged returns the results in the order in which they arrived, up to the first one that
 // settles the matter.
-func hedged[T any](delay time.Duration, later <-chan time.Duration, allow func() bool, call func(attempt int) T, settles func(T) bool) []T {
+func hedged[T any](
+	work *sync.WaitGroup, delay time.Duration, later <-chan time.Duration, allow func() bool, call func(attempt int) T, settles func(T) bool,
+) []T {
 	results := make(chan T, 2)
-	go func() { results <- call(1) }()
+	work.Go(func() { results <- call(1) })
 	outstanding := 1
 	timer := time.NewTimer(delay)
 	defer timer.Stop()
@@ -38,7 +40,7 @@
 			later = nil
 			if allow() {
 				outstanding++
-				go func() { results <- call(2) }()
+				work.Go(func() { results <- call(2) })
 			}
 		case r := <-results:
 			outstanding--
@@ -79,7 +81,7 @@
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
 	o.startHedges.recordCall()
-	answers := hedged(startHedgeDelay, nil, o.startHedges.allow,
+	answers := hedged(&o.work, startHedgeDelay, nil, o.startHedges.allow,
 		func(int) tmcontrol.Answer { return o.opts.Endpoints.Start(ctx, s) }, tmcontrol.Answer.IsDefinite)
 	last := answers[len(answers)-1]
 	if !last.IsDefinite() {
@@ -109,7 +111,7 @@
 	ctx, cancel := context.WithTimeout(ctx, h.Wait.Duration()+holdTimeoutMargin)
 	defer cancel()
 	o.holdHedges.recordCall()
-	results := hedged(h.Overdue.Duration(), o.awaitOverdue(id, h), o.holdHedges.allow, func(attempt int) heldRuns {
+	results := hedged(&o.work, h.Overdue.Duration(), o.awaitOverdue(id, h), o.holdHedges.allow, func(attempt int) heldRuns {
 		req := h
 		if attempt > 1 {
 			// The answer may be overdue because the endpoint has restarted.
