progress of a wave is stored on condition that the row is the known one

Found by looking for what a paused process can do (users' reports): all writes of an owner are conditional on its guard, but the row with its part of a wave was written without any condition. A write of a deposed owner that was applied late replaced what its successor had stored, and a wave could stay running for good.

Change: the write is conditional on the version of the row, and the row has the fencing token.

--- a/io/tmowner/shard.go
+++ b/io/tmowner/shard.go
@@ -108,6 +108,7 @@
 
 func (o *Owner) restoreShardRow(row tmtable.Row) error {
 	if name, ok := tmrecord.WaveName(row.Key.Key); ok {
+		o.setWaveVersion(name, row.Version)
 		w, err := tmrecord.DecodeWave(row.Value)
 		if err != nil {
 			return err
--- a/io/tmrecord/codec.go
+++ b/io/tmrecord/codec.go
@@ -273,11 +273,14 @@
 	// Done lists the instances that need no more maintenance orders in this wave.
 	Done      []string
 	Completed bool
+	// Token is the fencing token of the owner that wrote the row.
+	Token int64
 }
 
 type waveRow struct {
 	Done      []string `json:"d"`
 	Completed bool     `json:"c"`
+	Token     int64    `json:"t,omitempty"`
 }
 
 // EncodeWave encodes the row of the progress of a wave.
