an order to an instance that was stored late is checked again

The same cause as for placements: a maintenance or a move is decided, stored and then ordered, and storing takes seconds if the store is silent. Tasks of the same step that had gone away meanwhile were not counted again, so that the order ended more than may be away.

Change: orderInstances asks mayEndAll, and whether what is known is current, before it gives the order. Otherwise the order counts as not sent and is decided anew.

Evidence: TestOrderThatWasStoredLateIsCheckedAgain fails without the check.

--- a/core/tmcontrol/fleet.go
+++ b/core/tmcontrol/fleet.go
@@ -200,6 +200,19 @@
 	c.fleet.unstoredOrders = append(c.fleet.unstoredOrders, o)
 }
 
+// orderInstances gives the orders whose instances are stored, unless they would end more
+// tasks now than may be away: storing them may have taken long. Those are decided anew.
+func (c *Controller) orderInstances(orders []InstanceOrder, now tmclock.Millis) {
+	for _, o := range orders {
+		e := c.endpointOn(o.Instance)
+		if c.stale || e != nil && !c.mayEndAll(e) {
+			c.InstanceOrdered(o, NotSent, now)
+			continue
+		}
+		c.fleet.orders = append(c.fleet.orders, o)
+	}
+}
+
 // recentOrders returns the instances about which orders were given within the last
 // HandoverDelay.
 func (c *Controller) recentOrders(now tmclock.Millis) []string {
--- a/core/tmcontrol/order.go
+++ b/core/tmcontrol/order.go
@@ -276,7 +276,7 @@
 		c.quotas.Stored(row)
 	}
 	c.startPlaced(f.starts, now)
-	c.fleet.orders = append(c.fleet.orders, f.instanceOrders...)
+	c.orderInstances(f.instanceOrders, now)
 	for _, change := range f.Changes {
 		if j := c.jobs[change.Job]; j != nil {
 			c.removeIfIdle(j)
--- a/core/tmcontrol/wave_test.go
+++ b/core/tmcontrol/wave_test.go
@@ -189,6 +189,32 @@
 	assert.Equal(t, len(orders), 0)
 }
 
+// Guards against exceeding a step's MaxUnavailable budget: storing an order took long, and
+// an endpoint with another task of the step fell silent meanwhile.
+func TestOrderThatWasStoredLateIsCheckedAgain(t *testing.T) {
+	f := newFixture(t, 2)
+	f.c.Submitted(tmjob.Job{ID: "j", Queue: "q", Accepted: 1000, Steps: []tmjob.Step{{
+		Count: 2, Size: tmjob.Resources{CPU: 1000}, LongRunning: true, MaxUnavailable: 1, PerEndpoint: 1,
+	}}})
+	assert.Equal(t, len(f.advance(10)), 2)
+	f.answerHold("e1")
+	f.answerHold("e2")
+	f.c.SetInstances([]Instance{upInstance("i1"), upInstance("i2")}, f.now)
+	f.startWave(1, "i1")
+	f.c.Tick(f.now, int64(f.now))
+	f.c.Plan(f.now, int64(f.now))
+	flush := f.c.TakeFlush(f.now)
+	assert.Equal(t, len(flush.instanceOrders), 1)
+	f.c.HoldFailed("e2", "test", f.now)
+	f.c.Stored(flush, f.now)
+	orders, _ := f.c.TakeInstanceOrders()
+	assert.Equal(t, len(orders), 0)
+	f.answerHold("e2")
+	f.advance(1000)
+	orders, _ = f.c.TakeInstanceOrders()
+	assert.Equal(t, len(orders), 1)
+}
+
 // Guards against exceeding a step's MaxUnavailable budget: an endpoint that was missing from
 // the list but still running was considered gone, so maintenance ended too many tasks.
 func TestUnlistedEndpointCountsForBudget(t *testing.T) {
