a task that only long-running ones keep off every endpoint gets one

Cause: the log has the pool with 38 endpoints, 29 wanted, none idle. Each had a long-running task, beside which 55 cores don't fit, and the size of a pool follows sums. Waiting could not help. Ruled out: an owner that acts on old data (it placed and ended other tasks), limits of the team, lost orders (none was given).

Evidence: TestTaskThatLongRunningOnesBlockGetsAnEndpoint fails before for single tasks and gangs.

--- a/core/tmcontrol/demand_test.go
+++ b/core/tmcontrol/demand_test.go
@@ -87,6 +87,49 @@
 	assert.Equal(t, len(orders), 3)
 }
 
+// Guards against tasks that wait for good, with most of the fleet free: they need nearly a
+// whole endpoint, and each endpoint of the pool has a long-running task. Tasks that fit on no
+// endpoint at all make no pool grow.
+func TestTaskThatLongRunningOnesBlockGetsAnEndpoint(t *testing.T) {
+	const endpoints = 6
+	for name, c := range map[string]struct {
+		cpu   int64
+		gang  bool
+		moves int
+	}{
+		"single tasks": {7000, false, 1},
+		"gang":         {7000, true, 2},
+		"hopeless":     {9000, false, 0},
+		"beside":       {6000, false, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, endpoints)
+			rules := testRules(2)
+			rules.Services["off"] = Service{Name: "off", Standby: true}
+			f.c.SetRules(rules)
+			var list []Instance
+			for i := range endpoints {
+				list = append(list, upInstance(f.endpointInfo(i+1).Instance))
+			}
+			for _, id := range []string{"p1", "p2", "p3", "p4"} {
+				i := upInstance(id)
+				i.Pool = "off"
+				list = append(list, i)
+			}
+			f.c.SetInstances(list, f.now)
+			f.c.Submitted(tmjob.Job{ID: "lasting", Queue: "q", Accepted: 1000, Steps: []tmjob.Step{{
+				Count: endpoints, Size: tmjob.Resources{CPU: 2000}, LongRunning: true, PerEndpoint: 1,
+			}}})
+			assert.Equal(t, len(f.advance(200)), endpoints)
+			assert.Equal(t, f.countMoves(3), 0)
+			j := oneTask("j")
+			j.Steps[0].Count, j.Steps[0].Size.CPU, j.Steps[0].Gang = 2, c.cpu, c.gang
+			f.c.Submitted(j)
+			assert.Equal(t, f.countMoves(3), c.moves)
+		})
+	}
+}
+
 // Guards against mistaking delayed jobs for a burst: jobs accepted over eight seconds
 // while the store was slow became known all at once and looked like a demand of
 // several times the fleet.
--- a/core/tmcontrol/gang.go
+++ b/core/tmcontrol/gang.go
@@ -33,7 +33,9 @@
 			}
 		}
 	}
-	c.tryGang(s, p, n+1, now)
+	if !c.tryGang(s, p, n+1, now) {
+		c.reportBlocked(s, p, int64(len(s.tasks)))
+	}
 }
 
 func racksOf(p *pool) [][]*endpoint {
--- a/core/tmcontrol/plan.go
+++ b/core/tmcontrol/plan.go
@@ -208,11 +208,12 @@
 		e = c.choose(t.step, p, now)
 		if e == nil && !p.fitsAny(spec.Reservation()) {
 			p.tooLarge = append(p.tooLarge, spec.Reservation())
+			c.reportBlocked(t.step, p, 1)
 		}
 	}
 	if e == nil {
 		if spec.LongRunning {
-			c.reportShortage(p.service, t.step.endpointsNeeded(now))
+			c.reportShortage(p.service, t.step.endpointsNeeded(t.step.waitingTasks(now)))
 		}
 		return false
 	}
@@ -220,21 +221,6 @@
 	return true
 }
 
-// reportShortage records that the pool needs the given number of additional endpoints
-// for long-running tasks. Such tasks can lack an endpoint although the pool's total
-// capacity is sufficient, for example because of PerEndpoint.
-func (c *Controller) reportShortage(service string, endpoints int) {
-	c.fleet.shortages[service] = max(c.fleet.shortages[service], endpoints)
-}
-
-// endpointsNeeded returns how many more endpoints the waiting tasks of a step need.
-func (s *step) endpointsNeeded(now tmclock.Millis) int {
-	if s.spec.PerEndpoint == 0 {
-		return 1
-	}
-	return (int(s.waitingTasks(now)) + s.spec.PerEndpoint - 1) / s.spec.PerEndpoint
-}
-
 // waitingTasks counts the tasks of a step that could start now.
 func (s *step) waitingTasks(now tmclock.Millis) int64 {
 	waiting := int64(0)
--- a/core/tmjob/resources.go
+++ b/core/tmjob/resources.go
@@ -23,6 +23,17 @@
 	return a.CPU <= available.CPU && a.Mem <= available.Mem && a.GPU <= available.GPU
 }
 
+// CountIn returns how many times a fits into available, at most limit.
+func (a Resources) CountIn(available Resources, limit int64) int64 {
+	n := limit
+	for _, part := range [][2]int64{{a.CPU, available.CPU}, {a.Mem, available.Mem}, {a.GPU, available.GPU}} {
+		if part[0] > 0 {
+			n = min(n, max(0, part[1])/part[0])
+		}
+	}
+	return n
+}
+
 // Within reports whether no field of a exceeds that of limit. A field of limit
 // that is 0 is unlimited.
 func (a Resources) Within(limit Resources) bool {
