core/tmcontrol: the tasks and runs of a job have iterators

Five nested loops over occurrences, steps, tasks and runs become one line each, and TakeFlush hands the change of a job to takeChange.

--- a/core/tmcontrol/controller.go
+++ b/core/tmcontrol/controller.go
@@ -332,14 +332,8 @@
 
 // stopRuns stops all runs of a final job.
 func (c *Controller) stopRuns(j *job) {
-	for _, o := range j.occurrences {
-		for _, s := range o.steps {
-			for _, t := range s.tasks {
-				for _, r := range append([]*run(nil), t.active...) {
-					c.stopRun(r, "job "+j.state.String())
-				}
-			}
-		}
+	for r := range j.runs() {
+		c.stopRun(r, "job "+j.state.String())
 	}
 }
 
--- a/core/tmcontrol/dump.go
+++ b/core/tmcontrol/dump.go
@@ -130,19 +130,15 @@
 
 func (j *job) dump() JobDump {
 	d := JobDump{ID: j.spec.ID, Queue: j.spec.Queue, Team: j.spec.Team}
-	for _, o := range j.occurrences {
-		for _, s := range o.steps {
-			for _, t := range s.tasks {
-				d.Tasks++
-				switch {
-				case t.done:
-					d.Done++
-				case len(t.active) > 0:
-					d.Active++
-				default:
-					d.Waiting++
-				}
-			}
+	for t := range j.tasks() {
+		d.Tasks++
+		switch {
+		case t.done:
+			d.Done++
+		case len(t.active) > 0:
+			d.Active++
+		default:
+			d.Waiting++
 		}
 	}
 	return d
--- a/core/tmcontrol/job.go
+++ b/core/tmcontrol/job.go
@@ -1,6 +1,8 @@
 package tmcontrol
 
 import (
+	"iter"
+
 	"turmericmoor/core/tmclock"
 	"turmericmoor/core/tmjob"
 )
@@ -216,17 +218,50 @@
 	return o.steps[id.Step].tasks[id.Index]
 }
 
-// idle reports whether the job has no runs left.
-func (j *job) idle() bool {
-	for _, o := range j.occurrences {
+// tasks returns the tasks of an occurrence, step by step.
+func (o *occurrence) tasks() iter.Seq[*task] {
+	return func(yield func(*task) bool) {
 		for _, s := range o.steps {
 			for _, t := range s.tasks {
-				if len(t.active) > 0 {
-					return false
+				if !yield(t) {
+					return
+				}
+			}
+		}
+	}
+}
+
+// tasks returns the tasks of the occurrences that are known.
+func (j *job) tasks() iter.Seq[*task] {
+	return func(yield func(*task) bool) {
+		for _, o := range j.occurrences {
+			for t := range o.tasks() {
+				if !yield(t) {
+					return
 				}
 			}
 		}
 	}
+}
+
+// runs returns the runs of the job. No run may be added or removed meanwhile.
+func (j *job) runs() iter.Seq[*run] {
+	return func(yield func(*run) bool) {
+		for t := range j.tasks() {
+			for _, r := range t.active {
+				if !yield(r) {
+					return
+				}
+			}
+		}
+	}
+}
+
+// idle reports whether the job has no runs left.
+func (j *job) idle() bool {
+	for range j.runs() {
+		return false
+	}
 	return true
 }
 
@@ -281,11 +316,9 @@
 			p.Tasks = append(p.Tasks, tmjob.TaskRecord{Occurrence: k, Step: -1, Done: true})
 			continue
 		}
-		for _, s := range j.occurrences[k].steps {
-			for _, t := range s.tasks {
-				if r, ok := t.record(); ok {
-					p.Tasks = append(p.Tasks, r)
-				}
+		for t := range j.occurrences[k].tasks() {
+			if r, ok := t.record(); ok {
+				p.Tasks = append(p.Tasks, r)
 			}
 		}
 	}
--- a/core/tmcontrol/order.go
+++ b/core/tmcontrol/order.go
@@ -205,6 +205,23 @@
 	return len(c.dirty)
 }
 
+// takeChange returns what has to be stored of the job, and marks that as stored. A final
+// job keeps its progress until its last run has ended: the next owner has to count these
+// runs, and to stop them.
+func (j *job) takeChange() Change {
+	j.dirty = false
+	j.hasStoredRuns = j.final && !j.idle()
+	change := Change{Job: j.spec.ID, Queue: j.spec.Queue, Team: j.spec.Team}
+	if j.final {
+		change.Final = j.state
+	}
+	if !j.final || j.hasStoredRuns {
+		p := j.progress()
+		change.Progress = &p
+	}
+	return change
+}
+
 // TakeFlush returns the changes to store next, or nil if there are none. Only one
 // flush may be in progress at a time. Nothing is stored before all stored jobs are
 // loaded: it would replace what an earlier owner has stored.
@@ -223,28 +240,10 @@
 		f.Orders = c.recentOrders(now)
 	}
 	for _, j := range c.dirty[:n] {
-		j.dirty = false
-		change := Change{Job: j.spec.ID, Queue: j.spec.Queue, Team: j.spec.Team}
-		if j.final {
-			change.Final = j.state
-		}
-		// A final job keeps its progress until its last run has ended: the next owner has
-		// to count these runs, and to stop them.
-		j.hasStoredRuns = j.final && !j.idle()
-		if !j.final || j.hasStoredRuns {
-			p := j.progress()
-			change.Progress = &p
-		}
-		f.Changes = append(f.Changes, change)
-		for _, o := range j.occurrences {
-			for _, s := range o.steps {
-				for _, t := range s.tasks {
-					for _, r := range t.active {
-						if r.phase == planned {
-							f.starts = append(f.starts, r)
-						}
-					}
-				}
+		f.Changes = append(f.Changes, j.takeChange())
+		for r := range j.runs() {
+			if r.phase == planned {
+				f.starts = append(f.starts, r)
 			}
 		}
 	}
--- a/core/tmcontrol/plan.go
+++ b/core/tmcontrol/plan.go
@@ -123,14 +123,10 @@
 	if !j.failed || j.longRunning || q.Attempts == 0 {
 		return false
 	}
-	for _, o := range j.occurrences {
-		for _, s := range o.steps {
-			for _, t := range s.tasks {
-				if !t.done && t.failures >= q.Attempts {
-					c.finish(j, tmjob.Failed, "task "+t.id.String()+" failed too often")
-					return true
-				}
-			}
+	for t := range j.tasks() {
+		if !t.done && t.failures >= q.Attempts {
+			c.finish(j, tmjob.Failed, "task "+t.id.String()+" failed too often")
+			return true
 		}
 	}
 	return false
