--- a/io/tmowner/flush.go
+++ b/io/tmowner/flush.go
@@ -148,8 +148,8 @@
 }
 
 // flushTxn returns the transaction that stores a flush, and the outcomes in it of jobs
-// that have no runs left, which may replace the jobs. The first condition and the first row of the transaction are
-// those of the guard.
+// that have no runs left, which may replace the jobs. The first condition and the first
+// row of the transaction are those of the guard.
 func (o *Owner) flushTxn(f *tmcontrol.Flush) (tmtable.Txn, map[string]tmrecord.Outcome) {
 	var txn tmtable.Txn
 	outcomes := map[string]tmrecord.Outcome{}
--- a/io/tmowner/hedge.go
+++ b/io/tmowner/hedge.go
@@ -16,9 +16,9 @@
 const startHedgeDelay = 80 * time.Millisecond
 
 // hedged makes a call in a goroutine of work, and makes it a second time if there is no
-// result after delay and allow permits it. A delay of 0 means no second call, unless a delay arrives from later.
-// hedged returns the results in the order in which they arrived, up to the first one that
-// settles the matter.
+// result after delay and allow permits it. A delay of 0 means no second call, unless a
+// delay arrives from later. hedged returns the results in the order in which they arrived,
+// up to the first one that settles the matter.
 func hedged[T any](
 	work *sync.WaitGroup, delay time.Duration, later <-chan time.Duration, allow func() bool, call func(attempt int) T, settles func(T) bool,
 ) []T {
