core/tmsizing: the fleet is divided while pools want more than there is

Cause: a pool gave away only idle instances beyond what it wanted. One with a backlog of late work wants more than it has until its last job is done and is never idle, so that a pool with a burst held 26 of 349 instances for five seconds and wanted up to 241.

Change: under scarcity each pool gets its floor, then a max-min fair part for work that can still be in time, then one for the rest. Endpoints of pools above their part are vacated for pools that have less than 0.6 of theirs. Nothing changes while there is enough.

--- a/core/tmcontrol/endpoint.go
+++ b/core/tmcontrol/endpoint.go
@@ -65,6 +65,9 @@
 	// reserved keeps new tasks away because the instance is about to be taken down or
 	// moved.
 	reserved bool
+	// vacatingSince is since when the endpoint gets no new tasks, so that its instance can
+	// move to a pool that needs it more, 0 if it is not to be vacated.
+	vacatingSince tmclock.Millis
 	// ending is set once an order was issued that ends all runs here.
 	ending bool
 	// isolated is the suspect for which the endpoint is set aside, or nil.
@@ -218,5 +221,5 @@
 // usable reports whether new tasks may be placed here at all.
 func (e *endpoint) usable(now tmclock.Millis) bool {
 	return e.tokenAccepted && e.answering && e.listed && !e.info.Draining && !e.reserved &&
-		!e.gone && e.unknownRuns == 0 && !now.Before(e.avoidUntil)
+		!e.gone && e.unknownRuns == 0 && e.vacatingSince == 0 && !now.Before(e.avoidUntil)
 }
--- a/core/tmcontrol/fleet.go
+++ b/core/tmcontrol/fleet.go
@@ -60,6 +60,8 @@
 	refusedMoves  map[refusedMove]bool
 	demands       map[string]*demand
 	sizedAt       tmclock.Millis
+	// divisionLoggedAt is when the division of a fleet that is too small was last logged.
+	divisionLoggedAt tmclock.Millis
 	// shortages holds, by pool, how many more endpoints are needed for the long-running
 	// tasks that could not be placed since the last sizing.
 	shortages map[string]int
@@ -279,7 +281,7 @@
 }
 
 // planFleet advances the waves and adjusts the sizes of pools.
-func (c *Controller) planFleet(now tmclock.Millis, _ int64) {
+func (c *Controller) planFleet(now tmclock.Millis, wall int64) {
 	if !c.fleet.instancesKnown {
 		return
 	}
@@ -293,5 +295,5 @@
 		}
 		c.planWave(w, pools, now)
 	}
-	c.planPools(now)
+	c.planPools(now, wall)
 }
--- a/core/tmcontrol/pool.go
+++ b/core/tmcontrol/pool.go
@@ -9,6 +9,7 @@
 
 	"turmericmoor/core/tmclock"
 	"turmericmoor/core/tmjob"
+	"turmericmoor/core/tmsizing"
 )
 
 const (
@@ -49,8 +50,15 @@
 	service string
 	have    int
 	want    int
+	// target is what the pool gets of the fleet: want, or less while the pools want more than
+	// there is.
+	target int
+	// need is what the division of the fleet needs to know.
+	need tmsizing.Need
 	// recentMax is the largest size that the pool has needed within shrinkDelay.
 	recentMax int
+	// forecast is the capacity that forecast work needs, capacity what the pool has.
+	forecast, capacity tmjob.Resources
 	// idle holds the endpoints that could leave the pool at once.
 	idle []*endpoint
 }
@@ -68,7 +76,7 @@
 
 // planPools moves instances to the pools that need them. It moves instances that no
 // pool needs to the standby pool.
-func (c *Controller) planPools(now tmclock.Millis) {
+func (c *Controller) planPools(now tmclock.Millis, wall int64) {
 	if now.Sub(c.fleet.sizedAt) < sizingInterval {
 		return
 	}
@@ -81,11 +89,13 @@
 	}
 	c.retryMoves(now)
 	sizes := c.poolSizes(now)
+	scarce := c.divideFleet(sizes, now, wall)
 	for i := range sizes {
-		for sizes[i].have < sizes[i].want && c.grow(&sizes[i], sizes, now) {
+		for sizes[i].have < sizes[i].target && c.grow(&sizes[i], sizes, now) {
 			sizes[i].have++
 		}
 	}
+	c.vacate(sizes, scarce, now)
 	standby := c.standby()
 	if standby == "" {
 		return
@@ -117,6 +127,9 @@
 			size.have++
 			capacity = capacity.Add(e.info.Capacity)
 			need = need.Add(e.longRunning)
+			if e.longRunning != (tmjob.Resources{}) {
+				size.need.Floor++
+			}
 			if e.answering && !e.reserved && len(e.runs) == 0 && e.info.Instance != "" {
 				size.idle = append(size.idle, e)
 			}
@@ -138,6 +151,9 @@
 				size.have++
 			}
 		}
+		size.target = size.want
+		size.need = tmsizing.Need{Floor: min(max(size.need.Floor, minSize), size.want), All: size.want}
+		size.forecast, size.capacity = forecastNeed, capacity
 		size.recentMax = d.recentMax(size.want, now)
 		c.logPoolSize(&size, d, need, now)
 		slices.SortFunc(size.idle, func(a, b *endpoint) int { return cmp.Compare(a.info.ID, b.info.ID) })
@@ -237,8 +253,8 @@
 	var from *poolSize
 	for i := range sizes {
 		s := &sizes[i]
-		if s.service != to.service && s.have > s.want && len(s.idle) > 0 &&
-			(from == nil || s.have-s.want > from.have-from.want) {
+		if s.service != to.service && s.have > s.target && len(s.idle) > 0 &&
+			(from == nil || s.have-s.target > from.have-from.target) {
 			from = s
 		}
 	}
--- a/core/tmevent/event.go
+++ b/core/tmevent/event.go
@@ -90,6 +90,10 @@
 	PageRefused Name = "page_refused"
 	// PoolSized: the size or the wanted size of a pool changed: pool, have, want, idle, need_cpu, forecast_cpu.
 	PoolSized Name = "pool_sized"
+	// FleetDivided: the pools want more instances than there are, and get their targets: pool, have, want, timely, floor, target, instances.
+	FleetDivided Name = "fleet_divided"
+	// EndpointVacates: an endpoint gets no new tasks, so that its instance can move to another pool: endpoint, pool, runs, idle_in_ms.
+	EndpointVacates Name = "endpoint_vacates"
 	// RecordIgnored: stored progress matches no task of its job: job, step, index.
 	RecordIgnored Name = "record_ignored"
 	// RenewalFailed: the owner could not renew its row: token, cause, shard.
@@ -181,6 +185,8 @@
 	OwnerWon,
 	PageRefused,
 	PoolSized,
+	FleetDivided,
+	EndpointVacates,
 	RecordIgnored,
 	RenewalFailed,
 	ResignationFailed,
