--- a/core/tmcontrol/demand.go
+++ b/core/tmcontrol/demand.go
@@ -1,28 +1,13 @@
 package tmcontrol
 
 import (
-	"math"
-
 	"turmericmoor/core/tmclock"
+	"turmericmoor/core/tmsizing"
 )
 
-// demandTimeConstant is the time constant of the smoothed demand of a pool: long
-// enough to average over jobs, short compared with a burst.
-const demandTimeConstant = 800 * tmclock.Millisecond
-
-// slackShare is the fraction of their slack that jobs may wait for instances. The
-// rest is for run times that are longer than declared.
-const slackShare = 0.25
-
-// demand is the work that jobs bring to a pool, in thousandths of a core. Double
-// exponential smoothing gives its trend, which is needed because an instance that
-// is ordered now helps only when its move is over.
+// demand is the demand of a pool and what is known of the sizes that it has needed.
 type demand struct {
-	smoothed, doublySmoothed float64
-	at                       tmclock.Millis
-	// slack is the mean time in ms for which a job can wait and still meet its latency
-	// objective.
-	slack movingMean
+	tmsizing.Demand
 	// recentSizes holds the sizes that the pool has needed within shrinkDelay in
 	// decreasing order, each with the last time at which it was needed.
 	recentSizes []wantedSize
@@ -38,13 +23,6 @@
 	at tmclock.Millis
 }
 
-// horizon returns how far ahead demand has to be forecast if an ordered instance
-// arrives after lead. It is shorter than lead, because jobs can wait for a fraction
-// of their slack.
-func (d *demand) horizon(lead tmclock.Span) tmclock.Span {
-	return max(0, lead-tmclock.Span(slackShare*d.slack.mean))
-}
-
 // recentMax records how many instances the pool needs now and returns the most
 // that it has needed within shrinkDelay.
 func (d *demand) recentMax(n int, now tmclock.Millis) int {
@@ -58,32 +36,6 @@
 	return d.recentSizes[0].n
 }
 
-func (d *demand) decay(now tmclock.Millis) {
-	x := float64(now.Sub(d.at)) / float64(demandTimeConstant)
-	left := math.Exp(-x)
-	d.doublySmoothed = (d.doublySmoothed + d.smoothed*x) * left
-	d.smoothed *= left
-	d.at = now
-}
-
-// add records work, in thousandths of a core times ms, that arrived the time age
-// ago. Without the age, jobs that were accepted while the store was slow or
-// unavailable would look like a burst, because they become known all at once.
-func (d *demand) add(work float64, age tmclock.Span, now tmclock.Millis) {
-	d.decay(now)
-	x := float64(age) / float64(demandTimeConstant)
-	share := work / float64(demandTimeConstant) * math.Exp(-x)
-	d.smoothed += share
-	d.doublySmoothed += share * x
-}
-
-// forecast returns the expected demand at the given time from now. While demand
-// falls, it returns the current demand.
-func (d *demand) forecast(after tmclock.Span) float64 {
-	lead := d.smoothed - d.doublySmoothed
-	return math.Max(d.smoothed, d.smoothed+lead+lead*float64(after)/float64(demandTimeConstant))
-}
-
 func (c *Controller) demandOf(service string) *demand {
 	d := c.fleet.demands[service]
 	if d == nil {
@@ -106,6 +58,6 @@
 	d := c.demandOf(q.Service)
 	// Wall clocks differ slightly between nodes.
 	age := max(0, tmclock.Span(wall-o.job.spec.Due(o.number)))
-	d.add(out.work, age, now)
-	d.slack.add(float64(q.Objective) + (q.Stretch-1)*out.fullCriticalPath)
+	d.Add(out.work, age, now)
+	d.AddSlack(float64(q.Objective) + (q.Stretch-1)*out.fullCriticalPath)
 }
--- a/core/tmcontrol/demand_test.go
+++ b/core/tmcontrol/demand_test.go
@@ -1,7 +1,6 @@
 package tmcontrol
 
 import (
-	"math"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -10,30 +9,6 @@
 	"turmericmoor/core/tmjob"
 )
 
-// Guards against ordering instances for the current demand of a burst: it had doubled by
-// the time they arrived. The forecast has to be the demand at the end of a move.
-func TestForecastFollowsARamp(t *testing.T) {
-	const slope, move = 5.0, 1800.0
-	d := &demand{}
-	for now := tmclock.Millis(10); now <= 5000; now += 10 {
-		d.add(slope*float64(now)*10, 0, now)
-	}
-	truth := slope * (5000 + move)
-	assert.Assert(t, math.Abs(d.forecast(tmclock.Span(move))-truth) < 0.05*truth, "forecast %.0f, expected %.0f", d.forecast(tmclock.Span(move)), truth)
-}
-
-// Guards against a forecast that differs from a steady demand, or is below a falling one.
-func TestForecastOfSteadyAndFallingDemand(t *testing.T) {
-	d := &demand{}
-	now := tmclock.Millis(10)
-	for ; now <= 10000; now += 10 {
-		d.add(1000*10, 0, now)
-	}
-	assert.Assert(t, math.Abs(d.forecast(1800)-1000) < 50, "%.0f", d.forecast(1800))
-	d.decay(now + 500)
-	assert.Equal(t, d.forecast(1800), d.smoothed)
-}
-
 // Guards against needless moves by a new owner, which knows the instances before their
 // endpoints. It considered their pools empty and moved a third of the fleet, which
 // returned to the standby pool seconds later.
@@ -130,18 +105,6 @@
 	}
 }
 
-// Guards against mistaking delayed jobs for a burst: jobs accepted over eight seconds
-// while the store was slow became known all at once and looked like a demand of
-// several times the fleet.
-func TestDelayedJobsAreNoBurst(t *testing.T) {
-	d := &demand{}
-	now := tmclock.Millis(10000)
-	for age := tmclock.Span(0); age < 8000; age += 10 {
-		d.add(1000*10, age, now)
-	}
-	assert.Assert(t, d.forecast(1800) < 1.1*1000, "%.0f", d.forecast(1800))
-}
-
 // Guards against an empty pool: instances that were leaving it still counted, so the next
 // decision gave away too many. Guards also against pools that are parked before the first
 // work, which then has to wait for their return.
--- a/core/tmcontrol/pool.go
+++ b/core/tmcontrol/pool.go
@@ -139,8 +139,8 @@
 			capacity = capacity.Add(i.Capacity)
 		}
 		d := c.demandOf(s.Name)
-		d.decay(now)
-		forecastNeed := tmjob.Resources{CPU: need.CPU + int64(d.forecast(d.horizon(c.bounds.Move+moveOverhead)))}
+		d.Decay(now)
+		forecastNeed := tmjob.Resources{CPU: need.CPU + int64(d.Forecast(d.Horizon(c.bounds.Move+moveOverhead)))}
 		need = need.Add(current[s.Name])
 		size.want = max(minSize, 1+max(instances(need, capacity, size.have), instances(forecastNeed, capacity, size.have)))
 		if n := c.fleet.shortages[s.Name]; n > 0 {
@@ -172,7 +172,7 @@
 	}
 	d.loggedAt, d.loggedWant, d.loggedHave = now, size.want, size.have
 	c.event(tmevent.PoolSized, "pool", size.service, "have", size.have, "want", size.want, "idle", len(size.idle),
-		"need_cpu", need.CPU, "forecast_cpu", int64(d.forecast(d.horizon(c.bounds.Move+moveOverhead))))
+		"need_cpu", need.CPU, "forecast_cpu", int64(d.Forecast(d.Horizon(c.bounds.Move+moveOverhead))))
 }
 
 // instancesWithoutEndpoint returns, by pool, the instances that are up but whose
