core/tmcontrol: bounded avoidance of slow and failing endpoints, with a trial

Three failures in a row kept an endpoint out for 4 s, after which it got as many tasks as fit, so that an endpoint that fails all it starts used up the attempts of several tasks each time. Estimates followed the long tasks of a queue with a heavy tail.

Change: core/tmstraggler judges endpoints. Two first failures of tasks keep an endpoint out unless its workload often fails elsewhere, then one task at a time is a trial. At most half of the usable endpoints of a pool are avoided or on trial, the worst first; where more would be, because others have left, the mildest are used. Critical paths use the median of a queue whose tail is heavy; the work of a pool keeps the mean. Endpoints that don't answer start orders (blockedUntil) are no matter of suspicion. The gauge suspected_endpoints and the event endpoint_cleared are new.

Also, the first endpoints that counted as slow held the limit, not the worst.

In holdUp only the name of a constant changed (tmstraggler.MinPeers, 2 as before).

--- a/core/tmcontrol/controller.go
+++ b/core/tmcontrol/controller.go
@@ -22,6 +22,7 @@
 	"turmericmoor/core/tmjob"
 	"turmericmoor/core/tmquota"
 	"turmericmoor/core/tmshard"
+	"turmericmoor/core/tmstraggler"
 )
 
 // Controller is not safe for concurrent use: its methods must be called by one
@@ -52,7 +53,11 @@
 	teams    map[string]tmjob.Resources
 	shares   map[string]*shareMeter
 	zonesOut map[string]bool
-	runTimes map[string]*movingMean
+	// runTimes, failureRates and suspectPools hold what is learned from runs: by queue how
+	// long they take and how often they fail, by pool the endpoints that are suspected.
+	runTimes     map[string]*tmstraggler.Times
+	failureRates map[string]*tmstraggler.Rate
+	suspectPools map[string]*tmstraggler.Pool
 
 	// dirty is the queue of the pages of progress to be stored. refused holds those that
 	// the store has refused. flushLimit is the maximum number of entries of the next flush
@@ -96,7 +101,8 @@
 		shard: shard, bounds: bounds, token: token, emit: emit,
 		jobs: map[string]*job{}, endpoints: map[string]*endpoint{}, onInstance: map[string][]*endpoint{}, finalAt: map[string]tmclock.Millis{},
 		now: 1, teams: map[string]tmjob.Resources{}, shares: map[string]*shareMeter{}, zonesOut: map[string]bool{},
-		runTimes: map[string]*movingMean{}, window: newStartWindow(),
+		runTimes: map[string]*tmstraggler.Times{}, failureRates: map[string]*tmstraggler.Rate{},
+		suspectPools: map[string]*tmstraggler.Pool{}, window: newStartWindow(),
 		fleet: newFleet(),
 	}
 	if !shard.IsWhole() {
--- a/core/tmcontrol/demand.go
+++ b/core/tmcontrol/demand.go
@@ -4,6 +4,7 @@
 	"math"
 
 	"turmericmoor/core/tmclock"
+	"turmericmoor/core/tmstraggler"
 )
 
 // demandTimeConstant is the time constant of the smoothed demand of a pool: long
@@ -22,7 +23,7 @@
 	at                       tmclock.Millis
 	// slack is the mean time in ms for which a job can wait and still meet its latency
 	// objective.
-	slack movingMean
+	slack tmstraggler.Mean
 	// recentSizes holds the sizes that the pool has needed within shrinkDelay in
 	// decreasing order, each with the last time at which it was needed.
 	recentSizes []wantedSize
@@ -42,7 +43,7 @@
 // arrives after lead. It is shorter than lead, because jobs can wait for a fraction
 // of their slack.
 func (d *demand) horizon(lead tmclock.Span) tmclock.Span {
-	return max(0, lead-tmclock.Span(slackShare*d.slack.mean))
+	return max(0, lead-tmclock.Span(slackShare*d.slack.Value()))
 }
 
 // recentMax records how many instances the pool needs now and returns the most
@@ -107,5 +108,5 @@
 	// Wall clocks differ slightly between nodes.
 	age := max(0, tmclock.Span(wall-o.job.spec.Due(o.number)))
 	d.add(out.work, age, now)
-	d.slack.add(float64(q.Objective) + (q.Stretch-1)*out.fullCriticalPath)
+	d.slack.Add(float64(q.Objective) + (q.Stretch-1)*out.fullCriticalPath)
 }
--- a/core/tmcontrol/dump.go
+++ b/core/tmcontrol/dump.go
@@ -4,6 +4,7 @@
 	"slices"
 
 	"turmericmoor/core/tmjob"
+	"turmericmoor/core/tmstraggler"
 )
 
 // EndpointsToHold returns the endpoints that need a hold and are not in held. It
@@ -62,6 +63,8 @@
 // PoolDump sums up the endpoints of one pool.
 type PoolDump struct {
 	Answering, Silent, Runs int
+	// Suspects counts the endpoints that are avoided on suspicion or on trial, by cause.
+	Suspects map[tmstraggler.Cause]int
 }
 
 // JobDump describes one job of a dump.
@@ -98,6 +101,12 @@
 	}
 	for _, e := range c.endpoints {
 		p := d.Pools[e.info.Service]
+		if p.Suspects == nil {
+			p.Suspects = map[tmstraggler.Cause]int{}
+		}
+		if e.health.IsSuspected() {
+			p.Suspects[e.health.Suspicion().Cause]++
+		}
 		p.Runs += len(e.runs)
 		if e.answering {
 			p.Answering++
--- a/core/tmcontrol/end.go
+++ b/core/tmcontrol/end.go
@@ -13,10 +13,9 @@
 	r := e.runs[runKey{end.Task, end.Run}]
 	t := c.findTask(end.Task)
 	c.event(tmevent.RunEnded, "task", end.Task.String(), "run", end.Run, "endpoint", e.info.ID, "how", end.Reason.String(), "number", end.Number)
-	if r != nil && r.startedAt != 0 && end.Reason == EndDone {
-		c.recordRunTime(r, now)
-	}
 	if r != nil {
+		c.recordHealth(e, r, end.Reason, now)
+		c.recordRunTime(r, end.Reason, now)
 		c.release(r)
 	}
 	if t == nil {
@@ -27,7 +26,7 @@
 	// failure is included in the progress that an earlier owner stored. EndDone is
 	// applied in any case, because a task that is complete stays complete.
 	if !t.step.occ.job.final && !t.done && (r != nil || end.Reason == EndDone) {
-		c.applyEnd(t, e, end, now)
+		c.applyEnd(t, e, end)
 	}
 }
 
@@ -39,13 +38,12 @@
 }
 
 // applyEnd applies the end of a run to its task.
-func (c *Controller) applyEnd(t *task, e *endpoint, end EndedRun, now tmclock.Millis) {
+func (c *Controller) applyEnd(t *task, e *endpoint, end EndedRun) {
 	j := t.step.occ.job
 	c.markDirty(t)
 	t.page.addEnd(e, end.Number)
 	switch end.Reason {
 	case EndDone:
-		e.failures = 0
 		if t.step.spec.LongRunning {
 			return
 		}
@@ -59,11 +57,6 @@
 		}
 		c.closeOccurrence(t.step.occ)
 	case EndFailed:
-		e.failures++
-		if e.failures >= maxFailuresInRow {
-			e.avoidUntil = now.Add(failingAvoidTime)
-			c.event(tmevent.EndpointAvoided, "endpoint", e.info.ID, "failures", e.failures, "for_ms", int64(failingAvoidTime))
-		}
 		if t.step.spec.LongRunning {
 			return
 		}
@@ -77,13 +70,6 @@
 	}
 }
 
-const (
-	// maxFailuresInRow is how many consecutive runs may fail at an endpoint before it
-	// gets no new tasks for failingAvoidTime.
-	maxFailuresInRow = 3
-	failingAvoidTime = 4 * tmclock.Second
-)
-
 // completeGang records that all members of a gang are done, because one of them is.
 func (c *Controller) completeGang(s *step) {
 	for _, t := range s.tasks {
--- a/core/tmcontrol/endpoint.go
+++ b/core/tmcontrol/endpoint.go
@@ -6,6 +6,7 @@
 
 	"turmericmoor/core/tmclock"
 	"turmericmoor/core/tmjob"
+	"turmericmoor/core/tmstraggler"
 )
 
 const (
@@ -60,8 +61,15 @@
 	used, longRunning             tmjob.Resources
 	serving, bestEffort, stopping int
 	// planned counts the tasks of a gang that is being placed here.
-	planned    int
-	avoidUntil tmclock.Millis
+	planned int
+	// blockedUntil is until when the endpoint gets no new tasks because start orders to it
+	// failed, avoidUntil until when it gets none because its runs are slow or fail.
+	blockedUntil, avoidUntil tmclock.Millis
+	// health is what is known of the lifetime by its runs. onTrial is set during a planning
+	// pass if the endpoint gets one task as a trial, which is trial.
+	health  tmstraggler.Health
+	onTrial bool
+	trial   *run
 	// reserved keeps new tasks away because the instance is about to be taken down or
 	// moved.
 	reserved bool
@@ -72,8 +80,6 @@
 	// lapsed holds the runs whose lease has lapsed here. They are among those that a crash
 	// may be attributed to, if the endpoint turns out to have crashed.
 	lapsed []*run
-	// failures counts the consecutive runs that failed here.
-	failures int
 	// gone is set once the lifetime has ended.
 	gone bool
 }
@@ -117,6 +123,7 @@
 
 func (c *Controller) removeEndpoint(e *endpoint) {
 	c.settleLapse(e)
+	e.forgetHealth()
 	c.detachInstance(e)
 	delete(c.endpoints, e.info.ID)
 	c.byID = slices.DeleteFunc(c.byID, func(other *endpoint) bool { return other == e })
@@ -148,6 +155,9 @@
 	if r.stop {
 		e.stopping--
 	}
+	if e.trial == r {
+		e.trial = nil
+	}
 	e.adjustCounts(r, -1)
 }
 
@@ -215,8 +225,8 @@
 	return e.answering && !e.gone && !e.info.Draining && !e.isOvercommitted()
 }
 
-// usable reports whether new tasks may be placed here at all.
+// usable reports whether new tasks may be placed here, unless suspicion forbids.
 func (e *endpoint) usable(now tmclock.Millis) bool {
 	return e.tokenAccepted && e.answering && e.listed && !e.info.Draining && !e.reserved &&
-		!e.gone && e.unknownRuns == 0 && !now.Before(e.avoidUntil)
+		!e.gone && e.unknownRuns == 0 && !now.Before(e.blockedUntil)
 }
--- a/core/tmcontrol/estimate.go
+++ b/core/tmcontrol/estimate.go
@@ -5,55 +5,57 @@
 
 	"turmericmoor/core/tmclock"
 	"turmericmoor/core/tmjob"
+	"turmericmoor/core/tmstraggler"
 )
 
 const (
-	// minSampleWeight is the minimum weight of the newest value in a moving mean.
-	minSampleWeight = 0.05
-	// maxEstimateRatio limits how far a declared run time may differ from the mean of
-	// its queue, as a factor in either direction.
+	// maxEstimateRatio limits how far a declared run time may differ from those of its queue,
+	// as a factor in either direction.
 	maxEstimateRatio = 2.0
+	// minEstimateRuns is the number of runs of a queue from which on declared run times are
+	// limited by them.
+	minEstimateRuns = 5
 )
 
-// movingMean is a moving mean of times in ms.
-type movingMean struct {
-	mean  float64
-	count int
-}
-
-// recordRunTime adds the duration of a run to the mean run times of its step and of
+// recordRunTime adds the duration of a run that is done to the run times of its step and of
 // its queue.
-func (c *Controller) recordRunTime(r *run, now tmclock.Millis) {
+func (c *Controller) recordRunTime(r *run, reason EndReason, now tmclock.Millis) {
 	s := r.task.step
-	if s.spec.LongRunning || r.n > 1 && s.spec.Checkpoint {
+	if reason != EndDone || r.startedAt == 0 || s.spec.LongRunning || r.n > 1 && s.spec.Checkpoint {
 		return
 	}
 	queue := s.occ.job.spec.Queue
 	t := c.runTimes[queue]
 	if t == nil {
-		t = &movingMean{}
+		t = &tmstraggler.Times{}
 		c.runTimes[queue] = t
 	}
 	took := float64(now.Sub(r.startedAt))
-	s.took.add(took)
-	t.add(took)
+	s.took.Add(took)
+	t.Add(took)
+}
+
+// estimate returns the expected run time of a task in ms: the declared run time, limited to
+// the range from 1/maxEstimateRatio to maxEstimateRatio times that of a typical task of the
+// queue.
+func (c *Controller) estimate(queue string, s *tmjob.Step) float64 {
+	return c.limitEstimate(queue, s, (*tmstraggler.Times).Typical)
 }
 
-func (t *movingMean) add(v float64) {
-	t.count++
-	t.mean += (v - t.mean) * math.Max(minSampleWeight, 1/float64(t.count))
+// meanEstimate does the same with the mean of the queue, for sums over many tasks, to which
+// the long ones of a heavy tail belong.
+func (c *Controller) meanEstimate(queue string, s *tmjob.Step) float64 {
+	return c.limitEstimate(queue, s, (*tmstraggler.Times).Mean)
 }
 
-// estimate returns the expected run time of a task in ms: the declared run time,
-// limited to the range from 1/maxEstimateRatio to maxEstimateRatio times the mean of
-// the queue.
-func (c *Controller) estimate(queue string, s *tmjob.Step) float64 {
+func (c *Controller) limitEstimate(queue string, s *tmjob.Step, centre func(*tmstraggler.Times) float64) float64 {
 	declared := float64(s.Estimate)
 	t := c.runTimes[queue]
-	if t == nil || t.count < 5 {
+	if t == nil || t.Count() < minEstimateRuns {
 		return math.Max(declared, 1)
 	}
-	return math.Max(t.mean/maxEstimateRatio, math.Min(t.mean*maxEstimateRatio, declared))
+	usual := centre(t)
+	return math.Max(usual/maxEstimateRatio, math.Min(usual*maxEstimateRatio, declared))
 }
 
 // workload is the planner's estimate of an occurrence.
@@ -75,7 +77,7 @@
 		all[i] = took
 		if s.left > 0 {
 			left[i] = took
-			out.work += took * float64(s.left) * float64(max(s.spec.Size.CPU, 100))
+			out.work += c.meanEstimate(queue, s.spec) * float64(s.left) * float64(max(s.spec.Size.CPU, 100))
 		}
 		var before, beforeAll float64
 		for _, a := range s.spec.After {
--- a/core/tmcontrol/isolation.go
+++ b/core/tmcontrol/isolation.go
@@ -39,6 +39,7 @@
 			continue
 		}
 		p.hasOverdue = p.hasOverdue || t.isOverdue(now)
+		c.moveIsolation(t, p, now)
 		if p.isolatedFor[t] == nil && p.mayIsolate(true) && c.withinLimit(t.step, 1) {
 			c.isolate(t, p, now)
 		}
@@ -109,6 +110,25 @@
 	}
 }
 
+// moveIsolation gives up a busy endpoint that is set aside for a suspect if an idle one can be
+// used at once. The tasks on the busy one may last long.
+func (c *Controller) moveIsolation(t *task, p *pool, now tmclock.Millis) {
+	busy := p.isolatedFor[t]
+	if busy == nil || len(busy.runs) == 0 || busy.isQuiet() && c.fits(t.step, busy) {
+		return
+	}
+	advised := c.adviceFor(t.step, p, now)
+	for _, e := range p.endpoints {
+		if len(e.runs) == 0 && e.isolated == nil && c.fits(t.step, e) && advised(e) {
+			busy.isolated, e.isolated = nil, t
+			p.isolatedFor[t] = e
+			c.event(tmevent.EndpointIsolated, "endpoint", busy.info.ID, "task", t.id.String(), "runs", len(busy.runs), "ended", true)
+			c.event(tmevent.EndpointIsolated, "endpoint", e.info.ID, "task", t.id.String(), "runs", 0, "ended", false)
+			return
+		}
+	}
+}
+
 // indexIsolated finds the endpoints of p that are set aside.
 func (p *pool) indexIsolated() {
 	p.isolated, p.isolatedFor = 0, map[*task]*endpoint{}
@@ -219,7 +239,7 @@
 			return r.isStarting()
 		}
 	}
-	return e.usable(now) && e.isolated.awaitsIsolation()
+	return e.usable(now) && !e.isAvoided(now) && e.isolated.awaitsIsolation()
 }
 
 // awaitsIsolation reports whether a suspect is about to be placed in isolation. Gangs are
--- a/core/tmcontrol/job.go
+++ b/core/tmcontrol/job.go
@@ -6,6 +6,7 @@
 
 	"turmericmoor/core/tmclock"
 	"turmericmoor/core/tmjob"
+	"turmericmoor/core/tmstraggler"
 )
 
 // job is an accepted job that is not final, or whose last runs are still stopping.
@@ -59,8 +60,8 @@
 	tasks []*task
 	// left counts the tasks that are not done.
 	left int
-	// took is the mean run time of the tasks that are done.
-	took movingMean
+	// took holds the run times of the tasks that are done.
+	took tmstraggler.Times
 	// advice is the answer of the placement policy, where the queue needs it.
 	advice advice
 }
@@ -71,6 +72,8 @@
 	page     *page
 	runs     int
 	failures int
+	// hasFailed is set once this owner has seen a run fail.
+	hasFailed bool
 	// crashes counts the endpoints that have crashed under the task. suspicions tells
 	// how likely the task caused them by starting, from 0 to maxSuspicions.
 	crashes, suspicions int
--- a/core/tmcontrol/lifetime.go
+++ b/core/tmcontrol/lifetime.go
@@ -81,7 +81,8 @@
 	// A call with a time on the clock of the earlier lifetime may still arrive, and extend
 	// the lease as far as possible.
 	e.leaseExpiry = c.now.Add(maxLeaseTime(c.bounds.MaxLease))
-	e.gone, e.reserved, e.ending, e.failures = false, false, false, 0
+	e.gone, e.reserved, e.ending = false, false, false
+	e.forgetHealth()
 	e.isolated = nil
 	for _, r := range lost {
 		if r.mayStartLate(list) {
@@ -124,6 +125,7 @@
 		return
 	}
 	e.gone, e.listed, e.answering = true, false, false
+	e.forgetHealth()
 	c.event(tmevent.EndpointLost, "endpoint", e.info.ID, "runs", len(e.runs), "cause", string(cause))
 	c.recordCrash(e, cause, runsLostBy(e, nil))
 	c.settleLapse(e)
--- a/core/tmcontrol/order.go
+++ b/core/tmcontrol/order.go
@@ -69,7 +69,7 @@
 		r := c.unansweredStarts[0]
 		c.unansweredStarts = c.unansweredStarts[1:]
 		if r.pending && r.inFlight {
-			r.ep.avoidUntil = max(r.ep.avoidUntil, now.Add(slowStartAnswer))
+			r.ep.blockedUntil = max(r.ep.blockedUntil, now.Add(slowStartAnswer))
 			c.markAnswered(r)
 			r.overdue = true
 			c.overdue++
@@ -111,11 +111,11 @@
 	case TooLate, NoRoom, BadTicket, Unhealthy, Refused, NotSent, NoConnection:
 		c.notStarted(r, a, now)
 	case OtherEndpoint:
-		e.avoidUntil = now.Add(avoidTime)
+		e.blockedUntil = now.Add(avoidTime)
 		c.notStarted(r, a, now)
 	case NoAnswer:
 		r.settledAt, r.unanswered = now, true
-		e.avoidUntil = now.Add(avoidTime)
+		e.blockedUntil = now.Add(avoidTime)
 	}
 }
 
@@ -123,7 +123,7 @@
 // answer, only a stop guarantees that it is not carried out later.
 func (c *Controller) notStarted(r *run, a Answer, now tmclock.Millis) {
 	if a != TooLate && a != BadTicket && a != NoConnection {
-		r.ep.avoidUntil = now.Add(avoidTime)
+		r.ep.blockedUntil = now.Add(avoidTime)
 	}
 	if a == BadTicket {
 		r.task.step.advice.removeTicket(r.ep.info.ID)
--- a/core/tmcontrol/plan.go
+++ b/core/tmcontrol/plan.go
@@ -52,6 +52,8 @@
 type pool struct {
 	service   string
 	endpoints []*endpoint
+	// avoided holds those that get no tasks on suspicion.
+	avoided []*endpoint
 	// isolated is the number of endpoints that are set aside, isolatedFor holds one for
 	// each suspect. hasOverdue is set if a suspect has waited for too long. All are known
 	// while suspects are planned.
@@ -139,7 +141,10 @@
 			p = &pool{service: e.info.Service}
 			pools[e.info.Service] = p
 		}
-		p.endpoints = append(p.endpoints, e)
+		p.add(e, now)
+	}
+	for _, p := range pools {
+		c.boundAvoidance(p)
 	}
 	return pools
 }
@@ -242,6 +247,9 @@
 	r := c.addRun(t, e, n)
 	r.isolated = e.isolated != nil
 	r.pending = true
+	if e.onTrial && e.trial == nil {
+		e.trial = r
+	}
 	c.pending++
 	t.runs = n
 	if tk, ok := t.step.advice.tickets[e.info.ID]; ok {
@@ -274,7 +282,7 @@
 
 // allows reports whether e may run one more task of the step that is not a suspect.
 func (c *Controller) allows(s *step, e *endpoint) bool {
-	return e.isolated == nil && c.fits(s, e)
+	return e.isolated == nil && e.admits() && c.fits(s, e)
 }
 
 // fits reports whether e has room for one more task of the step and may run it.
@@ -299,6 +307,9 @@
 	// endpoints can't leave their pool anyway, and the others become idle and can be
 	// moved to other pools.
 	longRunningPreference = 1.0
+	// trialPreference makes tasks prefer an endpoint on trial, so that it is known soon whether
+	// it works.
+	trialPreference = 2.0
 )
 
 // score rates e as a place for a task of the step. Fuller endpoints score higher, so
@@ -310,6 +321,9 @@
 	if e.longRunning != (tmjob.Resources{}) {
 		score += longRunningPreference
 	}
+	if e.onTrial {
+		score += trialPreference
+	}
 	if s.spec.LongRunning {
 		// The loss of one endpoint should leave half of the step's tasks running.
 		score -= spreadPenalty * float64(e.stepRuns[s]/((s.spec.Count+1)/2))
--- a/core/tmcontrol/progress.go
+++ b/core/tmcontrol/progress.go
@@ -2,7 +2,7 @@
 
 import (
 	"turmericmoor/core/tmclock"
-	"turmericmoor/core/tmevent"
+	"turmericmoor/core/tmstraggler"
 )
 
 const (
@@ -14,61 +14,52 @@
 	// minObservedTime is how long a task must have run before its progress is
 	// meaningful.
 	minObservedTime = 500 * tmclock.Millisecond
-	// slowFactor is the ratio of a task's expected total run time to the mean run time
-	// of the other tasks of its step above which the task counts as slow. At least
-	// minSlowPeers of those others must be done. An endpoint with at least minSlowRuns
-	// slow tasks counts as slow if these are more than half of those that can be compared:
-	// a slow endpoint holds up all of them, and a step may have some long tasks.
-	slowFactor   = 2.5
-	minSlowRuns  = 2
-	minSlowPeers = 2
-	// slowAvoidTime is how long a slow or stalled endpoint gets no new tasks.
-	slowAvoidTime = 2 * tmclock.Second
 )
 
-// checkProgress looks for runs at an endpoint that are stalled or far too slow. A
-// task is compared with the others of its step, because declared run times are off
-// in the same way for all of them.
+// checkProgress looks for runs at an endpoint that are stalled, and for endpoints whose runs
+// are far too slow. A task is compared with the others of its step, because declared run times
+// are off in the same way for all of them.
 func (c *Controller) checkProgress(e *endpoint, now tmclock.Millis) {
-	slow, compared := 0, 0
+	var observed []tmstraggler.Observation
 	for _, r := range e.runs {
 		s := r.task.step
 		if s.spec.LongRunning || s.spec.BestEffort || r.phase != active || r.stop || r.startedAt == 0 {
 			continue
 		}
 		if c.stalled(r, c.estimate(s.occ.job.spec.Queue, s.spec), now) {
-			e.avoidUntil = now.Add(slowAvoidTime)
+			c.suspectEndpoint(e, e.health.Stalled(now), now)
 			c.stopRun(r, "no progress")
 			continue
 		}
-		if !r.canCompare(now) {
-			continue
-		}
-		compared++
-		if r.isSlow(now) {
-			slow++
+		if r.canCompare(now) {
+			observed = append(observed, c.observe(r, now))
 		}
 	}
-	if slow < minSlowRuns || 2*slow <= compared {
+	if s, found := e.health.Judge(observed); found {
+		c.suspectEndpoint(e, s, now)
 		return
 	}
-	if !now.Before(e.avoidUntil) {
-		c.event(tmevent.EndpointSlow, "endpoint", e.info.ID, "held_up", slow, "runs", len(e.runs))
-	}
-	e.avoidUntil = now.Add(slowAvoidTime)
+	c.settleTrial(e, now)
 }
 
 // canCompare reports whether a run has lasted long enough to be compared with the other
 // tasks of its step, and enough of those are done.
 func (r *run) canCompare(now tmclock.Millis) bool {
-	return now.Sub(r.startedAt) >= minObservedTime && r.task.step.took.count >= minSlowPeers
+	return now.Sub(r.startedAt) >= minObservedTime && r.task.step.took.CanCompare()
+}
+
+// observe compares a run with the other tasks of its step.
+func (c *Controller) observe(r *run, now tmclock.Millis) tmstraggler.Observation {
+	o := tmstraggler.Observation{StartedAt: r.startedAt, Ratio: r.task.step.took.Ratio(r.expected(now)), TailShare: r.task.step.took.TailShare()}
+	if t := c.runTimes[r.task.step.occ.job.spec.Queue]; t != nil {
+		o.TailShare = t.TailShare()
+	}
+	return o
 }
 
-// isSlow reports whether a run, extrapolated from its progress, takes far longer than
-// the other tasks of its step did.
-func (r *run) isSlow(now tmclock.Millis) bool {
-	ran := now.Sub(r.startedAt)
-	return float64(ran)*100/float64(max(r.percent, 1)) > slowFactor*r.task.step.took.mean
+// expected returns the total run time of a run in ms, extrapolated from its progress.
+func (r *run) expected(now tmclock.Millis) float64 {
+	return float64(now.Sub(r.startedAt)) * 100 / float64(max(r.percent, 1))
 }
 
 func (c *Controller) stalled(r *run, expected float64, now tmclock.Millis) bool {
--- a/core/tmcontrol/progress_test.go
+++ b/core/tmcontrol/progress_test.go
@@ -6,13 +6,14 @@
 	"gotest.tools/v3/assert"
 
 	"turmericmoor/core/tmjob"
+	"turmericmoor/core/tmstraggler"
 	"turmericmoor/internal/tmknownred"
 )
 
 // holdUp ends one task of each step and lets the given number of the others make little
 // progress.
 func (f *fixture) holdUp(endpoint string, slow int) {
-	for range minSlowPeers {
+	for range tmstraggler.MinPeers {
 		f.now += 300
 		f.end(endpoint, f.runs[endpoint][0].Task, f.runs[endpoint][0].Run, EndDone)
 	}
--- a/core/tmevent/event.go
+++ b/core/tmevent/event.go
@@ -30,8 +30,10 @@
 	ConfigInstalled Name = "config_installed"
 	// EndpointAnswers: an endpoint answers for the first time, or answers again: endpoint, runs, ends.
 	EndpointAnswers Name = "endpoint_answers"
-	// EndpointAvoided: an endpoint gets no new tasks for a time because several runs in a row failed on it: endpoint, failures, for_ms.
+	// EndpointAvoided: an endpoint gets no new tasks for a time, and then one as a trial, because several runs in a row failed on it: endpoint, failures, for_ms.
 	EndpointAvoided Name = "endpoint_avoided"
+	// EndpointCleared: an endpoint that was avoided on suspicion is fully used again: endpoint, why.
+	EndpointCleared Name = "endpoint_cleared"
 	// EndpointCrashed: the lifetime of an endpoint ended without planned work, starting is the number of tasks that may have crashed it by starting, blameless says that the cause was probably none of them: endpoint, zone, runs, starting, blameless, cause.
 	EndpointCrashed Name = "endpoint_crashed"
 	// EndpointDraining: an endpoint started draining: endpoint.
@@ -46,7 +48,7 @@
 	EndpointRestarted Name = "endpoint_restarted"
 	// EndpointSilent: a call to an endpoint got no answer: endpoint, runs, cause.
 	EndpointSilent Name = "endpoint_silent"
-	// EndpointSlow: an endpoint gets no new tasks for a time because its runs make slow progress: endpoint, held_up, runs.
+	// EndpointSlow: an endpoint gets no new tasks for a time, and then one as a trial, because its runs make slow progress (cause slow, with the highest ratio to the usual run time) or none (cause stalled): endpoint, cause, ratio, runs, for_ms.
 	EndpointSlow Name = "endpoint_slow"
 	// EndpointUnlisted: an endpoint disappeared from the list: endpoint, runs.
 	EndpointUnlisted Name = "endpoint_unlisted"
@@ -152,6 +154,7 @@
 	ConfigInstalled,
 	EndpointAnswers,
 	EndpointAvoided,
+	EndpointCleared,
 	EndpointCrashed,
 	EndpointDraining,
 	EndpointIsolated,
--- a/core/tmstraggler/health.go
+++ b/core/tmstraggler/health.go
@@ -1,7 +1,9 @@
 package tmstraggler
 
 import (
+	"cmp"
 	"math"
+	"slices"
 
 	"turmericmoor/core/tmclock"
 )
@@ -55,23 +57,25 @@
 	Severity float64
 }
 
-// IsWorse reports whether s is a stronger reason to avoid an endpoint than other.
-func (s Suspicion) IsWorse(other Suspicion) bool {
-	if s.Cause != other.Cause {
-		return s.rank() > other.rank()
-	}
-	return s.Severity > other.Severity
+// Compare orders suspicions, the mildest first.
+func (s Suspicion) Compare(other Suspicion) int {
+	return cmp.Or(cmp.Compare(s.rank(), other.rank()), cmp.Compare(s.Severity, other.Severity))
 }
 
-func (s Suspicion) rank() int {
-	for i, c := range Causes {
-		if c == s.Cause {
-			return i
-		}
+// clearlyWorse is the ratio of two severities from which on the higher one is clearly worse.
+// Smaller differences would make endpoints that are alike take turns in being avoided.
+const clearlyWorse = 1.5
+
+// IsWorse reports whether s is a clearly stronger reason to avoid an endpoint than other.
+func (s Suspicion) IsWorse(other Suspicion) bool {
+	if s.Cause == other.Cause {
+		return s.Severity >= clearlyWorse*other.Severity
 	}
-	return -1
+	return s.rank() > other.rank()
 }
 
+func (s Suspicion) rank() int { return slices.Index(Causes, s.Cause) }
+
 // Observation is a run in progress at an endpoint that can be compared with others of its
 // workload.
 type Observation struct {
@@ -136,8 +140,8 @@
 	return s, n >= neededFailures(elsewhere) || h.suspicion.Cause == Failing
 }
 
-// FailedByTask records that a run failed whose task has failed on another endpoint before, so
-// that the failure is no evidence against this one.
+// FailedByTask records that a run failed whose task has failed before, so that the failure is
+// no evidence against the endpoint.
 func (h *Health) FailedByTask(now tmclock.Millis) {
 	h.addEnd(now)
 	h.troubleAt = now
@@ -221,7 +225,7 @@
 		}
 		d = h.avoidTime
 	}
-	if !h.IsSuspected() || s.IsWorse(h.suspicion) {
+	if !h.IsSuspected() || s.Compare(h.suspicion) > 0 {
 		h.suspicion = s
 	}
 	h.suspectedAt = now
--- a/core/tmstraggler/health_test.go
+++ b/core/tmstraggler/health_test.go
@@ -121,7 +121,10 @@
 			p.Suspect(fmt.Sprint(i), &healths[i], Suspicion{Cause: Slow, Severity: float64(i)}, 1000)
 		}
 		assert.Equal(t, len(p.Suspects()), most, "of %d", usable)
-		assert.Assert(t, healths[usable-1].IsSuspected(), "the worst is avoided")
+		worst := &Health{}
+		avoided, released := p.Suspect("worst", worst, Suspicion{Cause: Failing, Severity: 2}, 1000)
+		assert.Assert(t, avoided && released != "", "the worst is avoided")
+		assert.Equal(t, len(p.Suspects()), most, "of %d", usable)
 	}
 }
 
--- a/core/tmstraggler/pool.go
+++ b/core/tmstraggler/pool.go
@@ -1,6 +1,7 @@
 package tmstraggler
 
 import (
+	"cmp"
 	"slices"
 
 	"turmericmoor/core/tmclock"
@@ -53,8 +54,7 @@
 func (p *Pool) mildest() string {
 	mildest := ""
 	for id, h := range p.suspects {
-		if mildest == "" || p.suspects[mildest].suspicion.IsWorse(h.suspicion) ||
-			!h.suspicion.IsWorse(p.suspects[mildest].suspicion) && id < mildest {
+		if mildest == "" || cmp.Or(h.suspicion.Compare(p.suspects[mildest].suspicion), cmp.Compare(id, mildest)) < 0 {
 			mildest = id
 		}
 	}
--- a/core/tmstraggler/times.go
+++ b/core/tmstraggler/times.go
@@ -58,12 +58,12 @@
 
 // Add adds the duration of a run.
 func (t *Times) Add(ms float64) {
-	if len(t.recent) >= minPeers {
+	if len(t.recent) >= MinPeers {
 		long := 0.0
 		if t.IsLong(ms) {
 			long = 1
 		}
-		n := float64(t.Count() - minPeers + 1)
+		n := float64(t.Count() - MinPeers + 1)
 		t.longShare += (long - t.longShare) * math.Max(minTailWeight, 1/n)
 	}
 	t.mean.Add(ms)
@@ -85,12 +85,13 @@
 // Mean returns the moving mean.
 func (t *Times) Mean() float64 { return t.mean.value }
 
-// Median returns the median of the latest run times, the lower one of two, or 0 without any.
+// Median returns the median of the latest run times, or 0 without any.
 func (t *Times) Median() float64 {
-	if len(t.sorted) == 0 {
+	n := len(t.sorted)
+	if n == 0 {
 		return 0
 	}
-	return t.sorted[(len(t.sorted)-1)/2]
+	return (t.sorted[(n-1)/2] + t.sorted[n/2]) / 2
 }
 
 // Typical returns the run time to be expected of one task: the median if the workload has a
@@ -102,11 +103,11 @@
 	return t.mean.value
 }
 
-// minPeers is the minimum number of runs with which another is compared.
-const minPeers = 2
+// MinPeers is the minimum number of runs with which another is compared.
+const MinPeers = 2
 
 // CanCompare reports whether enough runs are known to compare another with them.
-func (t *Times) CanCompare() bool { return t.Count() >= minPeers }
+func (t *Times) CanCompare() bool { return t.Count() >= MinPeers }
 
 // Ratio returns the ratio of a run time to the median.
 func (t *Times) Ratio(ms float64) float64 { return ms / math.Max(t.Median(), 1) }
--- a/io/tmexplain/explain.go
+++ b/io/tmexplain/explain.go
@@ -70,7 +70,7 @@
 // endpointEvents are the events that concern the jobs with tasks on the endpoint.
 var endpointEvents = map[tmevent.Name]bool{
 	tmevent.EndpointSilent: true, tmevent.EndpointAnswers: true, tmevent.EndpointLost: true,
-	tmevent.EndpointSlow: true, tmevent.EndpointAvoided: true, tmevent.EndpointDraining: true,
+	tmevent.EndpointSlow: true, tmevent.EndpointAvoided: true, tmevent.EndpointCleared: true, tmevent.EndpointDraining: true,
 	tmevent.EndpointUnlisted: true, tmevent.EndpointRestarted: true, tmevent.EndpointCrashed: true,
 }
 
--- a/io/tmmetrics/state.go
+++ b/io/tmmetrics/state.go
@@ -6,6 +6,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"turmericmoor/core/tmcontrol"
+	"turmericmoor/core/tmstraggler"
 )
 
 // stateCollector exports the state of the owner at the time of the scrape.
@@ -14,6 +15,7 @@
 	ready, owner, ownedShards                       *prometheus.Desc
 	token, rulesVersion, openJobs, startWindow      *prometheus.Desc
 	waitingJobs, endpoints, runs, teamCPU, waveOpen *prometheus.Desc
+	suspects                                        *prometheus.Desc
 }
 
 func newStateCollector(node Source) *stateCollector {
@@ -31,6 +33,7 @@
 		startWindow:  desc("start_window", "Limit of start orders without an answer.", "shard"),
 		waitingJobs:  desc("waiting_jobs", "Jobs of which no task has started.", "queue", "shard"),
 		endpoints:    desc("endpoints", "Endpoints by pool and whether they answer.", "pool", "answers", "shard"),
+		suspects:     desc("suspected_endpoints", "Endpoints that are avoided on suspicion or on trial, by pool and cause.", "pool", "cause", "shard"),
 		runs:         desc("runs", "Runs by pool.", "pool", "shard"),
 		teamCPU:      desc("team_cpu_cores", "Processor share that a team has running.", "team", "shard"),
 		waveOpen:     desc("wave_open_instances", "Instances of a wave that are not done.", "wave", "shard"),
@@ -40,7 +43,7 @@
 // Describe implements prometheus.Collector.
 func (s *stateCollector) Describe(ch chan<- *prometheus.Desc) {
 	for _, d := range []*prometheus.Desc{
-		s.ready, s.owner, s.ownedShards, s.token, s.rulesVersion, s.openJobs, s.startWindow, s.waitingJobs, s.endpoints, s.runs, s.teamCPU, s.waveOpen,
+		s.ready, s.owner, s.ownedShards, s.token, s.rulesVersion, s.openJobs, s.startWindow, s.waitingJobs, s.endpoints, s.runs, s.teamCPU, s.waveOpen, s.suspects,
 	} {
 		ch <- d
 	}
@@ -76,6 +79,9 @@
 		gauge(s.endpoints, float64(p.Answering), pool, "yes")
 		gauge(s.endpoints, float64(p.Silent), pool, "no")
 		gauge(s.runs, float64(p.Runs), pool)
+		for _, cause := range tmstraggler.Causes {
+			gauge(s.suspects, float64(p.Suspects[cause]), pool, string(cause))
+		}
 	}
 	for team, used := range dump.Teams {
 		gauge(s.teamCPU, float64(used.CPU)/1000, team)
