core/tmcontrol: last attempts keep away from recent failures

Cause: an endpoint, or a rack, that fails all it starts while its health is good took the second attempt of a task as well, since nothing kept it away before three failures in a row, so that the job failed although other endpoints had room.

Change: a task that has failed before goes to endpoints without a failure or stall in the last 5 s, there and in their rack, if any has room. A last attempt waits for one for at most 2 s (attempt_held), without holding up other tasks of its step; an earlier retry doesn't wait. Gangs with a failed member prefer such endpoints. All tasks rate endpoints with recent trouble lower.

A step that has waited for 2 s beside avoided endpoints, or endpoints on trial, of a pool that is at most half full uses them: all endpoints with a label may be avoided, although they are less than half of the pool, and a job must not stand still for 3 s then.

TestPoolIsNeverWhollyAvoided submits further jobs now, because second attempts wait in a pool of which all endpoints have failed.

--- a/core/tmcontrol/endpoint.go
+++ b/core/tmcontrol/endpoint.go
@@ -65,11 +65,12 @@
 	// blockedUntil is until when the endpoint gets no new tasks because start orders to it
 	// failed, avoidUntil until when it gets none because its runs are slow or fail.
 	blockedUntil, avoidUntil tmclock.Millis
-	// health is what is known of the lifetime by its runs. onTrial is set during a planning
-	// pass if the endpoint gets one task as a trial, which is trial.
-	health  tmstraggler.Health
-	onTrial bool
-	trial   *run
+	// health is what is known of the lifetime by its runs. During a planning pass, onTrial is
+	// set if the endpoint gets one task as a trial, which is trial, and hadTrouble if runs
+	// failed or stalled lately.
+	health              tmstraggler.Health
+	onTrial, hadTrouble bool
+	trial               *run
 	// reserved keeps new tasks away because the instance is about to be taken down or
 	// moved.
 	reserved bool
--- a/core/tmcontrol/gang.go
+++ b/core/tmcontrol/gang.go
@@ -33,11 +33,19 @@
 			}
 		}
 	}
+	if s.hasFailed() && c.tryGang(s, &pool{service: p.service, endpoints: p.calmEndpoints(now)}, n+1, now) {
+		return
+	}
 	if !c.tryGang(s, p, n+1, now) {
 		c.reportBlocked(s, p, int64(len(s.tasks)))
 	}
 }
 
+// hasFailed reports whether a run of some task of the step has failed.
+func (s *step) hasFailed() bool {
+	return slices.ContainsFunc(s.tasks, func(t *task) bool { return t.failures > 0 })
+}
+
 func racksOf(p *pool) [][]*endpoint {
 	byRack := map[string][]*endpoint{}
 	var names []string
--- a/core/tmcontrol/health.go
+++ b/core/tmcontrol/health.go
@@ -120,12 +120,15 @@
 
 // add adds an endpoint that may get tasks, unless suspicion forbids.
 func (p *pool) add(e *endpoint, now tmclock.Millis) {
-	e.onTrial = e.health.OnTrial(now)
+	e.onTrial, e.hadTrouble = e.health.OnTrial(now), e.health.HadTrouble(now)
 	if e.isAvoided(now) {
 		p.avoided = append(p.avoided, e)
 	} else {
 		p.endpoints = append(p.endpoints, e)
 	}
+	if e.onTrial {
+		p.onTrial = append(p.onTrial, e)
+	}
 }
 
 // boundAvoidance returns the mildest suspects to a pool of which more than half would be
--- a/core/tmcontrol/health_test.go
+++ b/core/tmcontrol/health_test.go
@@ -90,6 +90,7 @@
 			assert.Equal(t, f.failRuns(f.endpointInfo(i+1).ID), 2)
 		}
 		assert.Assert(t, f.avoided() <= max(1, n/2), "%d of %d", f.avoided(), n)
+		f.singles("b", n)
 		assert.Assert(t, len(f.advance(100)) > 0, "nothing starts with %d endpoints", n)
 	}
 }
--- a/core/tmcontrol/job.go
+++ b/core/tmcontrol/job.go
@@ -62,6 +62,8 @@
 	left int
 	// took holds the run times of the tasks that are done.
 	took tmstraggler.Times
+	// blockedSince is since when the step has found no place while endpoints are avoided.
+	blockedSince tmclock.Millis
 	// advice is the answer of the placement policy, where the queue needs it.
 	advice advice
 }
@@ -72,6 +74,8 @@
 	page     *page
 	runs     int
 	failures int
+	// heldSince is since when the last attempt waits for an endpoint without recent failures.
+	heldSince tmclock.Millis
 	// hasFailed is set once this owner has seen a run fail.
 	hasFailed bool
 	// crashes counts the endpoints that have crashed under the task. suspicions tells
--- a/core/tmcontrol/plan.go
+++ b/core/tmcontrol/plan.go
@@ -52,8 +52,13 @@
 type pool struct {
 	service   string
 	endpoints []*endpoint
-	// avoided holds those that get no tasks on suspicion.
-	avoided []*endpoint
+	// avoided holds those that get no tasks on suspicion, onTrial those of endpoints that get
+	// one.
+	avoided, onTrial []*endpoint
+	// troubledRacks are the racks with recent failures, in all pools. troubles is found when a
+	// task that has failed is placed.
+	troubledRacks map[string]bool
+	troubles      troubles
 	// isolated is the number of endpoints that are set aside, isolatedFor holds one for
 	// each suspect. hasOverdue is set if a suspect has waited for too long. All are known
 	// while suspects are planned.
@@ -132,13 +137,17 @@
 
 func (c *Controller) pools(now tmclock.Millis) map[string]*pool {
 	pools := map[string]*pool{}
+	troubledRacks := map[string]bool{}
 	for _, e := range c.sorted() {
+		if e.info.Rack != "" && e.health.HadTrouble(now) {
+			troubledRacks[e.info.Rack] = true
+		}
 		if !e.usable(now) || c.zonesOut[e.info.Zone] {
 			continue
 		}
 		p := pools[e.info.Service]
 		if p == nil {
-			p = &pool{service: e.info.Service}
+			p = &pool{service: e.info.Service, troubledRacks: troubledRacks}
 			pools[e.info.Service] = p
 		}
 		p.add(e, now)
@@ -188,7 +197,7 @@
 			if !c.hasStartRoom() {
 				return
 			}
-			if !c.place(t, p, now) {
+			if !c.place(t, p, now) && !t.isHeld(now) {
 				break
 			}
 		}
@@ -205,12 +214,17 @@
 	}
 	var e *endpoint
 	if !p.knownTooLarge(spec.Reservation()) {
-		e = c.choose(t.step, p, now)
+		e = c.chooseFor(t, p, now)
 		if e == nil && !p.fitsAny(spec.Reservation()) {
 			p.tooLarge = append(p.tooLarge, spec.Reservation())
 			c.reportBlocked(t.step, p, 1)
 		}
 	}
+	if e == nil {
+		e = c.chooseAvoided(t, p, now)
+	} else {
+		t.step.blockedSince = 0
+	}
 	if e == nil {
 		if spec.LongRunning {
 			c.reportShortage(p.service, t.step.endpointsNeeded(t.step.waitingTasks(now)))
@@ -251,7 +265,7 @@
 		e.trial = r
 	}
 	c.pending++
-	t.runs = n
+	t.runs, t.heldSince = n, 0
 	if tk, ok := t.step.advice.tickets[e.info.ID]; ok {
 		r.ticket = tk
 	}
@@ -310,6 +324,8 @@
 	// trialPreference makes tasks prefer an endpoint on trial, so that it is known soon whether
 	// it works.
 	trialPreference = 2.0
+	// troublePenalty makes tasks prefer endpoints without recent failures or stalls.
+	troublePenalty = 2.0
 )
 
 // score rates e as a place for a task of the step. Fuller endpoints score higher, so
@@ -321,8 +337,11 @@
 	if e.longRunning != (tmjob.Resources{}) {
 		score += longRunningPreference
 	}
-	if e.onTrial {
+	switch {
+	case e.onTrial:
 		score += trialPreference
+	case e.hadTrouble:
+		score -= troublePenalty
 	}
 	if s.spec.LongRunning {
 		// The loss of one endpoint should leave half of the step's tasks running.
--- a/core/tmevent/event.go
+++ b/core/tmevent/event.go
@@ -14,6 +14,8 @@
 	Advice Name = "advice"
 	// AdviceFailed: a question to the placement policy failed: step, cause.
 	AdviceFailed Name = "advice_failed"
+	// AttemptHeld: the last attempt of a task waits, for at most max_ms, for an endpoint without recent failures there and in its rack: task, failures, max_ms.
+	AttemptHeld Name = "attempt_held"
 	// BeyondShare: a job runs only on capacity that other teams leave unused, because its team has exceeded its share: job, queue, team, share, rules.
 	BeyondShare Name = "beyond_share"
 	// CallerCancel: a cancellation was answered: job, queue, outcome, took_ms.
@@ -145,6 +147,7 @@
 	AccessStale,
 	Advice,
 	AdviceFailed,
+	AttemptHeld,
 	BeyondShare,
 	CallerCancel,
 	CallerRefused,
