core/tmcontrol: second copies of stragglers of speculative steps

Cause: a task of a speculative step got a second copy only when the endpoint of the first didn't answer. A task that takes seven times as long held up its job.

Change: after all other tasks, a task whose run is expected to take over 2.5 times the median of its step, and longer from now on than a whole run usually does, gets a copy on another endpoint without recent failures (task_copied), in pools that are at most three quarters full and have nothing waiting for room. Copies are at most a tenth of the runs of an owner. None starts if the failures of both runs would use more than the attempts of the task.

--- a/core/tmcontrol/controller.go
+++ b/core/tmcontrol/controller.go
@@ -58,6 +58,8 @@
 	runTimes     map[string]*tmstraggler.Times
 	failureRates map[string]*tmstraggler.Rate
 	suspectPools map[string]*tmstraggler.Pool
+	// copies bounds the second copies of straggling tasks.
+	copies tmstraggler.Copies
 
 	// dirty is the queue of the pages of progress to be stored. refused holds those that
 	// the store has refused. flushLimit is the maximum number of entries of the next flush
--- a/core/tmcontrol/job.go
+++ b/core/tmcontrol/job.go
@@ -39,6 +39,8 @@
 	failed bool
 	// hasSuspects is set once some task has become a suspect.
 	hasSuspects bool
+	// speculative is set if some step permits second copies of its tasks.
+	speculative bool
 	// overShare is set if the team was over its share when the job arrived.
 	overShare bool
 }
@@ -161,6 +163,7 @@
 
 func newJob(spec tmjob.Job) *job {
 	j := &job{spec: spec, longRunning: spec.LongRunning(), tasksPerOccurrence: spec.Tasks(), occurrences: map[int]*occurrence{}, pages: map[int]*page{}}
+	j.speculative = slices.ContainsFunc(spec.Steps, func(s tmjob.Step) bool { return s.Speculative })
 	j.page(0)
 	return j
 }
--- a/core/tmcontrol/plan.go
+++ b/core/tmcontrol/plan.go
@@ -117,6 +117,7 @@
 			c.placeOccurrence(r.occ, pools[service], now)
 		}
 	}
+	c.planCopies(pools, now)
 }
 
 // failExhausted fails a job that has a task with no attempts left. applyEnd doesn't
@@ -266,6 +267,7 @@
 	}
 	c.pending++
 	t.runs, t.heldSince = n, 0
+	c.copies.Run()
 	if tk, ok := t.step.advice.tickets[e.info.ID]; ok {
 		r.ticket = tk
 	}
--- a/core/tmevent/event.go
+++ b/core/tmevent/event.go
@@ -126,6 +126,8 @@
 	StoreLost Name = "store_lost"
 	// StoreRegained: following a table of the store works again: what, lost_ms.
 	StoreRegained Name = "store_regained"
+	// TaskCopied: a second copy of a straggling task was placed on an endpoint; the first, at the endpoint from, is expected to take expected_ms, others of its step took usual_ms: task, run, endpoint, from, expected_ms, usual_ms.
+	TaskCopied Name = "task_copied"
 	// TaskPaced: the pace of a best-effort task was changed: task, run, endpoint, percent, worst_of_target.
 	TaskPaced Name = "task_paced"
 	// TaskPlaced: a task was placed on an endpoint: task, run, endpoint, free_cpu, queue, team, rules, left.
@@ -203,6 +205,7 @@
 	StoreFailed,
 	StoreLost,
 	StoreRegained,
+	TaskCopied,
 	TaskPaced,
 	TaskPlaced,
 	TaskSuspected,
--- a/core/tmstraggler/health_test.go
+++ b/core/tmstraggler/health_test.go
@@ -145,7 +145,8 @@
 	copies := 0
 	for range 500 {
 		c.Run()
-		if c.Take() {
+		if c.MayTake() {
+			c.Take()
 			copies++
 		}
 	}
--- a/core/tmstraggler/pool.go
+++ b/core/tmstraggler/pool.go
@@ -113,14 +113,11 @@
 // Run records that a run was started that is not a second copy.
 func (c *Copies) Run() { c.credit = min(maxCopyCredit, c.credit+copyShare) }
 
-// Take reports whether a second copy may start, and counts it.
-func (c *Copies) Take() bool {
-	if c.credit < 1 {
-		return false
-	}
-	c.credit--
-	return true
-}
+// MayTake reports whether a second copy may start.
+func (c *Copies) MayTake() bool { return c.credit >= 1 }
+
+// Take counts a second copy that is started.
+func (c *Copies) Take() { c.credit-- }
 
 // IsStraggler reports whether a run is so late that a second copy started now would probably
 // end first: it is long, and what is left of it takes longer than a whole run usually does.
