core/tmcontrol: slow endpoints are found across steps

Cause: a run was compared with the other tasks of its step only. Jobs of one task, and steps of which all tasks run on one endpoint, never showed that it is slow.

Change: runs of a step of which fewer than two tasks are done are compared with the median of their queue, once that has 100 runs, with the share of long runs of all kinds. Those of one step count as one run.

--- a/core/tmcontrol/progress.go
+++ b/core/tmcontrol/progress.go
@@ -18,9 +18,10 @@
 
 // checkProgress looks for runs at an endpoint that are stalled, and for endpoints whose runs
 // are far too slow. A task is compared with the others of its step, because declared run times
-// are off in the same way for all of them.
+// are off in the same way for all of them, or with its queue while these are not done.
 func (c *Controller) checkProgress(e *endpoint, now tmclock.Millis) {
 	var observed []tmstraggler.Observation
+	var alone map[*step]tmstraggler.Observation
 	for _, r := range e.runs {
 		s := r.task.step
 		if s.spec.LongRunning || s.spec.BestEffort || r.phase != active || r.stop || r.startedAt == 0 {
@@ -31,10 +32,19 @@
 			c.stopRun(r, "no progress")
 			continue
 		}
-		if r.canCompare(now) {
+		switch o, ok := c.observeAlone(r, now); {
+		case r.canCompare(now):
 			observed = append(observed, c.observe(r, now))
+		case ok:
+			if alone == nil {
+				alone = map[*step]tmstraggler.Observation{}
+			}
+			alone[s] = o.Mildest(alone[s])
 		}
 	}
+	for _, o := range alone {
+		observed = append(observed, o)
+	}
 	if s, found := e.health.Judge(observed); found {
 		c.suspectEndpoint(e, s, now)
 		return
@@ -57,6 +67,16 @@
 	return o
 }
 
+// observeAlone compares a run of a step of which too few tasks are done with its queue, if its
+// tail is known. The runs of such a step count as one, because all tasks of a step may be long.
+func (c *Controller) observeAlone(r *run, now tmclock.Millis) (tmstraggler.Observation, bool) {
+	t := c.runTimes[r.task.step.occ.job.spec.Queue]
+	if t == nil || !t.TailKnown() || now.Sub(r.startedAt) < minObservedTime {
+		return tmstraggler.Observation{}, false
+	}
+	return tmstraggler.Observation{StartedAt: r.startedAt, Ratio: t.Ratio(r.expected(now)), TailShare: t.LongShare(), TailKnown: true}, true
+}
+
 // expected returns the total run time of a run in ms, extrapolated from its progress.
 func (r *run) expected(now tmclock.Millis) float64 {
 	return float64(now.Sub(r.startedAt)) * 100 / float64(max(r.percent, 1))
--- a/core/tmcontrol/uneven_test.go
+++ b/core/tmcontrol/uneven_test.go
@@ -22,6 +22,9 @@
 	jobs      int
 	interval  tmclock.Span
 	longShare float64
+	// width is the number of tasks of a job, cpu the size of each.
+	width int
+	cpu   int64
 	// slowness multiplies the run times at an endpoint. fails reports whether what starts there
 	// fails, hangs whether it makes no progress.
 	slowness     func(i int) float64
@@ -66,7 +69,7 @@
 	t.Helper()
 	t.Logf("seed %d", seed)
 	s := &daySim{
-		t: t, day: d, now: 1000, rng: rand.New(rand.NewPCG(seed, 1)), runs: map[string][]*simRun{}, ended: map[string][]EndedRun{},
+		t: t, day: d, now: 1000, stillSince: 1000, rng: rand.New(rand.NewPCG(seed, 1)), runs: map[string][]*simRun{}, ended: map[string][]EndedRun{},
 		events: map[tmevent.Name]int{}, long: map[tmjob.TaskID]bool{}, arrived: map[string]tmclock.Millis{}, states: map[string]string{},
 	}
 	s.c = New(tmshard.Whole, testBounds(), 1, s.event)
@@ -104,9 +107,9 @@
 
 func (s *daySim) submit(n int) {
 	j := tmjob.Job{ID: fmt.Sprintf("j%d", n), Queue: "q", Team: "t", Spec: "x", Accepted: int64(s.now), Steps: []tmjob.Step{
-		{Count: 8, Size: tmjob.Resources{CPU: 1500, Mem: 1000}, Estimate: 850},
+		{Count: s.day.width, Size: tmjob.Resources{CPU: s.day.cpu, Mem: 1000}, Estimate: 850},
 	}}
-	for i := range 8 {
+	for i := range s.day.width {
 		s.long[tmjob.TaskID{Job: j.ID, Index: i}] = s.rng.Float64() < s.day.longShare
 	}
 	s.arrived[j.ID] = s.now
@@ -241,7 +244,7 @@
 func TestFailingEndpointsFailNoJobs(t *testing.T) {
 	for seed := range uint64(daySeeds) {
 		s := unevenDay{
-			endpoints: 20, jobs: 300, interval: 50, longShare: 0.03,
+			endpoints: 20, jobs: 300, interval: 50, longShare: 0.03, width: 8, cpu: 1500,
 			fails: func(i int, now tmclock.Millis) bool {
 				return i == 3 && now > 4000 && now < 9000 || (i == 8 || i == 9) && now > 8000 && now < 13000
 			},
@@ -257,7 +260,7 @@
 func TestUnevenWorkIsServed(t *testing.T) {
 	for seed := range uint64(daySeeds) {
 		s := unevenDay{
-			endpoints: 20, jobs: 300, interval: 50, longShare: 0.03,
+			endpoints: 20, jobs: 300, interval: 50, longShare: 0.03, width: 8, cpu: 1500,
 			slowness: func(i int) float64 { return map[bool]float64{true: 4, false: 1}[i == 5] },
 			hangs:    func(i int, now tmclock.Millis) bool { return i == 12 && now > 5000 && now < 9000 },
 		}.play(t, seed)
@@ -273,7 +276,7 @@
 // are started again: a task takes as long wherever it runs.
 func TestLongTasksBlameNoEndpoints(t *testing.T) {
 	for seed := range uint64(daySeeds) {
-		s := unevenDay{endpoints: 20, jobs: 300, interval: 50, longShare: 0.03}.play(t, seed)
+		s := unevenDay{endpoints: 20, jobs: 300, interval: 50, longShare: 0.03, width: 8, cpu: 1500}.play(t, seed)
 		s.report()
 		assert.Equal(t, s.failed(), 0)
 		assert.Equal(t, s.events[tmevent.TaskPlaced], 8*300)
@@ -281,5 +284,20 @@
 	}
 }
 
+// Guards against a slow endpoint that is not found because jobs have a single task, or because all
+// tasks of a step run there: steps were compared with themselves only.
+func TestSlowEndpointIsFoundAcrossSteps(t *testing.T) {
+	for seed := range uint64(daySeeds) {
+		s := unevenDay{
+			endpoints: 8, jobs: 600, interval: 50, longShare: 0.03, width: 1, cpu: 4000,
+			slowness: func(i int) float64 { return map[bool]float64{true: 4, false: 1}[i == 0] },
+		}.play(t, seed)
+		s.report()
+		assert.Equal(t, s.failed(), 0)
+		// Four tasks fit there, so that 37 ended in the same time while it was fully used.
+		assert.Assert(t, len(s.ended["e00"]) < 25, "%d of 600 tasks ended at the slow endpoint", len(s.ended["e00"]))
+	}
+}
+
 // maxFalseAlarms is how often healthy endpoints may be avoided on a day of 2,400 tasks.
 const maxFalseAlarms = 6
--- a/core/tmstraggler/health.go
+++ b/core/tmstraggler/health.go
@@ -92,6 +92,14 @@
 	TailKnown bool
 }
 
+// Mildest returns the observation with the lower ratio. The zero value stands for none.
+func (o Observation) Mildest(other Observation) Observation {
+	if other != (Observation{}) && other.Ratio <= o.Ratio {
+		return other
+	}
+	return o
+}
+
 // Health is what is known of one lifetime of an endpoint by its runs. The zero value is that
 // of an endpoint without a history.
 type Health struct {
--- a/core/tmstraggler/times.go
+++ b/core/tmstraggler/times.go
@@ -30,6 +30,9 @@
 	// maxTailShare is the share of long runs up to which they are the tail of a workload.
 	// Beyond it the workload has several kinds of tasks, of which the median shows only one.
 	maxTailShare = 0.1
+	// maxLongShare is the highest probability of a long run: at most half of the runs are above
+	// the median.
+	maxLongShare = 0.5
 )
 
 // Mean is a moving mean.
@@ -119,6 +122,11 @@
 // 3 in 100.
 func (t *Times) TailKnown() bool { return t.Count() >= 1/minTailWeight }
 
+// LongShare returns the probability that a run is long, with tasks of all kinds.
+func (t *Times) LongShare() float64 {
+	return math.Min(maxLongShare, math.Max(minTailWeight, t.longShare))
+}
+
 // TailShare returns the probability that a run is long. It is above 0, because a workload of
 // which no long run is known may have some, and at most maxTailShare, because long runs on slow
 // endpoints count as well.
