--- a/core/tmcontrol/job.go
+++ b/core/tmcontrol/job.go
@@ -6,6 +6,7 @@
 
 	"turmericmoor/core/tmclock"
 	"turmericmoor/core/tmjob"
+	"turmericmoor/core/tmstraggler"
 )
 
 // job is an accepted job that is not final, or whose last runs are still stopping.
@@ -38,6 +39,8 @@
 	failed bool
 	// hasSuspects is set once some task has become a suspect.
 	hasSuspects bool
+	// speculative is set if some step permits second copies of its tasks.
+	speculative bool
 	// overShare is set if the team was over its share when the job arrived.
 	overShare bool
 }
@@ -59,8 +62,10 @@
 	tasks []*task
 	// left counts the tasks that are not done.
 	left int
-	// took is the mean run time of the tasks that are done.
-	took movingMean
+	// took holds the run times of the tasks that are done.
+	took tmstraggler.Times
+	// blockedSince is since when the step has found no place while endpoints are avoided.
+	blockedSince tmclock.Millis
 	// advice is the answer of the placement policy, where the queue needs it.
 	advice advice
 }
@@ -71,6 +76,10 @@
 	page     *page
 	runs     int
 	failures int
+	// heldSince is since when the last attempt waits for an endpoint without recent failures.
+	heldSince tmclock.Millis
+	// hasFailed is set once this owner has seen a run fail.
+	hasFailed bool
 	// crashes counts the endpoints that have crashed under the task. suspicions tells
 	// how likely the task caused them by starting, from 0 to maxSuspicions.
 	crashes, suspicions int
@@ -154,6 +163,7 @@
 
 func newJob(spec tmjob.Job) *job {
 	j := &job{spec: spec, longRunning: spec.LongRunning(), tasksPerOccurrence: spec.Tasks(), occurrences: map[int]*occurrence{}, pages: map[int]*page{}}
+	j.speculative = slices.ContainsFunc(spec.Steps, func(s tmjob.Step) bool { return s.Speculative })
 	j.page(0)
 	return j
 }
--- a/core/tmevent/event.go
+++ b/core/tmevent/event.go
@@ -14,6 +14,8 @@
 	Advice Name = "advice"
 	// AdviceFailed: a question to the placement policy failed: step, cause.
 	AdviceFailed Name = "advice_failed"
+	// AttemptHeld: the last attempt of a task waits, for at most max_ms, for an endpoint without recent failures there and in its rack: task, failures, max_ms.
+	AttemptHeld Name = "attempt_held"
 	// BeyondShare: a job runs only on capacity that other teams leave unused, because its team has exceeded its share: job, queue, team, share, rules.
 	BeyondShare Name = "beyond_share"
 	// CallerCancel: a cancellation was answered: job, queue, outcome, took_ms.
@@ -30,8 +32,10 @@
 	ConfigInstalled Name = "config_installed"
 	// EndpointAnswers: an endpoint answers for the first time, or answers again: endpoint, runs, ends.
 	EndpointAnswers Name = "endpoint_answers"
-	// EndpointAvoided: an endpoint gets no new tasks for a time because several runs in a row failed on it: endpoint, failures, for_ms.
+	// EndpointAvoided: an endpoint gets no new tasks for a time, and then one as a trial, because several runs in a row failed on it: endpoint, failures, for_ms.
 	EndpointAvoided Name = "endpoint_avoided"
+	// EndpointCleared: an endpoint that was avoided on suspicion is fully used again: endpoint, why.
+	EndpointCleared Name = "endpoint_cleared"
 	// EndpointCrashed: the lifetime of an endpoint ended without planned work, starting is the number of tasks that may have crashed it by starting, blameless says that the cause was probably none of them: endpoint, zone, runs, starting, blameless, cause.
 	EndpointCrashed Name = "endpoint_crashed"
 	// EndpointDraining: an endpoint started draining: endpoint.
@@ -46,7 +50,7 @@
 	EndpointRestarted Name = "endpoint_restarted"
 	// EndpointSilent: a call to an endpoint got no answer: endpoint, runs, cause.
 	EndpointSilent Name = "endpoint_silent"
-	// EndpointSlow: an endpoint gets no new tasks for a time because its runs make slow progress: endpoint, held_up, runs.
+	// EndpointSlow: an endpoint gets no new tasks for a time, and then one as a trial, because its runs make slow progress (cause slow, with the highest ratio to the usual run time) or none (cause stalled): endpoint, cause, ratio, runs, for_ms.
 	EndpointSlow Name = "endpoint_slow"
 	// EndpointUnlisted: an endpoint disappeared from the list: endpoint, runs.
 	EndpointUnlisted Name = "endpoint_unlisted"
@@ -126,6 +130,8 @@
 	StoreLost Name = "store_lost"
 	// StoreRegained: following a table of the store works again: what, lost_ms.
 	StoreRegained Name = "store_regained"
+	// TaskCopied: a second copy of a straggling task was placed on an endpoint; the first, at the endpoint from, is expected to take expected_ms, others of its step took usual_ms: task, run, endpoint, from, expected_ms, usual_ms.
+	TaskCopied Name = "task_copied"
 	// TaskPaced: the pace of a best-effort task was changed: task, run, endpoint, percent, worst_of_target.
 	TaskPaced Name = "task_paced"
 	// TaskPlaced: a task was placed on an endpoint: task, run, endpoint, free_cpu, queue, team, rules, left.
@@ -147,6 +153,7 @@
 	AccessStale,
 	Advice,
 	AdviceFailed,
+	AttemptHeld,
 	BeyondShare,
 	CallerCancel,
 	CallerRefused,
@@ -156,6 +163,7 @@
 	ConfigInstalled,
 	EndpointAnswers,
 	EndpointAvoided,
+	EndpointCleared,
 	EndpointCrashed,
 	EndpointDraining,
 	EndpointIsolated,
@@ -203,6 +211,7 @@
 	StoreFailed,
 	StoreLost,
 	StoreRegained,
+	TaskCopied,
 	TaskPaced,
 	TaskPlaced,
 	TaskSuspected,
--- a/core/tmsizing/demand.go
+++ b/core/tmsizing/demand.go
@@ -4,6 +4,7 @@
 	"math"
 
 	"turmericmoor/core/tmclock"
+	"turmericmoor/core/tmstraggler"
 )
 
 const (
@@ -13,8 +14,6 @@
 	// slackShare is the fraction of their slack that jobs may wait for instances. The rest is
 	// for run times that are longer than declared.
 	slackShare = 0.25
-	// minSlackWeight is the minimum weight of the newest slack in the mean.
-	minSlackWeight = 0.05
 	// trendJobs is the number of jobs of similar work at which half of a trend is believed. A
 	// single large job is no trend, but looks like the steepest one.
 	trendJobs = 1.0
@@ -29,9 +28,8 @@
 	sum, squares float64
 	at           tmclock.Millis
 	// slack is the mean time in ms for which a job can wait and still meet its latency
-	// objective, slackCount the number of jobs in it.
-	slack      float64
-	slackCount int
+	// objective.
+	slack tmstraggler.Mean
 }
 
 // Add records work, in thousandths of a core times ms, that arrived the time age ago. Without
@@ -49,10 +47,7 @@
 }
 
 // AddSlack records for how many ms a job can wait and still meet its objective.
-func (d *Demand) AddSlack(ms float64) {
-	d.slackCount++
-	d.slack += (ms - d.slack) * max(minSlackWeight, 1/float64(d.slackCount))
-}
+func (d *Demand) AddSlack(ms float64) { d.slack.Add(ms) }
 
 // Decay advances the smoothed demand to now.
 func (d *Demand) Decay(now tmclock.Millis) {
@@ -71,7 +66,7 @@
 // Horizon returns how far ahead demand has to be forecast if an ordered instance arrives after
 // lead. It is shorter than lead, because jobs can wait for a fraction of their slack.
 func (d *Demand) Horizon(lead tmclock.Span) tmclock.Span {
-	return max(0, lead-tmclock.Span(slackShare*d.slack))
+	return max(0, lead-tmclock.Span(slackShare*d.slack.Value()))
 }
 
 // Forecast returns the expected demand at the given time from now. While demand falls, it
