core/tmcontrol: a trial on a slow endpoint that is long is followed by a longer pause

Cause: the trial of a slow endpoint ended the suspicion after 3 s although its run was long, or the next trial followed at once, so that task after task took four times as long.

Change: a long run passes no trial of an endpoint that is suspected as slow; the endpoint is avoided again when it ends, for 4 and then 8 s, as failing ones are.

--- a/core/tmcontrol/health.go
+++ b/core/tmcontrol/health.go
@@ -72,11 +72,14 @@
 	switch {
 	case reason == EndDone:
 		c.failureRate(queue).Add(false)
-		took := &r.task.step.took
-		long := r.startedAt != 0 && took.CanCompare() && took.IsLong(float64(now.Sub(r.startedAt)))
+		r.percent = 100
+		long := r.startedAt != 0 && c.isLong(r, now)
 		if e.health.Done(r.startedAt, now, long) {
 			c.clearSuspicion(e, "a run is done")
 		}
+		if s := e.health.Suspicion(); long && r == e.trial && s.Cause == tmstraggler.Slow {
+			c.suspectEndpoint(e, s, now)
+		}
 	case reason == EndFailed && !r.stop:
 		c.recordFailure(e, r.task, c.failureRate(queue), now)
 	}
@@ -110,12 +113,27 @@
 	return rate
 }
 
-// settleTrial clears an endpoint whose trial run has lasted long enough.
+// settleTrial clears an endpoint whose trial run has lasted long enough, unless the endpoint is
+// suspected of being slow and the run is long: then it has to end.
 func (c *Controller) settleTrial(e *endpoint, now tmclock.Millis) {
 	r := e.trial
-	if r != nil && r.phase == active && !r.stop && e.health.OnTrial(now) && now.Sub(r.startedAt) >= tmstraggler.TrialTime {
-		c.clearSuspicion(e, "a run has lasted")
+	if r == nil || r.phase != active || r.stop || !e.health.OnTrial(now) || now.Sub(r.startedAt) < tmstraggler.TrialTime {
+		return
+	}
+	if e.health.Suspicion().Cause == tmstraggler.Slow && c.isLong(r, now) {
+		return
+	}
+	c.clearSuspicion(e, "a run has lasted")
+}
+
+// isLong reports whether a run is expected to take far longer than others of its step, or of
+// its queue as long as few of its step are done.
+func (c *Controller) isLong(r *run, now tmclock.Millis) bool {
+	times := &r.task.step.took
+	if !times.CanCompare() {
+		times = c.runTimes[r.task.step.occ.job.spec.Queue]
 	}
+	return times != nil && times.CanCompare() && times.IsLong(r.expected(now))
 }
 
 // add adds an endpoint that may get tasks, unless suspicion forbids.
--- a/core/tmcontrol/uneven_test.go
+++ b/core/tmcontrol/uneven_test.go
@@ -294,8 +294,9 @@
 		}.play(t, seed)
 		s.report()
 		assert.Equal(t, s.failed(), 0)
-		// Four tasks fit there, so that 37 ended in the same time while it was fully used.
-		assert.Assert(t, len(s.ended["e00"]) < 25, "%d of 600 tasks ended at the slow endpoint", len(s.ended["e00"]))
+		// Four tasks fit there, so that 37 ended in the same time while it was fully used, and
+		// up to 15 while one trial followed the other.
+		assert.Assert(t, len(s.ended["e00"]) <= 12, "%d of 600 tasks ended at the slow endpoint", len(s.ended["e00"]))
 	}
 }
 
--- a/core/tmstraggler/health.go
+++ b/core/tmstraggler/health.go
@@ -30,12 +30,10 @@
 	// TroubleTime is how long after a failure or stall last attempts are kept away from an
 	// endpoint and its rack. Faults of endpoints last for several seconds.
 	TroubleTime = 5 * tmclock.Second
-	// slowAvoidTime is how long a slow or stalled endpoint is avoided before its trial.
-	slowAvoidTime = 2 * tmclock.Second
-	// failingAvoidTime is how long a failing endpoint is avoided before its first trial. It
-	// doubles with each failed trial, up to maxAvoidTime.
-	failingAvoidTime = 2 * tmclock.Second
-	maxAvoidTime     = 8 * tmclock.Second
+	// firstAvoidTime is how long an endpoint is avoided before its first trial. It doubles with
+	// each trial that is not passed, up to maxAvoidTime.
+	firstAvoidTime = 2 * tmclock.Second
+	maxAvoidTime   = 8 * tmclock.Second
 	// TrialTime is how long the run of a trial must last without a finding to pass it. Long
 	// tasks would otherwise keep an endpoint on trial until they end.
 	TrialTime = 3 * tmclock.Second
@@ -115,7 +113,7 @@
 	// on trial from then on.
 	avoidUntil  tmclock.Millis
 	suspectedAt tmclock.Millis
-	// avoidTime is the length of the last avoidance as failing, for the next one.
+	// avoidTime is the length of the last avoidance, for the next one.
 	avoidTime tmclock.Span
 }
 
@@ -235,18 +233,14 @@
 
 // suspect starts or renews the avoidance of the endpoint.
 func (h *Health) suspect(s Suspicion, now tmclock.Millis) {
-	d := slowAvoidTime
-	if s.Cause == Failing {
-		if !now.Before(h.avoidUntil) {
-			h.avoidTime = min(maxAvoidTime, max(failingAvoidTime, 2*h.avoidTime))
-		}
-		d = h.avoidTime
+	if !now.Before(h.avoidUntil) {
+		h.avoidTime = min(maxAvoidTime, max(firstAvoidTime, 2*h.avoidTime))
 	}
 	if !h.IsSuspected() || s.Compare(h.suspicion) > 0 {
 		h.suspicion = s
 	}
 	h.suspectedAt = now
-	h.avoidUntil = max(h.avoidUntil, now.Add(d))
+	h.avoidUntil = max(h.avoidUntil, now.Add(h.avoidTime))
 }
 
 // Clear ends the suspicion.
