core/tmcontrol: long-running tasks and gangs are no trials; a pool that has shrunk is used

Cause: tasks prefer an endpoint on trial, also those of which a failure costs much. When endpoints leave a pool, all that are left may be on trial, with one task each.

Change: gangs and long-running tasks rate endpoints on trial lower. A planning pass lets at most half of a pool be avoided or on trial together; those on trial are used fully first.

Tests failed without: TestTrialIsNoLongRunningTask (placed on the endpoint on trial), TestShrunkenPoolIsUsed (1 of 2 tasks started).

--- a/core/tmcontrol/health.go
+++ b/core/tmcontrol/health.go
@@ -65,6 +65,26 @@
 	return !e.onTrial || e.trial == nil && e.planned == 0
 }
 
+const (
+	// trialPreference makes tasks prefer an endpoint on trial, so that it is known soon whether
+	// it works.
+	trialPreference = 2.0
+	// troublePenalty makes tasks prefer endpoints without recent failures or stalls.
+	troublePenalty = 2.0
+)
+
+// healthScore rates e by its health as a place for a task of the step. Gangs and long-running
+// tasks are no trials: all members of a gang depend on each, and users on a long-running task.
+func (e *endpoint) healthScore(s *step) float64 {
+	switch {
+	case e.onTrial && !s.spec.Gang && !s.spec.LongRunning:
+		return trialPreference
+	case e.onTrial, e.hadTrouble:
+		return -troublePenalty
+	}
+	return 0
+}
+
 // recordHealth records the end of a run for the health of its endpoint. A run that is being
 // stopped may end in any way.
 func (c *Controller) recordHealth(e *endpoint, r *run, reason EndReason, now tmclock.Millis) {
@@ -149,12 +169,16 @@
 	}
 }
 
-// boundAvoidance returns the mildest suspects to a pool of which more than half would be
-// avoided: endpoints may have left it since.
+// boundAvoidance returns suspects to a pool of which more than half would be avoided or on trial:
+// endpoints may have left it since. Those on trial go first, then the mildest.
 func (c *Controller) boundAvoidance(p *pool) {
 	usable := len(p.endpoints) + len(p.avoided)
 	c.suspects(p.service).SetUsable(usable)
-	surplus := len(p.avoided) - usable/2
+	surplus := len(p.avoided) + len(p.onTrial) - usable/2
+	for ; surplus > 0 && len(p.onTrial) > 0; surplus-- {
+		p.onTrial[0].onTrial = false
+		p.onTrial = p.onTrial[1:]
+	}
 	if surplus <= 0 {
 		return
 	}
--- a/core/tmcontrol/health_test.go
+++ b/core/tmcontrol/health_test.go
@@ -195,3 +195,41 @@
 	assert.Assert(t, f.c.estimate("q", spec) < 2*900, "%v", f.c.estimate("q", spec))
 	assert.Assert(t, f.c.meanEstimate("q", spec) > f.c.estimate("q", spec))
 }
+
+// Guards against long-running tasks and gangs that are the trial of an endpoint that failed all it
+// started, while others have room.
+func TestTrialIsNoLongRunningTask(t *testing.T) {
+	for _, longRunning := range []bool{true, false} {
+		f := newFixture(t, 2)
+		f.singles("a", 4)
+		f.advance(10)
+		f.failRuns("e1")
+		f.finishRuns("e2")
+		f.advance(10)
+		f.finishRuns("e2")
+		f.now = f.c.endpoints["e1"].avoidUntil
+		j := oneTask("j")
+		j.Steps[0].LongRunning = longRunning
+		f.c.Submitted(j)
+		starts := f.advance(10)
+		assert.Equal(t, len(starts), 1)
+		assert.Equal(t, starts[0].Ref.Endpoint == "e2", longRunning)
+	}
+}
+
+// Guards against a pool that has shrunk to endpoints on trial, which get one task each.
+func TestShrunkenPoolIsUsed(t *testing.T) {
+	f := newFixture(t, 2)
+	f.singles("a", 4)
+	f.advance(10)
+	f.failRuns("e1")
+	f.finishRuns("e2")
+	f.advance(10)
+	f.finishRuns("e2")
+	f.now = f.c.endpoints["e1"].avoidUntil
+	info := f.endpointInfo(2)
+	info.Draining = true
+	f.c.SetEndpoint(info, f.now)
+	f.singles("b", 2)
+	assert.Equal(t, len(f.advance(10)), 2)
+}
--- a/core/tmcontrol/plan.go
+++ b/core/tmcontrol/plan.go
@@ -323,11 +323,6 @@
 	// endpoints can't leave their pool anyway, and the others become idle and can be
 	// moved to other pools.
 	longRunningPreference = 1.0
-	// trialPreference makes tasks prefer an endpoint on trial, so that it is known soon whether
-	// it works.
-	trialPreference = 2.0
-	// troublePenalty makes tasks prefer endpoints without recent failures or stalls.
-	troublePenalty = 2.0
 )
 
 // score rates e as a place for a task of the step. Fuller endpoints score higher, so
@@ -339,12 +334,7 @@
 	if e.longRunning != (tmjob.Resources{}) {
 		score += longRunningPreference
 	}
-	switch {
-	case e.onTrial:
-		score += trialPreference
-	case e.hadTrouble:
-		score -= troublePenalty
-	}
+	score += e.healthScore(s)
 	if s.spec.LongRunning {
 		// The loss of one endpoint should leave half of the step's tasks running.
 		score -= spreadPenalty * float64(e.stepRuns[s]/((s.spec.Count+1)/2))
