--- a/core/tmcontrol/health.go
+++ b/core/tmcontrol/health.go
@@ -65,6 +65,26 @@
 	return !e.onTrial || e.trial == nil && e.planned == 0
 }
 
+const (
+	// trialPreference makes tasks prefer an endpoint on trial, so that it is known soon whether
+	// it works.
+	trialPreference = 2.0
+	// troublePenalty makes tasks prefer endpoints without recent failures or stalls.
+	troublePenalty = 2.0
+)
+
+// healthScore rates e by its health as a place for a task of the step. Gangs and long-running
+// tasks are no trials: all members of a gang depend on each, and users on a long-running task.
+func (e *endpoint) healthScore(s *step) float64 {
+	switch {
+	case e.onTrial && !s.spec.Gang && !s.spec.LongRunning:
+		return trialPreference
+	case e.onTrial, e.hadTrouble:
+		return -troublePenalty
+	}
+	return 0
+}
+
 // recordHealth records the end of a run for the health of its endpoint. A run that is being
 // stopped may end in any way.
 func (c *Controller) recordHealth(e *endpoint, r *run, reason EndReason, now tmclock.Millis) {
@@ -72,11 +92,14 @@
 	switch {
 	case reason == EndDone:
 		c.failureRate(queue).Add(false)
-		took := &r.task.step.took
-		long := r.startedAt != 0 && took.CanCompare() && took.IsLong(float64(now.Sub(r.startedAt)))
+		r.percent = 100
+		long := r.startedAt != 0 && c.isLong(r, now)
 		if e.health.Done(r.startedAt, now, long) {
 			c.clearSuspicion(e, "a run is done")
 		}
+		if s := e.health.Suspicion(); long && r == e.trial && s.Cause == tmstraggler.Slow {
+			c.suspectEndpoint(e, s, now)
+		}
 	case reason == EndFailed && !r.stop:
 		c.recordFailure(e, r.task, c.failureRate(queue), now)
 	}
@@ -110,12 +133,27 @@
 	return rate
 }
 
-// settleTrial clears an endpoint whose trial run has lasted long enough.
+// settleTrial clears an endpoint whose trial run has lasted long enough, unless the endpoint is
+// suspected of being slow and the run is long: then it has to end.
 func (c *Controller) settleTrial(e *endpoint, now tmclock.Millis) {
 	r := e.trial
-	if r != nil && r.phase == active && !r.stop && e.health.OnTrial(now) && now.Sub(r.startedAt) >= tmstraggler.TrialTime {
-		c.clearSuspicion(e, "a run has lasted")
+	if r == nil || r.phase != active || r.stop || !e.health.OnTrial(now) || now.Sub(r.startedAt) < tmstraggler.TrialTime {
+		return
+	}
+	if e.health.Suspicion().Cause == tmstraggler.Slow && c.isLong(r, now) {
+		return
 	}
+	c.clearSuspicion(e, "a run has lasted")
+}
+
+// isLong reports whether a run is expected to take far longer than others of its step, or of
+// its queue as long as few of its step are done.
+func (c *Controller) isLong(r *run, now tmclock.Millis) bool {
+	times := &r.task.step.took
+	if !times.CanCompare() {
+		times = c.runTimes[r.task.step.occ.job.spec.Queue]
+	}
+	return times != nil && times.CanCompare() && times.IsLong(r.expected(now))
 }
 
 // add adds an endpoint that may get tasks, unless suspicion forbids.
@@ -131,12 +169,16 @@
 	}
 }
 
-// boundAvoidance returns the mildest suspects to a pool of which more than half would be
-// avoided: endpoints may have left it since.
+// boundAvoidance returns suspects to a pool of which more than half would be avoided or on trial:
+// endpoints may have left it since. Those on trial go first, then the mildest.
 func (c *Controller) boundAvoidance(p *pool) {
 	usable := len(p.endpoints) + len(p.avoided)
 	c.suspects(p.service).SetUsable(usable)
-	surplus := len(p.avoided) - usable/2
+	surplus := len(p.avoided) + len(p.onTrial) - usable/2
+	for ; surplus > 0 && len(p.onTrial) > 0; surplus-- {
+		p.onTrial[0].onTrial = false
+		p.onTrial = p.onTrial[1:]
+	}
 	if surplus <= 0 {
 		return
 	}
