core/tmcontrol: copies only of tasks on suspected endpoints

Cause: most tasks that take far longer than the others of their step are long by themselves, and take as long elsewhere. Copies of them took capacity and ended no job sooner.

Seen to fail before: TestNoCopyFromASoundEndpoint.

--- a/core/tmcontrol/copy.go
+++ b/core/tmcontrol/copy.go
@@ -39,7 +39,8 @@
 }
 
 // needsCopy reports whether a second copy of a task would probably end before the run that is
-// under way. The failures of both must not use up the last of its attempts.
+// under way, on an endpoint that is suspected: a task that is long by itself takes as long
+// elsewhere. The failures of both must not use up the last of its attempts.
 func (t *task) needsCopy(attempts int, now tmclock.Millis) bool {
 	s := t.step
 	if !s.spec.Speculative || s.spec.Gang || s.spec.LongRunning || s.spec.BestEffort || t.done || len(t.active) != 1 || t.crashes > 0 {
@@ -49,7 +50,7 @@
 		return false
 	}
 	r := t.active[0]
-	if r.phase != active || r.stop || r.startedAt == 0 || r.percent >= 100 {
+	if !r.ep.health.IsSuspected() || r.phase != active || r.stop || r.startedAt == 0 || r.percent >= 100 {
 		return false
 	}
 	ran := now.Sub(r.startedAt)
