core/tmcontrol: placements avoid workloads that slow each other down

Cause: placements packed tasks beside whatever ran there, however much it slowed them.

Change: finished runs and the tail latencies of tasks that serve users go to the estimator; score lowers the rating of an endpoint by the time that the task and those already there would lose to each other, weighed against packing, below data and spread. It orders endpoints with room and excludes none. Effects are read once a second. Events interference_found, interference_gone (per pair at most one in 10 s, one a second in total) and placements_changed. interferingTasks moved to neighbour.go and reads the counts of the endpoint instead of its runs.

How the tests were seen to fail: with interferenceWeight 0 TestDisturbedJobsEndSooner and TestPenaltyIsLessThanDataAndSpread; with endpoints excluded that have a penalty TestNothingWaitsInAFullPool (a task that fits waits).

--- a/core/tmcontrol/bench_test.go
+++ b/core/tmcontrol/bench_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"testing"
 	"time"
 
@@ -9,6 +11,7 @@
 
 	"turmericmoor/core/tmclock"
 	"turmericmoor/core/tmevent"
+	"turmericmoor/core/tminterference"
 	"turmericmoor/core/tmjob"
 	"turmericmoor/core/tmshard"
 )
@@ -113,6 +116,45 @@
 	}
 }
 
+// BenchmarkPlanBurst places 200 tasks in one pass, 40 in each of five pools.
+func BenchmarkPlanBurst(b *testing.B) {
+	for _, n := range []int{350, 3000} {
+		b.Run(fmt.Sprintf("%d_endpoints", n), func(b *testing.B) {
+			for range b.N {
+				b.StopTimer()
+				c, now := benchFleet(n, 100)
+				c.window.limit = maxStartWindow
+				b.StartTimer()
+				c.Plan(now, 1000)
+			}
+		})
+	}
+}
+
+// BenchmarkChooseBesideOthers chooses among 350 endpoints with six workloads each.
+func BenchmarkChooseBesideOthers(b *testing.B) {
+	effects := map[string][]tminterference.Effect{
+		"nothing_known":    nil,
+		"others_disturb":   {{Workload: "w1", Beside: "w2", Slowdown: 2}},
+		"workload_suffers": {{Workload: "q0", Beside: "w2", Slowdown: 2}},
+	}
+	for _, name := range slices.Sorted(maps.Keys(effects)) {
+		b.Run(name, func(b *testing.B) {
+			c, now := benchFleet(5*350, 1)
+			c.neighbours.costs, c.neighbours.version = tminterference.CostsOf(effects[name]), 1
+			p, s := c.pools(now)["s0"], c.openJobs[0].occurrences[0].steps[0]
+			for _, e := range p.endpoints {
+				for i := range 6 {
+					e.place.Enter(fmt.Sprintf("w%d", i), now)
+				}
+			}
+			for b.Loop() {
+				c.choose(s, p, now)
+			}
+		})
+	}
+}
+
 // Guards against an owner whose passes take the longer the more it has placed: with 600 runs
 // on each of 21 endpoints a choice took over a millisecond, and no renewal came in time.
 func TestCostOfAChoiceDoesNotGrowWithTheRuns(t *testing.T) {
--- a/core/tmcontrol/controller.go
+++ b/core/tmcontrol/controller.go
@@ -83,6 +83,8 @@
 	// those within the last crashRetention.
 	newCrashes, recentCrashes []*crash
 
+	neighbours neighbours
+
 	fleet fleet
 	// quotas holds the shard's parts of the limits of teams, nil if the fleet is not
 	// divided.
@@ -96,7 +98,7 @@
 		shard: shard, bounds: bounds, token: token, emit: emit,
 		jobs: map[string]*job{}, endpoints: map[string]*endpoint{}, onInstance: map[string][]*endpoint{}, finalAt: map[string]tmclock.Millis{},
 		now: 1, teams: map[string]tmjob.Resources{}, shares: map[string]*shareMeter{}, zonesOut: map[string]bool{},
-		runTimes: map[string]*movingMean{}, window: newStartWindow(),
+		runTimes: map[string]*movingMean{}, window: newStartWindow(), neighbours: newNeighbours(),
 		fleet: newFleet(),
 	}
 	if !shard.IsWhole() {
@@ -318,6 +320,7 @@
 	}
 	t.addRun(r)
 	e.addRun(r)
+	c.enterPlace(r)
 	c.teams[r.team] = c.teams[r.team].Add(r.size)
 	return r
 }
@@ -328,6 +331,7 @@
 		return
 	}
 	r.ep.dropRun(r)
+	c.leavePlace(r)
 	c.markAnswered(r)
 	c.teams[r.team] = c.teams[r.team].Sub(r.size)
 	r.task.removeRun(r)
--- a/core/tmcontrol/endpoint.go
+++ b/core/tmcontrol/endpoint.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"turmericmoor/core/tmclock"
+	"turmericmoor/core/tminterference"
 	"turmericmoor/core/tmjob"
 )
 
@@ -74,6 +75,8 @@
 	lapsed []*run
 	// failures counts the consecutive runs that failed here.
 	failures int
+	// place records which workloads are present here and how slow the endpoint is.
+	place *tminterference.Place
 	// gone is set once the lifetime has ended.
 	gone bool
 }
@@ -84,7 +87,7 @@
 }
 
 func newEndpoint(info EndpointInfo) *endpoint {
-	return &endpoint{info: info, listed: true, runs: map[runKey]*run{}, stepRuns: map[*step]int{}}
+	return &endpoint{info: info, listed: true, runs: map[runKey]*run{}, stepRuns: map[*step]int{}, place: tminterference.NewPlace()}
 }
 
 // addEndpoint adds an endpoint that is not known yet.
--- a/core/tmcontrol/estimate.go
+++ b/core/tmcontrol/estimate.go
@@ -37,6 +37,7 @@
 	took := float64(now.Sub(r.startedAt))
 	s.took.add(took)
 	t.add(took)
+	c.observeRun(r, took, now)
 }
 
 func (t *movingMean) add(v float64) {
--- a/core/tmcontrol/hold.go
+++ b/core/tmcontrol/hold.go
@@ -126,6 +126,7 @@
 	if e == nil || e.gone || e.isOvertaken(response) {
 		return false
 	}
+	c.neighbours.reached(now)
 	news = len(response.Ended) > 0 || !e.answering
 	list := response.list(sentAt)
 	if response.StartedAt > e.info.StartedAt && e.info.StartedAt != 0 || e.tokenAccepted && response.Clock < e.clock {
@@ -221,6 +222,7 @@
 		r.progressedAt = now
 	}
 	r.percent, r.usage = a.Percent, a.Usage
+	c.observeServing(r, now)
 	r.task.setCheckpoint(a.Checkpoint)
 	if r.stop {
 		c.sendStop(r, now)
--- a/core/tmcontrol/job.go
+++ b/core/tmcontrol/job.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"turmericmoor/core/tmclock"
+	"turmericmoor/core/tminterference"
 	"turmericmoor/core/tmjob"
 )
 
@@ -61,6 +62,10 @@
 	left int
 	// took is the mean run time of the tasks that are done.
 	took movingMean
+	// costs is what a task of the step and those beside it lose to each other, as of
+	// costsVersion. It is nil if nothing is known.
+	costs        *tminterference.Costs
+	costsVersion int64
 	// advice is the answer of the placement policy, where the queue needs it.
 	advice advice
 }
@@ -139,11 +144,13 @@
 	isolated, counted bool
 	percent           int
 	// progressedAt is when percent last changed.
-	progressedAt  tmclock.Millis
-	usage         int64
-	pace          int
-	pacedAt       tmclock.Millis
-	ticket        string
+	progressedAt tmclock.Millis
+	usage        int64
+	pace         int
+	pacedAt      tmclock.Millis
+	ticket       string
+	// mark is the moment from which the neighbours of the run count.
+	mark          tminterference.Mark
 	stop          bool
 	stopSentAt    tmclock.Millis
 	stopConfirmed bool
--- a/core/tmcontrol/lifetime.go
+++ b/core/tmcontrol/lifetime.go
@@ -83,6 +83,7 @@
 	e.leaseExpiry = c.now.Add(maxLeaseTime(c.bounds.MaxLease))
 	e.gone, e.reserved, e.ending, e.failures = false, false, false, 0
 	e.isolated = nil
+	e.place.Restarted()
 	for _, r := range lost {
 		if r.mayStartLate(list) {
 			c.stopLateStart(r)
--- a/core/tmcontrol/plan.go
+++ b/core/tmcontrol/plan.go
@@ -200,6 +200,7 @@
 	}
 	var e *endpoint
 	if !p.knownTooLarge(spec.Reservation()) {
+		c.neighbours.beginSearch()
 		e = c.choose(t.step, p, now)
 		if e == nil && !p.fitsAny(spec.Reservation()) {
 			p.tooLarge = append(p.tooLarge, spec.Reservation())
@@ -212,6 +213,7 @@
 		}
 		return false
 	}
+	c.neighbours.countChange(e)
 	c.assign(t, e, t.runs+1)
 	return true
 }
@@ -318,20 +320,7 @@
 		score += rackPreference
 	}
 	if s.spec.BestEffort || s.spec.LatencyTarget > 0 {
-		score -= float64(c.interferingTasks(e, s.spec.BestEffort))
+		score -= float64(interferingTasks(e, s.spec.BestEffort))
 	}
-	return score
-}
-
-// interferingTasks counts the tasks at e that a best-effort task would interfere
-// with, or the best-effort tasks that would interfere with a task that serves users.
-func (c *Controller) interferingTasks(e *endpoint, bestEffort bool) int {
-	n := 0
-	for _, r := range e.runs {
-		other := r.task.step.spec
-		if bestEffort && other.LatencyTarget > 0 || !bestEffort && other.BestEffort {
-			n++
-		}
-	}
-	return n
+	return c.weighNeighbours(s, e, score)
 }
--- a/core/tmcontrol/tick.go
+++ b/core/tmcontrol/tick.go
@@ -7,6 +7,7 @@
 func (c *Controller) Tick(now tmclock.Millis, wall int64) {
 	c.now = now
 	c.pruneFinal(now)
+	c.refreshEffects(now)
 	c.dropSlowStarts(now)
 	for _, e := range c.endpoints {
 		if len(e.runs) > 0 && !e.answering && now.After(e.leaseExpiry) {
--- a/core/tmevent/event.go
+++ b/core/tmevent/event.go
@@ -56,6 +56,10 @@
 	InstanceOrder Name = "instance_order"
 	// InstancesFailed: the list of instances could not be read: what, cause.
 	InstancesFailed Name = "instances_failed"
+	// InterferenceFound: tasks of a workload take that many times as long beside those of another, on the evidence of that many runs beside them, and placements take it into account: workload, beside, slowdown, evidence_runs.
+	InterferenceFound Name = "interference_found"
+	// InterferenceGone: a slowdown that was found no longer counts: workload, beside, slowdown.
+	InterferenceGone Name = "interference_gone"
 	// JobFinal: a job reached its final state: job, queue, team, state, cause.
 	JobFinal Name = "job_final"
 	// LayoutFailed: the number of shards could not be decided yet: cause.
@@ -88,6 +92,8 @@
 	OwnerWon Name = "owner_won"
 	// PageRefused: the store refused the row of some tasks of a job, which don't start until their row can be stored: job, page, tasks.
 	PageRefused Name = "page_refused"
+	// PlacementsChanged: tasks were placed on other endpoints because of interference, since the last such line and in total: placements, total, effects.
+	PlacementsChanged Name = "placements_changed"
 	// PoolSized: the size or the wanted size of a pool changed: pool, have, want, idle, need_cpu, forecast_cpu.
 	PoolSized Name = "pool_sized"
 	// RecordIgnored: stored progress matches no task of its job: job, step, index.
@@ -164,6 +170,8 @@
 	InstanceMoves,
 	InstanceOrder,
 	InstancesFailed,
+	InterferenceFound,
+	InterferenceGone,
 	JobFinal,
 	LayoutFailed,
 	LayoutKnown,
@@ -180,6 +188,7 @@
 	OwnerSeen,
 	OwnerWon,
 	PageRefused,
+	PlacementsChanged,
 	PoolSized,
 	RecordIgnored,
 	RenewalFailed,
--- a/core/tminterference/estimator_test.go
+++ b/core/tminterference/estimator_test.go
@@ -190,3 +190,34 @@
 	}
 	w.assertFound(t)
 }
+
+// BenchmarkObserve observes runs beside five other workloads.
+func BenchmarkObserve(b *testing.B) {
+	w := newWorld(1)
+	o := Observation{Workload: "w0", Weight: 1, Place: w.places[0], Millis: 500}
+	for i := range 5 {
+		o.Neighbours = append(o.Neighbours, Neighbour{Workload: name(i), Share: 0.5})
+	}
+	for b.Loop() {
+		w.est.Observe(o, w.clock.Now())
+	}
+}
+
+// BenchmarkEffects looks at as many pairs as are kept.
+func BenchmarkEffects(b *testing.B) {
+	e, place := New(), NewPlace()
+	for i := range MaxWorkloads {
+		o := Observation{Workload: name(i), Weight: 1, Place: place, Millis: 500}
+		for k := range MaxPairs / MaxWorkloads {
+			o.Neighbours = append(o.Neighbours, Neighbour{Workload: name(k), Share: 1})
+		}
+		for range 20 {
+			e.Observe(o, 1)
+		}
+	}
+	_, pairs := e.Size()
+	assert.Equal(b, pairs, MaxPairs)
+	for b.Loop() {
+		e.Effects(1000)
+	}
+}
