core/tmcontrol, io/tmmetrics: interference in the dump and the metrics

Cause: operators could not see what an owner has learned about workloads that slow each other down, nor how often it placed otherwise because of it.

Change: the dump lists the effects in force (at most 64) and the placements changed; metrics interference_slowdown and interference_changed_placements_total. Log lines about pairs: new ones go first, then those reported longest ago, so that no pair is left out for good. The estimates belong to an owner; the next one learns anew, and a test says what is lost.

--- a/core/tmcontrol/dump.go
+++ b/core/tmcontrol/dump.go
@@ -52,6 +52,9 @@
 	Open        []JobDump
 	Endpoints   []EndpointDump
 	Waves       []WaveDump
+	// Interference is what this owner has learned about workloads that slow each other
+	// down.
+	Interference InterferenceDump
 	// Waiting is the number of jobs without a started task by queue, Pools sums up
 	// endpoints by pool, and Teams is what teams have running. These are complete.
 	Waiting map[string]int
@@ -89,7 +92,7 @@
 func (c *Controller) Dump() Dump {
 	d := Dump{
 		Token: c.token, Rules: c.rules.Version, Jobs: len(c.jobs), Waiting: c.Waiting(), StartWindow: c.window.size(),
-		Pools: map[string]PoolDump{}, Teams: map[string]tmjob.Resources{},
+		Interference: c.neighbours.dump(), Pools: map[string]PoolDump{}, Teams: map[string]tmjob.Resources{},
 	}
 	for team, used := range c.teams {
 		if team != "" {
--- a/core/tmcontrol/neighbour.go
+++ b/core/tmcontrol/neighbour.go
@@ -136,6 +136,7 @@
 		return
 	}
 	n.refreshedAt = now
+	c.reportChanged(now)
 	before := len(n.effects)
 	n.effects = n.estimator.Effects(now)
 	if before == 0 && len(n.effects) == 0 && len(n.reports) == 0 {
@@ -144,7 +145,6 @@
 	n.costs = tminterference.CostsOf(n.effects)
 	n.version++
 	c.reportEffects(now)
-	c.reportChanged(now)
 }
 
 // weighNeighbours lowers the score of e for a task of the step by what the task and those at
@@ -177,34 +177,45 @@
 	}
 }
 
-// reportEffects logs the effects that are new, have changed or no longer count.
+// reportEffects logs the effects that are new, have changed or no longer count. If there are
+// too many, new ones go first, then those that were reported longest ago.
 func (c *Controller) reportEffects(now tmclock.Millis) {
 	n := &c.neighbours
 	current := map[[2]string]tminterference.Effect{}
 	for _, e := range n.effects {
 		current[[2]string{e.Workload, e.Beside}] = e
 	}
+	fresh := c.reportNew(now)
 	kept := n.reports[:0]
 	for _, r := range n.reports {
-		key := [2]string{r.workload, r.beside}
-		e, counts := current[key]
-		delete(current, key)
-		if now.Sub(r.at) < reportInterval || counts && !r.isOutdated(e) || !n.mayReport(now) {
+		e, counts := current[[2]string{r.workload, r.beside}]
+		switch {
+		case now.Sub(r.at) < reportInterval || counts && !r.isOutdated(e) || !n.mayReport(now):
 			kept = append(kept, r)
-			continue
+		case counts:
+			fresh = append(fresh, c.reportEffect(e, now))
+		default:
+			c.event(tmevent.InterferenceGone, "workload", r.workload, "beside", r.beside, "slowdown", r.slowdown)
 		}
-		if counts {
-			kept = append(kept, c.reportEffect(e, now))
-			continue
-		}
-		c.event(tmevent.InterferenceGone, "workload", r.workload, "beside", r.beside, "slowdown", r.slowdown)
 	}
-	n.reports = kept
+	n.reports = append(kept, fresh...)
+	n.reports = n.reports[max(0, len(n.reports)-tminterference.MaxPairs):]
+}
+
+// reportNew logs the effects that have no report yet and returns their reports.
+func (c *Controller) reportNew(now tmclock.Millis) []interferenceReport {
+	n := &c.neighbours
+	reported := map[[2]string]bool{}
+	for _, r := range n.reports {
+		reported[[2]string{r.workload, r.beside}] = true
+	}
+	var fresh []interferenceReport
 	for _, e := range n.effects {
-		if _, isNew := current[[2]string{e.Workload, e.Beside}]; isNew && n.mayReport(now) {
-			n.reports = append(n.reports, c.reportEffect(e, now))
+		if !reported[[2]string{e.Workload, e.Beside}] && n.mayReport(now) {
+			fresh = append(fresh, c.reportEffect(e, now))
 		}
 	}
+	return fresh
 }
 
 func (c *Controller) reportEffect(e tminterference.Effect, now tmclock.Millis) interferenceReport {
@@ -238,3 +249,22 @@
 	}
 	return e.bestEffort
 }
+
+// maxDumpedEffects limits the effects of a dump, and with it the series of a metric.
+const maxDumpedEffects = 64
+
+// InterferenceDump describes what an owner has learned about interference.
+type InterferenceDump struct {
+	// Workloads and Pairs are the numbers of workloads and pairs that it has figures for.
+	Workloads, Pairs int
+	// Effects are those that placements take into account, the strongest first.
+	Effects []tminterference.Effect
+	// Changed is the number of placements that were changed since the owner took over.
+	Changed int64
+}
+
+func (n *neighbours) dump() InterferenceDump {
+	d := InterferenceDump{Changed: n.changed, Effects: n.effects[:min(len(n.effects), maxDumpedEffects)]}
+	d.Workloads, d.Pairs = n.estimator.Size()
+	return d
+}
--- a/core/tmcontrol/neighbour_test.go
+++ b/core/tmcontrol/neighbour_test.go
@@ -212,6 +212,15 @@
 	}
 }
 
+// drain lets all jobs end.
+func (s *simulatedPool) drain() {
+	load := s.load
+	for s.load = 0; len(s.left) > 0; {
+		s.step()
+	}
+	s.load = load
+}
+
 // forgets keeps the controller from using what it learns.
 func (s *simulatedPool) forgets() { s.c.neighbours.refreshedAt = math.MaxInt64 / 2 }
 
@@ -280,6 +289,76 @@
 	assert.Assert(t, len(s.left) > 100, "the pool is not full")
 }
 
+// Guards against an owner whose dump hides why it places as it does, and against one that
+// changes hands with the estimates: the next owner places as if nothing were known until it
+// has learned anew, so that for a time disturbed jobs take as long as without the estimator.
+// Nothing else is lost: no job, and no count of attempts.
+func TestNextOwnerLearnsAnew(t *testing.T) {
+	s := newSimulatedPool(t, 1, 0.5, disturbances)
+	s.run(30 * tmclock.Second)
+	known := s.c.Dump().Interference
+	assert.Equal(t, len(known.Effects), 2)
+	assert.Equal(t, known.Effects[0].Workload+" "+known.Effects[0].Beside, "q3 q2")
+	assert.Assert(t, known.Changed > 0 && known.Pairs == 36 && known.Workloads == 6, "%+v", known)
+	assert.Assert(t, s.events[tmevent.InterferenceFound] >= 2 && s.events[tmevent.PlacementsChanged] > 0)
+
+	s.drain()
+	s.newOwner(2)
+	lost := s.c.Dump().Interference
+	assert.Assert(t, lost.Workloads == 0 && lost.Pairs == 0 && len(lost.Effects) == 0 && lost.Changed == 0)
+	s.run(10 * tmclock.Second)
+	t.Log("after 10 s:", s.c.Dump().Interference)
+	s.run(20 * tmclock.Second)
+	assert.Equal(t, len(s.c.Dump().Interference.Effects), 2)
+}
+
+// Guards against runs that an earlier owner started, of which the next knows only when it saw
+// them first: they would count as short.
+func TestRunOfAnEarlierOwnerIsNoEvidence(t *testing.T) {
+	f := newFixture(t, 1)
+	f.c.Submitted(oneTask("j"))
+	ref := f.advance(10)[0].Ref
+	stored := storedProgress(f.c.jobs["j"])
+	f.c = f.newController(2)
+	f.c.SetEndpoint(f.endpointInfo(1), f.now)
+	f.c.Submitted(oneTask("j"))
+	f.c.Restore(stored, f.now)
+	f.c.Loaded()
+	f.answerHold("e1")
+	f.now += 1000
+	f.end("e1", ref.Task, ref.Run, EndDone)
+	workloads, _ := f.c.neighbours.estimator.Size()
+	assert.Equal(t, workloads, 0)
+	assert.Equal(t, f.c.runTimes["q"].count, 1)
+}
+
+// Guards against a log that fills with lines about pairs, and against a pair that is never
+// reported because others came first.
+func TestReportsOfPairsAreLimited(t *testing.T) {
+	f := newFixture(t, 1)
+	lines := 0
+	f.c.emit = func(tmevent.Event) { lines++ }
+	n := &f.c.neighbours
+	for i := range 40 {
+		n.effects = append(n.effects, tminterference.Effect{Workload: fmt.Sprint(i), Beside: "x", Slowdown: 2})
+	}
+	const seconds = 60
+	for i := range seconds {
+		for k := range n.effects {
+			n.effects[k].Slowdown = 2 + 2*float64(i%2)
+		}
+		f.c.reportEffects(f.now.Add(tmclock.Span(i) * tmclock.Second))
+	}
+	assert.Assert(t, lines <= seconds+reportBurst, "%d lines", lines)
+	assert.Equal(t, len(n.reports), 40)
+	n.effects, lines = nil, 0
+	for i := range seconds {
+		f.c.reportEffects(f.now.Add(tmclock.Span(seconds+i) * tmclock.Second))
+	}
+	assert.Equal(t, lines, 40)
+	assert.Equal(t, len(n.reports), 0)
+}
+
 // Guards against a penalty that keeps a task from its data, or that spreads the tasks of a
 // long-running step less.
 func TestPenaltyIsLessThanDataAndSpread(t *testing.T) {
--- a/io/tmmetrics/state.go
+++ b/io/tmmetrics/state.go
@@ -14,6 +14,7 @@
 	ready, owner, ownedShards                       *prometheus.Desc
 	token, rulesVersion, openJobs, startWindow      *prometheus.Desc
 	waitingJobs, endpoints, runs, teamCPU, waveOpen *prometheus.Desc
+	slowdown, changedPlacements                     *prometheus.Desc
 }
 
 func newStateCollector(node Source) *stateCollector {
@@ -33,7 +34,10 @@
 		endpoints:    desc("endpoints", "Endpoints by pool and whether they answer.", "pool", "answers", "shard"),
 		runs:         desc("runs", "Runs by pool.", "pool", "shard"),
 		teamCPU:      desc("team_cpu_cores", "Processor share that a team has running.", "team", "shard"),
-		waveOpen:     desc("wave_open_instances", "Instances of a wave that are not done.", "wave", "shard"),
+		slowdown:     desc("interference_slowdown", "How many times as long tasks of a workload take beside another, where placements consider it.", "workload", "beside", "shard"),
+		changedPlacements: desc("interference_changed_placements_total",
+			"Placements that were changed because of interference since the owner took over.", "shard"),
+		waveOpen: desc("wave_open_instances", "Instances of a wave that are not done.", "wave", "shard"),
 	}
 }
 
@@ -41,6 +45,7 @@
 func (s *stateCollector) Describe(ch chan<- *prometheus.Desc) {
 	for _, d := range []*prometheus.Desc{
 		s.ready, s.owner, s.ownedShards, s.token, s.rulesVersion, s.openJobs, s.startWindow, s.waitingJobs, s.endpoints, s.runs, s.teamCPU, s.waveOpen,
+		s.slowdown, s.changedPlacements,
 	} {
 		ch <- d
 	}
@@ -60,6 +65,7 @@
 		collectShard(s, dump, func(d *prometheus.Desc, v float64, labels ...string) {
 			gauge(d, v, append(labels, strconv.Itoa(shard))...)
 		})
+		ch <- prometheus.MustNewConstMetric(s.changedPlacements, prometheus.CounterValue, float64(dump.Interference.Changed), strconv.Itoa(shard))
 	}
 }
 
@@ -80,6 +86,9 @@
 	for team, used := range dump.Teams {
 		gauge(s.teamCPU, float64(used.CPU)/1000, team)
 	}
+	for _, e := range dump.Interference.Effects {
+		gauge(s.slowdown, e.Slowdown, e.Workload, e.Beside)
+	}
 	for _, w := range dump.Waves {
 		gauge(s.waveOpen, float64(w.Total-w.Done), w.Name)
 	}
