core/tminterference: runs of one job count for less than independent ones

Cause: the tasks of a long job are all longer than is usual, and some run beside the same neighbours.

Ruled out: a term of the model for the size of the job.

Change: a run of a step with n tasks weighs 1/(1+(n-1)r), r being the correlation of the runs of a step, measured over all pairs of runs. An effect counts from 5.5 standard deviations on instead of 4.5.

--- a/core/tmcontrol/job.go
+++ b/core/tmcontrol/job.go
@@ -62,6 +62,8 @@
 	left int
 	// took is the mean run time of the tasks that are done.
 	took movingMean
+	// group tells whether the tasks of the step take alike.
+	group tminterference.Group
 	// costs is what a task of the step and those beside it lose to each other, as of
 	// costsVersion. It is nil if nothing is known.
 	costs        *tminterference.Costs
--- a/core/tmcontrol/neighbour.go
+++ b/core/tmcontrol/neighbour.go
@@ -97,14 +97,13 @@
 
 // observeRun learns from the time that a run took. The time of a run that an earlier owner
 // started is not known, that of a best-effort task depends on its pace and that of the
-// member of a gang on the others. Tasks of one step that run side by side are alike, so that
-// they count little more than one.
+// member of a gang on the others.
 func (c *Controller) observeRun(r *run, took float64, now tmclock.Millis) {
 	s := r.task.step
 	if r.sentAt == 0 || s.spec.BestEffort || s.spec.Gang {
 		return
 	}
-	c.observe(r, took, 1/float64(max(1, r.ep.stepRuns[s])), now)
+	c.observe(r, took, 1, now)
 }
 
 // observeServing learns from the tail latency of a task that serves users. The processor
@@ -125,6 +124,7 @@
 	n.scratch = r.ep.place.Since(r.mark, name, n.now, n.scratch[:0])
 	n.estimator.Observe(tminterference.Observation{
 		Workload: name, Millis: millis, Weight: weight, Neighbours: n.scratch, Place: r.ep.place,
+		Group: &r.task.step.group, GroupSize: r.task.step.spec.Count,
 	}, now)
 }
 
--- a/core/tminterference/estimator.go
+++ b/core/tminterference/estimator.go
@@ -54,6 +54,11 @@
 	firstNoise  = 0.1
 	minNoise    = 0.0025
 	noiseWeight = 0.02
+	// assumedPairs is the number of pairs of runs of one group that a new workload is
+	// assumed to have shown as fully alike, pairDecay how much each observation takes off
+	// what earlier pairs have shown.
+	assumedPairs = 10
+	pairDecay    = 0.002
 	// clipDeviations is the number of standard deviations of the noise beyond which a
 	// difference is clipped, 1.5 as is usual for Huber's estimator.
 	clipDeviations = 1.5
@@ -64,8 +69,9 @@
 	// to the one that is not (Huber's proposal 2).
 	clippedVariance = 0.778
 	// minConfidence is the number of standard deviations by which an effect must differ
-	// from none. 3.5 let some pairs through by chance in the simulations of the tests.
-	minConfidence = 4.5
+	// from none. With 4.5 some pairs counted by chance in simulations of jobs of varying
+	// sizes.
+	minConfidence = 5.5
 )
 
 // figure is an estimated logarithm with its precision.
@@ -110,7 +116,10 @@
 	first  []float64
 	// noise is the variance of the times that the model doesn't explain.
 	noise float64
-	pairs map[string]*pair
+	// products is the sum of the products of the differences of two runs of a group, in
+	// units of noise, and productCount their number.
+	products, productCount float64
+	pairs                  map[string]*pair
 }
 
 // pair is the effect of one workload on another.
@@ -143,14 +152,24 @@
 	Share    float64
 }
 
+// Group stands for runs that may be alike, for example those of one step of a job, which
+// are all longer or shorter than is usual for the workload. The zero value is a new group.
+type Group struct {
+	// sum is the sum of the differences of its runs, count their number.
+	sum, count float64
+}
+
 // Observation is the time that something took: a whole run, or the response time of a
 // task that serves users.
 type Observation struct {
 	Workload string
 	Millis   float64
-	// Weight is the number of independent runs that the observation counts for, at most 1.
+	// Weight is the number of runs that the observation counts for, at most 1.
 	Weight     float64
 	Neighbours []Neighbour
+	// Group is that of the run, nil for none, and GroupSize the number of its runs.
+	Group     *Group
+	GroupSize int
 	// Place is where it was observed.
 	Place *Place
 }
@@ -179,7 +198,7 @@
 	}
 	limit := clipDeviations * math.Sqrt(w.noise)
 	difference = max(-limit, min(limit, difference))
-	weight := min(o.Weight, 1)
+	weight := min(o.Weight, 1) * w.independence(o.Group, o.GroupSize, difference)
 	for i, p := range pairs {
 		if p != nil {
 			p.effect.learn(difference, o.Neighbours[i].Share, total, weight)
@@ -187,7 +206,23 @@
 	}
 	w.centre.learn(difference, 1, total, weight)
 	o.Place.slowness.learn(difference, 1, total, weight)
-	w.noise = max(minNoise, w.noise+noiseWeight*weight*(difference*difference/clippedVariance-w.noise))
+	w.noise = max(minNoise, w.noise+noiseWeight*(difference*difference/clippedVariance-w.noise))
+}
+
+// independence returns how many independent runs a run of a group counts for, so that the
+// whole group counts for the more the less its runs are alike (Kish's design effect). All
+// pairs of the group enter that with the same weight: runs end in the order of their times,
+// so that successive ones are alike in any group.
+func (w *workload) independence(g *Group, size int, difference float64) float64 {
+	if g == nil || size < 2 {
+		return 1
+	}
+	w.products = (1-pairDecay)*w.products + difference*g.sum/w.noise
+	w.productCount = (1-pairDecay)*w.productCount + g.count
+	g.sum += difference
+	g.count++
+	alike := (w.products + assumedPairs) / (w.productCount + assumedPairs)
+	return 1 / (1 + float64(size-1)*max(0, min(1, alike)))
 }
 
 // start takes one of the first values of a workload. Their median is its first centre.
