--- a/core/tminterference/place_test.go
+++ b/core/tminterference/place_test.go
@@ -59,3 +59,15 @@
 	assert.Equal(t, costs["self"].At(p), 0.5)
 	assert.Assert(t, costs["other"] == nil)
 }
+
+// Guards against an endpoint that keeps the slowness of its earlier lifetime.
+func TestRestartForgetsSlowness(t *testing.T) {
+	w := newWorld(1)
+	for range 3000 {
+		w.run()
+	}
+	assert.Assert(t, w.places[0].slowness.value > 0.5)
+	w.places[0].Restarted()
+	assert.Equal(t, w.places[0].slowness.value, 0.0)
+	assert.Equal(t, w.places[0].slowness.variance(), placeVariance)
+}
