--- a/core/tmcontrol/controller.go
+++ b/core/tmcontrol/controller.go
@@ -90,6 +90,8 @@
 	// those within the last crashRetention.
 	newCrashes, recentCrashes []*crash
 
+	neighbours neighbours
+
 	fleet fleet
 	// quotas holds the shard's parts of the limits of teams, nil if the fleet is not
 	// divided.
@@ -104,7 +106,7 @@
 		jobs: map[string]*job{}, endpoints: map[string]*endpoint{}, onInstance: map[string][]*endpoint{}, finalAt: map[string]tmclock.Millis{},
 		now: 1, teams: map[string]tmjob.Resources{}, shares: map[string]*shareMeter{}, zonesOut: map[string]bool{},
 		runTimes: map[string]*tmstraggler.Times{}, failureRates: map[string]*tmstraggler.Rate{},
-		suspectPools: map[string]*tmstraggler.Pool{}, window: newStartWindow(),
+		suspectPools: map[string]*tmstraggler.Pool{}, window: newStartWindow(), neighbours: newNeighbours(),
 		fleet: newFleet(),
 	}
 	if !shard.IsWhole() {
@@ -326,6 +328,7 @@
 	}
 	t.addRun(r)
 	e.addRun(r)
+	c.enterPlace(r)
 	c.teams[r.team] = c.teams[r.team].Add(r.size)
 	return r
 }
@@ -336,6 +339,7 @@
 		return
 	}
 	r.ep.dropRun(r)
+	c.leavePlace(r)
 	c.markAnswered(r)
 	c.teams[r.team] = c.teams[r.team].Sub(r.size)
 	r.task.removeRun(r)
--- a/core/tmcontrol/endpoint.go
+++ b/core/tmcontrol/endpoint.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"turmericmoor/core/tmclock"
+	"turmericmoor/core/tminterference"
 	"turmericmoor/core/tmjob"
 	"turmericmoor/core/tmstraggler"
 )
@@ -84,6 +85,8 @@
 	// lapsed holds the runs whose lease has lapsed here. They are among those that a crash
 	// may be attributed to, if the endpoint turns out to have crashed.
 	lapsed []*run
+	// place records which workloads are present here and how slow the endpoint is.
+	place *tminterference.Place
 	// gone is set once the lifetime has ended.
 	gone bool
 }
@@ -94,7 +97,7 @@
 }
 
 func newEndpoint(info EndpointInfo) *endpoint {
-	return &endpoint{info: info, listed: true, runs: map[runKey]*run{}, stepRuns: map[*step]int{}}
+	return &endpoint{info: info, listed: true, runs: map[runKey]*run{}, stepRuns: map[*step]int{}, place: tminterference.NewPlace()}
 }
 
 // addEndpoint adds an endpoint that is not known yet.
--- a/core/tmcontrol/estimate.go
+++ b/core/tmcontrol/estimate.go
@@ -33,6 +33,7 @@
 	took := float64(now.Sub(r.startedAt))
 	s.took.Add(took)
 	t.Add(took)
+	c.observeRun(r, took, now)
 }
 
 // estimate returns the expected run time of a task in ms: the declared run time, limited to
--- a/core/tmcontrol/job.go
+++ b/core/tmcontrol/job.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"turmericmoor/core/tmclock"
+	"turmericmoor/core/tminterference"
 	"turmericmoor/core/tmjob"
 	"turmericmoor/core/tmstraggler"
 )
@@ -66,6 +67,12 @@
 	took tmstraggler.Times
 	// blockedSince is since when the step has found no place while endpoints are avoided.
 	blockedSince tmclock.Millis
+	// group tells whether the tasks of the step take alike.
+	group tminterference.Group
+	// costs is what a task of the step and those beside it lose to each other, as of
+	// costsVersion. It is nil if nothing is known.
+	costs        *tminterference.Costs
+	costsVersion int64
 	// advice is the answer of the placement policy, where the queue needs it.
 	advice advice
 }
@@ -148,11 +155,13 @@
 	isolated, counted bool
 	percent           int
 	// progressedAt is when percent last changed.
-	progressedAt  tmclock.Millis
-	usage         int64
-	pace          int
-	pacedAt       tmclock.Millis
-	ticket        string
+	progressedAt tmclock.Millis
+	usage        int64
+	pace         int
+	pacedAt      tmclock.Millis
+	ticket       string
+	// mark is the moment from which the neighbours of the run count.
+	mark          tminterference.Mark
 	stop          bool
 	stopSentAt    tmclock.Millis
 	stopConfirmed bool
--- a/core/tmcontrol/lifetime.go
+++ b/core/tmcontrol/lifetime.go
@@ -84,6 +84,7 @@
 	e.gone, e.reserved, e.ending = false, false, false
 	e.forgetHealth()
 	e.isolated = nil
+	e.place.Restarted()
 	for _, r := range lost {
 		if r.mayStartLate(list) {
 			c.stopLateStart(r)
--- a/core/tmcontrol/progress.go
+++ b/core/tmcontrol/progress.go
@@ -32,9 +32,9 @@
 			c.stopRun(r, "no progress")
 			continue
 		}
-		switch o, ok := c.observeAlone(r, now); {
+		switch o, ok := c.compareWithQueue(r, now); {
 		case r.canCompare(now):
-			observed = append(observed, c.observe(r, now))
+			observed = append(observed, c.compare(r, now))
 		case ok:
 			if alone == nil {
 				alone = map[*step]tmstraggler.Observation{}
@@ -58,8 +58,8 @@
 	return now.Sub(r.startedAt) >= minObservedTime && r.task.step.took.CanCompare()
 }
 
-// observe compares a run with the other tasks of its step.
-func (c *Controller) observe(r *run, now tmclock.Millis) tmstraggler.Observation {
+// compare compares a run with the other tasks of its step.
+func (c *Controller) compare(r *run, now tmclock.Millis) tmstraggler.Observation {
 	o := tmstraggler.Observation{StartedAt: r.startedAt, Ratio: r.task.step.took.Ratio(r.expected(now)), TailShare: r.task.step.took.TailShare()}
 	if t := c.runTimes[r.task.step.occ.job.spec.Queue]; t != nil {
 		o.TailShare, o.TailKnown = t.TailShare(), t.TailKnown()
@@ -67,9 +67,9 @@
 	return o
 }
 
-// observeAlone compares a run of a step of which too few tasks are done with its queue, if its
+// compareWithQueue compares a run of a step of which too few tasks are done with its queue, if its
 // tail is known. The runs of such a step count as one, because all tasks of a step may be long.
-func (c *Controller) observeAlone(r *run, now tmclock.Millis) (tmstraggler.Observation, bool) {
+func (c *Controller) compareWithQueue(r *run, now tmclock.Millis) (tmstraggler.Observation, bool) {
 	t := c.runTimes[r.task.step.occ.job.spec.Queue]
 	if t == nil || !t.TailKnown() || now.Sub(r.startedAt) < minObservedTime {
 		return tmstraggler.Observation{}, false
--- a/io/tmmetrics/state.go
+++ b/io/tmmetrics/state.go
@@ -16,6 +16,7 @@
 	token, rulesVersion, openJobs, startWindow      *prometheus.Desc
 	waitingJobs, endpoints, runs, teamCPU, waveOpen *prometheus.Desc
 	suspects                                        *prometheus.Desc
+	slowdown, changedPlacements                     *prometheus.Desc
 }
 
 func newStateCollector(node Source) *stateCollector {
@@ -36,14 +37,17 @@
 		suspects:     desc("suspected_endpoints", "Endpoints that are avoided on suspicion or on trial, by pool and cause.", "pool", "cause", "shard"),
 		runs:         desc("runs", "Runs by pool.", "pool", "shard"),
 		teamCPU:      desc("team_cpu_cores", "Processor share that a team has running.", "team", "shard"),
-		waveOpen:     desc("wave_open_instances", "Instances of a wave that are not done.", "wave", "shard"),
+		slowdown:     desc("interference_slowdown", "How many times as long tasks of a workload take beside another, where placements consider it.", "workload", "beside", "shard"),
+		changedPlacements: desc("interference_changed_placements_total",
+			"Placements that were changed because of interference since the owner took over.", "shard"),
+		waveOpen: desc("wave_open_instances", "Instances of a wave that are not done.", "wave", "shard"),
 	}
 }
 
 // Describe implements prometheus.Collector.
 func (s *stateCollector) Describe(ch chan<- *prometheus.Desc) {
 	for _, d := range []*prometheus.Desc{
-		s.ready, s.owner, s.ownedShards, s.token, s.rulesVersion, s.openJobs, s.startWindow, s.waitingJobs, s.endpoints, s.runs, s.teamCPU, s.waveOpen, s.suspects,
+		s.ready, s.owner, s.ownedShards, s.token, s.rulesVersion, s.openJobs, s.startWindow, s.waitingJobs, s.endpoints, s.runs, s.teamCPU, s.waveOpen, s.suspects, s.slowdown, s.changedPlacements,
 	} {
 		ch <- d
 	}
@@ -63,6 +67,7 @@
 		collectShard(s, dump, func(d *prometheus.Desc, v float64, labels ...string) {
 			gauge(d, v, append(labels, strconv.Itoa(shard))...)
 		})
+		ch <- prometheus.MustNewConstMetric(s.changedPlacements, prometheus.CounterValue, float64(dump.Interference.Changed), strconv.Itoa(shard))
 	}
 }
 
@@ -86,6 +91,9 @@
 	for team, used := range dump.Teams {
 		gauge(s.teamCPU, float64(used.CPU)/1000, team)
 	}
+	for _, e := range dump.Interference.Effects {
+		gauge(s.slowdown, e.Slowdown, e.Workload, e.Beside)
+	}
 	for _, w := range dump.Waves {
 		gauge(s.waveOpen, float64(w.Total-w.Done), w.Name)
 	}
