core/tmcontrol: waiting jobs are placed in the order of core/tmorder

Cause: compareRanks looked at a job alone, so that a job that would miss its objective for lack of capacity was placed before one that could still meet it, and tasks of new small jobs went before the next step of one that had begun.

Change: schedule.go passes the waiting jobs of each pool to tmorder; rank and compareRanks have moved there. A pool is scarce while its waiting tasks request more than is free, or a task fit on no endpoint in the pass before though it fits on an empty one. In a pool with room the order is as before. The events pool_scarce and job_deferred and the gauge ordered_jobs say why a job waits. A step counts its runs, so that its demand takes no loop over its tasks, and the queues of a pass keep their memory.

Seen to fail on the code before: TestHopelessJobsGoLast (the smallest job, which had no value any more, was started in place of a late one) and TestBegunJobGoesOn (eight new jobs started in place of the second step). TestOrderAfterChanges holds before and after.

--- a/core/tmcontrol/controller.go
+++ b/core/tmcontrol/controller.go
@@ -52,6 +52,8 @@
 	teams    map[string]tmjob.Resources
 	shares   map[string]*shareMeter
 	zonesOut map[string]bool
+	// orders holds by pool what the last pass found out about its order.
+	orders   map[string]*poolOrder
 	runTimes map[string]*movingMean
 
 	// dirty is the queue of the pages of progress to be stored. refused holds those that
@@ -95,7 +97,7 @@
 	c := &Controller{
 		shard: shard, bounds: bounds, token: token, emit: emit,
 		jobs: map[string]*job{}, endpoints: map[string]*endpoint{}, onInstance: map[string][]*endpoint{}, finalAt: map[string]tmclock.Millis{},
-		now: 1, teams: map[string]tmjob.Resources{}, shares: map[string]*shareMeter{}, zonesOut: map[string]bool{},
+		now: 1, teams: map[string]tmjob.Resources{}, shares: map[string]*shareMeter{}, zonesOut: map[string]bool{}, orders: map[string]*poolOrder{},
 		runTimes: map[string]*movingMean{}, window: newStartWindow(),
 		fleet: newFleet(),
 	}
--- a/core/tmcontrol/dump.go
+++ b/core/tmcontrol/dump.go
@@ -4,6 +4,7 @@
 	"slices"
 
 	"turmericmoor/core/tmjob"
+	"turmericmoor/core/tmorder"
 )
 
 // EndpointsToHold returns the endpoints that need a hold and are not in held. It
@@ -62,6 +63,8 @@
 // PoolDump sums up the endpoints of one pool.
 type PoolDump struct {
 	Answering, Silent, Runs int
+	// Ordered is the number of waiting jobs by their class in the last order.
+	Ordered [tmorder.Classes]int
 }
 
 // JobDump describes one job of a dump.
@@ -106,6 +109,11 @@
 		}
 		d.Pools[e.info.Service] = p
 	}
+	for service, state := range c.orders {
+		p := d.Pools[service]
+		p.Ordered = state.classes
+		d.Pools[service] = p
+	}
 	for _, j := range c.openJobs[:min(len(c.openJobs), maxDumpEntries)] {
 		d.Open = append(d.Open, j.dump())
 	}
--- a/core/tmcontrol/estimate.go
+++ b/core/tmcontrol/estimate.go
@@ -61,8 +61,10 @@
 	// criticalPath is the longest chain of remaining steps in ms, work the remaining
 	// work in thousandths of a core times ms.
 	criticalPath, work float64
-	// fullCriticalPath is the critical path of the whole occurrence in ms.
-	fullCriticalPath float64
+	// workNotReady is the part of the work that waits for earlier steps.
+	workNotReady float64
+	// fullCriticalPath and fullWork are those of the whole occurrence.
+	fullCriticalPath, fullWork float64
 }
 
 func (c *Controller) workload(o *occurrence) workload {
@@ -73,9 +75,14 @@
 	for i, s := range o.steps {
 		took := c.estimate(queue, s.spec)
 		all[i] = took
+		perTask := took * float64(max(s.spec.Size.CPU, 100))
+		out.fullWork += perTask * float64(s.spec.Count)
 		if s.left > 0 {
 			left[i] = took
-			out.work += took * float64(s.left) * float64(max(s.spec.Size.CPU, 100))
+			out.work += perTask * float64(s.left)
+			if !s.ready() {
+				out.workNotReady += perTask * float64(s.left)
+			}
 		}
 		var before, beforeAll float64
 		for _, a := range s.spec.After {
--- a/core/tmcontrol/isolation.go
+++ b/core/tmcontrol/isolation.go
@@ -6,6 +6,7 @@
 
 	"turmericmoor/core/tmclock"
 	"turmericmoor/core/tmevent"
+	"turmericmoor/core/tmorder"
 )
 
 const (
@@ -59,11 +60,8 @@
 // compareSuspects orders suspects: long-running tasks go first, then those that have waited
 // for too long, then the least suspicious, which are probably innocent.
 func compareSuspects(a, b *task, now tmclock.Millis) int {
-	if a.step.spec.LongRunning != b.step.spec.LongRunning {
-		return boolOrder(a.step.spec.LongRunning)
-	}
-	if a.isOverdue(now) != b.isOverdue(now) {
-		return boolOrder(a.isOverdue(now))
+	if n := cmp.Or(tmorder.First(a.step.spec.LongRunning, b.step.spec.LongRunning), tmorder.First(a.isOverdue(now), b.isOverdue(now))); n != 0 {
+		return n
 	}
 	if a.isOverdue(now) {
 		return cmp.Compare(a.suspectedAt, b.suspectedAt)
--- a/core/tmcontrol/job.go
+++ b/core/tmcontrol/job.go
@@ -40,6 +40,8 @@
 	hasSuspects bool
 	// overShare is set if the team was over its share when the job arrived.
 	overShare bool
+	// deferred is set once the job waits behind others because it can't meet its objective.
+	deferred bool
 }
 
 // occurrence is one execution of all steps of a job. A timed job has one for each
@@ -57,8 +59,8 @@
 	i     int
 	spec  *tmjob.Step
 	tasks []*task
-	// left counts the tasks that are not done.
-	left int
+	// left counts the tasks that are not done, runCount the runs.
+	left, runCount int
 	// took is the mean run time of the tasks that are done.
 	took movingMean
 	// advice is the answer of the placement policy, where the queue needs it.
@@ -338,6 +340,7 @@
 
 func (t *task) addRun(r *run) {
 	t.active = append(t.active, r)
+	t.step.runCount++
 	t.step.occ.runCount++
 	t.step.occ.job.runCount++
 }
@@ -348,6 +351,7 @@
 		return
 	}
 	t.active = append(t.active[:i], t.active[i+1:]...)
+	t.step.runCount--
 	t.step.occ.runCount--
 	t.step.occ.job.runCount--
 }
--- a/core/tmcontrol/plan.go
+++ b/core/tmcontrol/plan.go
@@ -1,7 +1,6 @@
 package tmcontrol
 
 import (
-	"cmp"
 	"slices"
 
 	"turmericmoor/core/tmevent"
@@ -10,43 +9,6 @@
 	"turmericmoor/core/tmjob"
 )
 
-// rank is the placement priority of an occurrence. Smaller ranks go first.
-type rank struct {
-	occ *occurrence
-	// longRunning is set for an occurrence of a long-running job. Such occurrences go
-	// first, because they have to be restarted however full the pool is.
-	longRunning bool
-	// overShare is set if the team was over its share when the job arrived. The jobs of
-	// other teams then go first.
-	overShare bool
-	// missesObjective is set if the occurrence can no longer meet its latency
-	// objective.
-	missesObjective bool
-	priority        int
-	work            float64
-	due             int64
-}
-
-func compareRanks(a, b rank) int {
-	if a.longRunning != b.longRunning {
-		return boolOrder(a.longRunning)
-	}
-	if a.overShare != b.overShare {
-		return -boolOrder(a.overShare)
-	}
-	if a.missesObjective != b.missesObjective {
-		return -boolOrder(a.missesObjective)
-	}
-	return cmp.Or(cmp.Compare(a.priority, b.priority), cmp.Compare(a.work, b.work), cmp.Compare(a.due, b.due))
-}
-
-func boolOrder(first bool) int {
-	if first {
-		return -1
-	}
-	return 1
-}
-
 // pool holds the endpoints of one service that may get new tasks. It is built for one
 // planning pass.
 type pool struct {
@@ -86,28 +48,17 @@
 	}
 	defer c.planQuotas(now, wall)
 	c.planSuspects(pools, now)
-	byService := map[string][]rank{}
-	for _, j := range slices.Clone(c.openJobs) {
-		q, ok := c.rules.Queues[j.spec.Queue]
-		if !ok || pools[q.Service] == nil {
-			continue
-		}
-		if c.failExhausted(j, q) {
-			continue
+	queues := c.waitingQueues(slices.Clone(c.openJobs), pools, now, wall)
+	for service, w := range queues {
+		p := pools[service]
+		if !c.hasStartRoom() {
+			return
 		}
-		for _, o := range j.occurrences {
-			if o.hasWaiting(now) {
-				byService[q.Service] = append(byService[q.Service], c.rank(o, q, wall))
-			}
-		}
-	}
-	for service, ranks := range byService {
-		slices.SortStableFunc(ranks, compareRanks)
-		for _, r := range ranks {
+		for _, placed := range c.order(p, w, now, wall) {
 			if !c.hasStartRoom() {
 				return
 			}
-			c.placeOccurrence(r.occ, pools[service], now)
+			c.placeOccurrence(w.occurrences[placed.Index], p, now)
 		}
 	}
 }
@@ -144,29 +95,6 @@
 	return pools
 }
 
-func (o *occurrence) hasWaiting(now tmclock.Millis) bool {
-	for _, s := range o.steps {
-		if s.left > 0 && s.ready() {
-			for _, t := range s.tasks {
-				if t.waiting(now) {
-					return true
-				}
-			}
-		}
-	}
-	return false
-}
-
-func (c *Controller) rank(o *occurrence, q Queue, wall int64) rank {
-	j := o.job
-	out := c.workload(o)
-	objective := float64(j.spec.Due(o.number)) + q.Stretch*out.fullCriticalPath + float64(q.Objective)
-	return rank{
-		occ: o, longRunning: j.longRunning, overShare: j.overShare, priority: q.Priority, work: out.work, due: j.spec.Due(o.number),
-		missesObjective: !j.longRunning && float64(wall)+out.criticalPath > objective,
-	}
-}
-
 func (c *Controller) placeOccurrence(o *occurrence, p *pool, now tmclock.Millis) {
 	for _, s := range o.steps {
 		if s.left == 0 || !s.ready() {
@@ -203,6 +131,7 @@
 		e = c.choose(t.step, p, now)
 		if e == nil && !p.fitsAny(spec.Reservation()) {
 			p.tooLarge = append(p.tooLarge, spec.Reservation())
+			c.recordBlocked(t.step, p)
 			c.reportBlocked(t.step, p, 1)
 		}
 	}
@@ -285,7 +214,7 @@
 // permits reports whether the requirements of the step, other than room, permit one more
 // of its tasks on e.
 func (s *step) permits(e *endpoint) bool {
-	if s.spec.Label != "" && !e.info.hasLabel(s.spec.Label) {
+	if !s.labelPermits(e) {
 		return false
 	}
 	return s.spec.PerEndpoint == 0 || e.stepRuns[s]+e.planned < s.spec.PerEndpoint
--- /dev/null
+++ b/core/tmcontrol/schedule.go
@@ -0,0 +1,193 @@
+package tmcontrol
+
+import (
+	"turmericmoor/core/tmclock"
+	"turmericmoor/core/tmevent"
+	"turmericmoor/core/tmjob"
+	"turmericmoor/core/tmorder"
+)
+
+// This file passes the waiting jobs of each pool to package tmorder.
+
+// waitingQueue holds the occurrences of one pool that have waiting tasks, with a job of
+// tmorder for each.
+type waitingQueue struct {
+	occurrences []*occurrence
+	jobs        []tmorder.Job
+	// committed is the work that occurrences without a waiting task still have to bring,
+	// agedCPU what the runs of aged jobs reserve.
+	committed float64
+	agedCPU   int64
+}
+
+// reset empties the queue. It keeps the memory, but no occurrence.
+func (w *waitingQueue) reset() {
+	clear(w.occurrences)
+	clear(w.jobs)
+	*w = waitingQueue{occurrences: w.occurrences[:0], jobs: w.jobs[:0]}
+}
+
+// poolOrder is what is known about the order of a pool after a pass.
+type poolOrder struct {
+	// blocked is set if a task fit on no endpoint, though it fits on an empty one.
+	blocked bool
+	// scarce is set if the last order was that of a scarce pool. loggedAt is when a change
+	// of that was last logged, loggedScarce what it said.
+	scarce, loggedScarce bool
+	loggedAt             tmclock.Millis
+	classes              [tmorder.Classes]int
+	// orderer and queue are kept for their memory.
+	orderer tmorder.Orderer
+	queue   waitingQueue
+}
+
+// waitingQueues returns the waiting jobs by pool.
+func (c *Controller) waitingQueues(jobs []*job, pools map[string]*pool, now tmclock.Millis, wall int64) map[string]*waitingQueue {
+	queues := map[string]*waitingQueue{}
+	for service := range pools {
+		state := c.orders[service]
+		if state == nil {
+			state = &poolOrder{}
+			c.orders[service] = state
+		}
+		state.queue.reset()
+		queues[service] = &state.queue
+	}
+	for _, j := range jobs {
+		q, ok := c.rules.Queues[j.spec.Queue]
+		if !ok || pools[q.Service] == nil || c.failExhausted(j, q) {
+			continue
+		}
+		w := queues[q.Service]
+		for _, o := range j.occurrences {
+			c.addWaiting(w, o, q, now, wall)
+		}
+	}
+	return queues
+}
+
+// addWaiting adds an occurrence to the queue of its pool if it has a waiting task.
+func (c *Controller) addWaiting(w *waitingQueue, o *occurrence, q Queue, now tmclock.Millis, wall int64) {
+	demand, first := o.waitingDemand(now)
+	if first == nil && (o.runCount == 0 || o.job.longRunning) {
+		return
+	}
+	j := o.job
+	out := c.workload(o)
+	objective := q.Stretch*out.fullCriticalPath + float64(q.Objective)
+	due := j.spec.Due(o.number)
+	if !j.longRunning && o.runCount > 0 && tmorder.IsAged(wall, due, objective) {
+		w.agedCPU += o.runningCPU()
+	}
+	if first == nil {
+		w.committed += out.workNotReady
+		return
+	}
+	w.occurrences = append(w.occurrences, o)
+	w.jobs = append(w.jobs, tmorder.Job{
+		Queue: j.spec.Queue, Team: j.spec.Team, Priority: q.Priority, LongRunning: j.longRunning, OverShare: j.overShare,
+		Begun: j.begun && j.spec.Repeats == 0 || o.runCount > 0, Held: !c.withinLimit(first, 1),
+		Due: due, Objective: objective, CriticalPath: out.criticalPath, Work: out.work, FullWork: out.fullWork, Demand: demand,
+	})
+}
+
+// waitingDemand returns what the waiting tasks of the occurrence reserve, and the first step
+// that has one. Tasks that have to wait after a refused start count as well, as long as
+// others don't: counting each task would cost more than the order.
+func (o *occurrence) waitingDemand(now tmclock.Millis) (tmjob.Resources, *step) {
+	var demand tmjob.Resources
+	var first *step
+	for _, s := range o.steps {
+		if s.left == 0 || !s.ready() {
+			continue
+		}
+		if !s.hasWaiting(now) {
+			continue
+		}
+		demand = demand.Add(times(s.spec.Reservation(), int64(max(1, s.left-s.runCount))))
+		if first == nil {
+			first = s
+		}
+	}
+	return demand, first
+}
+
+// hasWaiting reports whether a task of the step could start now.
+func (s *step) hasWaiting(now tmclock.Millis) bool {
+	for _, t := range s.tasks {
+		if t.waiting(now) {
+			return true
+		}
+	}
+	return false
+}
+
+// runningCPU returns the CPU that the runs of the occurrence reserve.
+func (o *occurrence) runningCPU() int64 {
+	sum := int64(0)
+	for t := range o.tasks() {
+		for _, r := range t.active {
+			sum += r.reservation.CPU
+		}
+	}
+	return sum
+}
+
+// order returns the waiting jobs of a pool in the order in which they are placed.
+func (c *Controller) order(p *pool, w *waitingQueue, now tmclock.Millis, wall int64) []tmorder.Placed {
+	state := c.orders[p.service]
+	in := tmorder.Pool{
+		Now: wall, Blocked: state.blocked, Committed: w.committed, AgedCPU: w.agedCPU,
+		Weight: func(team string) float64 { return c.rules.Teams[team].Weight },
+	}
+	for _, e := range p.endpoints {
+		if e.isolated == nil {
+			in.Capacity = in.Capacity.Add(e.info.Capacity.Sub(e.longRunning))
+			in.Free = in.Free.Add(e.free().Max(tmjob.Resources{}))
+		}
+	}
+	placed, scarce := state.orderer.Order(in, w.jobs)
+	state.blocked, state.scarce = false, scarce
+	c.recordOrder(p.service, state, w, placed, now)
+	return placed
+}
+
+// recordOrder counts the jobs of a pool by class and logs what changed.
+func (c *Controller) recordOrder(service string, state *poolOrder, w *waitingQueue, placed []tmorder.Placed, now tmclock.Millis) {
+	state.classes = [tmorder.Classes]int{}
+	for _, p := range placed {
+		state.classes[p.Class]++
+		j := w.occurrences[p.Index].job
+		if !j.deferred && (p.Class == tmorder.Late || p.Class == tmorder.Hopeless) {
+			j.deferred = true
+			c.event(tmevent.JobDeferred, "job", j.spec.ID, "queue", j.spec.Queue, "team", j.spec.Team, "class", p.Class.String(), "end_ms", int64(p.End))
+		}
+	}
+	if state.scarce == state.loggedScarce || now.Sub(state.loggedAt) < poolLogInterval {
+		return
+	}
+	state.loggedAt, state.loggedScarce = now, state.scarce
+	n := state.classes
+	c.event(tmevent.PoolScarce, "pool", service, "scarce", state.scarce, "waiting", len(placed),
+		"aged", n[tmorder.Aged], "meets", n[tmorder.Meets], "late", n[tmorder.Late], "hopeless", n[tmorder.Hopeless])
+}
+
+// recordBlocked records that a task of the step fits on no endpoint of the pool now. If it
+// fits on an empty one, the pool is scarce although it may have enough free capacity in total.
+func (c *Controller) recordBlocked(s *step, p *pool) {
+	state := c.orders[p.service]
+	if s.spec.LongRunning || state == nil || state.blocked {
+		return
+	}
+	for _, e := range p.endpoints {
+		if s.spec.Reservation().Fits(e.info.Capacity.Sub(e.longRunning)) && s.labelPermits(e) {
+			state.blocked = true
+			return
+		}
+	}
+}
+
+// labelPermits reports whether e has the label that the step requires.
+func (s *step) labelPermits(e *endpoint) bool {
+	return s.spec.Label == "" || e.info.hasLabel(s.spec.Label)
+}
--- /dev/null
+++ b/core/tmcontrol/schedule_test.go
@@ -0,0 +1,95 @@
+package tmcontrol
+
+import (
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"turmericmoor/core/tmjob"
+	"turmericmoor/core/tmorder"
+)
+
+// sized returns a job of that many tasks of one core that was accepted at a time.
+func sized(id, team string, tasks int, accepted int64) tmjob.Job {
+	j := oneTask(id)
+	j.Team, j.Accepted, j.Steps[0].Count = team, accepted, tasks
+	return j
+}
+
+// startsByJob counts the start orders of one pass by job.
+func (f *fixture) startsByJob() map[string]int {
+	n := map[string]int{}
+	for _, s := range f.advance(10) {
+		n[s.Ref.Task.Job]++
+	}
+	return n
+}
+
+// Guards against jobs that end too late for their callers in any case ahead of those that
+// could still be in time, or at least late: the smallest went first.
+func TestHopelessJobsGoLast(t *testing.T) {
+	f := newFixture(t, 1)
+	f.now = 10_000
+	f.answerHold("e1")
+	f.c.Submitted(sized("hopeless", "t", 4, 5000))
+	f.c.Submitted(sized("late", "t", 6, 8000))
+	f.c.Submitted(sized("meets", "t", 7, 10_000))
+	got := f.startsByJob()
+	assert.DeepEqual(t, got, map[string]int{"meets": 7, "late": 1})
+	assert.Equal(t, f.c.jobs["hopeless"].deferred, true)
+	assert.DeepEqual(t, f.c.Dump().Pools["s"].Ordered, [tmorder.Classes]int{tmorder.Meets: 1, tmorder.Late: 1, tmorder.Hopeless: 1})
+}
+
+// Guards against jobs that are left half done while they could still be in time: the tasks
+// of new, smaller jobs went before their later steps.
+func TestBegunJobGoesOn(t *testing.T) {
+	f := newFixture(t, 1)
+	two := sized("two", "t", 8, 1000)
+	two.Steps = append(two.Steps, tmjob.Step{Count: 8, Size: two.Steps[0].Size, Estimate: 500, After: []int{0}})
+	f.c.Submitted(two)
+	starts := f.advance(10)
+	assert.Equal(t, len(starts), 8)
+	for i := range 20 {
+		f.c.Submitted(sized(fmt.Sprintf("new%02d", i), "t", 1, 1020))
+	}
+	for _, s := range starts {
+		f.end("e1", s.Ref.Task, 1, EndDone)
+	}
+	assert.DeepEqual(t, f.startsByJob(), map[string]int{"two": 8})
+}
+
+// Guards against another order after a change of owner, which has only what is stored, and
+// against a task that a lowered limit or an unavailable store forbids.
+func TestOrderAfterChanges(t *testing.T) {
+	submit := func(c *Controller) {
+		c.Submitted(sized("hopeless", "t", 4, 5000))
+		c.Submitted(sized("meets", "t", 8, 10_000))
+		c.Submitted(sized("other", "u", 8, 10_000))
+	}
+	limited := testRules(2)
+	limited.Teams["t"] = Team{Name: "t", Weight: 1, Limit: tmjob.Resources{CPU: 1000}}
+	for name, test := range map[string]struct {
+		change func(f *fixture)
+		want   map[string]int
+	}{
+		"new owner": {func(f *fixture) {
+			f.c = f.newController(2)
+			f.c.SetEndpoint(f.endpointInfo(1), f.now)
+			submit(f.c)
+			f.c.Loaded()
+			f.answerHold("e1")
+		}, map[string]int{"meets": 8}},
+		"limit lowered":     {func(f *fixture) { f.c.SetRules(limited) }, map[string]int{"meets": 1, "other": 7}},
+		"store unavailable": {func(f *fixture) { f.c.SetStale(true) }, map[string]int{}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, 1)
+			f.now = 10_000
+			f.answerHold("e1")
+			submit(f.c)
+			test.change(f)
+			assert.DeepEqual(t, f.startsByJob(), test.want)
+		})
+	}
+}
--- a/core/tmevent/event.go
+++ b/core/tmevent/event.go
@@ -56,6 +56,8 @@
 	InstanceOrder Name = "instance_order"
 	// InstancesFailed: the list of instances could not be read: what, cause.
 	InstancesFailed Name = "instances_failed"
+	// JobDeferred: a job goes behind others of its pool, which is full, because it can't meet its objective; it is logged once for each job: job, queue, team, class, end_ms.
+	JobDeferred Name = "job_deferred"
 	// JobFinal: a job reached its final state: job, queue, team, state, cause.
 	JobFinal Name = "job_final"
 	// LayoutFailed: the number of shards could not be decided yet: cause.
@@ -88,6 +90,8 @@
 	OwnerWon Name = "owner_won"
 	// PageRefused: the store refused the row of some tasks of a job, which don't start until their row can be stored: job, page, tasks.
 	PageRefused Name = "page_refused"
+	// PoolScarce: a pool has less free than its waiting jobs request, or has enough again, with the number of waiting jobs by class: pool, scarce, waiting, aged, meets, late, hopeless.
+	PoolScarce Name = "pool_scarce"
 	// PoolSized: the size or the wanted size of a pool changed: pool, have, want, idle, need_cpu, forecast_cpu.
 	PoolSized Name = "pool_sized"
 	// RecordIgnored: stored progress matches no task of its job: job, step, index.
@@ -164,6 +168,7 @@
 	InstanceMoves,
 	InstanceOrder,
 	InstancesFailed,
+	JobDeferred,
 	JobFinal,
 	LayoutFailed,
 	LayoutKnown,
@@ -180,6 +185,7 @@
 	OwnerSeen,
 	OwnerWon,
 	PageRefused,
+	PoolScarce,
 	PoolSized,
 	RecordIgnored,
 	RenewalFailed,
--- a/core/tmjob/resources.go
+++ b/core/tmjob/resources.go
@@ -18,6 +18,11 @@
 	return Resources{CPU: a.CPU - b.CPU, Mem: a.Mem - b.Mem, GPU: a.GPU - b.GPU}
 }
 
+// Max returns the larger of each field of a and b.
+func (a Resources) Max(b Resources) Resources {
+	return Resources{CPU: max(a.CPU, b.CPU), Mem: max(a.Mem, b.Mem), GPU: max(a.GPU, b.GPU)}
+}
+
 // Fits reports whether no field of a exceeds that of available.
 func (a Resources) Fits(available Resources) bool {
 	return a.CPU <= available.CPU && a.Mem <= available.Mem && a.GPU <= available.GPU
--- a/core/tmorder/load_test.go
+++ b/core/tmorder/load_test.go
@@ -181,7 +181,13 @@
 // orderAsBefore is the order of a pool with room, whatever is free.
 func orderAsBefore(p Pool, jobs []Job) []Placed {
 	p.Blocked, p.Free = false, tmjob.Resources{CPU: math.MaxInt64, Mem: math.MaxInt64, GPU: math.MaxInt64}
-	return Order(p, jobs)
+	return order(p, jobs)
+}
+
+func order(p Pool, jobs []Job) []Placed {
+	var o Orderer
+	placed, _ := o.Order(p, jobs)
+	return placed
 }
 
 // wastedInBurst returns the fraction of the work begun during a burst that its callers
@@ -209,7 +215,7 @@
 		var wastedBefore, wastedAfter float64
 		const seeds = 2
 		for seed := range uint64(seeds) {
-			before, after := burst(orderAsBefore, factor, seed+1), burst(Order, factor, seed+1)
+			before, after := burst(orderAsBefore, factor, seed+1), burst(order, factor, seed+1)
 			b, a = b.plus(outcomeOf(before.all)), a.plus(outcomeOf(after.all))
 			wastedBefore += before.wastedInBurst() / seeds
 			wastedAfter += after.wastedInBurst() / seeds
--- a/core/tmorder/order.go
+++ b/core/tmorder/order.go
@@ -3,8 +3,8 @@
 // their objective come first, each team within its share of the pool; the others follow.
 //
 // It predicts ends from the work ahead of a job and the rate at which the pool carries out
-// work. Functions of this package keep no state and read no clock; times are in ms, work is
-// in thousandths of a core times ms.
+// work. An order depends on nothing but the arguments; no clock is read. Times are in ms,
+// work is in thousandths of a core times ms.
 package tmorder
 
 import (
@@ -78,6 +78,9 @@
 	Held
 )
 
+// Classes is the number of classes.
+const Classes = int(Held) + 1
+
 var classNames = [...]string{"with_room", "aged", "meets", "late", "hopeless", "held"}
 
 // String returns the name of the class that logs and metrics use.
@@ -108,17 +111,30 @@
 	return float64(now) > float64(due)+objective+agedAfter
 }
 
-// Order returns the jobs in the order in which their tasks should be placed.
-func Order(p Pool, jobs []Job) []Placed {
-	out := make([]Placed, 0, len(jobs))
+// Orderer orders the jobs of one pool. It reuses its memory, so that the result of Order is
+// valid until the next call. The zero value is ready for use. It is not safe for concurrent
+// use.
+type Orderer struct {
+	placed  []Placed
+	entries []entry
+	waiting []*entry
+}
+
+// Order returns the jobs in the order in which their tasks should be placed, and whether the
+// pool is scarce.
+func (o *Orderer) Order(p Pool, jobs []Job) (order []Placed, scarce bool) {
+	o.placed = slices.Grow(o.placed[:0], len(jobs))
+	out := o.placed
 	if !p.isScarce(jobs) {
 		for i := range jobs {
 			out = append(out, Placed{Index: i})
 		}
 		slices.SortStableFunc(out, func(a, b Placed) int { return compareWithRoom(p.Now, &jobs[a.Index], &jobs[b.Index]) })
-		return out
+		return out, false
 	}
-	return newPass(p, jobs).order(out)
+	o.entries = slices.Grow(o.entries[:0], len(jobs))[:len(jobs)]
+	o.waiting = slices.Grow(o.waiting[:0], len(jobs))
+	return newPass(p, jobs, o.entries, o.waiting).order(out), true
 }
 
 // isScarce reports whether the pool has less than what is requested of it.
@@ -138,9 +154,9 @@
 // compareWithRoom orders the jobs of a pool that has room for all of them.
 func compareWithRoom(now int64, a, b *Job) int {
 	return cmp.Or(
-		first(a.LongRunning, b.LongRunning),
-		-first(a.OverShare, b.OverShare),
-		-first(a.missesAlone(now), b.missesAlone(now)),
+		First(a.LongRunning, b.LongRunning),
+		-First(a.OverShare, b.OverShare),
+		-First(a.missesAlone(now), b.missesAlone(now)),
 		cmp.Compare(a.Priority, b.Priority),
 		cmp.Compare(a.Work, b.Work),
 		cmp.Compare(a.Due, b.Due),
@@ -152,8 +168,8 @@
 	return !j.LongRunning && float64(now)+j.CriticalPath > float64(j.Due)+j.Objective
 }
 
-// first orders what is set before what is not.
-func first(a, b bool) int {
+// First is a comparison function that orders what is set before what is not.
+func First(a, b bool) int {
 	switch {
 	case a == b:
 		return 0
--- a/core/tmorder/order_test.go
+++ b/core/tmorder/order_test.go
@@ -43,7 +43,7 @@
 func TestClassesFollowEachOther(t *testing.T) {
 	hopeless, late, begunLate, aged := job("t", 4000), job("t", 8000), job("t", 8500), job("t", -3000)
 	begunLate.Begun, hopeless.Begun = true, true
-	got := Order(fullPool(10_000), []Job{hopeless, late, begunLate, job("t", 10_000), aged})
+	got := order(fullPool(10_000), []Job{hopeless, late, begunLate, job("t", 10_000), aged})
 	assert.DeepEqual(t, indexes(got), []int{4, 3, 2, 1, 0})
 	assert.DeepEqual(t, classes(got), []Class{Aged, Meets, Late, Late, Hopeless})
 }
@@ -56,7 +56,7 @@
 		jobs = append(jobs, job("t", 10_000))
 	}
 	n := map[Class]int{}
-	for i, p := range Order(fullPool(10_000), jobs) {
+	for i, p := range order(fullPool(10_000), jobs) {
 		n[p.Class]++
 		if i == 7 {
 			assert.Equal(t, p.End, 10_000+700+1000.0)
@@ -71,7 +71,7 @@
 	large, begun := job("t", 10_000), job("t", 10_000)
 	large.Work, large.FullWork = 3e6, 3e6
 	begun.Work, begun.FullWork, begun.Begun = 2e6, 2e6, true
-	got := Order(fullPool(10_000), []Job{large, job("t", 10_000), begun})
+	got := order(fullPool(10_000), []Job{large, job("t", 10_000), begun})
 	assert.DeepEqual(t, indexes(got), []int{2, 1, 0})
 }
 
@@ -91,7 +91,7 @@
 		}
 		jobs = append(jobs, job("calm", 10_005), job("calm", 10_005))
 		front := map[string]int{}
-		for _, p := range Order(pool, jobs)[:8] {
+		for _, p := range order(pool, jobs)[:8] {
 			front[jobs[p.Index].Team]++
 		}
 		assert.Equal(t, front["calm"], 2, name)
@@ -106,11 +106,11 @@
 		jobs = append(jobs, job("t", int64(-5000-i)))
 	}
 	jobs = append(jobs, job("t", 10_000))
-	got := Order(fullPool(10_000), jobs)
+	got := order(fullPool(10_000), jobs)
 	assert.DeepEqual(t, indexes(got)[:3], []int{19, 18, 20})
 	pool := fullPool(10_000)
 	pool.AgedCPU = 2000
-	assert.DeepEqual(t, indexes(Order(pool, jobs))[:1], []int{20})
+	assert.DeepEqual(t, indexes(order(pool, jobs))[:1], []int{20})
 }
 
 // Guards against an order that drops or repeats jobs, for any input.
@@ -128,7 +128,7 @@
 			jobs = append(jobs, j)
 		}
 		seen := map[int]bool{}
-		for _, p := range Order(pool, jobs) {
+		for _, p := range order(pool, jobs) {
 			assert.Assert(t, !seen[p.Index])
 			seen[p.Index] = true
 		}
@@ -145,7 +145,7 @@
 	missing.Priority, small.Priority, small.Work = 0, 1, 1
 	large := job("t", 10_000)
 	large.Priority = 1
-	got := Order(pool, []Job{large, small, urgent, missing, over, long})
+	got := order(pool, []Job{large, small, urgent, missing, over, long})
 	assert.DeepEqual(t, indexes(got), []int{5, 2, 1, 0, 3, 4})
 	for _, p := range got {
 		assert.Equal(t, p.Class, WithRoom)
--- a/core/tmorder/scarce.go
+++ b/core/tmorder/scarce.go
@@ -25,7 +25,7 @@
 	// rate is how much work the pool carries out per ms.
 	rate float64
 	// groups holds the jobs of each class in their order.
-	groups [Held + 1][]*entry
+	groups [Classes][]*entry
 	teams  []*team
 }
 
@@ -37,10 +37,9 @@
 	machine machine
 }
 
-func newPass(p Pool, jobs []Job) *pass {
+// newPass orders jobs. It overwrites entries, which has the length of jobs, and waiting.
+func newPass(p Pool, jobs []Job, entries []entry, waiting []*entry) *pass {
 	s := &pass{pool: p, rate: math.Max(1, float64(p.Capacity.CPU))}
-	entries := make([]entry, len(jobs))
-	waiting := make([]*entry, 0, len(jobs))
 	for i := range jobs {
 		e := &entries[i]
 		*e = entry{job: &jobs[i], index: i}
@@ -91,7 +90,7 @@
 		return entries
 	}
 	slices.SortStableFunc(aged, func(a, b *entry) int {
-		return cmp.Or(first(a.job.Begun, b.job.Begun), cmp.Compare(a.job.Due, b.job.Due))
+		return cmp.Or(First(a.job.Begun, b.job.Begun), cmp.Compare(a.job.Due, b.job.Due))
 	})
 	left := agedShare*float64(s.pool.Capacity.CPU) - float64(s.pool.AgedCPU)
 	for i, e := range aged {
@@ -170,7 +169,7 @@
 	slices.SortStableFunc(entries, func(a, b *entry) int {
 		return cmp.Or(
 			cmp.Compare(a.job.Priority, b.job.Priority),
-			first(a.job.Begun, b.job.Begun),
+			First(a.job.Begun, b.job.Begun),
 			cmp.Compare(b.score, a.score),
 			cmp.Compare(a.job.Due, b.job.Due),
 		)
