core/tmcontrol: reservations with backfill for large tasks in a full pool

Cause: whatever became free was taken by smaller tasks, so that a large task, or a gang, never started in a pool that stayed full.

Change: the first step in the order of a scarce pool that is blocked, and that smaller tasks would always precede, gets a reservation (EASY backfilling, Lifka 1995): the endpoints on which its tasks fit at the earliest time by the expected ends of runs. Other tasks start there if they end before, or fit beside.

--- a/core/tmcontrol/endpoint.go
+++ b/core/tmcontrol/endpoint.go
@@ -65,6 +65,8 @@
 	// reserved keeps new tasks away because the instance is about to be taken down or
 	// moved.
 	reserved bool
+	// hold is the part of a reservation for large tasks here, or nil.
+	hold *hold
 	// ending is set once an order was issued that ends all runs here.
 	ending bool
 	// isolated is the suspect for which the endpoint is set aside, or nil.
--- a/core/tmcontrol/gang.go
+++ b/core/tmcontrol/gang.go
@@ -15,7 +15,8 @@
 		}
 		n = max(n, t.runs)
 	}
-	if p.knownTooLarge(s.spec.Reservation()) {
+	if p.knownTooLarge(s.spec.Reservation()) && !c.orderOf(p.service).hasReserved(s) {
+		c.reserve(s, p, int64(len(s.tasks)), now)
 		return
 	}
 	if n := int64(len(s.tasks)); !c.withinLimit(s, n) {
@@ -34,6 +35,8 @@
 		}
 	}
 	if !c.tryGang(s, p, n+1, now) {
+		c.recordBlocked(s, p)
+		c.reserve(s, p, int64(len(s.tasks)), now)
 		c.reportBlocked(s, p, int64(len(s.tasks)))
 	}
 }
--- a/core/tmcontrol/plan.go
+++ b/core/tmcontrol/plan.go
@@ -127,15 +127,18 @@
 		return false
 	}
 	var e *endpoint
-	if !p.knownTooLarge(spec.Reservation()) {
+	if !p.knownTooLarge(spec.Reservation()) || c.orderOf(p.service).hasReserved(t.step) {
 		e = c.choose(t.step, p, now)
-		if e == nil && !p.fitsAny(spec.Reservation()) {
+		if e == nil && !c.fitsAny(t.step, p) {
 			p.tooLarge = append(p.tooLarge, spec.Reservation())
 			c.recordBlocked(t.step, p)
 			c.reportBlocked(t.step, p, 1)
 		}
 	}
 	if e == nil {
+		if p.knownTooLarge(spec.Reservation()) {
+			c.reserve(t.step, p, 1, now)
+		}
 		if spec.LongRunning {
 			c.reportShortage(p.service, t.step.endpointsNeeded(t.step.waitingTasks(now)))
 		}
@@ -156,11 +159,11 @@
 	return waiting
 }
 
-// fitsAny reports whether the reservation fits on some endpoint, regardless of other
-// requirements.
-func (p *pool) fitsAny(reservation tmjob.Resources) bool {
+// fitsAny reports whether a task of the step fits on some endpoint, beside what is reserved
+// there for others, regardless of other requirements.
+func (c *Controller) fitsAny(s *step, p *pool) bool {
 	for _, e := range p.endpoints {
-		if reservation.Fits(e.free()) {
+		if s.spec.Reservation().Fits(e.free()) && c.mayBackfill(s, e) {
 			return true
 		}
 	}
@@ -170,6 +173,7 @@
 func (c *Controller) assign(t *task, e *endpoint, n int) {
 	r := c.addRun(t, e, n)
 	r.isolated = e.isolated != nil
+	c.useSpare(r)
 	r.pending = true
 	c.pending++
 	t.runs = n
@@ -203,7 +207,7 @@
 
 // allows reports whether e may run one more task of the step that is not a suspect.
 func (c *Controller) allows(s *step, e *endpoint) bool {
-	return e.isolated == nil && c.fits(s, e)
+	return e.isolated == nil && c.fits(s, e) && c.mayBackfill(s, e)
 }
 
 // fits reports whether e has room for one more task of the step and may run it.
--- /dev/null
+++ b/core/tmcontrol/reserve_test.go
@@ -0,0 +1,71 @@
+package tmcontrol
+
+import (
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"turmericmoor/core/tmclock"
+	"turmericmoor/core/tmjob"
+)
+
+// startsBehindSmallTasks keeps two endpoints full of small tasks that run for 700 ms, and
+// returns how long a job waits for its first start, at most 30 s.
+func startsBehindSmallTasks(t *testing.T, j tmjob.Job) tmclock.Span {
+	f := newFixture(t, 2)
+	const runTime = 700
+	running := map[tmclock.Millis][]StartOrder{}
+	for i := range 600 {
+		f.c.Submitted(sized(fmt.Sprintf("small%03d", i), "t", 1, int64(f.now)))
+		f.c.Submitted(sized(fmt.Sprintf("more%03d", i), "t", 1, int64(f.now)))
+		if i == 20 {
+			j.Accepted = int64(f.now)
+			f.c.Submitted(j)
+		}
+		for _, s := range f.advance(50 - tmclock.Span(f.now%50)) {
+			if s.Ref.Task.Job == j.ID {
+				return tmclock.Span(int64(f.now) - j.Accepted)
+			}
+			end := f.now.Add(runTime) / 50
+			running[end] = append(running[end], s)
+		}
+		for _, s := range running[f.now/50] {
+			f.end(s.Ref.Endpoint, s.Ref.Task, 1, EndDone)
+		}
+	}
+	return 30 * tmclock.Second
+}
+
+// Guards against a task or a gang that never starts because smaller tasks take whatever
+// becomes free. It starts at the latest some time after it is aged, which is 10 s beyond its
+// objective.
+func TestLargeTasksStartInAFullPool(t *testing.T) {
+	large := sized("large", "t", 1, 0)
+	large.Steps[0].Size.CPU = 7000
+	gang := sized("gang", "t", 4, 0)
+	gang.Steps[0].Size.CPU, gang.Steps[0].Gang = 3000, true
+	for _, j := range []tmjob.Job{large, gang} {
+		waited := startsBehindSmallTasks(t, j)
+		t.Logf("%s waited %d ms", j.ID, waited)
+		assert.Assert(t, waited < 20*tmclock.Second, j.ID)
+	}
+}
+
+// Guards against jobs that stand still in a pool that is half empty, because its capacity is
+// kept for a gang that waits for a long run.
+func TestNothingIsReservedInAHalfEmptyPool(t *testing.T) {
+	f := newFixture(t, 3)
+	long := sized("long", "t", 1, 1000)
+	long.Steps[0].Size.CPU, long.Steps[0].Estimate = 8000, 60_000
+	f.c.Submitted(long)
+	assert.Equal(t, len(f.advance(10)), 1)
+	gang := sized("gang", "t", 3, 1000)
+	gang.Steps[0].Size.CPU, gang.Steps[0].Gang = 8000, true
+	f.c.Submitted(gang)
+	f.advance(10)
+	small := sized("small", "t", 1, 1020)
+	small.Steps[0].Estimate = 70_000
+	f.c.Submitted(small)
+	assert.DeepEqual(t, f.startsByJob(), map[string]int{"small": 1})
+}
--- a/core/tmcontrol/schedule.go
+++ b/core/tmcontrol/schedule.go
@@ -18,6 +18,8 @@
 	// agedCPU what the runs of aged jobs reserve.
 	committed float64
 	agedCPU   int64
+	// smallest has the smallest reservation of a waiting task in each resource.
+	smallest tmjob.Resources
 }
 
 // reset empties the queue. It keeps the memory, but no occurrence.
@@ -40,6 +42,13 @@
 	orderer tmorder.Orderer
 	queue   waitingQueue
 	usage   tmorder.Usage
+	// hasBlocked is set once a blocked step was found in the current pass that may have a
+	// reservation. reservation is that of the pool, or nil; reservedAt is when it was planned.
+	// lastReserved is the step that had the one before, which ended at lastReservedAt.
+	hasBlocked                 bool
+	reservation                *reservation
+	lastReserved               *step
+	reservedAt, lastReservedAt tmclock.Millis
 }
 
 // waitingQueues returns the waiting jobs by pool.
@@ -80,6 +89,11 @@
 		w.committed += out.workNotReady
 		return
 	}
+	if size := first.spec.Reservation(); len(w.occurrences) == 0 {
+		w.smallest = size
+	} else {
+		w.smallest = w.smallest.Min(size)
+	}
 	w.occurrences = append(w.occurrences, o)
 	w.jobs = append(w.jobs, tmorder.Job{
 		Queue: j.spec.Queue, Team: j.spec.Team, Priority: q.Priority, LongRunning: j.longRunning, OverShare: j.overShare,
@@ -183,7 +197,8 @@
 		}
 	}
 	placed, scarce := state.orderer.Order(in, w.jobs)
-	state.blocked, state.scarce = false, scarce
+	state.blocked, state.hasBlocked, state.scarce = false, false, scarce
+	c.checkReservation(state, now)
 	c.recordOrder(p.service, state, w, placed, now)
 	return placed
 }
--- a/core/tmevent/event.go
+++ b/core/tmevent/event.go
@@ -24,6 +24,8 @@
 	CallerState Name = "caller_state"
 	// CallerSubmit: a submission was answered: job, queue, outcome, took_ms.
 	CallerSubmit Name = "caller_submit"
+	// CapacityReserved: capacity of a full pool is kept for tasks that are too large for what is free, and other tasks start there only if they end before: job, step, pool, tasks, endpoints, after_ms.
+	CapacityReserved Name = "capacity_reserved"
 	// CheckpointsDropped: checkpoints were too long for the row of their tasks and are not stored, so that these tasks begin anew if the owner changes: job, page, tasks.
 	CheckpointsDropped Name = "checkpoints_dropped"
 	// ConfigInstalled: a configuration came into force for callers: version, row_version.
@@ -152,6 +154,7 @@
 	CallerRefused,
 	CallerState,
 	CallerSubmit,
+	CapacityReserved,
 	CheckpointsDropped,
 	ConfigInstalled,
 	EndpointAnswers,
--- a/core/tmjob/resources.go
+++ b/core/tmjob/resources.go
@@ -23,6 +23,11 @@
 	return Resources{CPU: max(a.CPU, b.CPU), Mem: max(a.Mem, b.Mem), GPU: max(a.GPU, b.GPU)}
 }
 
+// Min returns the smaller of each field of a and b.
+func (a Resources) Min(b Resources) Resources {
+	return Resources{CPU: min(a.CPU, b.CPU), Mem: min(a.Mem, b.Mem), GPU: min(a.GPU, b.GPU)}
+}
+
 // Fits reports whether no field of a exceeds that of available.
 func (a Resources) Fits(available Resources) bool {
 	return a.CPU <= available.CPU && a.Mem <= available.Mem && a.GPU <= available.GPU
