--- a/core/tmcontrol/bench_test.go
+++ b/core/tmcontrol/bench_test.go
@@ -132,3 +132,36 @@
 	few, many := fastest(5), fastest(2000)
 	assert.Assert(t, many < maxRatio*few, "%v with 5 runs, %v with 2,000", few, many)
 }
+
+// fillFleet occupies all endpoints and adds that many waiting tasks, in jobs of 8 by 20 teams.
+func fillFleet(c *Controller, waiting int, now tmclock.Millis) {
+	c.Submitted(tmjob.Job{ID: "filler", Queue: "q0", Team: "t", Accepted: 1000, Steps: []tmjob.Step{
+		{Count: len(c.endpoints), Size: tmjob.Resources{CPU: 62_000, Mem: 3000}, Estimate: 100_000},
+	}})
+	for i := range waiting / 8 {
+		c.Submitted(tmjob.Job{ID: fmt.Sprintf("w%d", i), Queue: fmt.Sprintf("q%d", i%5), Team: fmt.Sprintf("t%d", i%20), Accepted: 1000, Steps: []tmjob.Step{
+			{Count: 8, Size: tmjob.Resources{CPU: int64(5000 + i%2000), Mem: 3000}, Estimate: 1000},
+		}})
+	}
+	c.Tick(now, 1000)
+	for i, t := range c.jobs["filler"].occurrences[0].steps[0].tasks {
+		c.addRun(t, c.endpoints[fmt.Sprintf("e%d", i)], 1)
+	}
+}
+
+// BenchmarkPlanFullPool plans while nothing can be placed, which is when a pass is longest.
+func BenchmarkPlanFullPool(b *testing.B) {
+	for _, endpoints := range []int{350, 3000} {
+		for _, waiting := range []int{100, 1000, 10_000} {
+			b.Run(fmt.Sprintf("%d_endpoints_%d_tasks", endpoints, waiting), func(b *testing.B) {
+				c, now := benchFleet(endpoints, 0)
+				fillFleet(c, waiting, now)
+				b.ReportAllocs()
+				for b.Loop() {
+					now += 20
+					c.Plan(now, int64(now))
+				}
+			})
+		}
+	}
+}
