core/tmcontrol: aged jobs that can't start are passed over; limits make no pool scarce

Cause: an aged job that fits nowhere, for example for its label, kept the part of the pool for aged jobs to itself, so that others starved behind it. And a team that requests more than its limit permits made a pool with room scarce, which changes the order of the other jobs.

Only what limits permit counts when it is decided whether a pool is scarce.

Seen to fail with each mechanism removed: TestAgedJobThatCannotStartIsPassedOver (no start), TestRequestsBeyondALimitMakeNoPoolScarce.

--- a/core/tmcontrol/job.go
+++ b/core/tmcontrol/job.go
@@ -52,6 +52,10 @@
 	steps  []*step
 	// left counts the steps that are not done, runCount the runs.
 	left, runCount int
+	// firstSince is since when the occurrence is among the first of its pool because it is
+	// aged, 0 if it has started something since. passedOverUntil is until when others go
+	// before it, because nothing of it could start. Both are wall-clock times.
+	firstSince, passedOverUntil int64
 }
 
 type step struct {
@@ -343,6 +347,7 @@
 func (t *task) addRun(r *run) {
 	t.active = append(t.active, r)
 	t.step.runCount++
+	t.step.occ.firstSince = 0
 	t.step.occ.runCount++
 	t.step.occ.job.runCount++
 }
--- a/core/tmcontrol/schedule.go
+++ b/core/tmcontrol/schedule.go
@@ -18,6 +18,8 @@
 	// agedCPU what the runs of aged jobs reserve.
 	committed float64
 	agedCPU   int64
+	// teamCPU is the CPU that the jobs request by team.
+	teamCPU map[string]int64
 	// smallest has the smallest reservation of a waiting task in each resource.
 	smallest tmjob.Resources
 }
@@ -26,7 +28,11 @@
 func (w *waitingQueue) reset() {
 	clear(w.occurrences)
 	clear(w.jobs)
-	*w = waitingQueue{occurrences: w.occurrences[:0], jobs: w.jobs[:0]}
+	clear(w.teamCPU)
+	if w.teamCPU == nil {
+		w.teamCPU = map[string]int64{}
+	}
+	*w = waitingQueue{occurrences: w.occurrences[:0], jobs: w.jobs[:0], teamCPU: w.teamCPU}
 }
 
 // poolOrder is what is known about the order of a pool after a pass.
@@ -96,12 +102,27 @@
 	}
 	w.occurrences = append(w.occurrences, o)
 	w.jobs = append(w.jobs, tmorder.Job{
+		PassedOver: wall < o.passedOverUntil, Permitted: c.permitted(w, j.spec.Team, demand),
 		Queue: j.spec.Queue, Team: j.spec.Team, Priority: q.Priority, LongRunning: j.longRunning, OverShare: j.overShare,
 		Begun: j.begun && j.spec.Repeats == 0 || o.runCount > 0, Held: !c.withinLimit(first, 1),
 		Due: due, Objective: objective, CriticalPath: out.criticalPath, Work: out.work, FullWork: out.fullWork, Demand: demand,
 	})
 }
 
+// permitted returns the part of a demand that the limit of the team permits beside what the
+// jobs before request. Requests beyond the limit don't make a pool scarce.
+func (c *Controller) permitted(w *waitingQueue, team string, demand tmjob.Resources) tmjob.Resources {
+	requested := w.teamCPU[team]
+	w.teamCPU[team] += demand.CPU
+	if c.withinCPULimit(team, requested+demand.CPU) {
+		return demand
+	}
+	if c.quotas != nil {
+		return tmjob.Resources{}
+	}
+	return tmjob.Resources{CPU: max(0, c.rules.Teams[team].Limit.CPU-c.teams[team].CPU-requested)}
+}
+
 // waitingDemand returns what the waiting tasks of the occurrence reserve, and the first step
 // that has one. Tasks that have to wait after a refused start count as well, as long as
 // others don't: counting each task would cost more than the order.
@@ -199,15 +220,18 @@
 	placed, scarce := state.orderer.Order(in, w.jobs)
 	state.blocked, state.hasBlocked, state.scarce = false, false, scarce
 	c.checkReservation(state, now)
-	c.recordOrder(p.service, state, w, placed, now)
+	c.recordOrder(p.service, state, w, placed, now, wall)
 	return placed
 }
 
 // recordOrder counts the jobs of a pool by class and logs what changed.
-func (c *Controller) recordOrder(service string, state *poolOrder, w *waitingQueue, placed []tmorder.Placed, now tmclock.Millis) {
+func (c *Controller) recordOrder(service string, state *poolOrder, w *waitingQueue, placed []tmorder.Placed, now tmclock.Millis, wall int64) {
 	state.classes = [tmorder.Classes]int{}
 	for _, p := range placed {
 		state.classes[p.Class]++
+		if p.Class == tmorder.Aged {
+			w.occurrences[p.Index].passOver(wall)
+		}
 		j := w.occurrences[p.Index].job
 		if !j.deferred && (p.Class == tmorder.Late || p.Class == tmorder.Hopeless) {
 			j.deferred = true
@@ -223,6 +247,20 @@
 		"aged", n[tmorder.Aged], "meets", n[tmorder.Meets], "late", n[tmorder.Late], "hopeless", n[tmorder.Hopeless])
 }
 
+// maxAgedTurn is how long an aged occurrence may be among the first without a start before
+// it is passed over for as long. It has time for a reservation.
+const maxAgedTurn = int64(maxReservation)
+
+// passOver passes an aged occurrence over for a time if nothing of it could start.
+func (o *occurrence) passOver(wall int64) {
+	switch {
+	case o.firstSince == 0:
+		o.firstSince = wall
+	case wall-o.firstSince >= maxAgedTurn:
+		o.firstSince, o.passedOverUntil = 0, wall+maxAgedTurn
+	}
+}
+
 // recordBlocked records that a task of the step fits on no endpoint of the pool now. If it
 // fits on an empty one, the pool is scarce although it may have enough free capacity in total.
 func (c *Controller) recordBlocked(s *step, p *pool) {
--- a/core/tmcontrol/schedule_test.go
+++ b/core/tmcontrol/schedule_test.go
@@ -130,3 +130,37 @@
 		})
 	}
 }
+
+// Guards against aged jobs that never start because one goes first that fits nowhere.
+func TestAgedJobThatCannotStartIsPassedOver(t *testing.T) {
+	f := newFixture(t, 1)
+	f.now = 40_000
+	f.answerHold("e1")
+	never := sized("never", "t", 8, 1000)
+	never.Steps[0].Label = "none"
+	f.c.Submitted(never)
+	f.c.Submitted(sized("aged", "t", 1, 2000))
+	started := map[string]int{}
+	for i := range 80 {
+		f.c.Submitted(sized(fmt.Sprintf("new%d", i), "t", 8, int64(f.now)))
+		starts := f.advance(100)
+		for _, s := range starts {
+			started[s.Ref.Task.Job]++
+			f.end("e1", s.Ref.Task, 1, EndDone)
+		}
+	}
+	assert.Equal(t, started["aged"], 1)
+}
+
+// Guards against another order in a pool with room, because a team requests more than its
+// limit permits.
+func TestRequestsBeyondALimitMakeNoPoolScarce(t *testing.T) {
+	f := newFixture(t, 2)
+	rules := testRules(2)
+	rules.Teams["t"] = Team{Name: "t", Weight: 1, Limit: tmjob.Resources{CPU: 4000}}
+	f.c.SetRules(rules)
+	f.c.Submitted(sized("wide", "t", 50, 1000))
+	f.c.Submitted(sized("more", "t", 50, 1000))
+	assert.Equal(t, len(f.advance(10)), 4)
+	assert.Assert(t, !f.c.orders["s"].scarce)
+}
--- a/core/tmorder/load_test.go
+++ b/core/tmorder/load_test.go
@@ -99,6 +99,7 @@
 		j.CriticalPath = float64(left) * j.declared
 		j.Work = float64(((left-1)*simTasks+j.waiting+j.running)*int(j.cpu)) * j.declared
 		j.Demand = tmjob.Resources{CPU: int64(j.waiting) * j.cpu}
+		j.Permitted = j.Demand
 		j.Begun = j.began >= 0
 		if IsAged(pool.Now, j.Due, j.Objective) {
 			pool.AgedCPU += int64(j.running) * j.cpu
--- a/core/tmorder/order.go
+++ b/core/tmorder/order.go
@@ -28,6 +28,9 @@
 	OverShare bool
 	// Begun is set if a task of the job has started.
 	Begun bool
+	// PassedOver is set if the job was among the first as an aged one for some time and
+	// nothing of it could start, so that others have their turn.
+	PassedOver bool
 	// Held is set if the limit of the team permits no further task of the job now.
 	Held bool
 	// Due is when the job was due, in ms since the Unix epoch. Objective is the time from
@@ -37,8 +40,9 @@
 	// CriticalPath is the longest chain of remaining steps, Work the remaining work,
 	// FullWork that of the whole job.
 	CriticalPath, Work, FullWork float64
-	// Demand is what the tasks that could start now reserve.
-	Demand tmjob.Resources
+	// Demand is what the tasks that could start now reserve, Permitted the part of it that
+	// the limit of the team permits beside the jobs before.
+	Demand, Permitted tmjob.Resources
 }
 
 // Pool is the state of a pool.
@@ -155,7 +159,7 @@
 	var demand tmjob.Resources
 	for i := range jobs {
 		if !jobs[i].LongRunning && !jobs[i].Held {
-			demand = demand.Add(jobs[i].Demand)
+			demand = demand.Add(jobs[i].Permitted)
 		}
 	}
 	return !demand.Fits(p.Free)
--- a/core/tmorder/order_test.go
+++ b/core/tmorder/order_test.go
@@ -20,7 +20,7 @@
 func job(team string, due int64) Job {
 	return Job{
 		Queue: "q", Team: team, Due: due, Objective: 2000, CriticalPath: 1000, Work: 1e6, FullWork: 1e6,
-		Demand: tmjob.Resources{CPU: 1000, Mem: 100},
+		Permitted: tmjob.Resources{CPU: 1000, Mem: 100}, Demand: tmjob.Resources{CPU: 1000, Mem: 100},
 	}
 }
 
--- a/core/tmorder/scarce.go
+++ b/core/tmorder/scarce.go
@@ -84,7 +84,7 @@
 func (s *pass) promoteAged(entries []*entry) []*entry {
 	var aged, rest []*entry
 	for _, e := range entries {
-		if IsAged(s.pool.Now, e.job.Due, e.job.Objective) {
+		if !e.job.PassedOver && IsAged(s.pool.Now, e.job.Due, e.job.Objective) {
 			aged = append(aged, e)
 		} else {
 			rest = append(rest, e)
