--- a/core/tmcontrol/controller.go
+++ b/core/tmcontrol/controller.go
@@ -53,6 +53,8 @@
 	teams    map[string]tmjob.Resources
 	shares   map[string]*shareMeter
 	zonesOut map[string]bool
+	// orders holds by pool what the last pass found out about its order.
+	orders map[string]*poolOrder
 	// runTimes, failureRates and suspectPools hold what is learned from runs: by queue how
 	// long they take and how often they fail, by pool the endpoints that are suspected.
 	runTimes     map[string]*tmstraggler.Times
@@ -104,7 +106,7 @@
 	c := &Controller{
 		shard: shard, bounds: bounds, token: token, emit: emit,
 		jobs: map[string]*job{}, endpoints: map[string]*endpoint{}, onInstance: map[string][]*endpoint{}, finalAt: map[string]tmclock.Millis{},
-		now: 1, teams: map[string]tmjob.Resources{}, shares: map[string]*shareMeter{}, zonesOut: map[string]bool{},
+		now: 1, teams: map[string]tmjob.Resources{}, shares: map[string]*shareMeter{}, zonesOut: map[string]bool{}, orders: map[string]*poolOrder{},
 		runTimes: map[string]*tmstraggler.Times{}, failureRates: map[string]*tmstraggler.Rate{},
 		suspectPools: map[string]*tmstraggler.Pool{}, window: newStartWindow(), neighbours: newNeighbours(),
 		fleet: newFleet(),
@@ -127,7 +129,11 @@
 	if r.Version <= c.rules.Version {
 		return
 	}
+	isFirst := c.rules.Version == 0
 	c.rules = r
+	if isFirst {
+		c.addRestoredUsage()
+	}
 	c.setQuotas(r.Teams)
 	c.event(tmevent.RulesInstalled, "version", r.Version, "queues", len(r.Queues), "teams", len(r.Teams))
 }
@@ -330,6 +336,7 @@
 	e.addRun(r)
 	c.enterPlace(r)
 	c.teams[r.team] = c.teams[r.team].Add(r.size)
+	c.addUsage(r)
 	return r
 }
 
@@ -342,6 +349,7 @@
 	c.leavePlace(r)
 	c.markAnswered(r)
 	c.teams[r.team] = c.teams[r.team].Sub(r.size)
+	c.subUsage(r)
 	r.task.removeRun(r)
 	j := r.task.step.occ.job
 	switch {
--- a/core/tmcontrol/dump.go
+++ b/core/tmcontrol/dump.go
@@ -4,6 +4,7 @@
 	"slices"
 
 	"turmericmoor/core/tmjob"
+	"turmericmoor/core/tmorder"
 	"turmericmoor/core/tmstraggler"
 )
 
@@ -68,6 +69,10 @@
 	Answering, Silent, Runs int
 	// Suspects counts the endpoints that are avoided on suspicion or on trial, by cause.
 	Suspects map[tmstraggler.Cause]int
+	// Ordered is the number of waiting jobs by their class in the last order.
+	Ordered [tmorder.Classes]int
+	// Shares is what teams use of the pool, if it was scarce in the last pass.
+	Shares []tmorder.TeamShare
 }
 
 // JobDump describes one job of a dump.
@@ -118,6 +123,11 @@
 		}
 		d.Pools[e.info.Service] = p
 	}
+	for service, state := range c.orders {
+		p := d.Pools[service]
+		p.Ordered, p.Shares = state.classes, slices.Clone(state.orderer.Shares())
+		d.Pools[service] = p
+	}
 	for _, j := range c.openJobs[:min(len(c.openJobs), maxDumpEntries)] {
 		d.Open = append(d.Open, j.dump())
 	}
--- a/core/tmcontrol/endpoint.go
+++ b/core/tmcontrol/endpoint.go
@@ -78,6 +78,8 @@
 	// vacatingSince is since when the endpoint gets no new tasks, so that its instance can
 	// move to a pool that needs it more, 0 if it is not to be vacated.
 	vacatingSince tmclock.Millis
+	// hold is the part of a reservation for large tasks here, or nil.
+	hold *hold
 	// ending is set once an order was issued that ends all runs here.
 	ending bool
 	// isolated is the suspect for which the endpoint is set aside, or nil.
--- a/core/tmcontrol/job.go
+++ b/core/tmcontrol/job.go
@@ -44,6 +44,8 @@
 	speculative bool
 	// overShare is set if the team was over its share when the job arrived.
 	overShare bool
+	// deferred is set once the job waits behind others because it can't meet its objective.
+	deferred bool
 }
 
 // occurrence is one execution of all steps of a job. A timed job has one for each
@@ -54,6 +56,10 @@
 	steps  []*step
 	// left counts the steps that are not done, runCount the runs.
 	left, runCount int
+	// firstSince is since when the occurrence is among the first of its pool because it is
+	// aged, 0 if it has started something since. passedOverUntil is until when others go
+	// before it, because nothing of it could start. Both are wall-clock times.
+	firstSince, passedOverUntil int64
 }
 
 type step struct {
@@ -61,8 +67,8 @@
 	i     int
 	spec  *tmjob.Step
 	tasks []*task
-	// left counts the tasks that are not done.
-	left int
+	// left counts the tasks that are not done, runCount the runs.
+	left, runCount int
 	// took holds the run times of the tasks that are done.
 	took tmstraggler.Times
 	// blockedSince is since when the step has found no place while endpoints are avoided.
@@ -124,7 +130,9 @@
 	reservation tmjob.Resources
 	size        tmjob.Resources
 	team        string
-	phase       phase
+	// pool is the pool of which the run counts as usage of its team, or "".
+	pool  string
+	phase phase
 	// placementStored is set once the placement is stored.
 	placementStored bool
 	// gangCheckpoint is the checkpoint that all members of the gang of the run start from.
@@ -357,6 +365,8 @@
 
 func (t *task) addRun(r *run) {
 	t.active = append(t.active, r)
+	t.step.runCount++
+	t.step.occ.firstSince = 0
 	t.step.occ.runCount++
 	t.step.occ.job.runCount++
 }
@@ -367,6 +377,7 @@
 		return
 	}
 	t.active = append(t.active[:i], t.active[i+1:]...)
+	t.step.runCount--
 	t.step.occ.runCount--
 	t.step.occ.job.runCount--
 }
--- a/core/tmcontrol/vacate.go
+++ b/core/tmcontrol/vacate.go
@@ -85,7 +85,7 @@
 			continue
 		}
 		for _, o := range j.occurrences {
-			if !j.longRunning && c.rank(o, q, wall).missesObjective {
+			if !j.longRunning && c.missesObjective(o, q, wall) {
 				continue
 			}
 			for _, s := range o.steps {
@@ -98,6 +98,13 @@
 	return out
 }
 
+// missesObjective reports whether an occurrence misses its objective even if nothing waits.
+func (c *Controller) missesObjective(o *occurrence, q Queue, wall int64) bool {
+	out := c.workload(o)
+	objective := float64(o.job.spec.Due(o.number)) + q.Stretch*out.fullCriticalPath + float64(q.Objective)
+	return float64(wall)+out.criticalPath > objective
+}
+
 // vacate keeps new tasks away from endpoints of pools that have more than their target, as
 // many as starved pools lack. Once such an endpoint is idle, its instance moves.
 func (c *Controller) vacate(sizes []poolSize, scarce bool, now tmclock.Millis) {
--- a/core/tmevent/event.go
+++ b/core/tmevent/event.go
@@ -26,6 +26,8 @@
 	CallerState Name = "caller_state"
 	// CallerSubmit: a submission was answered: job, queue, outcome, took_ms.
 	CallerSubmit Name = "caller_submit"
+	// CapacityReserved: capacity of a full pool is kept for tasks that are too large for what is free, and other tasks start there only if they end before: job, step, pool, tasks, endpoints, after_ms.
+	CapacityReserved Name = "capacity_reserved"
 	// CheckpointsDropped: checkpoints were too long for the row of their tasks and are not stored, so that these tasks begin anew if the owner changes: job, page, tasks.
 	CheckpointsDropped Name = "checkpoints_dropped"
 	// ConfigInstalled: a configuration came into force for callers: version, row_version.
@@ -64,6 +66,8 @@
 	InterferenceFound Name = "interference_found"
 	// InterferenceGone: a slowdown that was found no longer counts: workload, beside, slowdown.
 	InterferenceGone Name = "interference_gone"
+	// JobDeferred: a job goes behind others of its pool, which is full, because it can't meet its objective; it is logged once for each job: job, queue, team, class, end_ms.
+	JobDeferred Name = "job_deferred"
 	// JobFinal: a job reached its final state: job, queue, team, state, cause.
 	JobFinal Name = "job_final"
 	// LayoutFailed: the number of shards could not be decided yet: cause.
@@ -98,6 +102,8 @@
 	PageRefused Name = "page_refused"
 	// PlacementsChanged: tasks were placed on other endpoints because of interference, since the last such line and in total: placements, total, effects.
 	PlacementsChanged Name = "placements_changed"
+	// PoolScarce: a pool has less free than its waiting jobs request, or has enough again, with the number of waiting jobs by class: pool, scarce, waiting, aged, meets, late, hopeless.
+	PoolScarce Name = "pool_scarce"
 	// PoolSized: the size or the wanted size of a pool changed: pool, have, want, idle, need_cpu, forecast_cpu.
 	PoolSized Name = "pool_sized"
 	// FleetDivided: the pools want more instances than there are, and get their targets: pool, have, want, timely, floor, target, instances.
@@ -165,6 +171,7 @@
 	CallerRefused,
 	CallerState,
 	CallerSubmit,
+	CapacityReserved,
 	CheckpointsDropped,
 	ConfigInstalled,
 	EndpointAnswers,
@@ -184,6 +191,7 @@
 	InstancesFailed,
 	InterferenceFound,
 	InterferenceGone,
+	JobDeferred,
 	JobFinal,
 	LayoutFailed,
 	LayoutKnown,
@@ -201,6 +209,7 @@
 	OwnerWon,
 	PageRefused,
 	PlacementsChanged,
+	PoolScarce,
 	PoolSized,
 	FleetDivided,
 	EndpointVacates,
--- a/io/tmmetrics/state.go
+++ b/io/tmmetrics/state.go
@@ -6,17 +6,17 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"turmericmoor/core/tmcontrol"
+	"turmericmoor/core/tmorder"
 	"turmericmoor/core/tmstraggler"
 )
 
 // stateCollector exports the state of the owner at the time of the scrape.
 type stateCollector struct {
-	node                                            Source
-	ready, owner, ownedShards                       *prometheus.Desc
-	token, rulesVersion, openJobs, startWindow      *prometheus.Desc
-	waitingJobs, endpoints, runs, teamCPU, waveOpen *prometheus.Desc
-	suspects                                        *prometheus.Desc
-	slowdown, changedPlacements                     *prometheus.Desc
+	node                                                                    Source
+	ready, owner, ownedShards                                               *prometheus.Desc
+	token, rulesVersion, openJobs, startWindow                              *prometheus.Desc
+	waitingJobs, orderedJobs, teamShare, endpoints, runs, teamCPU, waveOpen *prometheus.Desc
+	suspects, slowdown, changedPlacements                                   *prometheus.Desc
 }
 
 func newStateCollector(node Source) *stateCollector {
@@ -33,6 +33,8 @@
 		openJobs:     desc("open_jobs", "Jobs that are not final.", "shard"),
 		startWindow:  desc("start_window", "Limit of start orders without an answer.", "shard"),
 		waitingJobs:  desc("waiting_jobs", "Jobs of which no task has started.", "queue", "shard"),
+		orderedJobs:  desc("ordered_jobs", "Waiting jobs by pool and class in the last planning pass.", "pool", "class", "shard"),
+		teamShare:    desc("team_share_used", "What a team uses of a full pool, as a multiple of its share.", "pool", "team", "shard"),
 		endpoints:    desc("endpoints", "Endpoints by pool and whether they answer.", "pool", "answers", "shard"),
 		suspects:     desc("suspected_endpoints", "Endpoints that are avoided on suspicion or on trial, by pool and cause.", "pool", "cause", "shard"),
 		runs:         desc("runs", "Runs by pool.", "pool", "shard"),
@@ -47,7 +49,8 @@
 // Describe implements prometheus.Collector.
 func (s *stateCollector) Describe(ch chan<- *prometheus.Desc) {
 	for _, d := range []*prometheus.Desc{
-		s.ready, s.owner, s.ownedShards, s.token, s.rulesVersion, s.openJobs, s.startWindow, s.waitingJobs, s.endpoints, s.runs, s.teamCPU, s.waveOpen, s.suspects, s.slowdown, s.changedPlacements,
+		s.ready, s.owner, s.ownedShards, s.token, s.rulesVersion, s.openJobs, s.startWindow, s.waitingJobs, s.orderedJobs, s.teamShare, s.endpoints, s.runs, s.teamCPU, s.waveOpen,
+		s.suspects, s.slowdown, s.changedPlacements,
 	} {
 		ch <- d
 	}
@@ -87,6 +90,12 @@
 		for _, cause := range tmstraggler.Causes {
 			gauge(s.suspects, float64(p.Suspects[cause]), pool, string(cause))
 		}
+		for _, t := range p.Shares {
+			gauge(s.teamShare, t.Used/max(t.Part, 1e-6), pool, t.Team)
+		}
+		for class, n := range p.Ordered {
+			gauge(s.orderedJobs, float64(n), pool, tmorder.Class(class).String())
+		}
 	}
 	for team, used := range dump.Teams {
 		gauge(s.teamCPU, float64(used.CPU)/1000, team)
