--- a/core/tmcontrol/endpoint.go
+++ b/core/tmcontrol/endpoint.go
@@ -65,10 +65,8 @@
 	// blockedUntil is until when the endpoint gets no new tasks because start orders to it
 	// failed, avoidUntil until when it gets none because its runs are slow or fail.
 	blockedUntil, avoidUntil tmclock.Millis
-	// health is what is known of the lifetime by its runs. During a planning pass, onTrial is
-	// set if the endpoint gets one task as a trial, which is trial, and hadTrouble if runs
-	// failed or stalled lately.
-	health              tmstraggler.Health
+	// During a planning pass, onTrial is set if the endpoint gets one task as a trial, which is
+	// trial, and hadTrouble if runs failed or stalled lately.
 	onTrial, hadTrouble bool
 	trial               *run
 	// reserved keeps new tasks away because the instance is about to be taken down or
@@ -83,6 +81,9 @@
 	lapsed []*run
 	// gone is set once the lifetime has ended.
 	gone bool
+	// health is what is known of the lifetime by its runs. It is large and comes last, because
+	// the fields before it are read for each endpoint and placement.
+	health tmstraggler.Health
 }
 
 type runKey struct {
--- a/core/tmcontrol/plan.go
+++ b/core/tmcontrol/plan.go
@@ -334,7 +334,9 @@
 	if e.longRunning != (tmjob.Resources{}) {
 		score += longRunningPreference
 	}
-	score += e.healthScore(s)
+	if e.onTrial || e.hadTrouble {
+		score += e.healthScore(s)
+	}
 	if s.spec.LongRunning {
 		// The loss of one endpoint should leave half of the step's tasks running.
 		score -= spreadPenalty * float64(e.stepRuns[s]/((s.spec.Count+1)/2))
