core/tmcontrol: instances on their way count for the order of a pool

Cause: at the start of a burst a pool has few endpoints, so that it counted as scarce and jobs as late, although the instances that it had ordered arrived in time.

Change: the capacity of instances that move to a pool counts as its own in the order.

--- a/core/tmcontrol/neighbour_test.go
+++ b/core/tmcontrol/neighbour_test.go
@@ -207,7 +207,7 @@
 	p := s.c.pools(s.now)["s"]
 	for _, j := range s.c.openJobs {
 		for t := range j.tasks() {
-			if t.waiting(s.now) && p != nil && p.fitsAny(t.step.spec.Reservation()) {
+			if t.waiting(s.now) && p != nil && s.c.fitsAny(t.step, p) {
 				s.waited++
 				return
 			}
--- a/core/tmcontrol/schedule.go
+++ b/core/tmcontrol/schedule.go
@@ -217,6 +217,9 @@
 			in.Free = in.Free.Add(e.free().Max(tmjob.Resources{}))
 		}
 	}
+	// What is on its way to the pool is there in time for jobs that can wait for it.
+	incoming := c.incomingCapacity(p.service)
+	in.Capacity, in.Free = in.Capacity.Add(incoming), in.Free.Add(incoming)
 	placed, scarce := state.orderer.Order(in, w.jobs)
 	state.blocked, state.hasBlocked, state.scarce = false, false, scarce
 	c.checkReservation(state, now)
@@ -224,6 +227,17 @@
 	return placed
 }
 
+// incomingCapacity returns the capacity of the instances that are moving to a pool.
+func (c *Controller) incomingCapacity(pool string) tmjob.Resources {
+	var sum tmjob.Resources
+	for id, m := range c.fleet.moves {
+		if m.pool == pool {
+			sum = sum.Add(c.fleet.instances[id].Capacity)
+		}
+	}
+	return sum
+}
+
 // recordOrder counts the jobs of a pool by class and logs what changed.
 func (c *Controller) recordOrder(service string, state *poolOrder, w *waitingQueue, placed []tmorder.Placed, now tmclock.Millis, wall int64) {
 	state.classes = [tmorder.Classes]int{}
--- a/core/tmcontrol/uneven_test.go
+++ b/core/tmcontrol/uneven_test.go
@@ -146,7 +146,8 @@
 	waiting := false
 	for _, j := range s.c.openJobs {
 		for _, o := range j.occurrences {
-			waiting = waiting || o.hasWaiting(s.now)
+			_, first := o.waitingDemand(s.now)
+			waiting = waiting || first != nil
 		}
 	}
 	if starts > 0 || !waiting || 2*used >= capacity {
