--- a/core/tmcontrol/schedule.go
+++ b/core/tmcontrol/schedule.go
@@ -18,8 +18,8 @@
 	// agedCPU what the runs of aged jobs reserve.
 	committed float64
 	agedCPU   int64
-	// teamCPU is the CPU that the jobs request by team.
-	teamCPU map[string]int64
+	// teams has the room of each team.
+	teams map[string]*teamRoom
 	// smallest has the smallest reservation of a waiting task in each resource.
 	smallest tmjob.Resources
 }
@@ -28,11 +28,11 @@
 func (w *waitingQueue) reset() {
 	clear(w.occurrences)
 	clear(w.jobs)
-	clear(w.teamCPU)
-	if w.teamCPU == nil {
-		w.teamCPU = map[string]int64{}
+	if w.teams == nil {
+		w.teams = map[string]*teamRoom{}
 	}
-	*w = waitingQueue{occurrences: w.occurrences[:0], jobs: w.jobs[:0], teamCPU: w.teamCPU}
+	clear(w.teams)
+	*w = waitingQueue{occurrences: w.occurrences[:0], jobs: w.jobs[:0], teams: w.teams}
 }
 
 // poolOrder is what is known about the order of a pool after a pass.
@@ -102,25 +102,50 @@
 	}
 	w.occurrences = append(w.occurrences, o)
 	w.jobs = append(w.jobs, tmorder.Job{
-		PassedOver: wall < o.passedOverUntil, Permitted: c.permitted(w, j.spec.Team, demand),
-		Queue: j.spec.Queue, Team: j.spec.Team, Priority: q.Priority, LongRunning: j.longRunning, OverShare: j.overShare,
-		Begun: j.begun && j.spec.Repeats == 0 || o.runCount > 0, Held: !c.withinLimit(first, 1),
-		Due: due, Objective: objective, CriticalPath: out.criticalPath, Work: out.work, FullWork: out.fullWork, Demand: demand,
+		PassedOver: wall < o.passedOverUntil,
+		Queue:      j.spec.Queue, Team: j.spec.Team, Priority: q.Priority, LongRunning: j.longRunning, OverShare: j.overShare,
+		Begun: j.begun && j.spec.Repeats == 0 || o.runCount > 0,
+		Due:   due, Objective: objective, CriticalPath: out.criticalPath, Work: out.work, FullWork: out.fullWork, Demand: demand,
 	})
+	c.applyLimit(&w.jobs[len(w.jobs)-1], c.roomOf(w, j.spec.Team), first)
 }
 
-// permitted returns the part of a demand that the limit of the team permits beside what the
-// jobs before request. Requests beyond the limit don't make a pool scarce.
-func (c *Controller) permitted(w *waitingQueue, team string, demand tmjob.Resources) tmjob.Resources {
-	requested := w.teamCPU[team]
-	w.teamCPU[team] += demand.CPU
-	if c.withinCPULimit(team, requested+demand.CPU) {
-		return demand
+// teamRoom is what the limit of a team permits in one pass.
+type teamRoom struct {
+	limit, used tmjob.Resources
+	// requested is the CPU that the jobs so far request.
+	requested int64
+}
+
+// roomOf returns the room of a team.
+func (c *Controller) roomOf(w *waitingQueue, team string) *teamRoom {
+	room := w.teams[team]
+	if room == nil {
+		room = &teamRoom{limit: c.rules.Teams[team].Limit, used: c.teams[team]}
+		w.teams[team] = room
 	}
-	if c.quotas != nil {
-		return tmjob.Resources{}
+	return room
+}
+
+// applyLimit sets what the limit of the team means for a job: whether it permits a further
+// task of the step, and which part of the demand it permits beside that of the jobs before.
+// Requests beyond the limit don't make a pool scarce.
+func (c *Controller) applyLimit(j *tmorder.Job, room *teamRoom, s *step) {
+	requested := room.requested
+	room.requested += j.Demand.CPU
+	j.Permitted = j.Demand
+	switch {
+	case c.quotas != nil:
+		j.Held = !c.withinLimit(s, 1)
+		if !c.withinCPULimit(j.Team, room.requested) {
+			j.Permitted = tmjob.Resources{}
+		}
+	case room.limit != tmjob.Resources{}:
+		j.Held = !room.used.Add(s.spec.Size).Within(room.limit)
+		if left := room.limit.CPU - room.used.CPU - requested; room.limit.CPU > 0 && left < j.Demand.CPU {
+			j.Permitted = tmjob.Resources{CPU: max(0, left)}
+		}
 	}
-	return tmjob.Resources{CPU: max(0, c.rules.Teams[team].Limit.CPU-c.teams[team].CPU-requested)}
 }
 
 // waitingDemand returns what the waiting tasks of the occurrence reserve, and the first step
