core/tmcontrol, io/tmrecord: the predicted wait of a new job, by queue

Cause: nothing says how long a new job has to wait; owners publish only how many jobs have not started.

Change: Backlogs predicts the wait for each queue of a full pool: the work that is placed before a new job, divided by the cores that the pool has for short work and those that its moves bring. A job that can meet its objective doesn't wait for those that can't. Work of a team beyond its limit or its share holds nobody up. The row of the owner can carry the 64 longest waits in at most 4,000 bytes; earlier versions pass over the field, and nonsense in it leaves the rest of the row readable. Nothing reads or writes it yet.

Seen to fail: each test with the rule that it is about removed by hand (late jobs, limits of teams, shares, moves, arrivals after the work, long-running work, draining endpoints, priorities, sizes, capacity for all, running work, pool without cores; length, order and finite numbers of the row). Not so the check that all jobs are loaded: before that no occurrence is open.

--- a/io/tmrecord/codec.go
+++ b/io/tmrecord/codec.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 
+	"turmericmoor/core/tmadmit"
 	"turmericmoor/core/tmclock"
 	"turmericmoor/core/tmjob"
 	"turmericmoor/core/tmquota"
@@ -234,6 +235,9 @@
 	// WaitingKnown is set, which means that the owner has read all jobs.
 	Waiting      map[string]int
 	WaitingKnown bool
+	// Backlogs holds, by queue, what a new job would have to wait for. A row lists at most 64
+	// queues, those with the longest waits.
+	Backlogs map[string]tmadmit.Backlog
 }
 
 type ownerRow struct {
@@ -243,10 +247,17 @@
 	Cores        float64        `json:"p,omitempty"`
 	Waiting      map[string]int `json:"w,omitempty"`
 	WaitingKnown bool           `json:"c,omitempty"`
+	// Backlogs is decoded on its own, so that nonsense in it leaves the rest readable.
+	Backlogs json.RawMessage `json:"k,omitempty"`
 }
 
 // EncodeOwner encodes the row of the owner.
-func EncodeOwner(o Owner) []byte { return encode(ownerRow(o)) }
+func EncodeOwner(o Owner) []byte {
+	return encode(ownerRow{
+		Holder: o.Holder, Token: o.Token, Renewals: o.Renewals, Cores: o.Cores,
+		Waiting: o.Waiting, WaitingKnown: o.WaitingKnown, Backlogs: encodeBacklogs(o.Backlogs),
+	})
+}
 
 // DecodeOwner decodes the row of the owner.
 func DecodeOwner(data []byte) (Owner, error) {
@@ -254,7 +265,10 @@
 	if err := decode("owner", data, &row); err != nil {
 		return Owner{}, err
 	}
-	return Owner(row), nil
+	return Owner{
+		Holder: row.Holder, Token: row.Token, Renewals: row.Renewals, Cores: row.Cores,
+		Waiting: row.Waiting, WaitingKnown: row.WaitingKnown, Backlogs: decodeBacklogs(row.Backlogs),
+	}, nil
 }
 
 // Guard is the row that fences the writes of earlier owners: every flush of the owner
