io/tmintake, io/tmnode, platform: a full pool is told to callers

Change: the owner publishes its backlogs with each renewal, unless its planner is late. A node keeps them with the token of the owner and the age of the row, by a clock that runs on while the machine is suspended; the answer of a feed that waited for a paused node counts as old. A job that can't be served in time is refused with 503 and the time at which to come back. Before that the node reads whether the job is stored: then the answer is 200; if the read fails, the job is taken on as before. Cancellations that certainly stored nothing get 503 at once.

Events: backlog_begins, backlog_ends, backlog_refused, backlog_probe, backlog_repeated, backlog_unchecked.

Four tests take the signature of Board.OwnerChanged with the time of the row.

--- a/core/tmevent/event.go
+++ b/core/tmevent/event.go
@@ -14,6 +14,18 @@
 	Advice Name = "advice"
 	// AdviceFailed: a question to the placement policy failed: step, cause.
 	AdviceFailed Name = "advice_failed"
+	// BacklogBegins: the predicted wait of new jobs of a queue is reported to the nodes from now on: queue, wait_ms, work_core_ms, cores, shard.
+	BacklogBegins Name = "backlog_begins"
+	// BacklogEnds: the predicted wait of new jobs of a queue, last wait_ms, is too short now to be reported: queue, wait_ms, shard.
+	BacklogEnds Name = "backlog_ends"
+	// BacklogProbe: a job that the backlog would refuse was admitted, as one of 16, so that a wait that is estimated too high is corrected: job, queue, shard, wait_ms, end_ms, bound_ms, age_ms.
+	BacklogProbe Name = "backlog_probe"
+	// BacklogRefused: a job was refused because it would end too late by the backlog of its queue, end_ms after its first attempt at this node: job, queue, shard, attempt, wait_ms, end_ms, bound_ms, retry_after_ms, age_ms.
+	BacklogRefused Name = "backlog_refused"
+	// BacklogRepeated: the backlog would refuse a job that is stored already, so that it was not refused: job, queue, shard, age_ms.
+	BacklogRepeated Name = "backlog_repeated"
+	// BacklogUnchecked: the backlog would refuse a job, but whether it is stored already could not be read, so that it was not refused: job, queue, shard, cause.
+	BacklogUnchecked Name = "backlog_unchecked"
 	// BeyondShare: a job runs only on capacity that other teams leave unused, because its team has exceeded its share: job, queue, team, share, rules.
 	BeyondShare Name = "beyond_share"
 	// CallerCancel: a cancellation was answered: job, queue, outcome, took_ms.
@@ -143,6 +155,12 @@
 	AccessStale,
 	Advice,
 	AdviceFailed,
+	BacklogBegins,
+	BacklogEnds,
+	BacklogProbe,
+	BacklogRefused,
+	BacklogRepeated,
+	BacklogUnchecked,
 	BeyondShare,
 	CallerCancel,
 	CallerRefused,
--- a/internal/fleetsim/simulation_test.go
+++ b/internal/fleetsim/simulation_test.go
@@ -63,6 +63,8 @@
 	// shards is the number of shards, limit the CPU limit of the team or 0 for none.
 	shards int
 	limit  int64
+	// unweighted is set if the team has no weight, so that it is never over its share.
+	unweighted bool
 	// faults are the faults that injectFaults chooses from.
 	faults []namedFault
 	nodes  []*nodeProcess
@@ -153,7 +155,7 @@
 	return tmtable.Put{Key: tmtable.Key{Table: "status", Key: wave}}
 }
 
-func (directory) Operator(row tmtable.Row) (tmnode.OperatorEntry, error) {
+func (d directory) Operator(row tmtable.Row) (tmnode.OperatorEntry, error) {
 	var version, limit int64
 	if _, err := fmt.Sscan(string(row.Value), &version, &limit); err != nil {
 		return tmnode.OperatorEntry{}, err
@@ -164,6 +166,9 @@
 		Services: map[string]tmcontrol.Service{"pool": {Name: "pool"}},
 		Teams:    map[string]tmcontrol.Team{"t": {Name: "t", Weight: 1, Limit: tmjob.Resources{CPU: limit}}},
 	}
+	if d.sim.unweighted {
+		rules.Teams["t"] = tmcontrol.Team{Name: "t", Limit: tmjob.Resources{CPU: limit}}
+	}
 	return tmnode.OperatorEntry{Access: tmaccess.NewTable(version, nil, map[string]string{"k": "t"}, 1<<20), Rules: &rules}, nil
 }
 
--- a/io/tmelection/board.go
+++ b/io/tmelection/board.go
@@ -33,8 +33,11 @@
 	// can own.
 	Cores    float64
 	Capacity int
-	// OwnerChanged is called with every new version of the row of an owner.
-	OwnerChanged func(shard int, o tmrecord.Owner)
+	// OwnerChanged is called with every new version of the row of an owner. The row was in the
+	// store at readAt or later; by Now.
+	OwnerChanged func(shard int, o tmrecord.Owner, readAt time.Time)
+	// Now, if set, replaces time.Now as the source of readAt.
+	Now func() time.Time
 	// LayoutKnown is called once, with the number of shards.
 	LayoutKnown func(shards int)
 	// Emit receives an event for every change of role and every failure.
@@ -70,15 +73,15 @@
 	b.mu.Unlock()
 	b.register(ctx)
 	f := tmtable.Follower{
-		Store: b.Store, Table: tmrecord.OwnerTable, Parts: []string{""}, Wait: feedWait,
-		Snapshot: func(rows []tmtable.Row) {
-			b.applyRows(rows)
-			b.mu.Lock()
-			b.loaded = true
-			b.mu.Unlock()
-		},
-		Changed: b.applyRows,
+		Store: b.Store, Table: tmrecord.OwnerTable, Parts: []string{""}, Wait: feedWait, Now: b.now,
 	}
+	f.Snapshot = func(rows []tmtable.Row) {
+		b.applyRows(rows, f.SentAt())
+		b.mu.Lock()
+		b.loaded = true
+		b.mu.Unlock()
+	}
+	f.Changed = func(rows []tmtable.Row) { b.applyRows(rows, b.readAt(f.SentAt())) }
 	f.Synced = func(time.Time) {
 		b.mu.Lock()
 		defer b.mu.Unlock()
@@ -91,6 +94,23 @@
 	f.Run(ctx)
 }
 
+func (b *Board) now() time.Time {
+	if b.Now != nil {
+		return b.Now()
+	}
+	return time.Now()
+}
+
+// readAt returns as of when the rows are known that a call to the feed returned which was sent at
+// the given time. The store answers within feedWait, so that what took longer was spent on the
+// way, or this process was paused.
+func (b *Board) readAt(sent time.Time) time.Time {
+	if latest := sent.Add(feedWait.Duration()); latest.Before(b.now()) {
+		return latest
+	}
+	return b.now()
+}
+
 // feedPause returns the pause after a call to the feed. The caller holds mu.
 func (b *Board) feedPause() time.Duration {
 	switch {
@@ -188,15 +208,15 @@
 	return false
 }
 
-func (b *Board) applyRows(rows []tmtable.Row) {
+func (b *Board) applyRows(rows []tmtable.Row, readAt time.Time) {
 	for _, row := range rows {
-		if err := b.applyRow(row); err != nil {
+		if err := b.applyRow(row, readAt); err != nil {
 			b.Emit(tmevent.RowUnreadable, "table", row.Table, "key", row.Key.Key, "cause", err.Error())
 		}
 	}
 }
 
-func (b *Board) applyRow(row tmtable.Row) error {
+func (b *Board) applyRow(row tmtable.Row, readAt time.Time) error {
 	if row.Deleted {
 		return nil
 	}
@@ -220,7 +240,7 @@
 	}
 	o, err := tmrecord.DecodeOwner(row.Value)
 	if err == nil {
-		b.updateOwner(shard, o, row.Version)
+		b.updateOwner(shard, o, row.Version, readAt)
 	}
 	return err
 }
@@ -246,7 +266,7 @@
 	}
 }
 
-func (b *Board) updateOwner(shard int, o tmrecord.Owner, version int64) {
+func (b *Board) updateOwner(shard int, o tmrecord.Owner, version int64, readAt time.Time) {
 	b.mu.Lock()
 	t := b.term(shard)
 	newer := version > t.version
@@ -261,6 +281,6 @@
 	}
 	b.mu.Unlock()
 	if newer {
-		b.OwnerChanged(shard, o)
+		b.OwnerChanged(shard, o, readAt)
 	}
 }
--- a/io/tmelection/election.go
+++ b/io/tmelection/election.go
@@ -13,6 +13,7 @@
 
 	"turmericmoor/internal/tmwait"
 
+	"turmericmoor/core/tmadmit"
 	"turmericmoor/core/tmevent"
 
 	"turmericmoor/io/tmrecord"
@@ -67,6 +68,9 @@
 	// Status returns the number of waiting jobs by queue, which the owner publishes,
 	// and whether all jobs are counted.
 	Status func() (waiting map[string]int, waitingKnown bool)
+	// Backlogs, if set, returns what a new job would have to wait for by queue, which the owner
+	// publishes too.
+	Backlogs func() map[string]tmadmit.Backlog
 }
 
 // Run takes part in the election until ctx ends, and then resigns.
@@ -137,18 +141,19 @@
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	key := tmrecord.OwnerKey(c.Shard)
+	sent := c.Board.now()
 	res, err := c.Board.Store.Write(ctx, tmtable.Txn{
 		Expects: []tmtable.Expect{{Key: key, Version: version}},
 		Puts:    []tmtable.Put{{Key: key, Value: tmrecord.EncodeOwner(o)}},
 	})
 	var conflict *tmtable.ConflictError
 	if errors.As(err, &conflict) {
-		c.Board.applyRows(conflict.Rows)
+		c.Board.applyRows(conflict.Rows, sent)
 	}
 	if err != nil {
 		return err
 	}
-	c.Board.updateOwner(c.Shard, o, res.Version)
+	c.Board.updateOwner(c.Shard, o, res.Version, sent)
 	return nil
 }
 
@@ -192,10 +197,13 @@
 			Holder: c.Board.Name, Token: token, Renewals: renewals, Cores: c.Board.Cores,
 			Waiting: waiting, WaitingKnown: waitingKnown,
 		}
+		if c.Backlogs != nil {
+			next.Backlogs = c.Backlogs()
+		}
 		err := c.write(ctx, next, version)
 		if errors.Is(err, tmtable.ErrInvalid) {
 			// The numbers of waiting jobs may be too many for a row.
-			next.Waiting, next.WaitingKnown = nil, false
+			next.Waiting, next.WaitingKnown, next.Backlogs = nil, false, nil
 			err = c.write(ctx, next, version)
 		}
 		if err != nil && ctx.Err() == nil {
--- a/io/tmelection/election_test.go
+++ b/io/tmelection/election_test.go
@@ -4,12 +4,14 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
 
+	"turmericmoor/core/tmadmit"
 	"turmericmoor/core/tmevent"
 	"turmericmoor/internal/emulator"
 	"turmericmoor/io/tmrecord"
@@ -25,7 +27,7 @@
 			waiting[fmt.Sprintf("queue-with-a-long-name-%d", i)] = i
 		}
 		c := &Candidate{
-			Board:  &Board{Store: s, Name: "n", Cores: 1, Emit: func(tmevent.Name, ...any) {}, OwnerChanged: func(int, tmrecord.Owner) {}},
+			Board:  &Board{Store: s, Name: "n", Cores: 1, Emit: func(tmevent.Name, ...any) {}, OwnerChanged: func(int, tmrecord.Owner, time.Time) {}},
 			Status: func() (map[string]int, bool) { return waiting, true },
 		}
 		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
@@ -39,3 +41,50 @@
 		assert.Assert(t, !o.WaitingKnown)
 	})
 }
+
+// Guards against the backlogs of an owner that don't reach the other nodes with its renewals.
+func TestRenewalsCarryTheBacklogs(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := emulator.Store{Table: emulator.NewTable(rand.New(rand.NewPCG(1, 1)))}
+		wait := 1000.0
+		c := &Candidate{
+			Board:  &Board{Store: s, Name: "n", Emit: func(tmevent.Name, ...any) {}, OwnerChanged: func(int, tmrecord.Owner, time.Time) {}},
+			Status: func() (map[string]int, bool) { return nil, true },
+			Backlogs: func() map[string]tmadmit.Backlog {
+				wait += 1000
+				return map[string]tmadmit.Backlog{"q": {Wait: wait, Work: 9, Drain: 2}}
+			},
+		}
+		var got []float64
+		var ages []time.Duration
+		other := &Board{Store: s, Name: "m", Emit: func(tmevent.Name, ...any) {}, OwnerChanged: func(_ int, o tmrecord.Owner, readAt time.Time) {
+			got = append(got, o.Backlogs["q"].Wait)
+			ages = append(ages, time.Since(readAt))
+		}}
+		ctx, cancel := context.WithTimeout(t.Context(), 1800*time.Millisecond)
+		defer cancel()
+		var following sync.WaitGroup
+		following.Go(func() { other.Run(ctx) })
+		assert.NilError(t, c.write(ctx, tmrecord.Owner{Holder: "n", Token: 1}, 0))
+		c.renew(ctx, 1, nil)
+		following.Wait()
+		assert.DeepEqual(t, got, []float64{0, 2000, 3000, 4000})
+		for _, age := range ages {
+			assert.Equal(t, age, time.Duration(0))
+		}
+	})
+}
+
+// Guards against an old row that counts as new, because the answer with it waited while this
+// node was paused: the store answers within feedWait, so that the rest of the time was spent on
+// the way.
+func TestRowThatWaitedForAPausedNodeIsOld(t *testing.T) {
+	now := time.Unix(1000, 0)
+	b := &Board{Now: func() time.Time { return now }}
+	sent := now
+	assert.Equal(t, b.readAt(sent), now)
+	now = now.Add(500 * time.Millisecond)
+	assert.Equal(t, b.readAt(sent), now)
+	now = now.Add(8 * time.Second)
+	assert.Equal(t, b.readAt(sent), sent.Add(feedWait.Duration()))
+}
--- /dev/null
+++ b/io/tmintake/backlog_test.go
@@ -0,0 +1,233 @@
+package tmintake_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"turmericmoor/core/tmadmit"
+	"turmericmoor/core/tmclock"
+	"turmericmoor/core/tmevent"
+	"turmericmoor/core/tmjob"
+	"turmericmoor/internal/emulator"
+	"turmericmoor/io/tmintake"
+	"turmericmoor/io/tmrecord"
+	"turmericmoor/io/tmtable"
+)
+
+// faultyStore is a store that also fails writes, if writeErr is set.
+type faultyStore struct {
+	slowReads
+	writeErr error
+}
+
+func newFaultyStore() *faultyStore {
+	return &faultyStore{slowReads: slowReads{Store: emulator.Store{Table: emulator.NewTable(rand.New(rand.NewPCG(1, 1)))}}}
+}
+
+func (s *faultyStore) Write(ctx context.Context, t tmtable.Txn) (tmtable.Result, error) {
+	if s.writeErr != nil {
+		return tmtable.Result{}, s.writeErr
+	}
+	return s.Store.Write(ctx, t)
+}
+
+// intakeFixture is an Intake on a clock of its own whose only queue has an objective.
+type intakeFixture struct {
+	*tmintake.Intake
+	store  *faultyStore
+	now    time.Time
+	events map[tmevent.Name]int
+}
+
+func newIntakeFixture(shards int) *intakeFixture {
+	f := &intakeFixture{
+		store: newFaultyStore(), now: time.Unix(1000, 0), events: map[tmevent.Name]int{},
+	}
+	f.Intake = tmintake.NewWith(tmintake.Options{
+		Store: f.store, Now: func() time.Time { return f.now }, Emit: func(e tmevent.Name, _ ...any) { f.events[e]++ },
+	})
+	f.SetShards(shards)
+	f.SetObjectives(map[string]tmintake.Objective{"q": {Stretch: 1.6, Fixed: 600}})
+	return f
+}
+
+// fullQueue is the row of an owner whose new jobs of q wait for 40 s.
+func fullQueue(token int64) tmrecord.Owner {
+	return tmrecord.Owner{Holder: "n", Token: token, Backlogs: map[string]tmadmit.Backlog{"q": {Wait: 40_000, Work: 24e6, Drain: 600}}}
+}
+
+func shortJob(id int) tmjob.Job {
+	return tmjob.Job{ID: fmt.Sprintf("%016x", id), Queue: "q", Steps: []tmjob.Step{{Count: 8, Estimate: 800}}}
+}
+
+func (f *intakeFixture) isStored(shard int, j tmjob.Job) bool {
+	_, ok := f.store.Get(tmrecord.JobKey(shard, j.ID))
+	return ok
+}
+
+// Guards against a refusal of a job that is stored nevertheless, and against one without a time
+// to come back.
+func TestJobOfAFullQueueIsRefusedBeforeItIsStored(t *testing.T) {
+	f := newIntakeFixture(1)
+	f.SetOwner(0, fullQueue(1), f.now)
+	err := f.Submit(t.Context(), shortJob(1))
+	assert.ErrorIs(t, err, tmintake.ErrNotAccepted)
+	var backlog *tmintake.BacklogError
+	assert.Assert(t, errors.As(err, &backlog))
+	assert.Assert(t, backlog.RetryAfter >= tmclock.Second && backlog.RetryAfter <= 30*tmclock.Second)
+	assert.Assert(t, !f.isStored(0, shortJob(1)))
+	assert.Equal(t, f.events[tmevent.BacklogRefused], 1)
+
+	lasting, timed := shortJob(2), shortJob(3)
+	lasting.Steps[0].LongRunning = true
+	timed.Repeats, timed.Interval = 2, 1000
+	for _, j := range []tmjob.Job{lasting, timed} {
+		assert.NilError(t, f.Submit(t.Context(), j))
+		assert.Assert(t, f.isStored(0, j))
+	}
+	// One of 16 is admitted.
+	for i := range 15 {
+		err = f.Submit(t.Context(), shortJob(10+i))
+		assert.Equal(t, err == nil, i == 14, "%v", err)
+	}
+	assert.Equal(t, f.events[tmevent.BacklogProbe], 1)
+}
+
+// Guards against a refusal, which says that the job never runs, of a job that was accepted
+// before: one that waits or runs, and one that has ended.
+func TestRepeatedSubmissionOfAStoredJobIsNotRefused(t *testing.T) {
+	f := newIntakeFixture(1)
+	assert.NilError(t, f.Submit(t.Context(), shortJob(1)))
+	assert.Equal(t, f.store.reads.Load(), int32(0), "a read without a refusal")
+	ended := tmtable.Put{Key: tmrecord.OutcomeKey(0, shortJob(2).ID), Value: tmrecord.EncodeOutcome(tmrecord.Outcome{State: tmjob.Completed, Queue: "q"})}
+	_, err := f.store.Apply(tmtable.Txn{Puts: []tmtable.Put{ended}})
+	assert.NilError(t, err)
+	f.SetOwner(0, fullQueue(1), f.now)
+	assert.NilError(t, f.Submit(t.Context(), shortJob(1)))
+	assert.NilError(t, f.Submit(t.Context(), shortJob(2)))
+	assert.Equal(t, f.events[tmevent.BacklogRepeated], 2)
+	assert.ErrorIs(t, f.Submit(t.Context(), shortJob(3)), tmintake.ErrNotAccepted)
+}
+
+// Guards against bad news that refuses for nothing: reports that are late, lost, from the future,
+// from an owner that was deposed, about another shard, or nonsense.
+func TestDoubtfulReportAdmits(t *testing.T) {
+	for name, set := range map[string]func(f *intakeFixture){
+		"none":            func(*intakeFixture) {},
+		"late":            func(f *intakeFixture) { f.SetOwner(0, fullQueue(1), f.now.Add(-1501*time.Millisecond)) },
+		"from the future": func(f *intakeFixture) { f.SetOwner(0, fullQueue(1), f.now.Add(time.Microsecond)) },
+		"lost since": func(f *intakeFixture) {
+			f.SetOwner(0, fullQueue(1), f.now)
+			f.now = f.now.Add(1501 * time.Millisecond)
+		},
+		"after a pause": func(f *intakeFixture) {
+			f.SetOwner(0, fullQueue(1), f.now)
+			f.now = f.now.Add(8 * time.Second)
+		},
+		"of a deposed owner": func(f *intakeFixture) {
+			f.SetOwner(0, tmrecord.Owner{Holder: "m", Token: 2}, f.now)
+			f.SetOwner(0, fullQueue(1), f.now)
+		},
+		"of an owner before": func(f *intakeFixture) {
+			f.SetOwner(0, fullQueue(1), f.now)
+			f.SetOwner(0, tmrecord.Owner{Holder: "m", Token: 2}, f.now)
+		},
+		"nonsense": func(f *intakeFixture) {
+			o := fullQueue(1)
+			o.Backlogs["q"] = tmadmit.Backlog{Wait: math.NaN(), Work: math.Inf(1), Drain: -600}
+			f.SetOwner(0, o, f.now)
+		},
+		"about another queue": func(f *intakeFixture) {
+			o := fullQueue(1)
+			o.Backlogs["r"] = o.Backlogs["q"]
+			delete(o.Backlogs, "q")
+			f.SetOwner(0, o, f.now)
+		},
+		"without an objective": func(f *intakeFixture) {
+			f.SetOwner(0, fullQueue(1), f.now)
+			f.SetObjectives(nil)
+		},
+		"about another shard": func(f *intakeFixture) { f.SetOwner(1, fullQueue(1), f.now) },
+	} {
+		f := newIntakeFixture(1)
+		set(f)
+		assert.Check(t, f.Submit(t.Context(), shortJob(1)), name)
+		assert.Check(t, f.isStored(0, shortJob(1)), name)
+	}
+	f := newIntakeFixture(1)
+	f.SetOwner(0, fullQueue(2), f.now.Add(-1500*time.Millisecond))
+	assert.ErrorIs(t, f.Submit(t.Context(), shortJob(1)), tmintake.ErrNotAccepted)
+}
+
+// Guards against a refusal without a look at what is stored, and against a job that is held up
+// until its caller has given up, when the store doesn't answer the read: it is stored, or
+// refused for another reason.
+func TestJobThatCannotBeCheckedIsNotRefusedForTheBacklog(t *testing.T) {
+	const callerWaits = 2900 * time.Millisecond
+	f := newIntakeFixture(1)
+	f.SetOwner(0, fullQueue(1), f.now)
+	f.store.refuses = true
+	assert.NilError(t, f.Submit(t.Context(), shortJob(1)))
+	assert.Assert(t, f.isStored(0, shortJob(1)))
+	assert.Equal(t, f.events[tmevent.BacklogUnchecked], 1)
+
+	f.store.writeErr = tmtable.ErrNotApplied
+	err := f.Submit(t.Context(), shortJob(2))
+	var backlog *tmintake.BacklogError
+	assert.Assert(t, errors.Is(err, tmintake.ErrNotAccepted) && !errors.As(err, &backlog), "%v", err)
+
+	synctest.Test(t, func(t *testing.T) {
+		f := newIntakeFixture(1)
+		f.SetOwner(0, fullQueue(1), f.now)
+		f.store.latency = time.Hour
+		ctx, cancel := context.WithTimeout(t.Context(), callerWaits)
+		defer cancel()
+		began := time.Now()
+		assert.NilError(t, f.Submit(ctx, shortJob(1)))
+		assert.Assert(t, time.Since(began) < time.Second)
+	})
+}
+
+// Guards against a cancellation that is answered as in doubt, after the whole time of its caller,
+// though nothing was stored.
+func TestCancellationThatStoredNothingIsNotInDoubt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, j := newFaultyStore(), shortJob(1)
+		_, err := s.Apply(tmtable.Txn{Puts: []tmtable.Put{{Key: tmrecord.JobKey(0, j.ID), Value: tmrecord.EncodeJob(j)}}})
+		assert.NilError(t, err)
+		in := tmintake.New(s)
+		cancel := func() (time.Duration, error) {
+			ctx, stop := context.WithTimeout(t.Context(), 2900*time.Millisecond)
+			defer stop()
+			began := time.Now()
+			err := in.Cancel(ctx, "q", j.ID)
+			return time.Since(began), err
+		}
+		isCertain := func(err error) bool {
+			return errors.Is(err, tmintake.ErrNotAccepted) && !errors.Is(err, tmintake.ErrOutcomeUnknown)
+		}
+		took, err := cancel()
+		assert.Assert(t, isCertain(err) && took < time.Second, "number of shards unknown: %v after %v", err, took)
+		in.SetShards(1)
+		s.writeErr = tmtable.ErrNotApplied
+		took, err = cancel()
+		assert.Assert(t, isCertain(err) && took < time.Second, "write refused: %v after %v", err, took)
+		s.writeErr = &tmtable.ConflictError{}
+		_, err = cancel()
+		assert.Assert(t, isCertain(err), "condition fails: %v", err)
+		s.writeErr = tmtable.ErrOutcomeUnknown
+		_, err = cancel()
+		assert.ErrorIs(t, err, tmintake.ErrOutcomeUnknown)
+		s.refuses = true
+		took, err = cancel()
+		assert.Assert(t, isCertain(err) && took < time.Second, "read refused: %v after %v", err, took)
+	})
+}
--- a/io/tmintake/intake.go
+++ b/io/tmintake/intake.go
@@ -12,6 +12,8 @@
 
 	"turmericmoor/internal/tmwait"
 
+	"turmericmoor/core/tmadmit"
+	"turmericmoor/core/tmevent"
 	"turmericmoor/core/tmjob"
 	"turmericmoor/core/tmshard"
 	"turmericmoor/io/tmrecord"
@@ -47,6 +49,7 @@
 
 // Intake accepts, reports and cancels jobs. It is safe for concurrent use.
 type Intake struct {
+	opts  Options
 	store tmtable.Store
 
 	mu sync.Mutex
@@ -54,6 +57,20 @@
 	shards int
 	// waiting holds the numbers of waiting jobs that each owner has published.
 	waiting map[int]waitingJobs
+	// reports holds the backlogs that each owner has reported, objectives those of the queues.
+	reports    map[int]backlogReport
+	objectives map[string]Objective
+	gate       *tmadmit.Gate
+}
+
+// Options configures an Intake.
+type Options struct {
+	Store tmtable.Store
+	// Now, if set, replaces time.Now for the age of what owners have published. It should also
+	// advance while the machine is suspended.
+	Now func() time.Time
+	// Emit, if set, receives an event for each decision about the backlog of a queue.
+	Emit func(event tmevent.Name, fields ...any)
 }
 
 // waitingJobs holds the numbers of waiting jobs of one shard by queue.
@@ -63,8 +80,20 @@
 }
 
 // New returns an Intake that works on the given store.
-func New(store tmtable.Store) *Intake {
-	return &Intake{store: store, waiting: map[int]waitingJobs{}}
+func New(store tmtable.Store) *Intake { return NewWith(Options{Store: store}) }
+
+// NewWith returns an Intake with the given options.
+func NewWith(opts Options) *Intake {
+	if opts.Now == nil {
+		opts.Now = time.Now
+	}
+	if opts.Emit == nil {
+		opts.Emit = func(tmevent.Name, ...any) {}
+	}
+	return &Intake{
+		opts: opts, store: opts.Store, waiting: map[int]waitingJobs{},
+		reports: map[int]backlogReport{}, gate: tmadmit.NewGate(),
+	}
 }
 
 // SetShards sets the number of shards. No job is accepted before it is known.
@@ -83,11 +112,12 @@
 	return in.shards, nil
 }
 
-// SetOwner records the numbers of waiting jobs from the newest row of the owner of a
-// shard.
+// SetOwner records the numbers of waiting jobs and the backlogs from the newest row of the
+// owner of a shard, which was read at the given time.
 func (in *Intake) SetOwner(shard int, o tmrecord.Owner, at time.Time) {
 	in.mu.Lock()
 	defer in.mu.Unlock()
+	in.setReport(shard, o, at)
 	if o.WaitingKnown {
 		in.waiting[shard] = waitingJobs{byQueue: o.Waiting, at: at}
 	}
@@ -104,7 +134,7 @@
 	sum := 0
 	for shard := range count {
 		w := in.waiting[shard]
-		if w.at.IsZero() || time.Since(w.at) > maxWaitingAge {
+		if w.at.IsZero() || in.opts.Now().Sub(w.at) > maxWaitingAge {
 			return 0, fmt.Errorf("%w: the owner of shard %d has not published its number of waiting jobs lately", ErrNotReady, shard)
 		}
 		sum += w.byQueue[queue]
@@ -113,13 +143,17 @@
 }
 
 // Submit stores a job. If a job with the same id was accepted before, that job stays
-// unchanged and the call succeeds.
+// unchanged and the call succeeds. A job that can't be served in time because of the backlog of
+// its queue is refused with a BacklogError before anything is stored.
 func (in *Intake) Submit(ctx context.Context, j tmjob.Job) error {
 	shards, err := in.shardCount()
 	if err != nil {
 		return fmt.Errorf("%w: %w", ErrNotAccepted, err)
 	}
 	shard := tmshard.OfJob(j.Queue, j.ID, j.LongRunning(), shards)
+	if stored, err := in.checkBacklog(ctx, shard, &j); stored || err != nil {
+		return err
+	}
 	key := tmrecord.JobKey(shard, j.ID)
 	txn := tmtable.Txn{
 		Expects: []tmtable.Expect{{Key: key}, {Key: tmrecord.OutcomeKey(shard, j.ID)}},
@@ -271,33 +305,52 @@
 
 // Cancel stores the cancellation of a job. It also succeeds if the job was cancelled
 // before. It returns ErrNoJob if the queue has no such job or the job has ended in
-// another way.
+// another way, ErrNotReady or ErrNotAccepted if certainly nothing was stored, and
+// ErrOutcomeUnknown if that is in doubt.
 func (in *Intake) Cancel(ctx context.Context, queue, id string) error {
+	maybeStored := false
 	for {
-		r, err := in.read(ctx, queue, id)
-		if err == nil {
-			if r.queue() != queue || r.outcome != nil && r.outcome.State != tmjob.Cancelled {
-				return ErrNoJob
-			}
-			if r.cancelled || r.outcome != nil {
-				return nil
-			}
-			var done *tmrecord.Outcome
-			if _, done, err = in.readRun(ctx, r.shard, id); err == nil && done != nil {
-				return ErrNoJob
-			}
+		done, err := in.tryCancel(ctx, queue, id)
+		if done {
+			return err
 		}
-		if err == nil {
-			err = in.write(ctx, tmtable.Txn{
-				Expects: []tmtable.Expect{{Key: tmrecord.JobKey(r.shard, id), Version: r.version}},
-				Puts:    []tmtable.Put{{Key: tmrecord.CancelKey(r.shard, id), Value: []byte("{}")}},
-			})
-			if err == nil {
-				return nil
-			}
+		var conflict *tmtable.ConflictError
+		isChanged := errors.As(err, &conflict)
+		if errors.Is(err, tmtable.ErrOutcomeUnknown) {
+			maybeStored = true
 		}
-		if !tmwait.Pause(ctx, retryDelay) {
-			return fmt.Errorf("%w: %w", ErrOutcomeUnknown, err)
+		if !tmwait.Pause(ctx, retryDelay) || !maybeStored && !isChanged {
+			if maybeStored {
+				return fmt.Errorf("%w: %w", ErrOutcomeUnknown, err)
+			}
+			return fmt.Errorf("%w: %w", ErrNotAccepted, err)
 		}
 	}
 }
+
+// tryCancel tries once to cancel a job. It reports whether the answer is final. An error that
+// wraps ErrOutcomeUnknown of the store is that of a write.
+func (in *Intake) tryCancel(ctx context.Context, queue, id string) (bool, error) {
+	r, err := in.read(ctx, queue, id)
+	if err != nil {
+		return false, err
+	}
+	if r.queue() != queue || r.outcome != nil && r.outcome.State != tmjob.Cancelled {
+		return true, ErrNoJob
+	}
+	if r.cancelled || r.outcome != nil {
+		return true, nil
+	}
+	_, done, err := in.readRun(ctx, r.shard, id)
+	if err != nil {
+		return false, err
+	}
+	if done != nil {
+		return true, ErrNoJob
+	}
+	err = in.write(ctx, tmtable.Txn{
+		Expects: []tmtable.Expect{{Key: tmrecord.JobKey(r.shard, id), Version: r.version}},
+		Puts:    []tmtable.Put{{Key: tmrecord.CancelKey(r.shard, id), Value: []byte("{}")}},
+	})
+	return err == nil, err
+}
--- a/io/tmnode/node.go
+++ b/io/tmnode/node.go
@@ -13,6 +13,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"turmericmoor/core/tmaccess"
+	"turmericmoor/core/tmadmit"
 	"turmericmoor/core/tmclock"
 	"turmericmoor/core/tmcontrol"
 	"turmericmoor/core/tmevent"
@@ -98,12 +99,13 @@
 // New returns a node. Run starts it.
 func New(opts Options) *Node {
 	n := &Node{
-		opts: opts, intake: tmintake.New(opts.Store), entries: map[string]OperatorEntry{},
+		opts: opts, entries: map[string]OperatorEntry{},
 		owners: map[int]*tmowner.Owner{}, leave: make(chan struct{}), layoutKnown: make(chan struct{}),
 	}
+	n.intake = tmintake.NewWith(tmintake.Options{Store: opts.Store, Now: opts.BootClock, Emit: n.emit})
 	n.board = &tmelection.Board{
 		Store: opts.Store, Name: opts.Name, Cores: opts.Resources.Cores, Capacity: opts.Resources.Capacity(),
-		OwnerChanged: n.updateOwner, LayoutKnown: n.setLayout, Emit: n.emit,
+		OwnerChanged: n.updateOwner, LayoutKnown: n.setLayout, Now: opts.BootClock, Emit: n.emit,
 	}
 	return n
 }
@@ -152,8 +154,9 @@
 	hash := xxhash.Sum64String(fmt.Sprintf("%s/%d", n.opts.Name, shard))
 	candidate := &tmelection.Candidate{
 		Board: n.board, Shard: shard, Stagger: float64(hash%staggerSteps) / staggerSteps,
-		Lead:   func(ctx context.Context, token int64) { n.lead(ctx, shard, token) },
-		Status: func() (map[string]int, bool) { return n.status(shard) },
+		Lead:     func(ctx context.Context, token int64) { n.lead(ctx, shard, token) },
+		Status:   func() (map[string]int, bool) { return n.status(shard) },
+		Backlogs: func() map[string]tmadmit.Backlog { return n.backlogs(shard) },
 	}
 	candidate.Run(ctx)
 }
@@ -170,8 +173,8 @@
 }
 
 // updateOwner handles a new version of the row of the owner of a shard.
-func (n *Node) updateOwner(shard int, o tmrecord.Owner) {
-	n.intake.SetOwner(shard, o, time.Now())
+func (n *Node) updateOwner(shard int, o tmrecord.Owner, readAt time.Time) {
+	n.intake.SetOwner(shard, o, readAt)
 	if owner := n.owner(shard); owner != nil && o.Holder == n.opts.Name {
 		owner.OwnershipConfirmed(o.Token)
 	}
@@ -355,6 +358,7 @@
 		if n.access == nil || entry.Access.Version() > n.access.Version() {
 			n.access = entry.Access
 			n.entries[configEntry] = entry
+			n.intake.SetObjectives(objectivesOf(entry.Rules))
 			n.emit(tmevent.ConfigInstalled, "version", entry.Access.Version(), "row_version", row.Version)
 		}
 		return
@@ -443,6 +447,27 @@
 	return nil, false
 }
 
+// backlogs returns what new jobs of a shard would have to wait for, while its owner runs on this
+// node.
+func (n *Node) backlogs(shard int) map[string]tmadmit.Backlog {
+	if owner := n.owner(shard); owner != nil {
+		return owner.Backlogs()
+	}
+	return nil
+}
+
+// objectivesOf returns the objectives of the queues of a configuration.
+func objectivesOf(rules *tmcontrol.Rules) map[string]tmintake.Objective {
+	out := map[string]tmintake.Objective{}
+	if rules == nil {
+		return out
+	}
+	for name, q := range rules.Queues {
+		out[name] = tmintake.Objective{Stretch: q.Stretch, Fixed: q.Objective}
+	}
+	return out
+}
+
 // Dumps returns the states of the owners on this node by shard.
 func (n *Node) Dumps() map[int]tmcontrol.Dump {
 	n.mu.Lock()
--- a/io/tmowner/status.go
+++ b/io/tmowner/status.go
@@ -1,6 +1,13 @@
 package tmowner
 
-import "time"
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"turmericmoor/core/tmadmit"
+	"turmericmoor/core/tmevent"
+)
 
 const (
 	// statusInterval is the least time between two counts of the waiting jobs.
@@ -8,6 +15,9 @@
 	// maxStatusAge is how old the published status may be. An owner whose planner hangs for
 	// longer does not renew its ownership, so that another node takes over.
 	maxStatusAge = 3 * time.Second
+	// maxBacklogAge is how old the published backlogs may be. They have to be told apart from
+	// those of an owner whose planner is late, because jobs are refused because of them.
+	maxBacklogAge = time.Second
 )
 
 // status is what an owner publishes with each renewal of its ownership.
@@ -17,18 +27,50 @@
 	// are loaded.
 	waiting map[string]int
 	loaded  bool
+	// backlogs holds the predicted waits of new jobs by queue.
+	backlogs map[string]tmadmit.Backlog
 }
 
-// publishStatus counts the waiting jobs, unless that was done lately. The caller holds mu.
+// publishStatus counts the waiting jobs and predicts the waits of new ones, unless that was done
+// lately. The caller holds mu.
 func (o *Owner) publishStatus() *status {
 	if last := o.published.Load(); last != nil && last.loaded == o.loaded && time.Since(last.at) < statusInterval {
 		return last
 	}
-	s := &status{at: time.Now(), waiting: o.ctl.Waiting(), loaded: o.loaded}
-	o.published.Store(s)
+	now := time.Now()
+	s := &status{at: now, waiting: o.ctl.Waiting(), loaded: o.loaded, backlogs: o.ctl.Backlogs(now.UnixMilli())}
+	if last := o.published.Swap(s); last != nil {
+		o.logBacklogs(last.backlogs, s.backlogs)
+	}
 	return s
 }
 
+// logBacklogs logs the queues whose backlog is reported from now on, and those whose isn't any
+// more.
+func (o *Owner) logBacklogs(before, now map[string]tmadmit.Backlog) {
+	for _, queue := range slices.Sorted(maps.Keys(now)) {
+		if _, known := before[queue]; !known {
+			b := now[queue]
+			o.emit(tmevent.BacklogBegins, "queue", queue, "wait_ms", int64(b.Wait), "work_core_ms", int64(b.Work), "cores", b.Drain, "shard", o.shard)
+		}
+	}
+	for _, queue := range slices.Sorted(maps.Keys(before)) {
+		if _, still := now[queue]; !still {
+			o.emit(tmevent.BacklogEnds, "queue", queue, "wait_ms", int64(before[queue].Wait), "shard", o.shard)
+		}
+	}
+}
+
+// Backlogs returns what a new job would have to wait for by queue, as far as that was predicted
+// lately. It waits for nothing.
+func (o *Owner) Backlogs() map[string]tmadmit.Backlog {
+	s := o.published.Load()
+	if s == nil || time.Since(s.at) > maxBacklogAge {
+		return nil
+	}
+	return s.backlogs
+}
+
 // Status returns the number of waiting jobs by queue, and whether all stored jobs are loaded.
 // It waits for a pass of the planner only if the last one ended maxStatusAge ago.
 func (o *Owner) Status() (map[string]int, bool) {
--- a/io/tmowner/status_test.go
+++ b/io/tmowner/status_test.go
@@ -1,11 +1,13 @@
 package tmowner
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
+	"turmericmoor/core/tmadmit"
 	"turmericmoor/core/tmclock"
 	"turmericmoor/core/tmevent"
 	"turmericmoor/core/tmshard"
@@ -58,3 +60,34 @@
 	o.mu.Unlock()
 	<-done
 }
+
+// Guards against backlogs of an owner whose planner hangs, which nodes would take for new with
+// each renewal of its ownership.
+func TestBacklogsOfAHangingPlannerAreNotPublished(t *testing.T) {
+	o := newIdleOwner()
+	assert.Equal(t, len(o.Backlogs()), 0)
+	full := map[string]tmadmit.Backlog{"q": {Wait: 40_000, Work: 24e6, Drain: 600}}
+	o.published.Store(&status{at: time.Now(), backlogs: full})
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	assert.DeepEqual(t, o.Backlogs(), full)
+	o.published.Store(&status{at: time.Now().Add(-maxBacklogAge - time.Millisecond), backlogs: full})
+	assert.Equal(t, len(o.Backlogs()), 0)
+}
+
+// Guards against operators who can't tell from the log when jobs of a queue began to wait.
+func TestBacklogsAreLoggedWhenTheyBeginAndEnd(t *testing.T) {
+	var logged []string
+	o := New(Options{Clock: tmclock.NewSystem(), BootClock: time.Now, Shard: tmshard.Whole, Emit: func(e tmevent.Event) {
+		logged = append(logged, fmt.Sprint(e.Name, e.Fields[:4]))
+	}}, 7)
+	one := map[string]tmadmit.Backlog{"q": {Wait: 900, Work: 9, Drain: 1}}
+	two := map[string]tmadmit.Backlog{"q": {Wait: 950, Work: 9, Drain: 1}, "r": {Wait: 600, Work: 6, Drain: 1}}
+	o.logBacklogs(nil, one)
+	o.logBacklogs(one, two)
+	o.logBacklogs(two, nil)
+	assert.DeepEqual(t, logged, []string{
+		"backlog_begins[queue q wait_ms 900]", "backlog_begins[queue r wait_ms 600]",
+		"backlog_ends[queue q wait_ms 950]", "backlog_ends[queue r wait_ms 600]",
+	})
+}
--- a/io/tmtable/follow.go
+++ b/io/tmtable/follow.go
@@ -62,8 +62,14 @@
 	// meanwhile.
 	lostAt                   time.Time
 	feedFailures, largeFeeds int
+	// sentAt is when the call was sent whose rows are passed on.
+	sentAt time.Time
 }
 
+// SentAt returns when the call was sent whose rows Snapshot or Changed gets, by Now. Only these
+// may call it.
+func (f *Follower) SentAt() time.Time { return f.sentAt }
+
 // Run follows the table until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
 	if f.Wait == 0 {
@@ -179,6 +185,7 @@
 	for _, page := range pages {
 		rows = append(rows, page.Rows...)
 	}
+	f.sentAt = sent
 	f.Snapshot(rows)
 	if missed := changes.since(rows); len(missed) > 0 {
 		f.Changed(missed)
@@ -242,6 +249,7 @@
 	if err != nil {
 		return after, err
 	}
+	f.sentAt = sent
 	if len(page.Rows) > 0 {
 		f.Changed(page.Rows)
 	}
