--- a/core/tmcontrol/dump.go
+++ b/core/tmcontrol/dump.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 
+	"turmericmoor/core/tmadmit"
 	"turmericmoor/core/tmjob"
 )
 
@@ -57,6 +58,8 @@
 	Waiting map[string]int
 	Pools   map[string]PoolDump
 	Teams   map[string]tmjob.Resources
+	// Backlogs holds, by queue, the backlogs that are reported to the nodes. The owner adds them.
+	Backlogs map[string]tmadmit.Backlog
 }
 
 // PoolDump sums up the endpoints of one pool.
--- a/io/tmmetrics/state.go
+++ b/io/tmmetrics/state.go
@@ -14,6 +14,7 @@
 	ready, owner, ownedShards                       *prometheus.Desc
 	token, rulesVersion, openJobs, startWindow      *prometheus.Desc
 	waitingJobs, endpoints, runs, teamCPU, waveOpen *prometheus.Desc
+	predictedWait, waitingWork                      *prometheus.Desc
 }
 
 func newStateCollector(node Source) *stateCollector {
@@ -21,26 +22,28 @@
 		return prometheus.NewDesc(namespace+"_"+name, help, labels, nil)
 	}
 	return &stateCollector{
-		node:         node,
-		ready:        desc("ready", "1 when the node takes calls."),
-		owner:        desc("owner", "1 when the node owns a shard of the fleet."),
-		ownedShards:  desc("owned_shards", "Number of shards of the fleet that the node owns."),
-		token:        desc("fencing_token", "Fencing token of the owner.", "shard"),
-		rulesVersion: desc("rules_version", "Version of the configuration in force for the owner.", "shard"),
-		openJobs:     desc("open_jobs", "Jobs that are not final.", "shard"),
-		startWindow:  desc("start_window", "Limit of start orders without an answer.", "shard"),
-		waitingJobs:  desc("waiting_jobs", "Jobs of which no task has started.", "queue", "shard"),
-		endpoints:    desc("endpoints", "Endpoints by pool and whether they answer.", "pool", "answers", "shard"),
-		runs:         desc("runs", "Runs by pool.", "pool", "shard"),
-		teamCPU:      desc("team_cpu_cores", "Processor share that a team has running.", "team", "shard"),
-		waveOpen:     desc("wave_open_instances", "Instances of a wave that are not done.", "wave", "shard"),
+		node:          node,
+		ready:         desc("ready", "1 when the node takes calls."),
+		owner:         desc("owner", "1 when the node owns a shard of the fleet."),
+		ownedShards:   desc("owned_shards", "Number of shards of the fleet that the node owns."),
+		token:         desc("fencing_token", "Fencing token of the owner.", "shard"),
+		rulesVersion:  desc("rules_version", "Version of the configuration in force for the owner.", "shard"),
+		openJobs:      desc("open_jobs", "Jobs that are not final.", "shard"),
+		startWindow:   desc("start_window", "Limit of start orders without an answer.", "shard"),
+		waitingJobs:   desc("waiting_jobs", "Jobs of which no task has started.", "queue", "shard"),
+		predictedWait: desc("predicted_wait_seconds", "How long a new job would wait, for queues whose backlog is reported to the nodes.", "queue", "shard"),
+		waitingWork:   desc("waiting_work_core_seconds", "Work that a new job would wait for, for the same queues.", "queue", "shard"),
+		endpoints:     desc("endpoints", "Endpoints by pool and whether they answer.", "pool", "answers", "shard"),
+		runs:          desc("runs", "Runs by pool.", "pool", "shard"),
+		teamCPU:       desc("team_cpu_cores", "Processor share that a team has running.", "team", "shard"),
+		waveOpen:      desc("wave_open_instances", "Instances of a wave that are not done.", "wave", "shard"),
 	}
 }
 
 // Describe implements prometheus.Collector.
 func (s *stateCollector) Describe(ch chan<- *prometheus.Desc) {
 	for _, d := range []*prometheus.Desc{
-		s.ready, s.owner, s.ownedShards, s.token, s.rulesVersion, s.openJobs, s.startWindow, s.waitingJobs, s.endpoints, s.runs, s.teamCPU, s.waveOpen,
+		s.ready, s.owner, s.ownedShards, s.token, s.rulesVersion, s.openJobs, s.startWindow, s.waitingJobs, s.predictedWait, s.waitingWork, s.endpoints, s.runs, s.teamCPU, s.waveOpen,
 	} {
 		ch <- d
 	}
@@ -72,6 +75,10 @@
 	for queue, n := range dump.Waiting {
 		gauge(s.waitingJobs, float64(n), queue)
 	}
+	for queue, b := range dump.Backlogs {
+		gauge(s.predictedWait, b.Wait/1000, queue)
+		gauge(s.waitingWork, b.Work/1000, queue)
+	}
 	for pool, p := range dump.Pools {
 		gauge(s.endpoints, float64(p.Answering), pool, "yes")
 		gauge(s.endpoints, float64(p.Silent), pool, "no")
--- a/io/tmowner/owner.go
+++ b/io/tmowner/owner.go
@@ -160,7 +160,9 @@
 func (o *Owner) Dump() tmcontrol.Dump {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return o.ctl.Dump()
+	d := o.ctl.Dump()
+	d.Backlogs = o.Backlogs()
+	return d
 }
 
 // Run manages the shard until ctx ends or another owner is found.
