--- a/core/tmadmit/backlog_load_test.go
+++ b/core/tmadmit/backlog_load_test.go
@@ -53,6 +53,8 @@
 	reportedAt tmclock.Millis
 	// returns holds the callers that come back, by time.
 	returns map[tmclock.Millis][]*loadJob
+	// outageUntil is until when nothing is stored, placed or reported.
+	outageUntil tmclock.Millis
 	// inTime, late and useless count the jobs by their end, lost those that were given up.
 	inTime, late, useless, lost int
 	// longest is the longest time that the pool would have needed for the work that waited.
@@ -63,6 +65,13 @@
 func (f *loadFleet) attempt(j *loadJob) {
 	now := f.clock.Now()
 	j.tries++
+	if now.Before(f.outageUntil) {
+		// Refused because nothing could be stored, which callers of an outage try until it ends.
+		j.tries = 1
+		at := now.Add(tmclock.Second)
+		f.returns[at] = append(f.returns[at], j)
+		return
+	}
 	if len(f.gates) > 0 {
 		g := f.gates[f.rng.IntN(len(f.gates))]
 		d := g.Decide(bookings(j.id), backlogOf(f.wait), now.Sub(f.reportedAt), now)
@@ -137,8 +146,10 @@
 	for t := tmclock.Span(0); t < d+4*tmclock.Minute; t += loadStep {
 		f.clock.Advance(loadStep)
 		now := f.clock.Now()
-		f.serve()
-		if t%(500*tmclock.Millisecond) == 0 {
+		if !now.Before(f.outageUntil) {
+			f.serve()
+		}
+		if !now.Before(f.outageUntil) && t%(500*tmclock.Millisecond) == 0 {
 			f.report()
 		}
 		back := f.returns[now]
@@ -160,17 +171,27 @@
 // playLoad plays six minutes of the load.
 func playLoad(t *testing.T, seed uint64, nodes int, freshFirst bool) *loadFleet {
 	t.Helper()
+	f := newLoadFleet(seed, nodes, freshFirst)
+	f.run(6 * tmclock.Minute)
+	f.log(t, seed)
+	return f
+}
+
+func newLoadFleet(seed uint64, nodes int, freshFirst bool) *loadFleet {
 	f := &loadFleet{
 		clock: tmclock.NewManual(1), rng: rand.New(rand.NewPCG(seed, 1)), returns: map[tmclock.Millis][]*loadJob{}, freshFirst: freshFirst,
 	}
 	for range nodes {
 		f.gates = append(f.gates, tmadmit.NewGate())
 	}
-	f.run(6 * tmclock.Minute)
+	return f
+}
+
+func (f *loadFleet) log(t *testing.T, seed uint64) {
+	t.Helper()
 	t.Logf("seed %d, %d nodes that refuse: in time %d, late %d, useless %d, given up %d, longest wait %.0f ms",
-		seed, nodes, f.inTime, f.late, f.useless, f.lost, f.longest)
+		seed, len(f.gates), f.inTime, f.late, f.useless, f.lost, f.longest)
 	assert.Equal(t, len(f.returns)+len(f.jobs), 0)
-	return f
 }
 
 // Guards against a pool that works off jobs of no use to anyone long after a burst, so that the
@@ -195,3 +216,22 @@
 		assert.Check(t, with.longest < without.longest*2/3)
 	}
 }
+
+// Guards against all jobs that callers could not submit during an outage of the store being
+// accepted at once when it is back, though no report is known then: most of them would have
+// waited for longer than they are of use.
+func TestJobsAfterAnOutageAreAdmittedAsTheyCanBeServed(t *testing.T) {
+	for seed := range uint64(5) {
+		longest := map[int]float64{}
+		for _, nodes := range []int{8, 0} {
+			f := newLoadFleet(seed, nodes, false)
+			f.outageUntil = f.clock.Now().Add(12 * tmclock.Second)
+			f.run(20 * tmclock.Second)
+			f.log(t, seed)
+			longest[nodes] = f.longest
+		}
+		assert.Check(t, longest[8] < 0.6*longest[0])
+		// What is admitted in the first half second, and between two reports.
+		assert.Check(t, longest[8] < 1.5*3*jobObjective+10_000)
+	}
+}
