core/tmcontrol, core/tmadmit: whose jobs have to wait, and for what

Cause: a predicted wait left out the jobs over their share, which part-order places by share in a full pool, and counted work that is of no use any more, which it places last. A team that floods a queue would have had the others refused, or no one.

Change: a new job that can be of use waits only for work that can be, too. A backlog lists the teams that wait for about as long as all the work takes, if the pool is divided by the weights of the teams; others are admitted. A job's mark of being over its share isn't used any more.

--- a/core/tmadmit/backlog.go
+++ b/core/tmadmit/backlog.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -42,6 +43,9 @@
 	Work, Drain float64
 	// Run is the mean run time in ms of the tasks of the queue, 0 if unknown.
 	Run float64
+	// Teams lists the teams whose jobs have to wait so long, nil for all. The jobs of others go
+	// first, because these teams have taken less than their share.
+	Teams []string
 }
 
 // wait returns the time for which a new job has to wait, or 0 if the backlog is nonsense. A wait
@@ -58,6 +62,9 @@
 	return tmclock.Span(min(b.Wait, b.Work/b.Drain))
 }
 
+// appliesTo reports whether the jobs of a team have to wait.
+func (b Backlog) appliesTo(team string) bool { return b.Teams == nil || slices.Contains(b.Teams, team) }
+
 // Submission is a job that a caller submits. Stretch and Objective are those of its queue.
 type Submission struct {
 	Job       *tmjob.Job
@@ -109,7 +116,7 @@
 // be served in time by an idle pool either. Long-running and timed jobs are always admitted.
 func (g *Gate) Decide(s Submission, b Backlog, age tmclock.Span, now tmclock.Millis) Decision {
 	wait := b.wait()
-	if age < 0 || age > MaxReportAge || wait == 0 || s.Job.LongRunning() || s.Job.Repeats > 0 {
+	if age < 0 || age > MaxReportAge || wait == 0 || !b.appliesTo(s.Job.Team) || s.Job.LongRunning() || s.Job.Repeats > 0 {
 		return Decision{}
 	}
 	path := criticalPath(s.Job.Steps, b.Run)
--- a/core/tmadmit/backlog_test.go
+++ b/core/tmadmit/backlog_test.go
@@ -80,6 +80,17 @@
 	}
 }
 
+// Guards against teams that are refused for the work of another one.
+func TestOnlyTeamsThatWaitAreRefused(t *testing.T) {
+	b := backlogOf(40_000)
+	b.Teams = []string{"flood", ""}
+	for team, refused := range map[string]bool{"flood": true, "": true, "calm": false} {
+		s := bookings("a")
+		s.Job.Team = team
+		assert.Check(t, tmadmit.NewGate().Decide(s, b, 0, 1).Refuse == refused, team)
+	}
+}
+
 // Guards against a queue that stays closed because of a wait that is estimated too high.
 func TestOneOfSixteenRefusalsIsAnAdmission(t *testing.T) {
 	g := tmadmit.NewGate()
--- a/core/tmcontrol/backlog.go
+++ b/core/tmcontrol/backlog.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 
 	"turmericmoor/core/tmadmit"
@@ -12,6 +13,11 @@
 	minReportedWait = 500
 	// waitIterations is how often the wait is corrected for the limits of teams.
 	waitIterations = 8
+	// usefulObjectives is within how many times its objective a job is of use to its caller.
+	usefulObjectives = 3
+	// sameWait is the fraction of the wait of a queue from which a team counts as having it. The
+	// difference is within the margin that nodes leave to an estimate.
+	sameWait = 1 / 1.5
 )
 
 // poolBacklog is the short work in a pool and what it has for it.
@@ -30,9 +36,10 @@
 }
 
 // queueBacklog is the remaining work of the jobs of a queue by team, in thousandths of a core
-// times ms. fresh is that of the jobs that can still meet their objective, all that of all jobs.
+// times ms. fresh is that of the jobs that can still meet their objective, useful that of the jobs
+// that can end within usefulObjectives times as much, all that of all jobs.
 type queueBacklog struct {
-	fresh, all map[string]float64
+	fresh, useful, all map[string]float64
 	// jobs counts the jobs, work and path are the sums of their work and of their critical paths.
 	jobs, work, path float64
 }
@@ -86,8 +93,7 @@
 	return pools
 }
 
-// addShortWork adds the work of an occurrence to that of its pool. Jobs of teams that are over
-// their share wait for all others, so that no new job has to wait for them.
+// addShortWork adds the work of an occurrence to that of its pool.
 func (c *Controller) addShortWork(p *poolBacklog, o *occurrence, q Queue, wall int64) {
 	j := o.job
 	load := c.workload(o)
@@ -95,18 +101,19 @@
 	p.readyCPU += o.readyCPU()
 	b := p.queues[j.spec.Queue]
 	if b == nil {
-		b = &queueBacklog{fresh: map[string]float64{}, all: map[string]float64{}}
+		b = &queueBacklog{fresh: map[string]float64{}, useful: map[string]float64{}, all: map[string]float64{}}
 		p.queues[j.spec.Queue] = b
 	}
 	b.jobs++
 	b.work += work
 	b.path += load.fullCriticalPath
-	if j.overShare {
-		return
-	}
 	b.all[j.spec.Team] += work
-	due := float64(j.spec.Due(o.number)) + q.Stretch*load.fullCriticalPath + float64(q.Objective)
-	if float64(wall)+load.criticalPath <= due {
+	objective := q.Stretch*load.fullCriticalPath + float64(q.Objective)
+	end := float64(wall) + load.criticalPath - float64(j.spec.Due(o.number))
+	if end <= usefulObjectives*objective {
+		b.useful[j.spec.Team] += work
+	}
+	if end <= objective {
 		b.fresh[j.spec.Team] += work
 	}
 }
@@ -170,14 +177,16 @@
 }
 
 // backlogOf predicts the wait of a new job of a queue. If it can meet its objective it goes before
-// the jobs that can't, else it waits for them as well.
+// the jobs that can't, if it can be of use at all before those that can't, and else it waits for
+// all.
 func (c *Controller) backlogOf(name string, p *poolBacklog) tmadmit.Backlog {
 	q := c.rules.Queues[name]
 	own := p.queues[name]
-	fresh, all := map[string]float64{}, map[string]float64{}
+	fresh, useful, all := map[string]float64{}, map[string]float64{}, map[string]float64{}
 	for other, load := range p.queues {
 		if c.goesBefore(other, name, p) {
 			addTeams(fresh, load.fresh)
+			addTeams(useful, load.useful)
 			addTeams(all, load.all)
 		}
 	}
@@ -185,14 +194,20 @@
 	if own != nil {
 		path = own.path / max(own.jobs, 1)
 	}
-	wait, work := c.waitFor(fresh, p)
-	if wait+path > q.Stretch*path+float64(q.Objective) {
-		wait, work = c.waitFor(all, p)
+	objective := q.Stretch*path + float64(q.Objective)
+	ahead := c.waitFor(fresh, p)
+	if ahead.wait+path > objective {
+		ahead = c.waitFor(useful, p)
 	}
-	b := tmadmit.Backlog{Wait: wait, Work: work / 1000}
-	if wait > 0 {
-		b.Drain = b.Work / wait
+	if ahead.wait+path > usefulObjectives*objective {
+		ahead = c.waitFor(all, p)
 	}
+	b := tmadmit.Backlog{Wait: ahead.wait, Work: ahead.work / 1000}
+	if b.Wait < minReportedWait {
+		return b
+	}
+	b.Drain = b.Work / b.Wait
+	b.Teams = c.teamsThatWait(ahead)
 	if t := c.runTimes[name]; t != nil && t.count >= 5 {
 		b.Run = t.mean
 	}
@@ -217,29 +232,98 @@
 	}
 }
 
-// waitFor returns how long the pool works on the work that goes first, and how much of it counts:
-// the work of a team beyond what its limit lets run meanwhile holds nobody else up.
-func (c *Controller) waitFor(byTeam map[string]float64, p *poolBacklog) (wait, work float64) {
-	teams := make([]string, 0, len(byTeam))
-	for team := range byTeam {
-		teams = append(teams, team)
-	}
-	slices.Sort(teams)
+// workAhead is the work that goes before a new job, and how long the pool needs for it.
+type workAhead struct {
+	wait, work float64
+	// teams are sorted, amounts has what each adds to work.
+	teams   []string
+	amounts []float64
+}
+
+// waitFor returns how long the pool works on the work that goes first. The work of a team beyond
+// what its limit lets run meanwhile doesn't count, since it holds nobody else up.
+func (c *Controller) waitFor(byTeam map[string]float64, p *poolBacklog) workAhead {
+	a := workAhead{teams: slices.Sorted(maps.Keys(byTeam)), amounts: make([]float64, len(byTeam))}
 	for i := range waitIterations {
-		before := work
-		work = 0
-		for _, team := range teams {
-			amount := byTeam[team]
+		before := a.work
+		a.work = 0
+		for k, team := range a.teams {
+			a.amounts[k] = byTeam[team]
 			if limit := c.rules.Teams[team].Limit.CPU; limit > 0 && i > 0 {
-				amount = min(amount, wait*float64(limit)/float64(c.shard.Count()))
+				a.amounts[k] = min(a.amounts[k], a.wait*float64(limit)/float64(c.shard.Count()))
 			}
-			work += amount
+			a.work += a.amounts[k]
 		}
-		if wait = p.timeFor(work); work == before {
+		if a.wait = p.timeFor(a.work); a.work == before {
 			break
 		}
 	}
-	return wait, work
+	return a
+}
+
+// teamsThatWait returns the teams whose new jobs have to wait for about as long as all the work
+// takes. While the pool is divided by the weights of the teams, those with less work for their
+// weight are done earlier, and a new job of a team without work doesn't wait.
+func (c *Controller) teamsThatWait(a workAhead) []string {
+	weights := c.teamWeights(a.teams)
+	left := slices.Clone(a.amounts)
+	rate := a.work / a.wait
+	for at := 0.0; ; {
+		// The team that is done next, and the weights of those that are not done.
+		next, sum := -1, 0.0
+		for k, amount := range left {
+			if amount > 0 {
+				sum += weights[k]
+				if next < 0 || amount/weights[k] < left[next]/weights[next] {
+					next = k
+				}
+			}
+		}
+		if next < 0 {
+			return nil
+		}
+		each := left[next] / weights[next]
+		at += each * sum / rate
+		if at >= sameWait*a.wait {
+			return remaining(a.teams, left)
+		}
+		for k := range left {
+			left[k] = max(0, left[k]-each*weights[k])
+		}
+		left[next] = 0
+	}
+}
+
+// remaining returns the teams that have something left.
+func remaining(teams []string, left []float64) []string {
+	var out []string
+	for k, amount := range left {
+		if amount > 0 {
+			out = append(out, teams[k])
+		}
+	}
+	return out
+}
+
+// teamWeights returns the weights of teams. A team without one counts with the mean of the others.
+func (c *Controller) teamWeights(teams []string) []float64 {
+	out := make([]float64, len(teams))
+	sum, n := 0.0, 0.0
+	for k, team := range teams {
+		if out[k] = c.rules.Teams[team].Weight; out[k] > 0 {
+			sum += out[k]
+			n++
+		}
+	}
+	for k := range out {
+		if out[k] <= 0 {
+			out[k] = 1
+			if n > 0 {
+				out[k] = sum / n
+			}
+		}
+	}
+	return out
 }
 
 // timeFor returns how long the pool needs for some work, with what moves to it meanwhile.
--- a/io/tmrecord/backlog.go
+++ b/io/tmrecord/backlog.go
@@ -24,6 +24,8 @@
 	Work  float64 `json:"a,omitempty"`
 	Drain float64 `json:"d,omitempty"`
 	Run   float64 `json:"r,omitempty"`
+	// Teams is left out for all teams.
+	Teams []string `json:"t,omitempty"`
 }
 
 // encodeBacklogs encodes the backlogs with the longest waits. The order of equal ones is that of
@@ -36,7 +38,7 @@
 	size := len("{}")
 	for _, name := range names {
 		b := backlogs[name]
-		row := backlogRow{Wait: math.Round(b.Wait), Work: math.Round(b.Work), Drain: math.Round(b.Drain * 1000), Run: math.Round(b.Run)}
+		row := backlogRow{Wait: math.Round(b.Wait), Work: math.Round(b.Work), Drain: math.Round(b.Drain * 1000), Run: math.Round(b.Run), Teams: b.Teams}
 		if !row.isFinite() {
 			continue
 		}
@@ -71,7 +73,7 @@
 	}
 	out := make(map[string]tmadmit.Backlog, len(rows))
 	for name, r := range rows {
-		out[name] = tmadmit.Backlog{Wait: r.Wait, Work: r.Work, Drain: r.Drain / 1000, Run: r.Run}
+		out[name] = tmadmit.Backlog{Wait: r.Wait, Work: r.Work, Drain: r.Drain / 1000, Run: r.Run, Teams: r.Teams}
 	}
 	return out
 }
