core/tmadmit, io/tmintake: a job in doubt is not refused

Cause: a submission that got no answer may be carried out after a later one read that the job is not stored and was refused with 503, which says that it never runs.

Change: a node refuses no job for a backlog that it has answered 504 itself within two minutes. Other nodes don't know of it (docs/design/backpressure.md, "What is certain").

Seen to fail: with the mark not set, and not used.

--- a/core/tmadmit/backlog.go
+++ b/core/tmadmit/backlog.go
@@ -95,14 +95,17 @@
 	// sinceProbe counts the refusals by queue since the last probe.
 	sinceProbe map[string]int
 	refused    map[string]refusal
-	// order holds the ids of the refused jobs by their first refusal.
+	// order holds the ids in refused by the time of their first entry.
 	order []string
 }
 
-// refusal is what is known about a refused job.
+// refusal is what is known about a job that was submitted before.
 type refusal struct {
+	// count counts the refusals. firstAt is when the first of them was, or the doubt.
 	count   int
 	firstAt tmclock.Millis
+	// inDoubt is set if the job may be stored.
+	inDoubt bool
 }
 
 // NewGate returns a Gate that has refused nothing.
@@ -126,6 +129,9 @@
 		return Decision{}
 	}
 	earlier := g.earlier(s.Job.ID, now)
+	if earlier.inDoubt {
+		return Decision{}
+	}
 	var elapsed tmclock.Span
 	if earlier.count > 0 {
 		elapsed = now.Sub(earlier.firstAt)
@@ -144,10 +150,19 @@
 	d.Refuse = true
 	ready := fromNow - refusalMargin*bound
 	d.RetryAfter = retryAfter(s.Job.ID, earlier.count, ready, bound-path-float64(elapsed))
+	earlier.count++
 	g.remember(s.Job.ID, earlier, now)
 	return d
 }
 
+// SetInDoubt records that a job may have been stored, or may still be. It is not refused any more:
+// a refusal says that it never runs, and no read can tell that.
+func (g *Gate) SetInDoubt(id string, now tmclock.Millis) {
+	earlier := g.earlier(id, now)
+	earlier.inDoubt = true
+	g.remember(id, earlier, now)
+}
+
 // isProbe counts a refusal of a job of the queue and reports whether to admit the job instead.
 func (g *Gate) isProbe(queue string) bool {
 	g.sinceProbe[queue]++
@@ -158,16 +173,16 @@
 	return true
 }
 
-// earlier returns what is known about earlier refusals of a job.
+// earlier returns what is known about earlier submissions of a job.
 func (g *Gate) earlier(id string, now tmclock.Millis) refusal {
 	r := g.refused[id]
-	if r.count > 0 && (now.Before(r.firstAt) || now.Sub(r.firstAt) > rememberTime) {
+	if r != (refusal{}) && (now.Before(r.firstAt) || now.Sub(r.firstAt) > rememberTime) {
 		return refusal{}
 	}
 	return r
 }
 
-// remember records another refusal of a job.
+// remember records what is known about a job.
 func (g *Gate) remember(id string, earlier refusal, now tmclock.Millis) {
 	if _, known := g.refused[id]; !known {
 		if len(g.order) == maxRemembered {
@@ -176,10 +191,9 @@
 		}
 		g.order = append(g.order, id)
 	}
-	if earlier.count == 0 {
+	if earlier.firstAt == 0 {
 		earlier.firstAt = now
 	}
-	earlier.count++
 	g.refused[id] = earlier
 }
 
--- a/core/tmadmit/backlog_test.go
+++ b/core/tmadmit/backlog_test.go
@@ -151,6 +151,19 @@
 	assert.Assert(t, !g.Decide(bookings("a"), backlogOf(8000), 0, 8001+5*tmclock.Millis(tmclock.Minute)).Refuse)
 }
 
+// Guards against a refusal, which says that the job never runs, of a job whose earlier submission
+// may still be carried out.
+func TestJobInDoubtIsNotRefused(t *testing.T) {
+	g := tmadmit.NewGate()
+	assert.Assert(t, g.Decide(bookings("a"), backlogOf(40_000), 0, 1).Refuse)
+	g.SetInDoubt("a", 2)
+	g.SetInDoubt("b", 2)
+	for _, id := range []string{"a", "b"} {
+		assert.Check(t, !g.Decide(bookings(id), backlogOf(40_000), 0, 3).Refuse, id)
+	}
+	assert.Assert(t, g.Decide(bookings("b"), backlogOf(40_000), 0, 3+5*tmclock.Millis(tmclock.Minute)).Refuse)
+}
+
 // Guards against a node whose memory grows with the jobs that it has refused.
 func TestRefusedJobsAreForgotten(t *testing.T) {
 	g := tmadmit.NewGate()
--- a/io/tmintake/backlog.go
+++ b/io/tmintake/backlog.go
@@ -83,6 +83,13 @@
 	return in.gate.Decide(s, report.byQueue[j.Queue], age, tmclock.Millis(now.UnixMilli())), age
 }
 
+// setInDoubt records that a job may be stored, which a later read may not show yet.
+func (in *Intake) setInDoubt(id string) {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	in.gate.SetInDoubt(id, tmclock.Millis(in.opts.Now().UnixMilli()))
+}
+
 // checkBacklog returns a BacklogError if a job is refused because of the backlog of its queue, and
 // reports whether it is stored already: then it is not refused, whatever the backlog. Neither is a
 // job of which that can't be told, because a refusal says that it never runs.
--- a/io/tmintake/backlog_test.go
+++ b/io/tmintake/backlog_test.go
@@ -196,6 +196,23 @@
 	})
 }
 
+// Guards against a refusal of a job that the store may still take from an earlier submission, of
+// which it has given no answer.
+func TestJobInDoubtIsNotRefusedForTheBacklog(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newIntakeFixture(1)
+		f.store.writeErr = tmtable.ErrOutcomeUnknown
+		ctx, cancel := context.WithTimeout(t.Context(), 2900*time.Millisecond)
+		defer cancel()
+		assert.ErrorIs(t, f.Submit(ctx, shortJob(1)), tmintake.ErrOutcomeUnknown)
+		f.store.writeErr = nil
+		f.SetOwner(0, fullQueue(1), f.now)
+		assert.ErrorIs(t, f.Submit(t.Context(), shortJob(2)), tmintake.ErrNotAccepted)
+		assert.NilError(t, f.Submit(t.Context(), shortJob(1)))
+		assert.Assert(t, f.isStored(0, shortJob(1)))
+	})
+}
+
 // Guards against a cancellation that is answered as in doubt, after the whole time of its caller,
 // though nothing was stored.
 func TestCancellationThatStoredNothingIsNotInDoubt(t *testing.T) {
--- a/io/tmintake/intake.go
+++ b/io/tmintake/intake.go
@@ -176,6 +176,7 @@
 		}
 		if !tmwait.Pause(ctx, retryDelay) || !maybeStored {
 			if maybeStored {
+				in.setInDoubt(j.ID)
 				return fmt.Errorf("%w: %w", ErrOutcomeUnknown, err)
 			}
 			return fmt.Errorf("%w: %w", ErrNotAccepted, err)
