--- a/core/tmcontrol/backlog_test.go
+++ b/core/tmcontrol/backlog_test.go
@@ -240,8 +240,20 @@
 	f.advance(10)
 	whole := f.wait("q")
 	assert.Assert(t, whole > 14_000 && whole < 16_000, "%v ms on eight of sixteen cores", whole)
-	f.c.endpoints["e1"].info.Draining = true
-	assert.Assert(t, f.wait("q") > 1.4*whole)
+	e := f.c.endpoints["e1"]
+	for what, set := range map[string]func(is bool){
+		"draining":              func(is bool) { e.info.Draining = is },
+		"unlisted":              func(is bool) { e.listed = !is },
+		"about to go":           func(is bool) { e.reserved = is },
+		"ordered to go":         func(is bool) { e.ending = is },
+		"in a zone that is out": func(is bool) { e.info.Zone = map[bool]string{true: "out", false: "z"}[is] },
+	} {
+		f.c.zonesOut["out"] = true
+		set(true)
+		assert.Check(t, f.wait("q") > 1.4*whole, what)
+		set(false)
+		assert.Check(t, f.wait("q") == whole, what)
+	}
 }
 
 func BenchmarkBacklogs(b *testing.B) {
--- a/io/tmelection/election_test.go
+++ b/io/tmelection/election_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -12,9 +13,11 @@
 	"gotest.tools/v3/assert"
 
 	"turmericmoor/core/tmadmit"
+	"turmericmoor/core/tmclock"
 	"turmericmoor/core/tmevent"
 	"turmericmoor/internal/emulator"
 	"turmericmoor/io/tmrecord"
+	"turmericmoor/io/tmtable"
 )
 
 // Guards against an owner that can't renew its row, and loses the fleet every second, because
@@ -75,16 +78,39 @@
 	})
 }
 
+// pausedFeed is a store whose answers wait for the node, which is paused for 8 s.
+type pausedFeed struct {
+	emulator.Store
+	pausedFor atomic.Int64
+}
+
+func (s *pausedFeed) Feed(ctx context.Context, table string, after int64, wait tmclock.Span) (tmtable.Page, error) {
+	page, err := s.Store.Feed(ctx, table, after, wait)
+	if len(page.Rows) > 0 {
+		s.pausedFor.Add(int64(8 * time.Second))
+	}
+	return page, err
+}
+
 // Guards against an old row that counts as new, because the answer with it waited while this
 // node was paused: the store answers within feedWait, so that the rest of the time was spent on
 // the way.
 func TestRowThatWaitedForAPausedNodeIsOld(t *testing.T) {
-	now := time.Unix(1000, 0)
-	b := &Board{Now: func() time.Time { return now }}
-	sent := now
-	assert.Equal(t, b.readAt(sent), now)
-	now = now.Add(500 * time.Millisecond)
-	assert.Equal(t, b.readAt(sent), now)
-	now = now.Add(8 * time.Second)
-	assert.Equal(t, b.readAt(sent), sent.Add(feedWait.Duration()))
+	synctest.Test(t, func(t *testing.T) {
+		s := &pausedFeed{Store: emulator.Store{Table: emulator.NewTable(rand.New(rand.NewPCG(1, 1)))}}
+		now := func() time.Time { return time.Now().Add(time.Duration(s.pausedFor.Load())) }
+		var ages []time.Duration
+		b := &Board{Store: s, Name: "n", Now: now, Emit: func(tmevent.Name, ...any) {}, OwnerChanged: func(_ int, _ tmrecord.Owner, readAt time.Time) {
+			ages = append(ages, now().Sub(readAt))
+		}}
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		var following sync.WaitGroup
+		following.Go(func() { b.Run(ctx) })
+		synctest.Wait()
+		s.Set(tmrecord.OwnerTable, tmrecord.OwnerKey(0).Key, tmrecord.EncodeOwner(tmrecord.Owner{Holder: "m", Token: 1}))
+		following.Wait()
+		assert.Equal(t, len(ages), 1)
+		assert.Equal(t, ages[0], 8*time.Second-feedWait.Duration())
+	})
 }
