--- a/core/tmevent/event.go
+++ b/core/tmevent/event.go
@@ -16,6 +16,18 @@
 	AdviceFailed Name = "advice_failed"
 	// AttemptHeld: the last attempt of a task waits, for at most max_ms, for an endpoint without recent failures there and in its rack: task, failures, max_ms.
 	AttemptHeld Name = "attempt_held"
+	// BacklogBegins: the predicted wait of new jobs of a queue is reported to the nodes from now on: queue, wait_ms, work_core_ms, cores, shard.
+	BacklogBegins Name = "backlog_begins"
+	// BacklogEnds: the predicted wait of new jobs of a queue, last wait_ms, is too short now to be reported: queue, wait_ms, shard.
+	BacklogEnds Name = "backlog_ends"
+	// BacklogProbe: a job that the backlog would refuse was admitted, as one of 16, so that a wait that is estimated too high is corrected: job, queue, shard, wait_ms, end_ms, bound_ms, age_ms.
+	BacklogProbe Name = "backlog_probe"
+	// BacklogRefused: a job was refused because it would end too late by the backlog of its queue, end_ms after its first attempt at this node: job, queue, shard, attempt, wait_ms, end_ms, bound_ms, retry_after_ms, age_ms.
+	BacklogRefused Name = "backlog_refused"
+	// BacklogRepeated: the backlog would refuse a job that is stored already, so that it was not refused: job, queue, shard, age_ms.
+	BacklogRepeated Name = "backlog_repeated"
+	// BacklogUnchecked: the backlog would refuse a job, but whether it is stored already could not be read, so that it was not refused: job, queue, shard, cause.
+	BacklogUnchecked Name = "backlog_unchecked"
 	// BeyondShare: a job runs only on capacity that other teams leave unused, because its team has exceeded its share: job, queue, team, share, rules.
 	BeyondShare Name = "beyond_share"
 	// CallerCancel: a cancellation was answered: job, queue, outcome, took_ms.
@@ -166,6 +178,12 @@
 	Advice,
 	AdviceFailed,
 	AttemptHeld,
+	BacklogBegins,
+	BacklogEnds,
+	BacklogProbe,
+	BacklogRefused,
+	BacklogRepeated,
+	BacklogUnchecked,
 	BeyondShare,
 	CallerCancel,
 	CallerRefused,
--- a/io/tmmetrics/state.go
+++ b/io/tmmetrics/state.go
@@ -17,6 +17,7 @@
 	token, rulesVersion, openJobs, startWindow                              *prometheus.Desc
 	waitingJobs, orderedJobs, teamShare, endpoints, runs, teamCPU, waveOpen *prometheus.Desc
 	suspects, slowdown, changedPlacements                                   *prometheus.Desc
+	predictedWait, waitingWork                                              *prometheus.Desc
 }
 
 func newStateCollector(node Source) *stateCollector {
@@ -42,7 +43,9 @@
 		slowdown:     desc("interference_slowdown", "How many times as long tasks of a workload take beside another, where placements consider it.", "workload", "beside", "shard"),
 		changedPlacements: desc("interference_changed_placements_total",
 			"Placements that were changed because of interference since the owner took over.", "shard"),
-		waveOpen: desc("wave_open_instances", "Instances of a wave that are not done.", "wave", "shard"),
+		predictedWait: desc("predicted_wait_seconds", "How long a new job would wait, for queues whose backlog is reported to the nodes.", "queue", "shard"),
+		waitingWork:   desc("waiting_work_core_seconds", "Work that a new job would wait for, for the same queues.", "queue", "shard"),
+		waveOpen:      desc("wave_open_instances", "Instances of a wave that are not done.", "wave", "shard"),
 	}
 }
 
@@ -50,7 +53,7 @@
 func (s *stateCollector) Describe(ch chan<- *prometheus.Desc) {
 	for _, d := range []*prometheus.Desc{
 		s.ready, s.owner, s.ownedShards, s.token, s.rulesVersion, s.openJobs, s.startWindow, s.waitingJobs, s.orderedJobs, s.teamShare, s.endpoints, s.runs, s.teamCPU, s.waveOpen,
-		s.suspects, s.slowdown, s.changedPlacements,
+		s.suspects, s.slowdown, s.changedPlacements, s.predictedWait, s.waitingWork,
 	} {
 		ch <- d
 	}
@@ -83,6 +86,10 @@
 	for queue, n := range dump.Waiting {
 		gauge(s.waitingJobs, float64(n), queue)
 	}
+	for queue, b := range dump.Backlogs {
+		gauge(s.predictedWait, b.Wait/1000, queue)
+		gauge(s.waitingWork, b.Work/1000, queue)
+	}
 	for pool, p := range dump.Pools {
 		gauge(s.endpoints, float64(p.Answering), pool, "yes")
 		gauge(s.endpoints, float64(p.Silent), pool, "no")
