--- a/core/tmchange/apply.go
+++ b/core/tmchange/apply.go
@@ -38,6 +38,7 @@
 	d := newDraft(s, live)
 	if len(changes) == 0 || len(changes) > MaxChanges {
 		d.addProblem(Problem{
+			Kind:     ChangeCount,
 			Field:    "changes",
 			Message:  fmt.Sprintf("has %d changes", len(changes)),
 			Expected: fmt.Sprintf("1 to %d changes", MaxChanges),
@@ -47,7 +48,7 @@
 	for i, c := range changes {
 		d.index = i
 		if c == nil {
-			d.reject("op", "is missing", "a known change")
+			d.reject(BadForm, "op", "is missing", "a known change")
 			continue
 		}
 		c.apply(d)
@@ -94,8 +95,8 @@
 	d.problems = append(d.problems, p)
 }
 
-func (d *draft) reject(field, message, expected string) {
-	d.addProblem(Problem{Field: fieldPath(d.index, field), Message: message, Expected: expected})
+func (d *draft) reject(kind ProblemKind, field, message, expected string) {
+	d.addProblem(Problem{Kind: kind, Field: fieldPath(d.index, field), Message: message, Expected: expected})
 }
 
 func (d *draft) err() error {
--- a/core/tmchange/budget.go
+++ b/core/tmchange/budget.go
@@ -59,6 +59,7 @@
 		budget, u := pool.Budget().MaxUnavailable(), usage[name]
 		if u.Size > 0 && budget >= u.Size {
 			d.addProblem(Problem{
+				Kind:     BudgetTooLarge,
 				Field:    fieldPath(index, "max_unavailable"),
 				Message:  fmt.Sprintf("is %d, but pool %q has only %d instances", budget, name, u.Size),
 				Expected: expectedBudget(u.Size),
@@ -66,10 +67,10 @@
 		}
 		if budget < u.Planned {
 			d.addProblem(Problem{
-				Field:      fieldPath(index, "max_unavailable"),
-				Message:    fmt.Sprintf("is %d, but %d instances of pool %q are draining, rebooting, leaving or being moved", budget, u.Planned, name),
-				Expected:   fmt.Sprintf("at least %d, or mark_serving first", u.Planned),
-				overBudget: true,
+				Kind:     BudgetBelowPlanned,
+				Field:    fieldPath(index, "max_unavailable"),
+				Message:  fmt.Sprintf("is %d, but %d instances of pool %q are draining, rebooting, leaving or being moved", budget, u.Planned, name),
+				Expected: fmt.Sprintf("at least %d, or mark_serving first", u.Planned),
 			})
 		}
 	}
@@ -97,10 +98,10 @@
 			continue
 		}
 		d.addProblem(Problem{
-			Field:      fieldPath(d.instanceChange[name], "name"),
-			Message:    fmt.Sprintf("instance %q would be one of %d unavailable instances of pool %q", name, unavailable, in.Pool()),
-			Expected:   fmt.Sprintf("at most %d unavailable, the budget of the pool", budget),
-			overBudget: true,
+			Kind:     BudgetExceeded,
+			Field:    fieldPath(d.instanceChange[name], "name"),
+			Message:  fmt.Sprintf("instance %q would be one of %d unavailable instances of pool %q", name, unavailable, in.Pool()),
+			Expected: fmt.Sprintf("at most %d unavailable, the budget of the pool", budget),
 		})
 	}
 }
--- a/core/tmchange/check.go
+++ b/core/tmchange/check.go
@@ -43,7 +43,7 @@
 	if ValidName(name) {
 		return true
 	}
-	d.reject(field, fmt.Sprintf("%q is not a name", name), nameForm)
+	d.reject(BadName, field, fmt.Sprintf("%q is not a name", name), nameForm)
 	return false
 }
 
@@ -54,7 +54,7 @@
 		return false
 	}
 	if t.Has(name) {
-		d.reject(field, fmt.Sprintf("%s %q exists already", kind, name), "a name that no "+kind+" has")
+		d.reject(NameTaken, field, fmt.Sprintf("%s %q exists already", kind, name), "a name that no "+kind+" has")
 		return false
 	}
 	return true
@@ -64,7 +64,7 @@
 func lookup[V any](d *draft, kind, field, name string, t tmfleet.Table[string, V]) (V, bool) {
 	v, ok := t.Get(name)
 	if !ok {
-		d.reject(field, fmt.Sprintf("unknown %s %q", kind, name), oneOf(kind, t.Keys()))
+		d.reject(UnknownName, field, fmt.Sprintf("unknown %s %q", kind, name), oneOf(kind, t.Keys()))
 	}
 	return v, ok
 }
@@ -86,19 +86,19 @@
 	if n >= low && n <= high {
 		return true
 	}
-	d.reject(field, fmt.Sprintf("is %v", n), fmt.Sprintf("%v to %v", low, high))
+	d.reject(OutOfRange, field, fmt.Sprintf("is %v", n), fmt.Sprintf("%v to %v", low, high))
 	return false
 }
 
 func (d *draft) checkLimit(limit int) bool {
 	slots := fleetSlots(d.config)
 	if limit < 1 {
-		d.reject("limit", fmt.Sprintf("is %d", limit), "at least 1 task")
+		d.reject(OutOfRange, "limit", fmt.Sprintf("is %d", limit), "at least 1 task")
 		return false
 	}
 	if limit > slots {
 		message := fmt.Sprintf("is %d, above the %d slots of the fleet", limit, slots)
-		d.reject("limit", message, fmt.Sprintf("1 to %d, or more instances first", slots))
+		d.reject(LimitAboveFleet, "limit", message, fmt.Sprintf("1 to %d, or more instances first", slots))
 		return false
 	}
 	return true
@@ -116,13 +116,13 @@
 	const form = "IP:port with a port above 0, for example 10.0.1.7:8400"
 	ap, err := netip.ParseAddrPort(address)
 	if err != nil || ap.Port() == 0 {
-		d.reject("address", fmt.Sprintf("%q is not an address", address), form)
+		d.reject(BadAddress, "address", fmt.Sprintf("%q is not an address", address), form)
 		return false
 	}
 	for _, in := range d.config.Instances().All() {
 		other, err := netip.ParseAddrPort(in.Address())
 		if err == nil && other == ap {
-			d.reject("address", fmt.Sprintf("%s belongs to instance %q", address, in.Name()), "an address that no instance has")
+			d.reject(AddressTaken, "address", fmt.Sprintf("%s belongs to instance %q", address, in.Name()), "an address that no instance has")
 			return false
 		}
 	}
--- a/core/tmchange/instance.go
+++ b/core/tmchange/instance.go
@@ -35,7 +35,7 @@
 	old, exists := d.config.Instances().Get(c.Name)
 	if exists && old.Pool() != c.Pool {
 		message := fmt.Sprintf("instance %q is in pool %q already", c.Name, old.Pool())
-		d.reject("name", message, "an instance in no pool, or move_instance")
+		d.reject(NameTaken, "name", message, "an instance in no pool, or move_instance")
 		return false
 	}
 	return checkNew(d, "instance", "name", c.Name, d.config.Instances())
@@ -58,7 +58,7 @@
 	leaving := ok && old.Duty() == tmfleet.Leaving
 	if d.live(c.Name) && !leaving {
 		message := fmt.Sprintf("instance %q is live and was not leaving before this request", c.Name)
-		d.reject("name", message, "an instance that an earlier request marked as leaving")
+		d.reject(WrongState, "name", message, "an instance that an earlier request marked as leaving")
 		return
 	}
 	d.config = d.config.WithInstances(d.config.Instances().Without(c.Name))
@@ -70,15 +70,15 @@
 		return
 	}
 	if in.Pool() == c.To {
-		d.reject("to", fmt.Sprintf("instance %q is in pool %q already", c.Name, c.To), "another pool")
+		d.reject(WrongState, "to", fmt.Sprintf("instance %q is in pool %q already", c.Name, c.To), "another pool")
 		return
 	}
 	if in.MoveTo() != "" && in.MoveTo() != c.To {
-		d.reject("to", fmt.Sprintf("instance %q is being moved to pool %q", c.Name, in.MoveTo()), "finish_move or mark_serving first")
+		d.reject(WrongState, "to", fmt.Sprintf("instance %q is being moved to pool %q", c.Name, in.MoveTo()), "finish_move or mark_serving first")
 		return
 	}
 	if in.Duty() != tmfleet.Serving {
-		d.reject("name", fmt.Sprintf("instance %q is %s", c.Name, in.Duty()), "a serving instance")
+		d.reject(WrongState, "name", fmt.Sprintf("instance %q is %s", c.Name, in.Duty()), "a serving instance")
 		return
 	}
 	d.setInstance(in.WithMoveTo(c.To))
@@ -92,7 +92,7 @@
 	old, _ := d.before.Instances().Get(c.Name)
 	if in.MoveTo() == "" || old.MoveTo() != in.MoveTo() {
 		message := fmt.Sprintf("instance %q was not being moved before this request", c.Name)
-		d.reject("name", message, "an instance that an earlier request started to move")
+		d.reject(WrongState, "name", message, "an instance that an earlier request started to move")
 		return
 	}
 	d.setInstance(in.WithPool(in.MoveTo()))
@@ -110,11 +110,11 @@
 		return
 	}
 	if in.MoveTo() != "" {
-		d.reject("name", fmt.Sprintf("instance %q is being moved to pool %q", c.Name, in.MoveTo()), "finish_move or mark_serving first")
+		d.reject(WrongState, "name", fmt.Sprintf("instance %q is being moved to pool %q", c.Name, in.MoveTo()), "finish_move or mark_serving first")
 		return
 	}
 	if in.Duty() != tmfleet.Serving && in.Duty() != tmfleet.Draining {
-		d.reject("name", fmt.Sprintf("instance %q is %s", c.Name, in.Duty()), "a serving instance")
+		d.reject(WrongState, "name", fmt.Sprintf("instance %q is %s", c.Name, in.Duty()), "a serving instance")
 		return
 	}
 	d.setInstance(in.WithDuty(tmfleet.Draining))
@@ -129,7 +129,7 @@
 	drained := old.Duty() == tmfleet.Draining && in.Duty() == tmfleet.Draining
 	if !drained && in.Duty() != tmfleet.Rebooting {
 		message := fmt.Sprintf("instance %q is %s and was not draining before this request", c.Name, in.Duty())
-		d.reject("name", message, "an instance that an earlier request marked as draining")
+		d.reject(WrongState, "name", message, "an instance that an earlier request marked as draining")
 		return
 	}
 	d.setInstance(in.WithDuty(tmfleet.Rebooting))
--- a/core/tmchange/pool.go
+++ b/core/tmchange/pool.go
@@ -32,7 +32,7 @@
 	if n >= 1 {
 		return true
 	}
-	d.reject("max_unavailable", fmt.Sprintf("is %d, so no maintenance wave could take an instance", n), "at least 1 instance")
+	d.reject(OutOfRange, "max_unavailable", fmt.Sprintf("is %d, so no maintenance wave could take an instance", n), "at least 1 instance")
 	return false
 }
 
@@ -43,14 +43,14 @@
 	ok := true
 	for _, in := range d.config.Instances().All() {
 		if in.Pool() == c.Name || in.MoveTo() == c.Name {
-			d.reject("name", fmt.Sprintf("pool %q has instance %q", c.Name, in.Name()), "a pool that no instance is in or moves to")
+			d.reject(InUse, "name", fmt.Sprintf("pool %q has instance %q", c.Name, in.Name()), "a pool that no instance is in or moves to")
 			ok = false
 			break
 		}
 	}
 	for _, q := range d.config.Queues().All() {
 		if q.Pool() == c.Name {
-			d.reject("name", fmt.Sprintf("pool %q serves queue %q", c.Name, q.Name()), "a pool without queues")
+			d.reject(InUse, "name", fmt.Sprintf("pool %q serves queue %q", c.Name, q.Name()), "a pool without queues")
 			ok = false
 			break
 		}
@@ -82,7 +82,7 @@
 		return ok
 	}
 	if c.Team != "" {
-		d.reject("team", fmt.Sprintf("is %q for a queue that is not open", c.Team), "no team, because keys decide which team the work counts for")
+		d.reject(TeamNotPermitted, "team", fmt.Sprintf("is %q for a queue that is not open", c.Team), "no team, because keys decide which team the work counts for")
 		return false
 	}
 	return true
--- a/core/tmchange/team.go
+++ b/core/tmchange/team.go
@@ -28,13 +28,13 @@
 	ok := true
 	for _, k := range d.config.Keys().All() {
 		if k.Team() == c.Name {
-			d.reject("name", fmt.Sprintf("team %q has key %q", c.Name, k.Label()), "a team whose keys are withdrawn")
+			d.reject(InUse, "name", fmt.Sprintf("team %q has key %q", c.Name, k.Label()), "a team whose keys are withdrawn")
 			ok = false
 		}
 	}
 	for _, q := range d.config.Queues().All() {
 		if q.Open() && q.Team() == c.Name {
-			d.reject("name", fmt.Sprintf("work on open queue %q counts for team %q", q.Name(), c.Name), "a team without open queues")
+			d.reject(InUse, "name", fmt.Sprintf("work on open queue %q counts for team %q", q.Name(), c.Name), "a team without open queues")
 			ok = false
 		}
 	}
@@ -65,15 +65,15 @@
 		ok = false
 	}
 	if !ValidHash(c.Hash) {
-		d.reject("hash", "has the wrong form", "the SHA-256 of the key as 64 lower-case hex digits")
+		d.reject(BadHash, "hash", "has the wrong form", "the SHA-256 of the key as 64 lower-case hex digits")
 		ok = false
 	}
 	if d.config.Keys().Has(c.Hash) {
-		d.reject("hash", "is granted already", "the hash of a new key")
+		d.reject(HashTaken, "hash", "is granted already", "the hash of a new key")
 		ok = false
 	}
 	if _, found := d.keyByLabel(c.Label); found {
-		d.reject("label", fmt.Sprintf("key %q exists already", c.Label), "a label that no key has")
+		d.reject(NameTaken, "label", fmt.Sprintf("key %q exists already", c.Label), "a label that no key has")
 		ok = false
 	}
 	if ok {
@@ -93,19 +93,19 @@
 
 func (c WithdrawKey) apply(d *draft) {
 	if (c.Hash == "") == (c.Label == "") {
-		d.reject("label", "is set together with hash, or both are empty", "either a label or a hash")
+		d.reject(KeyAmbiguous, "label", "is set together with hash, or both are empty", "either a label or a hash")
 		return
 	}
 	hash := c.Hash
 	if c.Label != "" {
 		found := false
 		if hash, found = d.keyByLabel(c.Label); !found {
-			d.reject("label", fmt.Sprintf("unknown key %q", c.Label), "the label of a granted key")
+			d.reject(UnknownName, "label", fmt.Sprintf("unknown key %q", c.Label), "the label of a granted key")
 			return
 		}
 	}
 	if !d.config.Keys().Has(hash) {
-		d.reject("hash", "does not belong to a granted key", "the hash of a granted key")
+		d.reject(UnknownName, "hash", "does not belong to a granted key", "the hash of a granted key")
 		return
 	}
 	d.config = d.config.WithKeys(d.config.Keys().Without(hash))
--- a/io/tmcodec/change.go
+++ b/io/tmcodec/change.go
@@ -34,10 +34,10 @@
 func DecodeChanges(data []byte) ([]tmchange.Change, error) {
 	var list []json.RawMessage
 	if err := json.Unmarshal(data, &list); err != nil {
-		return nil, invalidError("changes", "is not a JSON array", "a list of changes")
+		return nil, invalidError(tmchange.BadForm, "changes", "is not a JSON array", "a list of changes")
 	}
 	if len(list) > tmchange.MaxChanges {
-		return nil, invalidError("changes", fmt.Sprintf("has %d changes", len(list)), fmt.Sprintf("at most %d", tmchange.MaxChanges))
+		return nil, invalidError(tmchange.ChangeCount, "changes", fmt.Sprintf("has %d changes", len(list)), fmt.Sprintf("at most %d", tmchange.MaxChanges))
 	}
 	changes := make([]tmchange.Change, 0, len(list))
 	var problems []tmchange.Problem
@@ -52,8 +52,8 @@
 	return changes, nil
 }
 
-func invalidError(field, message, expected string) error {
-	return &tmchange.InvalidError{Problems: []tmchange.Problem{{Field: field, Message: message, Expected: expected}}}
+func invalidError(kind tmchange.ProblemKind, field, message, expected string) error {
+	return &tmchange.InvalidError{Problems: []tmchange.Problem{{Kind: kind, Field: field, Message: message, Expected: expected}}}
 }
 
 func decodeChange(f *fields, raw json.RawMessage) tmchange.Change {
--- a/io/tmcodec/fields.go
+++ b/io/tmcodec/fields.go
@@ -18,7 +18,7 @@
 }
 
 func (f *fields) addProblem(field, message, expected string) {
-	f.problems = append(f.problems, tmchange.Problem{Field: f.path + "." + field, Message: message, Expected: expected})
+	f.problems = append(f.problems, tmchange.Problem{Kind: tmchange.BadForm, Field: f.path + "." + field, Message: message, Expected: expected})
 }
 
 // read decodes a field into v. A field that is absent or null leaves v unchanged,
