core/tmcheck: the difference from the version in force

Cause: an operator could not see what a change file makes of the configuration before it was applied, nor that a change of it leaves everything as it is.

Change: Differences lists added, removed and changed entries with the fields that differ, named as in the JSON form of the configuration. Versions of limits are left out, since every set_limit gives a new one. The last change that sets a target is reported as change_without_effect if the target does not differ.

Seen to fail: TestDifferences without the comparison of removed entries, with equal fields listed and without move_to; TestWarnings without change_without_effect, with it for overridden changes too, and with the condition negated.

--- a/core/tmcheck/check_test.go
+++ b/core/tmcheck/check_test.go
@@ -112,6 +112,12 @@
 	}{
 		{list{tmchange.SetShare{Team: "crews", Share: 3}}, []string{}},
 		{list{tmchange.SetLimit{Team: "crews", Limit: 3}, tmchange.SetLimit{Team: "crews", Limit: 4}}, []string{"warning change_overridden changes[0]"}},
+		{list{tmchange.SetLimit{Team: "crews", Limit: 20}}, []string{"warning change_without_effect changes[0]"}},
+		{list{tmchange.ZoneOut{Name: "z0"}, tmchange.ZoneIn{Name: "z0"}}, []string{
+			"warning change_overridden changes[0]", "warning change_without_effect changes[1]",
+		}},
+		{list{tmchange.MarkServing{Name: "i3"}, tmchange.MarkDraining{Name: "i3"}}, []string{}},
+		{list{tmchange.AddTeam{Name: "x", Share: 1, Limit: 1}, tmchange.SetShare{Team: "x", Share: 1}}, []string{"warning team_without_access teams.x"}},
 		{list{tmchange.MarkDraining{Name: "i3"}, tmchange.MarkServing{Name: "i3"}, tmchange.MoveInstance{Name: "i3", To: "p0"}}, []string{"warning change_overridden changes[0]"}},
 		{list{tmchange.AddPool{Name: "p9", MaxUnavailable: 1}, tmchange.RemovePool{Name: "p9"}}, []string{"warning change_overridden changes[0]"}},
 		{list{tmchange.WithdrawKey{Label: "anna"}, tmchange.GrantKey{Hash: testKeyHash, Team: "crews", Label: "anna"}}, []string{}},
@@ -153,3 +159,32 @@
 	assert.DeepEqual(t, summary(report.Findings), []string{"warning zone_without_instances zones.z8", "warning zone_without_instances zones.z9"})
 	assert.Assert(t, report.Findings[0].InForce && !report.Findings[1].InForce)
 }
+
+// Guards against differences that are missing, that name the wrong field, or that
+// only the version of a limit causes.
+func TestDifferences(t *testing.T) {
+	s := testState(t)
+	report, err := Check(s, tmchange.AllLive, list{
+		tmchange.ZoneOut{Name: "z1"},
+		tmchange.SetBudget{Pool: "p0", MaxUnavailable: 2},
+		tmchange.RemoveQueue{Name: "scans"},
+		tmchange.AddQueue{Name: "q", Pool: "p1"},
+		tmchange.SetLimit{Team: "crews", Limit: 21},
+		tmchange.WithdrawKey{Label: "anna"},
+		tmchange.MoveInstance{Name: "i0", To: "p1"},
+	})
+	assert.NilError(t, err)
+	assert.DeepEqual(t, report.Differences, []Difference{
+		{Changed, "zones", "z1", []FieldDifference{{"out", "false", "true"}}},
+		{Changed, "pools", "p0", []FieldDifference{{"max_unavailable", "1", "2"}}},
+		{Removed, "queues", "scans", []FieldDifference{{"pool", "p0", ""}, {"open", "false", ""}}},
+		{Added, "queues", "q", []FieldDifference{{"pool", "", "p1"}, {"open", "", "false"}}},
+		{Changed, "teams", "crews", []FieldDifference{{"limit", "20", "21"}}},
+		{Removed, "keys", "anna", []FieldDifference{{"hash", testKeyHash, ""}, {"team", "crews", ""}}},
+		{Changed, "instances", "i0", []FieldDifference{{"move_to", "", "p1"}}},
+	})
+	assert.Equal(t, len(Differences(s.Config(), s.Config())), 0)
+	report, err = Check(s, tmchange.AllLive, list{tmchange.SetLimit{Team: "crews", Limit: 20}})
+	assert.NilError(t, err)
+	assert.Equal(t, len(report.Differences), 0)
+}
--- a/core/tmcheck/file.go
+++ b/core/tmcheck/file.go
@@ -60,6 +60,36 @@
 	return findings
 }
 
+// checkEffects returns a warning for each change that is the last to set its
+// target and leaves it as it is in the version in force.
+func checkEffects(changes []tmchange.Change, differences []Difference) []Finding {
+	differs := map[target]bool{}
+	for _, d := range differences {
+		differs[target{d.Section, d.Entry, ""}] = true
+		for _, f := range d.Fields {
+			differs[target{d.Section, d.Entry, f.Field}] = true
+		}
+	}
+	last := map[target]int{}
+	for i, c := range changes {
+		if t, r := targetOf(c); r != noRole {
+			last[t] = i
+		}
+	}
+	var findings []Finding
+	for i, c := range changes {
+		if t, r := targetOf(c); r == sets && last[t] == i && !differs[t] {
+			findings = append(findings, Finding{
+				Name:     ChangeWithoutEffect,
+				Place:    fmt.Sprintf("changes[%d]", i),
+				Message:  fmt.Sprintf("%s leaves %s as it is in the version in force", c.Op(), t.entry),
+				Expected: "another value, or no such change",
+			})
+		}
+	}
+	return findings
+}
+
 // overrides reports whether later, which has the same target, makes earlier
 // useless. It doesn't if earlier has to come first: an entry is added before it
 // is set and removed before it is added anew, and only a serving instance can be
--- a/core/tmcheck/finding.go
+++ b/core/tmcheck/finding.go
@@ -36,6 +36,7 @@
 // The names of the warnings.
 const (
 	ChangeOverridden     Name = "change_overridden"
+	ChangeWithoutEffect  Name = "change_without_effect"
 	QueueUnserved        Name = "queue_unserved"
 	PoolWithoutInstances Name = "pool_without_instances"
 	ZoneWithoutInstances Name = "zone_without_instances"
@@ -64,6 +65,9 @@
 	// Findings lists errors first. If there are errors, warnings about the
 	// resulting configuration are missing, because there is none.
 	Findings []Finding
+	// Differences lists what the changes make of the version in force. It is empty
+	// if there are errors.
+	Differences []Difference
 }
 
 // Check checks changes against the version in force. It returns the error of
@@ -73,8 +77,10 @@
 	if err != nil {
 		return Report{Findings: append(FromError(err), CheckFile(changes)...)}, err
 	}
-	findings := CheckFile(changes)
-	return Report{Findings: append(findings, checkResult(s.Config(), after, live)...)}, nil
+	differences := Differences(s.Config(), after)
+	findings := append(CheckFile(changes), checkEffects(changes, differences)...)
+	findings = append(findings, checkResult(s.Config(), after, live)...)
+	return Report{Findings: findings, Differences: differences}, nil
 }
 
 // FromError returns the problems of a *tmchange.InvalidError as findings, and
