core/tmcheck: a budget that is just used up is no finding

Cause: draining one instance of a pool with a budget of 1 gave a warning, although that is what the budget is for. With such warnings a check that fails on warnings would be of no use.

Change: budget_used_up is replaced by budget_overrun, which is reported when more instances are unavailable than the budget permits, for example after a zone_out.

--- a/core/tmcheck/finding.go
+++ b/core/tmcheck/finding.go
@@ -43,7 +43,7 @@
 	TeamWithoutAccess    Name = "team_without_access"
 	LimitAbovePools      Name = "limit_above_pools"
 	BudgetCoversPool     Name = "budget_covers_pool"
-	BudgetUsedUp         Name = "budget_used_up"
+	BudgetOverrun        Name = "budget_overrun"
 )
 
 // Finding is one result of a check.
