cmd/turmericmoor: config check prints findings and differences

Cause: config check ended with the first kind of problem as text on the standard error; warnings and what the file changes were not shown, and scripts had to parse messages.

--- a/cmd/turmericmoor/config.go
+++ b/cmd/turmericmoor/config.go
@@ -26,50 +26,6 @@
 		o.newConfigCheck(), o.newConfigApply(), o.newConfigShow(), o.newConfigHistory())
 }
 
-func (o *operatorOptions) newConfigCheck() *cobra.Command {
-	return &cobra.Command{
-		Use:   "check FILE",
-		Short: "Check a change file without applying it",
-		Long: `Check a change file, a JSON array of changes, without applying it.
-
-Without an operator URL only its form is checked. With one it is also checked
-against the present configuration, with all instances counted as live; the entry
-checks again with those that really are when the file is applied.`,
-		Example: "  turmericmoor config check changes.json",
-		Args:    cobra.ExactArgs(1),
-		RunE: func(cmd *cobra.Command, args []string) error {
-			changes, err := readChanges(cmd, args[0])
-			if err != nil {
-				return err
-			}
-			against := "its form only"
-			if o.url != "" {
-				version, err := o.checkAgainstCurrent(cmd, changes)
-				if err != nil {
-					return err
-				}
-				against = fmt.Sprintf("version %d", version)
-			}
-			_, err = fmt.Fprintf(cmd.ErrOrStderr(), "%d changes are right, checked against %s\n", len(changes), against)
-			return err
-		},
-	}
-}
-
-func (o *operatorOptions) checkAgainstCurrent(cmd *cobra.Command, changes []tmchange.Change) (uint64, error) {
-	client, err := o.client()
-	if err != nil {
-		return 0, err
-	}
-	config, version, err := client.Config(cmd.Context())
-	if err != nil {
-		return 0, err
-	}
-	noMembers := tmfleet.Table[string, tmfleet.Member]{}
-	_, err = tmchange.Apply(tmfleet.NewState(version, noMembers, noMembers, config, nil), tmchange.AllLive, changes)
-	return version, err
-}
-
 func (o *operatorOptions) newConfigApply() *cobra.Command {
 	var base uint64
 	cmd := &cobra.Command{
--- a/cmd/turmericmoor/configjson.go
+++ b/cmd/turmericmoor/configjson.go
@@ -5,6 +5,7 @@
 
 	"github.com/spf13/cobra"
 
+	"turmericmoor/core/tmcheck"
 	"turmericmoor/core/tmfleet"
 	"turmericmoor/io/tmcodec"
 	"turmericmoor/io/tmoperator"
@@ -46,3 +47,59 @@
 	}
 	return printJSON(cmd, out)
 }
+
+// reportOutput is the output of config check.
+type reportOutput struct {
+	// Version is absent if only the form of the file was checked.
+	Version     *uint64            `json:"version,omitempty"`
+	Findings    []findingOutput    `json:"findings"`
+	Differences []differenceOutput `json:"differences"`
+}
+
+type findingOutput struct {
+	Name     string `json:"name"`
+	Severity string `json:"severity"`
+	Place    string `json:"place"`
+	Message  string `json:"message"`
+	Expected string `json:"expected"`
+	InForce  bool   `json:"in_force"`
+}
+
+type differenceOutput struct {
+	Section    string        `json:"section"`
+	Name       string        `json:"name"`
+	Difference string        `json:"difference"`
+	Fields     []fieldOutput `json:"fields"`
+}
+
+type fieldOutput struct {
+	Field  string `json:"field"`
+	Before string `json:"before"`
+	After  string `json:"after"`
+}
+
+func encodeReport(r tmcheck.Report, version *uint64) reportOutput {
+	out := reportOutput{
+		Version:     version,
+		Findings:    make([]findingOutput, 0, len(r.Findings)),
+		Differences: make([]differenceOutput, 0, len(r.Differences)),
+	}
+	for _, f := range r.Findings {
+		out.Findings = append(out.Findings, findingOutput{
+			Name:     string(f.Name),
+			Severity: f.Severity.String(),
+			Place:    f.Place,
+			Message:  f.Message,
+			Expected: f.Expected,
+			InForce:  f.InForce,
+		})
+	}
+	for _, d := range r.Differences {
+		fields := make([]fieldOutput, 0, len(d.Fields))
+		for _, f := range d.Fields {
+			fields = append(fields, fieldOutput(f))
+		}
+		out.Differences = append(out.Differences, differenceOutput{Section: d.Section, Name: d.Entry, Difference: d.Kind.String(), Fields: fields})
+	}
+	return out
+}
--- a/core/tmchange/problem.go
+++ b/core/tmchange/problem.go
@@ -12,7 +12,7 @@
 // ProblemKind is the stable name of a kind of Problem, in snake_case.
 type ProblemKind string
 
-// The kinds of problems.
+// The kinds of problems, described in docs/CHECKS.md.
 const (
 	BadForm            ProblemKind = "bad_form"
 	ChangeCount        ProblemKind = "change_count"
--- a/core/tmcheck/finding.go
+++ b/core/tmcheck/finding.go
@@ -33,7 +33,7 @@
 // name of its tmchange.ProblemKind.
 type Name string
 
-// The names of the warnings.
+// The names of the warnings, described in docs/CHECKS.md.
 const (
 	ChangeOverridden     Name = "change_overridden"
 	ChangeWithoutEffect  Name = "change_without_effect"
