--- a/core/tmcheck/check_test.go
+++ b/core/tmcheck/check_test.go
@@ -135,6 +135,10 @@
 		{list{tmchange.AddTeam{Name: "x", Share: 1, Limit: 1}, tmchange.AddQueue{Name: "q", Pool: "p0", Open: true, Team: "x"}}, []string{}},
 		{list{tmchange.RemoveQueue{Name: "public"}, tmchange.SetLimit{Team: "crews", Limit: 24}}, []string{}},
 		{list{tmchange.RemoveQueue{Name: "public"}, tmchange.SetLimit{Team: "crews", Limit: 25}}, []string{"warning limit_above_pools teams.crews"}},
+		{
+			list{tmchange.RemoveQueue{Name: "public"}, tmchange.AddQueue{Name: "q", Pool: "p0"}, tmchange.SetLimit{Team: "crews", Limit: 25}},
+			[]string{"warning limit_above_pools teams.crews"},
+		},
 		{leave("i4"), []string{"warning budget_covers_pool pools.p1"}},
 	}
 	for i, c := range cases {
