core/tmcontrol: as many instances move at once as are needed

Cause: the row of recent orders held at most 200 instances, so that a fleet could order 200 moves in the three seconds of a handover. Orders that were never sent, because they were stored only after an outage, counted as well, and a move that was not sent was tried again after 2 s only.

Change: the row takes what fits into its bytes; only orders that are given count as recent, others while they are being stored; a move that was not sent is tried again after 300 ms.

--- a/core/tmcontrol/fleet.go
+++ b/core/tmcontrol/fleet.go
@@ -1,8 +1,6 @@
 package tmcontrol
 
 import (
-	"slices"
-
 	"turmericmoor/core/tmclock"
 	"turmericmoor/core/tmevent"
 	"turmericmoor/core/tmjob"
@@ -75,8 +73,10 @@
 	reports     []WaveReport
 	// unstoredOrders are sent once the store lists their instances as recently ordered.
 	// From that list the next owner knows for which instances it has to wait for
-	// HandoverDelay. orderedAt holds when the last order about an instance was listed.
+	// HandoverDelay. storing holds the instances of the orders that are being stored,
+	// orderedAt when the last order about an instance was given.
 	unstoredOrders []InstanceOrder
+	storing        map[string]bool
 	orderedAt      map[string]tmclock.Millis
 	// earliestOrder holds the earliest time of an order about each instance that an
 	// earlier owner may have given an order about recently.
@@ -88,7 +88,7 @@
 		instances: map[string]Instance{}, waves: map[string]*wave{}, restored: map[string]WaveReport{}, finishedParts: map[string]map[int]bool{},
 		moves: map[string]*move{}, moveRetryAt: map[string]tmclock.Millis{},
 		refusedMoves: map[refusedMove]bool{}, demands: map[string]*demand{},
-		shortages: map[string]int{}, orderedAt: map[string]tmclock.Millis{},
+		shortages: map[string]int{}, storing: map[string]bool{}, orderedAt: map[string]tmclock.Millis{},
 		earliestOrder: map[string]tmclock.Millis{},
 	}
 }
@@ -196,39 +196,6 @@
 	}
 }
 
-// orderInstance queues an order until its instance is stored as recently ordered.
-func (c *Controller) orderInstance(o InstanceOrder) {
-	c.fleet.unstoredOrders = append(c.fleet.unstoredOrders, o)
-}
-
-// orderInstances gives the orders whose instances are stored, unless they would end more
-// tasks now than may be away: storing them may have taken long. Those are decided anew.
-func (c *Controller) orderInstances(orders []InstanceOrder, now tmclock.Millis) {
-	for _, o := range orders {
-		e := c.endpointOn(o.Instance)
-		if c.stale || e != nil && !c.mayEndAll(e) {
-			c.InstanceOrdered(o, NotSent, now)
-			continue
-		}
-		c.fleet.orders = append(c.fleet.orders, o)
-	}
-}
-
-// recentOrders returns the instances about which orders were given within the last
-// HandoverDelay.
-func (c *Controller) recentOrders(now tmclock.Millis) []string {
-	ids := []string{}
-	for id, at := range c.fleet.orderedAt {
-		if now.Sub(at) > c.bounds.HandoverDelay {
-			delete(c.fleet.orderedAt, id)
-			continue
-		}
-		ids = append(ids, id)
-	}
-	slices.Sort(ids)
-	return ids
-}
-
 // TakeInstanceOrders returns the orders and wave reports issued since the last
 // call.
 func (c *Controller) TakeInstanceOrders() ([]InstanceOrder, []WaveReport) {
--- a/core/tmcontrol/flush.go
+++ b/core/tmcontrol/flush.go
@@ -18,8 +18,6 @@
 	// than one. A transaction holds at most 1 MB, in which rows take a third more, and has to
 	// pass the weakest link, of 2 Mbit/s, within the time that a write may take.
 	maxFlushBytes = 200_000
-	// maxOrderedInstances limits the instances in the row of recent orders.
-	maxOrderedInstances = 200
 )
 
 // flushRoom is how much more a flush can hold.
@@ -77,21 +75,6 @@
 	return f
 }
 
-// takeInstanceOrders moves orders about instances into a flush, as many as fit into the row
-// of the recent ones.
-func (c *Controller) takeInstanceOrders(f *Flush, room *flushRoom, now tmclock.Millis) {
-	n := min(len(c.fleet.unstoredOrders), maxOrderedInstances-len(c.recentOrders(now)))
-	if n <= 0 || !room.take(1, 0) {
-		return
-	}
-	f.instanceOrders = slices.Clone(c.fleet.unstoredOrders[:n])
-	c.fleet.unstoredOrders = slices.Clone(c.fleet.unstoredOrders[n:])
-	for _, o := range f.instanceOrders {
-		c.fleet.orderedAt[o.Instance] = now
-	}
-	f.Orders = c.recentOrders(now)
-}
-
 // takePages moves pages from the queue into a flush. Changes of the queue by what it takes
 // are included.
 func (c *Controller) takePages(f *Flush, room *flushRoom) {
@@ -247,7 +230,7 @@
 	for _, row := range f.Quotas {
 		c.quotas.Refused(row)
 	}
-	c.fleet.unstoredOrders = append(f.instanceOrders, c.fleet.unstoredOrders...)
+	c.takeBackOrders(f)
 	for _, p := range f.pages {
 		c.takeBack(p)
 	}
@@ -266,6 +249,7 @@
 func (c *Controller) setAside(f *Flush, now tmclock.Millis) {
 	c.liftFlushLimit()
 	for _, o := range f.instanceOrders {
+		delete(c.fleet.storing, o.Instance)
 		c.InstanceOrdered(o, NotSent, now)
 	}
 	for _, p := range f.pages {
--- a/core/tmcontrol/pool.go
+++ b/core/tmcontrol/pool.go
@@ -30,6 +30,9 @@
 	// moveRetryDelay is the delay before an instance that could not be moved is tried
 	// again.
 	moveRetryDelay = 2 * tmclock.Second
+	// unsentMoveDelay is the same if the order was not sent, because it had become old by the
+	// time that it was stored or this owner was not confirmed.
+	unsentMoveDelay = 300 * tmclock.Millisecond
 	// minPoolSize is the minimum number of instances of a pool. reserveShare is the
 	// fraction of an equal share of all instances that a pool keeps for the start of a
 	// burst, which arrives faster than instances can be moved.
@@ -364,7 +367,11 @@
 		if a == Refused {
 			c.fleet.refusedMoves[refusedMove{m.instance, m.pool}] = true
 		}
-		c.fleet.moveRetryAt[m.instance] = now.Add(moveRetryDelay)
+		if a == NotSent {
+			c.fleet.moveRetryAt[m.instance] = now.Add(unsentMoveDelay)
+		} else {
+			c.fleet.moveRetryAt[m.instance] = now.Add(moveRetryDelay)
+		}
 		c.endMove(m)
 	}
 }
