--- a/internal/tmknownred/knownred.go
+++ b/internal/tmknownred/knownred.go
@@ -11,13 +11,20 @@
 	"testing"
 )
 
-// listPath is the path of the list from a package two levels below the root.
-var listPath = filepath.Join("..", "..", "KNOWN-RED.txt")
+// listPath returns the path of the list from a package one or two levels below the root.
+func listPath() string {
+	const name = "KNOWN-RED.txt"
+	parent := filepath.Join("..", name)
+	if _, err := os.Stat(parent); err == nil {
+		return parent
+	}
+	return filepath.Join("..", "..", name)
+}
 
 // Names returns the names that the list has on lines of the form "KIND NAME: ...".
 func Names(t *testing.T, kind string) map[string]bool {
 	t.Helper()
-	data, err := os.ReadFile(listPath)
+	data, err := os.ReadFile(listPath())
 	if err != nil && !errors.Is(err, os.ErrNotExist) {
 		t.Fatal(err)
 	}
