io/tmguard: limits for callers that we do not control, on every listener of a node

Cause: nothing bounded the header lines, the connections, the bodies being read or the steps of a job that a caller sends.

Change: a listener and connection wrapper counts the bytes and lines of a header before net/http parses them, judged before each read, so that no byte of a body is taken for a header. The lines of all headers and the bytes of all bodies are charged to budgets; connections have a bound for callers and one for health and metrics. The ones that have waited longest for their client are closed first. Time for a header counts only while the process runs, in place of a deadline of 60 s. Lists of a job are counted before they are decoded; a body over the limit behind the JSON is 413. Settings in [limits] with defaults, client_limited, client_refusals_total{kind}. docs/design/callers.md has the reasons.

A header across a pause of 8 s is served; with the clock's time counted it was not.

--- a/cmd/turmericmoor/node.go
+++ b/cmd/turmericmoor/node.go
@@ -15,6 +15,7 @@
 
 	"turmericmoor/core/tmclock"
 	"turmericmoor/io/tmeventlog"
+	"turmericmoor/io/tmguard"
 	"turmericmoor/io/tmmetrics"
 	"turmericmoor/io/tmnode"
 	"turmericmoor/io/tmnodesettings"
@@ -95,10 +96,12 @@
 	}
 	opts.Observe = func(call string, elapsed time.Duration, err error) { metrics.Observe(call, elapsed, err) }
 	defer platform.Connect(settings, &opts)()
-	server := tmserve.New(reportListeners(events))
+	guard := tmguard.New(settings.Limits(), reportClients(events))
+	defer guard.Close()
+	server := tmserve.New(reportListeners(events), guard)
 	opts.Listening = func() bool { return server.IsOpen(settings.Callers()) }
 	node := tmnode.New(opts)
-	metrics = tmmetrics.New(node, events.Dropped, events.Written)
+	metrics = tmmetrics.New(node, events.Dropped, events.Written, guard)
 	if err := serveNode(server, settings, node, metrics); err != nil {
 		return err
 	}
@@ -176,12 +179,19 @@
 	}
 }
 
+// reportClients logs clients that exceed a limit.
+func reportClients(events *tmeventlog.Log) tmguard.Report {
+	return func(kind tmguard.Kind, client string, total int64) {
+		events.Note(tmevent.ClientLimited, "kind", kind.String(), "client", client, "total", total)
+	}
+}
+
 func serveNode(server *tmserve.Server, settings tmnodesettings.Settings, node *tmnode.Node, metrics *tmmetrics.Metrics) error {
-	frontend := platform.NewFrontend(node)
-	if err := server.Add(settings.Callers(), frontend); err != nil {
+	frontend := platform.NewFrontend(node, platform.JobLimits{Steps: settings.JobSteps(), Tasks: settings.JobTasks()})
+	if err := server.Add(settings.Callers(), tmguard.Callers, frontend); err != nil {
 		return err
 	}
-	if err := server.Add(settings.Health(), http.HandlerFunc(frontend.Ready)); err != nil {
+	if err := server.Add(settings.Health(), tmguard.Control, http.HandlerFunc(frontend.Ready)); err != nil {
 		return err
 	}
 	if settings.Metrics() == "" {
@@ -190,7 +200,7 @@
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", metrics.Handler())
 	mux.HandleFunc("GET /dump", func(w http.ResponseWriter, _ *http.Request) { writeDump(w, node) })
-	return server.Add(settings.Metrics(), mux)
+	return server.Add(settings.Metrics(), tmguard.Control, mux)
 }
 
 func writeDump(w http.ResponseWriter, node *tmnode.Node) {
--- a/cmd/turmericmoor/pages_test.go
+++ b/cmd/turmericmoor/pages_test.go
@@ -203,6 +203,13 @@
 	assert.DeepEqual(t, example, settingsKeys(t))
 }
 
+// Guards against a limit of the node that its page lacks, and one on the page that does not exist.
+func TestNodeLimitsInPage(t *testing.T) {
+	described := uniqueMatches("(?m)^\\| `limits\\.(\\w+)`", readPage(t, "docs/OPERATIONS.md"))
+	read := uniqueMatches(`count\("(?:limits\.)?(\w+)"`, readPage(t, "io/tmnodesettings/limits.go")+readPage(t, "io/tmnodesettings/settings.go"))
+	assert.DeepEqual(t, described, read)
+}
+
 // Guards against a description of the operator protocol, the metrics or the
 // dump that differs from the code.
 func TestNamesInPages(t *testing.T) {
--- a/core/tmevent/event.go
+++ b/core/tmevent/event.go
@@ -26,6 +26,8 @@
 	CallerSubmit Name = "caller_submit"
 	// CheckpointsDropped: checkpoints were too long for the row of their tasks and are not stored, so that these tasks begin anew if the owner changes: job, page, tasks.
 	CheckpointsDropped Name = "checkpoints_dropped"
+	// ClientLimited: a client of a listener exceeded a limit and was refused or disconnected: kind, client, total; at most one line a second for each kind.
+	ClientLimited Name = "client_limited"
 	// ConfigInstalled: a configuration came into force for callers: version, row_version.
 	ConfigInstalled Name = "config_installed"
 	// EndpointAnswers: an endpoint answers for the first time, or answers again: endpoint, runs, ends.
@@ -149,6 +151,7 @@
 	CallerState,
 	CallerSubmit,
 	CheckpointsDropped,
+	ClientLimited,
 	ConfigInstalled,
 	EndpointAnswers,
 	EndpointAvoided,
--- a/core/tmjob/job.go
+++ b/core/tmjob/job.go
@@ -14,10 +14,10 @@
 // Limits on a job. They keep one job from exhausting the memory or the processor of its
 // owner. Stored jobs have to keep them as well, so that no later version may lower them.
 const (
-	// maxSteps is the maximum number of steps of a job.
-	maxSteps = 1000
-	// maxTasks is the maximum number of tasks of one occurrence of a job.
-	maxTasks = 10_000
+	// MaxSteps is the maximum number of steps of a job.
+	MaxSteps = 1000
+	// MaxTasks is the maximum number of tasks of one occurrence of a job.
+	MaxTasks = 10_000
 	// maxRepeats is the maximum number of occurrences of a job.
 	maxRepeats = 1_000_000_000
 	// MaxSpecBytes is the maximum length of the specification.
@@ -168,8 +168,8 @@
 	if len(j.Spec) > MaxSpecBytes {
 		return fmt.Errorf("%w: spec has %d bytes, at most %d are allowed", ErrInvalid, len(j.Spec), MaxSpecBytes)
 	}
-	if len(j.Steps) == 0 || len(j.Steps) > maxSteps {
-		return fmt.Errorf("%w: %d steps, expected 1 to %d", ErrInvalid, len(j.Steps), maxSteps)
+	if len(j.Steps) == 0 || len(j.Steps) > MaxSteps {
+		return fmt.Errorf("%w: %d steps, expected 1 to %d", ErrInvalid, len(j.Steps), MaxSteps)
 	}
 	if j.Repeats < 0 || j.Repeats > maxRepeats {
 		return fmt.Errorf("%w: %d occurrences, expected 0 to %d", ErrInvalid, j.Repeats, maxRepeats)
@@ -187,15 +187,15 @@
 		}
 		tasks += j.Steps[i].Count
 	}
-	if tasks > maxTasks {
-		return fmt.Errorf("%w: %d tasks, at most %d are allowed", ErrInvalid, tasks, maxTasks)
+	if tasks > MaxTasks {
+		return fmt.Errorf("%w: %d tasks, at most %d are allowed", ErrInvalid, tasks, MaxTasks)
 	}
 	return nil
 }
 
 func (s *Step) check(i int) error {
-	if s.Count < 1 || s.Count > maxTasks {
-		return fmt.Errorf("%w: step %d has %d tasks, expected 1 to %d", ErrInvalid, i, s.Count, maxTasks)
+	if s.Count < 1 || s.Count > MaxTasks {
+		return fmt.Errorf("%w: step %d has %d tasks, expected 1 to %d", ErrInvalid, i, s.Count, MaxTasks)
 	}
 	if s.Size.CPU < 0 || s.Size.Mem < 0 || s.Size.GPU < 0 {
 		return fmt.Errorf("%w: step %d has a negative size", ErrInvalid, i)
--- a/io/tmmetrics/metrics.go
+++ b/io/tmmetrics/metrics.go
@@ -10,6 +10,7 @@
 
 	"turmericmoor/core/tmcontrol"
 	"turmericmoor/core/tmevent"
+	"turmericmoor/io/tmguard"
 )
 
 const namespace = "turmericmoor_node"
@@ -30,8 +31,8 @@
 }
 
 // New returns the metrics of a node. dropped and written return counts of log
-// lines.
-func New(node Source, dropped, written func() int64) *Metrics {
+// lines. guard counts the clients that were refused.
+func New(node Source, dropped, written func() int64, guard *tmguard.Guard) *Metrics {
 	m := &Metrics{
 		registry: prometheus.NewRegistry(),
 		events:   map[tmevent.Name]prometheus.Counter{},
@@ -51,7 +52,8 @@
 	}
 	m.registry.MustRegister(events, m.calls, m.callSeconds, newStateCollector(node),
 		counterFunc("log_lines_dropped_total", "Log lines that the output was too slow for.", dropped),
-		counterFunc("log_lines_total", "Log lines written.", written))
+		counterFunc("log_lines_total", "Log lines written.", written),
+		guard.Collector(namespace))
 	return m
 }
 
--- a/io/tmnodesettings/settings.go
+++ b/io/tmnodesettings/settings.go
@@ -11,7 +11,9 @@
 
 	"turmericmoor/core/tmclock"
 	"turmericmoor/core/tmcontrol"
+	"turmericmoor/core/tmjob"
 	"turmericmoor/core/tmshard"
+	"turmericmoor/io/tmguard"
 	"turmericmoor/io/tmini"
 )
 
@@ -26,6 +28,8 @@
 	keyWithdrawn             time.Duration
 	keepOutcomes             time.Duration
 	bounds                   tmcontrol.Bounds
+	limits                   tmguard.Limits
+	jobSteps, jobTasks       int
 	unknown                  []string
 }
 
@@ -75,14 +79,24 @@
 // Bounds returns the bounds of the controller.
 func (s Settings) Bounds() tmcontrol.Bounds { return s.bounds }
 
+// Limits returns the limits of clients of the listeners.
+func (s Settings) Limits() tmguard.Limits { return s.limits }
+
+// JobSteps returns the largest number of steps of a job.
+func (s Settings) JobSteps() int { return s.jobSteps }
+
+// JobTasks returns the largest number of tasks of a job.
+func (s Settings) JobTasks() int { return s.jobTasks }
+
 // Unknown returns the unknown keys, which were ignored.
 func (s Settings) Unknown() []string { return s.unknown }
 
 // CanReload reports whether a change from s to the given settings needs no restart:
-// name, zone, resources, addresses and CrossPart are the same.
+// name, zone, resources, addresses, CrossPart and the limits of clients are the same.
 func (s Settings) CanReload(to Settings) bool {
 	return s.name == to.name && s.zone == to.zone && s.resources == to.resources && s.callers == to.callers && s.health == to.health && s.metrics == to.metrics &&
-		s.store == to.store && s.instances == to.instances && s.advice == to.advice && s.crossPart == to.crossPart
+		s.store == to.store && s.instances == to.instances && s.advice == to.advice && s.crossPart == to.crossPart &&
+		s.limits == to.limits && s.jobSteps == to.jobSteps && s.jobTasks == to.jobTasks
 }
 
 // Defaults of bounds that the settings don't give.
@@ -168,6 +182,9 @@
 			RowBytes:      r.rowBytes("store.row_bytes"),
 		},
 	}
+	s.limits = r.limits(s.resources)
+	s.jobSteps = r.count("limits.job_steps", tmjob.MaxSteps, tmjob.MaxSteps)
+	s.jobTasks = r.count("limits.job_tasks", tmjob.MaxTasks, tmjob.MaxTasks)
 	for name := range r.values {
 		s.unknown = append(s.unknown, name)
 	}
--- a/io/tmnodesettings/settings_test.go
+++ b/io/tmnodesettings/settings_test.go
@@ -80,3 +80,18 @@
 		assert.Equal(t, old.CanReload(changed), canReload, change)
 	}
 }
+
+// Guards against limits that do not follow the machine, and against one that is out of range.
+func TestLimitsFollowTheMachine(t *testing.T) {
+	machine := strings.Replace(complete, "cores = 0.4", "cores = 0.4\nmemory_mb = 184\nmax_files = 4100", 1)
+	s, err := tmnodesettings.Parse("x.ini", []byte(machine))
+	assert.NilError(t, err)
+	l := s.Limits()
+	assert.Equal(t, l.HeaderBytes, 16_384)
+	assert.Assert(t, l.Connections+l.Reserved <= 800, "core/tmshard reserves 800 descriptors for callers, the limits are %+v", l)
+	assert.Assert(t, int64(l.Connections)*25_000+l.HeaderMemory+l.BodyMemory <= 60_000_000, "%+v", l)
+	_, err = tmnodesettings.Parse("x.ini", []byte(machine+"[limits]\njob_steps = 1001\nheader_lines = 0\nconnections = 1.5\n"))
+	for _, want := range []string{"limits.job_steps", "limits.header_lines", "limits.connections"} {
+		assert.ErrorContains(t, err, want)
+	}
+}
--- a/io/tmserve/serve.go
+++ b/io/tmserve/serve.go
@@ -12,13 +12,10 @@
 	"time"
 
 	"turmericmoor/internal/tmwait"
+	"turmericmoor/io/tmguard"
 )
 
 const (
-	// headerTimeout bounds reading the header of a request. It is longer than any
-	// process pause that a node has to survive: a timeout that expires during the
-	// pause would close connections with requests that are still to be read.
-	headerTimeout = 60 * time.Second
 	// idleTimeout is how long an idle connection of a caller stays open.
 	idleTimeout = 60 * time.Second
 	// bindRetryInterval is the pause before an address that is taken is tried again.
@@ -39,6 +36,7 @@
 // Server serves a set of HTTP listeners. It is safe for concurrent use.
 type Server struct {
 	report  Reporter
+	guard   *tmguard.Guard
 	ctx     context.Context
 	stop    context.CancelFunc
 	serving sync.WaitGroup
@@ -48,23 +46,25 @@
 	open    map[string]bool
 }
 
-// New returns a server without listeners.
-func New(report Reporter) *Server {
-	s := &Server{report: report, open: map[string]bool{}}
+// New returns a server without listeners. guard protects all of them; it stays open when the
+// server is closed.
+func New(report Reporter, guard *tmguard.Guard) *Server {
+	s := &Server{report: report, guard: guard, open: map[string]bool{}}
 	s.ctx, s.stop = context.WithCancel(context.Background())
 	return s
 }
 
-// Add listens on an address and serves its requests with handler. While another process
+// Add listens on an address and serves its requests with handler. class has the connections
+// that the listener may have. While another process
 // holds the address, or the process has no file descriptor left, Add returns at once and
 // the address is tried again until it is free. Any other failure is returned.
-func (s *Server) Add(address string, handler http.Handler) error {
+func (s *Server) Add(address string, class tmguard.Class, handler http.Handler) error {
 	listener, err := net.Listen("tcp", address)
 	switch {
 	case err == nil:
-		s.serve(address, listener, handler)
+		s.serve(address, listener, class, handler)
 	case isTransient(err):
-		s.serving.Go(func() { s.serveWhenFree(address, err, handler) })
+		s.serving.Go(func() { s.serveWhenFree(address, err, class, handler) })
 	default:
 		return fmt.Errorf("tmserve: %w", err)
 	}
@@ -82,7 +82,7 @@
 }
 
 // serveWhenFree tries to listen on an address until it can, or until the server is closed.
-func (s *Server) serveWhenFree(address string, cause error, handler http.Handler) {
+func (s *Server) serveWhenFree(address string, cause error, class tmguard.Class, handler http.Handler) {
 	began := time.Now()
 	s.report.Waits(address, 0, cause)
 	reported := began
@@ -90,7 +90,7 @@
 		listener, err := net.Listen("tcp", address)
 		if err == nil {
 			s.report.Opens(address, time.Since(began))
-			s.serve(address, listener, handler)
+			s.serve(address, listener, class, handler)
 			return
 		}
 		if time.Since(reported) >= waitReportInterval {
@@ -100,8 +100,11 @@
 	}
 }
 
-func (s *Server) serve(address string, listener net.Listener, handler http.Handler) {
-	srv := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+func (s *Server) serve(address string, listener net.Listener, class tmguard.Class, handler http.Handler) {
+	// The guard bounds the time for a header, by the time for which the process ran: a timeout that
+	// expires during a pause would close connections with requests that are still to be read.
+	srv := s.guard.Server(handler)
+	srv.IdleTimeout = idleTimeout
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.ctx.Err() != nil {
@@ -114,7 +117,7 @@
 	s.serving.Go(func() {
 		// After Shutdown, Serve returns http.ErrServerClosed; any other error
 		// ends the listener, which the load balancer detects.
-		_ = srv.Serve(listener)
+		_ = srv.Serve(s.guard.Listen(listener, class))
 	})
 }
 
--- a/io/tmserve/serve_test.go
+++ b/io/tmserve/serve_test.go
@@ -10,6 +10,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"turmericmoor/io/tmguard"
 	"turmericmoor/io/tmserve"
 )
 
@@ -35,6 +36,12 @@
 	return l, l.Addr().String()
 }
 
+func newGuard(t *testing.T) *tmguard.Guard {
+	g := tmguard.New(tmguard.DefaultLimits(tmguard.Machine{}), nil)
+	t.Cleanup(g.Close)
+	return g
+}
+
 var hello = http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "hello") })
 
 // Guards against a process that ends for good because another one, such as its predecessor,
@@ -42,11 +49,11 @@
 func TestAddressIsServedOnceItIsFree(t *testing.T) {
 	holder, taken := takeAddress(t)
 	var c counts
-	s := tmserve.New(c.reporter())
-	assert.NilError(t, s.Add(taken, hello))
+	s := tmserve.New(c.reporter(), newGuard(t))
+	assert.NilError(t, s.Add(taken, tmguard.Callers, hello))
 	free, freeAddress := takeAddress(t)
 	assert.NilError(t, free.Close())
-	assert.NilError(t, s.Add(freeAddress, hello))
+	assert.NilError(t, s.Add(freeAddress, tmguard.Callers, hello))
 	assert.Assert(t, s.IsOpen(freeAddress), "an address that is taken holds up another one")
 	assert.Assert(t, !s.IsOpen(taken))
 
@@ -69,8 +76,8 @@
 func TestCloseEndsTheWaitForAnAddress(t *testing.T) {
 	_, taken := takeAddress(t)
 	var c counts
-	s := tmserve.New(c.reporter())
-	assert.NilError(t, s.Add(taken, hello))
+	s := tmserve.New(c.reporter(), newGuard(t))
+	assert.NilError(t, s.Add(taken, tmguard.Callers, hello))
 	began := time.Now()
 	assert.NilError(t, s.Close(servedWithin))
 	assert.Assert(t, time.Since(began) < time.Second)
@@ -80,8 +87,8 @@
 // Guards against a wrong address in the settings that is tried again for good.
 func TestAddressThatNeverWorksIsAnError(t *testing.T) {
 	var c counts
-	s := tmserve.New(c.reporter())
-	assert.ErrorContains(t, s.Add("192.0.2.1:80", hello), "tmserve")
-	assert.ErrorContains(t, s.Add("127.0.0.1:none", hello), "tmserve")
+	s := tmserve.New(c.reporter(), newGuard(t))
+	assert.ErrorContains(t, s.Add("192.0.2.1:80", tmguard.Callers, hello), "tmserve")
+	assert.ErrorContains(t, s.Add("127.0.0.1:none", tmguard.Callers, hello), "tmserve")
 	assert.NilError(t, s.Close(servedWithin))
 }
