--- a/internal/harness/entry.go
+++ b/internal/harness/entry.go
@@ -78,6 +78,9 @@
 	if f.layout.MaxQueuedRequests > 0 {
 		text += fmt.Sprintf("[queue]\nmax_requests = %d\n", f.layout.MaxQueuedRequests)
 	}
+	for _, line := range f.layout.Settings {
+		text += line + "\n"
+	}
 	if err := os.WriteFile(e.settings, []byte(text), 0o600); err != nil {
 		return nil, fmt.Errorf("harness: settings of %s: %w", e.Name, err)
 	}
--- a/internal/harness/layout.go
+++ b/internal/harness/layout.go
@@ -39,6 +39,8 @@
 	// CountBytes routes the connections between entries and from entries to the
 	// platform through relays that count their bytes.
 	CountBytes bool
+	// Settings are lines added to the settings of each entry, after its own sections.
+	Settings []string
 	// Env is added to the environment of each entry, for example GOMAXPROCS=2.
 	Env []string
 }
