io/tmdaemon, io/tmpeer: the limits of clients on every listener of an entry

Cause: an entry bounds a header to 16 KiB, but neither the connections nor the memory of headers and bodies over all of them. Its peer listener refused newcomers for good once 1,024 connections without a proof were open, and its header timeout of 10 s was on the clock, also across a pause.

Change: io/tmguard guards the listeners for callers and operators, with TLS after decryption; settings in [limits] and timeouts.header; client_refusals_total{kind} and client_connections{class}; a line 'client limited' at most once a second for each kind. A body without room is refused as overloaded. io/tmpeer takes the oldest unproved connection for a new one, accepts by net before gnet, and lets 16 KiB wait before the proof instead of 16 MiB.

The constant stopTimeout moved to the test that uses it, with the same 5 s.

--- a/cmd/turmericmoor/pages_test.go
+++ b/cmd/turmericmoor/pages_test.go
@@ -231,6 +231,8 @@
 	assert.DeepEqual(t, uniqueMatches("`(\\w+)`", rows), ops)
 
 	metrics := uniqueMatches(`(?:counter\(|gauge\(|Name: )"(\w+)"`, readPage(t, "io/tmentry/metrics.go"))
+	metrics = append(metrics, uniqueMatches(`namespace\+"_(\w+)"`, readPage(t, "io/tmguard/metrics.go"))...)
+	slices.Sort(metrics)
 	assert.DeepEqual(t, uniqueMatches("(?m)^\\| `turmericmoor_(\\w+)", section(t, operators, "### Metrics")), metrics)
 	alerts := readPage(t, "docs/OPERATORS.md")
 	for _, name := range uniqueMatches("`turmericmoor_(\\w+)", alerts) {
--- a/io/tmcaller/handler.go
+++ b/io/tmcaller/handler.go
@@ -15,6 +15,7 @@
 	"turmericmoor/core/tmclock"
 	"turmericmoor/core/tmonce"
 	"turmericmoor/core/tmrequest"
+	"turmericmoor/io/tmguard"
 )
 
 // The HTTP headers of requests and responses.
@@ -194,6 +195,8 @@
 	switch {
 	case errors.As(err, &tooLarge):
 		return nil, tmrequest.Refuse(tmrequest.TooLarge, "the body has more than %d bytes", limit)
+	case errors.Is(err, tmguard.ErrMemory):
+		return nil, tmrequest.Refuse(tmrequest.Overloaded, "too many bodies are being read")
 	case err != nil:
 		return nil, tmrequest.Refuse(tmrequest.BadRequest, "the body could not be read completely")
 	}
--- a/io/tmdaemon/daemon.go
+++ b/io/tmdaemon/daemon.go
@@ -16,22 +16,21 @@
 	"turmericmoor/core/tmclock"
 	"turmericmoor/io/tmcaller"
 	"turmericmoor/io/tmentry"
+	"turmericmoor/io/tmguard"
 	"turmericmoor/io/tmoperator"
 	"turmericmoor/io/tmsettings"
 	"turmericmoor/io/tmtls"
 )
 
 const (
-	// headerTimeout bounds reading the header of a request.
-	headerTimeout = 10 * time.Second
 	// bodyTimeout bounds reading a whole request.
 	bodyTimeout = 60 * time.Second
 	// unreadyDelay is how long the entry continues to serve after it starts to
 	// report that it isn't healthy, so that the load balancer stops sending new
 	// requests before the listeners close.
 	unreadyDelay = 2 * tmclock.Second
-	// maxHeaderBytes bounds the size of a request header.
-	maxHeaderBytes = 16 << 10
+	// metricsNamespace is the first part of the names of metrics.
+	metricsNamespace = "turmericmoor"
 )
 
 // Daemon is a running entry with its listeners.
@@ -39,6 +38,7 @@
 	settings        tmsettings.Settings
 	log             *log.Logger
 	entry           *tmentry.Entry
+	guard           *tmguard.Guard
 	servers         []*http.Server
 	serving         sync.WaitGroup
 	callerAddress   string
@@ -47,11 +47,28 @@
 
 // Start binds the listeners and starts the entry.
 func Start(settings tmsettings.Settings, logger *log.Logger) (*Daemon, error) {
-	callers, err := listen(settings.Callers())
+	guard := tmguard.New(settings.Limits(), reportClients(logger))
+	d, err := start(settings, logger, guard)
+	if err != nil {
+		guard.Close()
+		return nil, err
+	}
+	return d, nil
+}
+
+// reportClients logs clients that exceed a limit.
+func reportClients(logger *log.Logger) tmguard.Report {
+	return func(kind tmguard.Kind, client string, total int64) {
+		logger.Warn("client limited", "kind", kind.String(), "client", client, "total", total)
+	}
+}
+
+func start(settings tmsettings.Settings, logger *log.Logger, guard *tmguard.Guard) (*Daemon, error) {
+	callers, err := listen(settings.Callers(), guard, tmguard.Callers)
 	if err != nil {
 		return nil, fmt.Errorf("tmdaemon: callers: %w", err)
 	}
-	operators, err := listen(settings.Operators())
+	operators, err := listen(settings.Operators(), guard, tmguard.Control)
 	if err != nil {
 		_ = callers.Close()
 		return nil, fmt.Errorf("tmdaemon: operators: %w", err)
@@ -67,6 +84,9 @@
 		QueueRequests:   settings.QueueRequests(),
 		QueueBytes:      int(settings.QueueBytes()),
 		Log:             logger,
+		PeerConnections: settings.PeerConnections(),
+		PeerRefused:     func(client string) { guard.Refuse(tmguard.Handshake, client) },
+		Collector:       guard.Collector(metricsNamespace),
 	})
 	if err != nil {
 		_ = callers.Close()
@@ -83,6 +103,7 @@
 		settings:        settings,
 		log:             logger,
 		entry:           entry,
+		guard:           guard,
 		callerAddress:   callers.Addr().String(),
 		operatorAddress: operators.Addr().String(),
 	}
@@ -98,31 +119,28 @@
 // OperatorAddress returns IP:port of the listener for operators.
 func (d *Daemon) OperatorAddress() string { return d.operatorAddress }
 
-func listen(l tmsettings.Listener) (net.Listener, error) {
+func listen(l tmsettings.Listener, guard *tmguard.Guard, class tmguard.Class) (net.Listener, error) {
 	listener, err := net.Listen("tcp", l.Address())
 	if err != nil {
 		return nil, err
 	}
 	if !l.TLS() {
-		return listener, nil
+		return guard.Listen(listener, class), nil
 	}
 	source, err := tmtls.New(l.CertFile(), l.KeyFile(), tmclock.NewSystem())
 	if err != nil {
 		_ = listener.Close()
 		return nil, err
 	}
-	return newTLSListener(listener, source), nil
+	return guard.ListenTLS(listener, class, source.Config()), nil
 }
 
 func (d *Daemon) serve(listener net.Listener, handler http.Handler) {
-	server := &http.Server{
-		Handler:           handler,
-		ReadHeaderTimeout: headerTimeout,
-		ReadTimeout:       bodyTimeout,
-		IdleTimeout:       d.settings.IdleTimeout().Duration(),
-		MaxHeaderBytes:    maxHeaderBytes,
-		ErrorLog:          d.log.StandardLog(log.StandardLogOptions{ForceLevel: log.WarnLevel}),
-	}
+	// The guard bounds the time for a header, by the time for which the process ran.
+	server := d.guard.Server(handler)
+	server.ReadTimeout = bodyTimeout
+	server.IdleTimeout = d.settings.IdleTimeout().Duration()
+	server.ErrorLog = d.log.StandardLog(log.StandardLogOptions{ForceLevel: log.WarnLevel})
 	d.servers = append(d.servers, server)
 	d.serving.Go(func() {
 		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
@@ -160,6 +178,7 @@
 	}
 	errs = append(errs, d.entry.Close(ctx))
 	d.serving.Wait()
+	d.guard.Close()
 	return errors.Join(errs...)
 }
 
--- a/io/tmentry/entry.go
+++ b/io/tmentry/entry.go
@@ -16,6 +16,7 @@
 
 	"github.com/charmbracelet/log"
 	"github.com/google/uuid"
+	"github.com/prometheus/client_golang/prometheus"
 
 	"turmericmoor/core/tmclock"
 	"turmericmoor/core/tmfleet"
@@ -50,6 +51,11 @@
 	// PeerFilter drops traffic between entries in failure tests; see
 	// tmpeer.Options.
 	PeerFilter func(from, to string) bool
+	// PeerConnections and PeerRefused are MaxConnections and Refused of tmpeer.Options.
+	PeerConnections int
+	PeerRefused     func(client string)
+	// Collector has further metrics to export. It may be nil.
+	Collector prometheus.Collector
 	// wrapWaves replaces the dependencies of waves and moves in negative
 	// controls of tests.
 	wrapWaves func(tmwaves.Dependencies) tmwaves.Dependencies
@@ -115,6 +121,9 @@
 		ctx:       ctx,
 		cancel:    cancel,
 	}
+	if opts.Collector != nil {
+		e.metrics.registry.MustRegister(opts.Collector)
+	}
 	e.store = tmstore.New(e.platform)
 	e.tables = newTables(e, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
 	e.leases = newLeaseKeeper(e)
@@ -129,6 +138,9 @@
 		Log:     e.log,
 		Clock:   clock,
 		Filter:  opts.PeerFilter,
+
+		MaxConnections: opts.PeerConnections,
+		Refused:        opts.PeerRefused,
 	})
 	if err != nil {
 		cancel()
--- a/io/tmguard/limits.go
+++ b/io/tmguard/limits.go
@@ -95,6 +95,7 @@
 const (
 	connectionShare       = 0.17
 	reservedShare         = 0.02
+	mainShare             = 0.8
 	connectionMemoryShare = 0.10
 	headerMemoryShare     = 0.06
 	bodyMemoryShare       = 0.04
@@ -116,7 +117,7 @@
 func DefaultLimits(m Machine) Limits {
 	files := float64(m.Files)
 	if files <= 0 {
-		files = float64(systemFiles())
+		files = float64(min(SystemFiles(), unknownFiles))
 	}
 	l := Limits{
 		HeaderBytes: defaultHeaderBytes, HeaderLines: defaultHeaderLines, LeadBytes: defaultLeadBytes, HeaderTime: defaultHeaderTime,
@@ -133,12 +134,15 @@
 	return l
 }
 
-// systemFiles returns how many descriptors the system lets the process open, at most
-// unknownFiles.
-func systemFiles() int {
+// SystemFiles returns how many descriptors the system lets the process open.
+func SystemFiles() int {
 	var limit unix.Rlimit
-	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &limit); err != nil || limit.Cur > math.MaxInt32 {
+	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &limit); err != nil {
 		return unknownFiles
 	}
-	return min(int(limit.Cur), unknownFiles)
+	return int(min(limit.Cur, math.MaxInt32))
 }
+
+// ConnectionsFor returns the largest number of connections of callers for a process that does
+// little else with its descriptors.
+func ConnectionsFor(files int) int { return int(float64(files) * mainShare) }
--- a/io/tmpeer/events.go
+++ b/io/tmpeer/events.go
@@ -5,42 +5,18 @@
 )
 
 // eventHandler receives the callbacks of a gnet engine. The context of each
-// connection is its stream. A connection whose context is not set was accepted by
-// the listener and gets its stream in OnOpen.
+// connection is its stream.
 type eventHandler struct {
 	gnet.BuiltinEventEngine
-
-	accept func() *stream
-	engine gnet.Engine
-	booted chan struct{}
 }
 
-// OnBoot records the engine, which is needed to stop it.
-func (e *eventHandler) OnBoot(engine gnet.Engine) gnet.Action {
-	e.engine = engine
-	if e.booted != nil {
-		close(e.booted)
-	}
-	return gnet.None
-}
-
-// OnOpen attaches the connection to its stream. It creates the stream of an
-// accepted connection.
+// OnOpen attaches the connection to its stream.
 func (e *eventHandler) OnOpen(conn gnet.Conn) ([]byte, gnet.Action) {
 	if s, ok := conn.Context().(*stream); ok {
 		s.attach(conn)
 		return nil, gnet.None
 	}
-	if e.accept == nil {
-		return nil, gnet.Close
-	}
-	s := e.accept()
-	if s == nil {
-		return nil, gnet.Close
-	}
-	conn.SetContext(s)
-	s.attach(conn)
-	return nil, gnet.None
+	return nil, gnet.Close
 }
 
 // OnTraffic lets the stream read the complete frames that have arrived.
--- a/io/tmpeer/failure_test.go
+++ b/io/tmpeer/failure_test.go
@@ -15,6 +15,9 @@
 	"turmericmoor/core/tmfleet"
 )
 
+// stopTimeout is how long Close may wait for the event loops to stop.
+const stopTimeout = 5 * time.Second
+
 // Guards against a restarted process that can't bind its port, and against a
 // restarted member that is mistaken for the previous incarnation.
 func TestRestartOnTheSamePort(t *testing.T) {
--- a/io/tmpeer/node.go
+++ b/io/tmpeer/node.go
@@ -15,6 +15,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"net"
 	"net/netip"
 	"sync"
 	"sync/atomic"
@@ -32,10 +33,9 @@
 	// handshakeTimeout is the timeout of dialling and the handshake together.
 	// An accepted connection has as long for its handshake.
 	handshakeTimeout = 1 * time.Second
-	// stopTimeout is how long Close waits for the event loops to stop.
-	stopTimeout = 5 * time.Second
-	// maxConnections is the maximum number of accepted connections.
-	maxConnections = 1024
+	// defaultMaxConnections is the maximum number of accepted connections unless Options give
+	// another one.
+	defaultMaxConnections = 1024
 	// keepAliveInterval is the idle time before the first TCP keep-alive probe
 	// and the time between probes. The probes detect a peer whose host has
 	// disappeared without closing the connection.
@@ -63,6 +63,13 @@
 	// another is dropped if Filter returns false. Nil passes every frame. It is
 	// called concurrently, also from event loops, and must not block.
 	Filter func(from, to string) bool
+	// MaxConnections is the maximum number of accepted connections. 0 or less means 1024. When
+	// it is reached, the oldest connection without a proof of the secret is closed for a new one
+	// if it had 200 ms for it; otherwise the new one is closed.
+	MaxConnections int
+	// Refused is called with the address of each client that is refused or disconnected because
+	// it has not proved the secret. It may be nil, and must not block.
+	Refused func(client string)
 }
 
 // Node is the client and the server of the peer protocol in one entry. It is
@@ -79,13 +86,17 @@
 
 	bytesSent atomic.Int64
 
-	server *eventHandler
-	client *gnet.Client
+	listener net.Listener
+	accepts  sync.WaitGroup
+	// server has the accepted connections, client the dialled ones, each with its own event loop.
+	server, client *gnet.Client
 
 	mu      sync.Mutex
 	closed  bool
 	peers   map[string]*peer
 	inbound map[*inbound]struct{}
+	// accepted counts the accepted connections.
+	accepted uint64
 }
 
 // Start starts a Node that listens and serves. The error for a missing or
@@ -106,17 +117,18 @@
 	if n.log == nil {
 		n.log = log.New(discardWriter{})
 	}
+	if n.opts.MaxConnections <= 0 {
+		n.opts.MaxConnections = defaultMaxConnections
+	}
+	if n.opts.Refused == nil {
+		n.opts.Refused = func(string) {}
+	}
 	if n.clock == nil {
 		n.clock = tmclock.NewSystem()
 	}
 	n.ctx, n.cancel = context.WithCancel(context.Background())
-	if err := n.startClient(); err != nil {
-		n.cancel()
-		return nil, err
-	}
-	if err := n.startServer(); err != nil {
+	if err := n.start(); err != nil {
 		n.cancel()
-		_ = n.client.Stop()
 		return nil, err
 	}
 	return n, nil
@@ -137,38 +149,37 @@
 	return nil
 }
 
-func (n *Node) startClient() error {
-	client, err := gnet.NewClient(&eventHandler{}, n.engineOptions()...)
-	if err != nil {
-		return fmt.Errorf("tmpeer: client: %w", err)
+// start listens and starts the event loops.
+func (n *Node) start() error {
+	var err error
+	if n.listener, err = net.Listen("tcp", n.opts.Listen); err != nil {
+		return fmt.Errorf("tmpeer: listen on %s: %w", n.opts.Listen, err)
+	}
+	if n.client, err = startLoop(); err != nil {
+		return errors.Join(err, n.listener.Close())
 	}
-	if err := client.Start(); err != nil {
-		return fmt.Errorf("tmpeer: client: %w", err)
+	if n.server, err = startLoop(); err != nil {
+		return errors.Join(err, n.client.Stop(), n.listener.Close())
 	}
-	n.client = client
+	n.accepts.Go(n.acceptAll)
 	return nil
 }
 
-func (n *Node) startServer() error {
-	n.server = &eventHandler{accept: n.accept, booted: make(chan struct{})}
-	failed := make(chan error, 1)
-	n.goroutines.Go(func() {
-		failed <- gnet.Run(n.server, "tcp://"+n.opts.Listen, n.engineOptions()...)
-	})
-	select {
-	case <-n.server.booted:
-		return nil
-	case err := <-failed:
-		return fmt.Errorf("tmpeer: listen on %s: %w", n.opts.Listen, err)
+// startLoop starts an event loop for connections that are enrolled.
+func startLoop() (*gnet.Client, error) {
+	loop, err := gnet.NewClient(&eventHandler{}, loopOptions()...)
+	if err != nil {
+		return nil, fmt.Errorf("tmpeer: event loop: %w", err)
+	}
+	if err := loop.Start(); err != nil {
+		return nil, fmt.Errorf("tmpeer: event loop: %w", err)
 	}
+	return loop, nil
 }
 
-func (n *Node) engineOptions() []gnet.Option {
+func loopOptions() []gnet.Option {
 	return []gnet.Option{
 		gnet.WithNumEventLoop(1),
-		// Without SO_REUSEADDR a restarted process can't bind its port while
-		// connections of the previous process are in TIME_WAIT.
-		gnet.WithReuseAddr(true),
 		gnet.WithTCPNoDelay(gnet.TCPNoDelay),
 		gnet.WithTCPKeepAlive(keepAliveInterval),
 		gnet.WithTCPKeepInterval(keepAliveInterval),
@@ -201,14 +212,13 @@
 	}
 	n.closed = true
 	n.mu.Unlock()
-	// Dials must end before the event loop of the client stops: after that,
-	// gnet never completes the enrolment of a connection.
+	// Dials and accepts must end before the event loops stop: after that, gnet never
+	// completes the enrolment of a connection.
 	n.cancel()
 	n.closePeers()
-	err := n.client.Stop()
-	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
-	defer cancel()
-	err = errors.Join(err, n.server.engine.Stop(ctx))
+	err := n.listener.Close()
+	n.accepts.Wait()
+	err = errors.Join(err, n.client.Stop(), n.server.Stop())
 	n.goroutines.Wait()
 	if err != nil {
 		return fmt.Errorf("tmpeer: close: %w", err)
--- a/io/tmpeer/serve.go
+++ b/io/tmpeer/serve.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"sync/atomic"
 	"time"
 
 	"github.com/sourcegraph/jsonrpc2"
@@ -37,13 +38,20 @@
 	// the slots of heartbeats.
 	maxForwards = 256
 	maxQueries  = 64
+	// handshakeGrace is how long a connection may take for its handshake before it is closed in
+	// favour of another one. A peer needs two round trips of a few ms for it.
+	handshakeGrace = 200 * time.Millisecond
 )
 
 // inbound is a connection that a peer has dialled. The fields remote, local,
 // authenticated and from belong to the goroutine that reads the connection until
 // the handshake has succeeded, and don't change afterwards.
 type inbound struct {
-	node           *Node
+	node *Node
+	// client is the address of the peer, number the order in which connections were accepted.
+	client         string
+	number         uint64
+	opened         time.Time
 	stream         *stream
 	forwards       chan struct{}
 	queries        chan struct{}
@@ -53,21 +61,31 @@
 	remote        *wireHello
 	local         wireHello
 	authenticated bool
-	from          Identity
+	// proved is authenticated for other goroutines.
+	proved atomic.Bool
+	from   Identity
 	// demand decodes the demand of the heartbeats on this connection.
 	demand demandReceiver
 }
 
 // accept returns the stream for an accepted connection, or nil if the Node is
-// closed or has maxConnections already.
-func (n *Node) accept() *stream {
+// closed or has MaxConnections already, all of them from peers.
+func (n *Node) accept(client string) *stream {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if n.closed || len(n.inbound) >= maxConnections {
+	if n.closed {
+		return nil
+	}
+	if len(n.inbound) >= n.opts.MaxConnections && !n.closeOldestUnproved() {
+		n.opts.Refused(client)
 		return nil
 	}
+	n.accepted++
 	in := &inbound{
 		node:     n,
+		client:   client,
+		number:   n.accepted,
+		opened:   time.Now(),
 		stream:   n.newStream(),
 		forwards: make(chan struct{}, maxForwards),
 		queries:  make(chan struct{}, maxQueries),
@@ -80,8 +98,27 @@
 	return in.stream
 }
 
+// closeOldestUnproved closes the connection that has been open longest without a proof of the
+// secret, and at least for handshakeGrace. It returns false if there is none. n.mu is held.
+func (n *Node) closeOldestUnproved() bool {
+	var oldest *inbound
+	for in := range n.inbound {
+		if !in.proved.Load() && (oldest == nil || in.number < oldest.number) {
+			oldest = in
+		}
+	}
+	if oldest == nil || time.Since(oldest.opened) < handshakeGrace {
+		return false
+	}
+	delete(n.inbound, oldest)
+	n.opts.Refused(oldest.client)
+	_ = oldest.stream.Close()
+	return true
+}
+
 // expire closes the connection because its handshake has timed out.
 func (in *inbound) expire() {
+	in.node.opts.Refused(in.client)
 	in.node.warnLimited("peer connection closed", "reason", "no proof of the peer secret")
 	_ = in.stream.Close()
 }
@@ -141,6 +178,7 @@
 	if err == nil {
 		return
 	}
+	in.node.opts.Refused(in.client)
 	in.node.warnLimited("peer handshake rejected", "reason", err, "method", req.Method)
 	code := int64(codeUnauthenticated)
 	if errors.Is(err, ErrSecretMismatch) {
@@ -189,6 +227,7 @@
 		return ErrSecretMismatch
 	}
 	in.authenticated = true
+	in.proved.Store(true)
 	in.from = Identity{Entry: in.remote.Entry, Incarnation: in.remote.Incarnation}
 	in.handshakeTimer.Stop()
 	in.stream.raiseFrameLimit()
--- a/io/tmpeer/stream.go
+++ b/io/tmpeer/stream.go
@@ -27,8 +27,10 @@
 	// maxBacklog is the maximum number of bytes that gnet may buffer for a
 	// connection in one direction before the connection is closed. gnet reads all
 	// that the socket has, so leaving bytes in gnet's buffer doesn't slow the
-	// sender down.
-	maxBacklog = 4 * maxFrame
+	// sender down. Before the handshake has succeeded, the limit for received bytes is as many
+	// frames of maxHandshakeFrame.
+	maxBacklog    = backlogFrames * maxFrame
+	backlogFrames = 4
 )
 
 // stream is the jsonrpc2.ObjectStream of one gnet connection. The event loop
@@ -251,7 +253,7 @@
 // slot now, adding the frame doesn't block.
 func (s *stream) nextFrame(conn gnet.Conn) ([]byte, gnet.Action) {
 	if s.queueFull() {
-		return nil, backlogAction(conn)
+		return nil, backlogAction(conn, backlogFrames*s.frameLimit.Load())
 	}
 	header, err := conn.Peek(headerSize)
 	if err != nil {
@@ -286,9 +288,9 @@
 	return len(s.frames) == cap(s.frames)
 }
 
-// backlogAction closes a connection whose inbound buffer exceeds maxBacklog.
-func backlogAction(conn gnet.Conn) gnet.Action {
-	if conn.InboundBuffered() > maxBacklog {
+// backlogAction closes a connection whose inbound buffer exceeds a limit.
+func backlogAction(conn gnet.Conn, limit int64) gnet.Action {
+	if int64(conn.InboundBuffered()) > limit {
 		return gnet.Close
 	}
 	return gnet.None
--- a/io/tmsettings/settings.go
+++ b/io/tmsettings/settings.go
@@ -12,6 +12,7 @@
 	"github.com/charmbracelet/log"
 
 	"turmericmoor/core/tmclock"
+	"turmericmoor/io/tmguard"
 	"turmericmoor/io/tmini"
 )
 
@@ -64,6 +65,9 @@
 	queueRequests int
 	queueBytes    int64
 	maxBodyBytes  int64
+
+	limits          tmguard.Limits
+	peerConnections int
 }
 
 // Name returns the name of the entry, which is unique among entries.
@@ -114,6 +118,12 @@
 // MaxBodyBytes returns the largest permitted request body in bytes.
 func (s Settings) MaxBodyBytes() int64 { return s.maxBodyBytes }
 
+// Limits returns the limits of clients of the listeners for callers and operators.
+func (s Settings) Limits() tmguard.Limits { return s.limits }
+
+// PeerConnections returns the maximum number of connections that other entries dial.
+func (s Settings) PeerConnections() int { return s.peerConnections }
+
 // Load reads the settings file at path. It returns an *InvalidError with every
 // problem found. Relative paths are resolved against the directory of the file.
 func Load(path string) (Settings, error) {
@@ -160,6 +170,8 @@
 		queueBytes:      r.size("queue", "max_size", 64*megabyte),
 		maxBodyBytes:    r.size("callers", "max_body", megabyte),
 	}
+	s.limits = r.limits(s.queueRequests, s.queueBytes)
+	s.peerConnections = r.count("limits", "peer_connections", defaultPeerConnections)
 	s.peerAdvertise = r.advertise(s.peerListen)
 	s.peerSecret = r.secret()
 	r.rejectUnknown()
