io/tmguard: unread responses make room, lines read ahead are charged before the read

Cause: a connection whose client does not read its response counted as being served and was never closed for others, so that as many such clients as there are connections kept everybody else out (TestUnreadResponsesMakeRoom, seen to fail before). After a request whose body has many lines, the next header was charged for these lines if its first byte arrived before net/http waited for it.

Change: a write that has waited 2 s of running time counts as waiting for the client; charge before each read; what is read ahead is told by the read deadlines alone.

--- a/io/tmguard/conn.go
+++ b/io/tmguard/conn.go
@@ -14,6 +14,10 @@
 // refusalTimeout bounds sending a refusal.
 const refusalTimeout = time.Second
 
+// unreadTime is how long a response waits for its client to read before the connection may be
+// closed for another one. Only time in which the process ran counts.
+const unreadTime = 2 * time.Second
+
 // Phases of a connection.
 const (
 	// phaseHeader: idle, or the header of a request is being read.
@@ -67,7 +71,9 @@
 	// waitsSince is the value of Guard.ran when the connection was accepted, or -1 once a request
 	// was answered. headerSince is the one when the header began, or -1.
 	waitsSince, headerSince atomic.Int64
-	count                   headerCount
+	// writesSince is the one when the write in progress began, or -1.
+	writesSince atomic.Int64
+	count       headerCount
 	// refused is set once a refusal was sent.
 	refused bool
 
@@ -83,6 +89,7 @@
 	}
 	c.waitsSince.Store(g.ran.Load())
 	c.headerSince.Store(-1)
+	c.writesSince.Store(-1)
 	return c
 }
 
@@ -100,6 +107,10 @@
 	if kind, over := c.count.beforeRead(len(p)); over {
 		return 0, c.refuse(kind)
 	}
+	// What was read ahead has to be charged before a read that may wait for long.
+	if !c.charge() {
+		return 0, c.refuse(HeaderMemory)
+	}
 	n, err := c.Conn.Read(p)
 	if n == 0 {
 		return n, err
@@ -108,12 +119,34 @@
 		c.headerSince.Store(c.guard.ran.Load())
 	}
 	c.count.add(p[:n])
-	if cost := c.count.cost(); cost > 0 && !c.guard.hold(&c.guard.header, c, &c.header, cost, HeaderMemory) {
+	if !c.charge() {
 		return 0, c.refuse(HeaderMemory)
 	}
 	return n, err
 }
 
+// charge charges the header that is being read. It returns false if there is no room for it.
+func (c *conn) charge() bool {
+	cost := c.count.cost()
+	return cost == 0 || c.guard.hold(&c.guard.header, c, &c.header, cost, HeaderMemory)
+}
+
+// Write implements net.Conn.
+func (c *conn) Write(p []byte) (int, error) {
+	c.writesSince.Store(c.guard.ran.Load())
+	defer c.writesSince.Store(-1)
+	return c.Conn.Write(p)
+}
+
+// waits reports whether the client is waited for: for a request, or to read its response.
+func (c *conn) waits() bool {
+	if c.phase.Load() != phaseServing {
+		return true
+	}
+	since := c.writesSince.Load()
+	return since >= 0 && c.guard.ran.Load()-since >= unreadTime.Milliseconds()
+}
+
 // SetReadDeadline implements net.Conn. It counts the calls.
 func (c *conn) SetReadDeadline(t time.Time) error {
 	c.count.deadlines++
--- a/io/tmguard/guard.go
+++ b/io/tmguard/guard.go
@@ -153,7 +153,7 @@
 // oldestWaiting returns the first connection of a list whose client is waited for, except one.
 func oldestWaiting(conns *list.List, except *conn) *conn {
 	for e := conns.Front(); e != nil; e = e.Next() {
-		if c := e.Value.(*conn); c != except && c.phase.Load() != phaseServing {
+		if c := e.Value.(*conn); c != except && c.waits() {
 			return c
 		}
 	}
--- a/io/tmguard/header.go
+++ b/io/tmguard/header.go
@@ -50,7 +50,8 @@
 func (h *headerCount) beforeRead(size int) (kind Kind, over bool) {
 	if !h.reading {
 		h.reading = true
-		if h.follows && (size != readBufferSize || h.deadlines != idleDeadlines) {
+		h.begun = h.follows && size != readBufferSize
+		if h.follows && h.deadlines != idleDeadlines {
 			h.ahead, h.begun = h.tailLines, true
 		}
 		return 0, false
