--- a/io/tmmetrics/state_test.go
+++ b/io/tmmetrics/state_test.go
@@ -10,6 +10,7 @@
 
 	"turmericmoor/core/tmcontrol"
 	"turmericmoor/core/tminterference"
+	"turmericmoor/io/tmguard"
 )
 
 type fixedSource map[int]tmcontrol.Dump
@@ -24,7 +25,9 @@
 	}}
 	w := httptest.NewRecorder()
 	none := func() int64 { return 0 }
-	New(fixedSource{3: dump}, none, none).Handler().ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/metrics", nil))
+	guard := tmguard.New(tmguard.DefaultLimits(tmguard.Machine{}), func(tmguard.Kind, string, int64) {})
+	defer guard.Close()
+	New(fixedSource{3: dump}, none, none, guard).Handler().ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/metrics", nil))
 	for _, line := range []string{
 		"# TYPE turmericmoor_node_interference_changed_placements_total counter",
 		`turmericmoor_node_interference_changed_placements_total{shard="3"} 7`,
