core/tmcontrol: tasks that do not wait for cores are no backlog

Cause: tasks that wait for a label, accelerators, memory or the limit of their team counted as work ahead of a new job, so that a pool with free cores reported a backlog and its jobs were refused.

Change: tasks that no endpoint of the pool could take, and the steps after them, are left out of the work and of what is ready. Besides, a pool with more than a tenth of its cores free is not full.

TestNoBacklogWithoutAFullPool expected a backlog of an owner that had not placed anything yet, on an endpoint without runs; that pool is not full. It now expects none before the first pass and one after it.

--- a/core/tmcontrol/backlog.go
+++ b/core/tmcontrol/backlog.go
@@ -6,6 +6,7 @@
 	"slices"
 
 	"turmericmoor/core/tmadmit"
+	"turmericmoor/core/tmjob"
 )
 
 const (
@@ -18,6 +19,10 @@
 	// sameWait is the fraction of the wait of a queue from which a team counts as having it. The
 	// difference is within the margin that nodes leave to an estimate.
 	sameWait = 1 / 1.5
+	// fullShare is the fraction of its cores that a full pool has free at most. Tasks that wait
+	// although more is free wait for something else, such as a label, memory or the limit of
+	// their team, and a new job need not wait for them.
+	fullShare = 0.1
 )
 
 // poolBacklog is the short work in a pool and what it has for it.
@@ -25,6 +30,14 @@
 	// cores is what the pool has for short work now, free what of it is not reserved, and
 	// readyCPU what the tasks need that could start now, all in thousandths of a core.
 	cores, free, readyCPU float64
+	// smallest is the least that one of these tasks reserves, 0 if there is none.
+	smallest int64
+	// endpoints are those that take short work.
+	endpoints []*endpoint
+	// bySize holds the capacities for short work by label, "" for all endpoints, without those
+	// that another one covers. Those of labels are added when a step asks for one.
+	bySize     map[string][]tmjob.Resources
+	isLabelled bool
 	// arrivals are the instances that move to the pool.
 	arrivals []arrival
 	queues   map[string]*queueBacklog
@@ -53,15 +66,16 @@
 	if !c.loaded {
 		return nil
 	}
-	pools := c.shortWork(wall)
-	if len(pools) == 0 {
+	if len(c.openJobs) == 0 {
 		return nil
 	}
-	c.addPoolCores(pools)
+	pools := c.poolCores()
+	c.addWork(pools, wall)
+	maps.DeleteFunc(pools, func(_ string, p *poolBacklog) bool { return !p.isFull() })
 	out := map[string]tmadmit.Backlog{}
 	for name, q := range c.rules.Queues {
 		p := pools[q.Service]
-		if p == nil || p.readyCPU <= p.free || p.cores <= 0 {
+		if p == nil {
 			continue
 		}
 		if b := c.backlogOf(name, p); b.Wait >= minReportedWait {
@@ -71,18 +85,13 @@
 	return out
 }
 
-// shortWork returns the work of the short jobs by pool, for pools that have any.
-func (c *Controller) shortWork(wall int64) map[string]*poolBacklog {
-	pools := map[string]*poolBacklog{}
+// addWork adds the work of the short jobs to their pools, as far as these have endpoints.
+func (c *Controller) addWork(pools map[string]*poolBacklog, wall int64) {
 	for _, j := range c.openJobs {
 		q, ok := c.rules.Queues[j.spec.Queue]
-		if !ok || j.longRunning {
-			continue
-		}
 		p := pools[q.Service]
-		if p == nil {
-			p = &poolBacklog{queues: map[string]*queueBacklog{}}
-			pools[q.Service] = p
+		if !ok || p == nil || j.longRunning {
+			continue
 		}
 		for _, o := range j.occurrences {
 			if o.left > 0 {
@@ -90,15 +99,14 @@
 			}
 		}
 	}
-	return pools
 }
 
 // addShortWork adds the work of an occurrence to that of its pool.
 func (c *Controller) addShortWork(p *poolBacklog, o *occurrence, q Queue, wall int64) {
 	j := o.job
 	load := c.workload(o)
-	work := load.work - c.runningWork(o)/2
-	p.readyCPU += o.readyCPU()
+	work := max(0, load.work-c.runningWork(o)/2-c.blockedWork(o, p))
+	p.addReady(o)
 	b := p.queues[j.spec.Queue]
 	if b == nil {
 		b = &queueBacklog{fresh: map[string]float64{}, useful: map[string]float64{}, all: map[string]float64{}}
@@ -133,11 +141,33 @@
 	return sum
 }
 
-// readyCPU returns what the tasks reserve that wait and depend on nothing more.
-func (o *occurrence) readyCPU() float64 {
+// blockedWork returns the work of the steps that no endpoint of the pool could take, and of those
+// that depend on them. Nobody waits for it.
+func (c *Controller) blockedWork(o *occurrence, p *poolBacklog) float64 {
+	var blocked map[int]bool
 	sum := 0.0
+	for i, s := range o.steps {
+		isBlocked := s.left > 0 && !p.couldTake(s)
+		for _, a := range s.spec.After {
+			isBlocked = isBlocked || blocked[a]
+		}
+		if !isBlocked {
+			continue
+		}
+		if blocked == nil {
+			blocked = map[int]bool{}
+		}
+		blocked[i] = true
+		sum += c.meanEstimate(o.job.spec.Queue, s.spec) * float64(max(s.spec.Size.CPU, 100)) * float64(s.left)
+	}
+	return sum
+}
+
+// addReady adds what the tasks reserve that wait, depend on nothing more and have an endpoint that
+// could take them.
+func (p *poolBacklog) addReady(o *occurrence) {
 	for _, s := range o.steps {
-		if s.left == 0 || !s.ready() {
+		if s.left == 0 || !s.ready() || !p.couldTake(s) {
 			continue
 		}
 		waiting := s.left
@@ -149,19 +179,29 @@
 				}
 			}
 		}
-		sum += float64(waiting) * float64(s.spec.Reservation().CPU)
+		cpu := s.spec.Reservation().CPU
+		if waiting > 0 && cpu > 0 && (p.smallest == 0 || cpu < p.smallest) {
+			p.smallest = cpu
+		}
+		p.readyCPU += float64(waiting) * float64(cpu)
 	}
-	return sum
 }
 
-// addPoolCores adds what the pools have for short work. An endpoint that is only avoided for a
+// poolCores returns what each pool has for short work. An endpoint that is only avoided for a
 // time counts, because the wait is longer than that.
-func (c *Controller) addPoolCores(pools map[string]*poolBacklog) {
+func (c *Controller) poolCores() map[string]*poolBacklog {
+	pools := map[string]*poolBacklog{}
 	for _, e := range c.endpoints {
-		p := pools[e.info.Service]
-		if p == nil || !e.listed || e.reserved || e.ending || !e.mayStart() || c.zonesOut[e.info.Zone] {
+		if !e.listed || e.reserved || e.ending || !e.mayStart() || c.zonesOut[e.info.Zone] {
 			continue
 		}
+		p := pools[e.info.Service]
+		if p == nil {
+			p = &poolBacklog{queues: map[string]*queueBacklog{}, bySize: map[string][]tmjob.Resources{}}
+			pools[e.info.Service] = p
+		}
+		p.endpoints = append(p.endpoints, e)
+		p.addSize("", e)
 		p.cores += float64(max(0, e.info.Capacity.CPU-e.longRunning.CPU))
 		p.free += float64(e.free().CPU)
 	}
@@ -174,6 +214,48 @@
 	for _, p := range pools {
 		slices.SortFunc(p.arrivals, func(a, b arrival) int { return cmp.Compare(a.after, b.after) })
 	}
+	return pools
+}
+
+// addSize adds what an endpoint has for short work to the capacities of a label.
+func (p *poolBacklog) addSize(label string, e *endpoint) {
+	size := e.info.Capacity.Sub(e.longRunning)
+	for _, larger := range p.bySize[label] {
+		if size.Fits(larger) {
+			return
+		}
+	}
+	others := slices.DeleteFunc(p.bySize[label], func(other tmjob.Resources) bool { return other.Fits(size) })
+	p.bySize[label] = append(others, size)
+}
+
+// couldTake reports whether some endpoint of the pool could run a task of the step if no other
+// short task ran there.
+func (p *poolBacklog) couldTake(s *step) bool {
+	if s.spec.Label != "" && !p.isLabelled {
+		p.isLabelled = true
+		for _, e := range p.endpoints {
+			for _, label := range e.info.Labels {
+				p.addSize(label, e)
+			}
+		}
+	}
+	return slices.ContainsFunc(p.bySize[s.spec.Label], s.spec.Reservation().Fits)
+}
+
+// isFull reports whether tasks wait for cores. What is free on an endpoint doesn't count if it is
+// too little for any task that waits.
+func (p *poolBacklog) isFull() bool {
+	if p.cores <= 0 || p.readyCPU <= p.free {
+		return false
+	}
+	usable := 0.0
+	for _, e := range p.endpoints {
+		if free := e.free().CPU; free > 0 && free >= p.smallest {
+			usable += float64(free)
+		}
+	}
+	return usable <= fullShare*p.cores
 }
 
 // backlogOf predicts the wait of a new job of a queue. If it can meet its objective it goes before
--- a/core/tmcontrol/backlog_test.go
+++ b/core/tmcontrol/backlog_test.go
@@ -127,11 +127,74 @@
 	assert.Equal(t, len(next.Backlogs(int64(f.now))), 0, "not all jobs may be known")
 	next.Loaded()
 	next.Tick(f.now, int64(f.now))
+	assert.Equal(t, len(next.Backlogs(int64(f.now))), 0, "the pool is free until the first pass")
+	next.Plan(f.now, int64(f.now))
 	assert.Equal(t, len(next.Backlogs(int64(f.now))), 1)
 	next.endpoints["e1"].answering = false
 	assert.Equal(t, len(next.Backlogs(int64(f.now))), 0, "no endpoint answers")
 }
 
+// Guards against jobs that are refused because of tasks that wait for something else than cores:
+// a label or an accelerator that no endpoint has, memory, or the limit of their team.
+func TestNoBacklogFromTasksThatDoNotWaitForCores(t *testing.T) {
+	for what, set := range map[string]func(j *tmjob.Job){
+		"label that no endpoint has":   func(j *tmjob.Job) { j.Steps[0].Label = "none" },
+		"accelerators nowhere":         func(j *tmjob.Job) { j.Steps[0].Size.GPU = 1 },
+		"more memory than an endpoint": func(j *tmjob.Job) { j.Steps[0].Size.Mem = 9000 },
+		"memory in use":                func(j *tmjob.Job) { j.Steps[0].Size.Mem = 4000 },
+		"labelled endpoint in use":     func(j *tmjob.Job) { j.Steps[0].Label = "special" },
+		"limit of the team":            func(j *tmjob.Job) { j.Team = "limited" },
+	} {
+		f := newBacklogFixture(t, 3)
+		special := f.endpointInfo(3)
+		special.Labels = []string{"special"}
+		f.c.SetEndpoint(special, f.now)
+		for i := range 800 {
+			j := oneTask(fmt.Sprint("x", i))
+			j.Accepted = int64(f.now)
+			set(&j)
+			f.c.Submitted(j)
+		}
+		f.advance(10)
+		assert.Check(t, f.wait("q") == 0, "%s: wait %v", what, f.wait("q"))
+	}
+}
+
+// Guards against a longer wait for a new job in a full pool because of tasks that no endpoint
+// could take, and of the steps after them.
+func TestWaitLeavesOutWhatNoEndpointCouldTake(t *testing.T) {
+	f := newBacklogFixture(t, 1)
+	f.submit("q", "t", 160)
+	f.advance(10)
+	before := f.wait("q")
+	assert.Assert(t, before > 8000)
+	for i := range 400 {
+		j := oneTask(fmt.Sprint("x", i))
+		j.Accepted = int64(f.now)
+		j.Steps[0].Size.GPU = 1
+		after := oneTask("").Steps[0]
+		after.After = []int{0}
+		j.Steps = append(j.Steps, after)
+		f.c.Submitted(j)
+	}
+	f.advance(10)
+	assert.Equal(t, f.wait("q"), before)
+}
+
+// Guards against a pool that counts as having room because of what is left on each endpoint beside
+// large tasks.
+func TestPoolWithoutRoomForAnyTaskIsFull(t *testing.T) {
+	f := newBacklogFixture(t, 2)
+	for i := range 60 {
+		j := oneTask(fmt.Sprint("x", i))
+		j.Accepted = int64(f.now)
+		j.Steps[0].Size.CPU = 3300
+		f.c.Submitted(j)
+	}
+	f.advance(10)
+	assert.Assert(t, f.wait("q") > 5000, "1.4 of 8 cores are free on each endpoint")
+}
+
 // Guards against jobs that wait for work that is placed after theirs, or that seem not to wait
 // for more urgent work.
 func TestWaitCountsTheWorkThatGoesFirst(t *testing.T) {
