io/tmintake: no refusal while the job is being stored by another submission

Cause: a second submission of a job read "not stored" and got 503 while the write of the first one was under way at the same node; that write then succeeded. It made no difference whether the first write was under way throughout, or began and ended during the read.

Change: the submissions under way are kept by job. After the read, under the lock, a job isn't refused if another submission has begun to write since this one entered, or if the job is in doubt. A refusal holds for the other submissions that have not begun to write. Ruled out: a set of ids that an id leaves after its write, which misses a write that ends during the read.

Seen to fail before: TestRefusalIsTrueDuringAnotherSubmissionOfTheJob, all three cases.

--- a/core/tmadmit/backlog.go
+++ b/core/tmadmit/backlog.go
@@ -163,6 +163,9 @@
 	g.remember(id, earlier, now)
 }
 
+// IsInDoubt reports whether a job was recorded as possibly stored lately.
+func (g *Gate) IsInDoubt(id string, now tmclock.Millis) bool { return g.earlier(id, now).inDoubt }
+
 // isProbe counts a refusal of a job of the queue and reports whether to admit the job instead.
 func (g *Gate) isProbe(queue string) bool {
 	g.sinceProbe[queue]++
--- a/core/tmevent/event.go
+++ b/core/tmevent/event.go
@@ -26,7 +26,7 @@
 	BacklogRefused Name = "backlog_refused"
 	// BacklogRepeated: the backlog would refuse a job that is stored already, so that it was not refused: job, queue, shard, age_ms.
 	BacklogRepeated Name = "backlog_repeated"
-	// BacklogUnchecked: the backlog would refuse a job, but whether it is stored already could not be read, so that it was not refused: job, queue, shard, cause.
+	// BacklogUnchecked: the backlog would refuse a job, but it may be stored already, or that could not be read, so that it was not refused: job, queue, shard, cause.
 	BacklogUnchecked Name = "backlog_unchecked"
 	// BeyondShare: a job runs only on capacity that other teams leave unused, because its team has exceeded its share: job, queue, team, share, rules.
 	BeyondShare Name = "beyond_share"
--- a/io/tmintake/backlog.go
+++ b/io/tmintake/backlog.go
@@ -87,9 +87,11 @@
 func (in *Intake) setInDoubt(id string) {
 	in.mu.Lock()
 	defer in.mu.Unlock()
-	in.gate.SetInDoubt(id, tmclock.Millis(in.opts.Now().UnixMilli()))
+	in.gate.SetInDoubt(id, in.millis())
 }
 
+func (in *Intake) millis() tmclock.Millis { return tmclock.Millis(in.opts.Now().UnixMilli()) }
+
 // checkBacklog returns a BacklogError if a job is refused because of the backlog of its queue, and
 // reports whether it is stored already: then it is not refused, whatever the backlog. Neither is a
 // job of which that can't be told, because a refusal says that it never runs.
@@ -102,6 +104,7 @@
 	if !d.Refuse {
 		return false, nil
 	}
+	refusal := &BacklogError{RetryAfter: d.RetryAfter, Wait: d.Wait}
 	stored, err = in.isStored(ctx, shard, j.ID)
 	switch {
 	case err != nil:
@@ -110,11 +113,14 @@
 	case stored:
 		in.opts.Emit(tmevent.BacklogRepeated, "job", j.ID, "queue", j.Queue, "shard", shard, "age_ms", int64(age))
 		return true, nil
+	case !in.tryRefuse(j.ID, refusal):
+		in.opts.Emit(tmevent.BacklogUnchecked, "job", j.ID, "queue", j.Queue, "shard", shard, "cause", "may be stored by another submission")
+		return false, nil
 	}
 	in.opts.Emit(tmevent.BacklogRefused, "job", j.ID, "queue", j.Queue, "shard", shard, "attempt", d.Attempt,
 		"wait_ms", int64(d.Wait), "end_ms", int64(d.End), "bound_ms", int64(d.Bound),
 		"retry_after_ms", int64(d.RetryAfter), "age_ms", int64(age))
-	return false, &BacklogError{RetryAfter: d.RetryAfter, Wait: d.Wait}
+	return false, refusal
 }
 
 // isStored reports whether a job was accepted before.
--- a/io/tmintake/backlog_test.go
+++ b/io/tmintake/backlog_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -213,6 +214,79 @@
 	})
 }
 
+// staleReads is a store whose writes and reads take a while. A read shows what was stored when it
+// began. The first one fails if firstFails is set.
+type staleReads struct {
+	emulator.Store
+	readTakes  []time.Duration
+	writeTakes time.Duration
+	firstFails bool
+	reads      atomic.Int32
+}
+
+func (s *staleReads) Read(ctx context.Context, r tmtable.Range) (tmtable.Page, error) {
+	n := int(s.reads.Add(1)) - 1
+	page, err := s.Store.Read(ctx, r)
+	time.Sleep(s.readTakes[n])
+	if n == 0 && s.firstFails {
+		return tmtable.Page{}, tmtable.ErrNotApplied
+	}
+	return page, err
+}
+
+func (s *staleReads) Write(ctx context.Context, t tmtable.Txn) (tmtable.Result, error) {
+	time.Sleep(s.writeTakes)
+	return s.Store.Write(ctx, t)
+}
+
+// Guards against a refusal, which says that the job never runs, while another submission of the
+// job at the same node is being stored: its write is under way, begins and ends during the read
+// before the refusal, or begins after the refusal.
+func TestRefusalIsTrueDuringAnotherSubmissionOfTheJob(t *testing.T) {
+	const ms = time.Millisecond
+	for name, c := range map[string]struct {
+		store *staleReads
+		// isFull tells for both submissions, of which the second begins 100 ms later, whether
+		// the backlog would refuse it.
+		isFull   [2]bool
+		isStored bool
+	}{
+		"write under way": {
+			store: &staleReads{readTakes: []time.Duration{10 * ms}, writeTakes: 500 * ms}, isFull: [2]bool{false, true}, isStored: true,
+		},
+		"write during the read": {
+			store: &staleReads{readTakes: []time.Duration{500 * ms}, writeTakes: 10 * ms}, isFull: [2]bool{true, false}, isStored: true,
+		},
+		"write after the refusal": {
+			store: &staleReads{readTakes: []time.Duration{500 * ms, 10 * ms}, firstFails: true}, isFull: [2]bool{true, true},
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := c.store
+				s.Store = emulator.Store{Table: emulator.NewTable(rand.New(rand.NewPCG(1, 1)))}
+				in := tmintake.New(s)
+				in.SetShards(1)
+				in.SetObjectives(map[string]tmintake.Objective{"q": {Stretch: 1.6, Fixed: 600}})
+				errs := make(chan error, 2)
+				for _, isFull := range c.isFull {
+					o := tmrecord.Owner{Holder: "n", Token: 1}
+					if isFull {
+						o = fullQueue(1)
+					}
+					in.SetOwner(0, o, time.Now())
+					go func() { errs <- in.Submit(t.Context(), shortJob(1)) }()
+					time.Sleep(100 * ms)
+				}
+				first, second := <-errs, <-errs
+				_, isStored := s.Get(tmrecord.JobKey(0, shortJob(1).ID))
+				assert.Equal(t, isStored, c.isStored)
+				assert.Check(t, (first == nil) == isStored && (second == nil) == isStored, "%v, %v", first, second)
+			})
+		})
+	}
+}
+
 // Guards against a cancellation that is answered as in doubt, after the whole time of its caller,
 // though nothing was stored.
 func TestCancellationThatStoredNothingIsNotInDoubt(t *testing.T) {
--- a/io/tmintake/intake.go
+++ b/io/tmintake/intake.go
@@ -61,6 +61,8 @@
 	reports    map[int]backlogReport
 	objectives map[string]Objective
 	gate       *tmadmit.Gate
+	// submissions holds the submissions under way by job.
+	submissions map[string]*submission
 }
 
 // Options configures an Intake.
@@ -92,7 +94,7 @@
 	}
 	return &Intake{
 		opts: opts, store: opts.Store, waiting: map[int]waitingJobs{},
-		reports: map[int]backlogReport{}, gate: tmadmit.NewGate(),
+		reports: map[int]backlogReport{}, gate: tmadmit.NewGate(), submissions: map[string]*submission{},
 	}
 }
 
@@ -151,6 +153,8 @@
 		return fmt.Errorf("%w: %w", ErrNotAccepted, err)
 	}
 	shard := tmshard.OfJob(j.Queue, j.ID, j.LongRunning(), shards)
+	in.enter(j.ID)
+	defer in.leave(j.ID)
 	if stored, err := in.checkBacklog(ctx, shard, &j); stored || err != nil {
 		return err
 	}
@@ -160,6 +164,9 @@
 		Puts:    []tmtable.Put{{Key: key, Value: tmrecord.EncodeJob(j)}},
 	}
 	maybeStored := false
+	if err := in.beginWrite(j.ID); err != nil {
+		return err
+	}
 	for {
 		err := in.write(ctx, txn)
 		var conflict *tmtable.ConflictError
