io/tmintake: a refused repetition of a job in doubt is in doubt

Cause: a node that had answered 504 for a job answered 503 (or 413) to its repetition if the store refused that write, although the first write might have been carried out. The same held for a submission that the store refused while another one of the job was being stored at the same node.

Change: a job in doubt may be stored from the start of its repetition, and another write of it under way counts as well.

Seen to fail before: TestRefusedRepetitionIsInDoubtLikeTheJob ("not accepted" after a submission in doubt).

--- a/io/tmintake/backlog_test.go
+++ b/io/tmintake/backlog_test.go
@@ -287,6 +287,57 @@
 	}
 }
 
+// Guards against an answer that nothing was stored, for a repetition that the store refuses, about
+// a job that an earlier submission may have stored or another one is storing.
+func TestRefusedRepetitionIsInDoubtLikeTheJob(t *testing.T) {
+	for _, refusal := range []error{tmtable.ErrNotApplied, tmtable.ErrInvalid} {
+		synctest.Test(t, func(t *testing.T) {
+			f := newIntakeFixture(1)
+			submit := func(writeErr error) error {
+				f.store.writeErr = writeErr
+				ctx, cancel := context.WithTimeout(t.Context(), 2900*time.Millisecond)
+				defer cancel()
+				return f.Submit(ctx, shortJob(1))
+			}
+			isInDoubt := func(err error) bool {
+				return errors.Is(err, tmintake.ErrOutcomeUnknown) && !errors.Is(err, tmintake.ErrNotAccepted) && !errors.Is(err, tmintake.ErrTooLarge)
+			}
+			assert.ErrorIs(t, submit(refusal), tmintake.ErrNotAccepted)
+			assert.Assert(t, isInDoubt(submit(tmtable.ErrOutcomeUnknown)))
+			err := submit(refusal)
+			assert.Check(t, isInDoubt(err), "in doubt, then %v: %v", refusal, err)
+			f.now = f.now.Add(5 * time.Minute)
+			assert.ErrorIs(t, submit(refusal), tmintake.ErrNotAccepted)
+		})
+		synctest.Test(t, func(t *testing.T) {
+			s := &staleReads{Store: emulator.Store{Table: emulator.NewTable(rand.New(rand.NewPCG(1, 1)))}, writeTakes: 500 * time.Millisecond}
+			refusing := &refusingSecond{staleReads: s, err: refusal}
+			in := tmintake.New(refusing)
+			in.SetShards(1)
+			first := make(chan error, 1)
+			go func() { first <- in.Submit(t.Context(), shortJob(1)) }()
+			synctest.Wait()
+			err := in.Submit(t.Context(), shortJob(1))
+			assert.NilError(t, <-first)
+			assert.Check(t, errors.Is(err, tmintake.ErrOutcomeUnknown), "being stored, then %v: %v", refusal, err)
+		})
+	}
+}
+
+// refusingSecond is a store that refuses all writes but the first.
+type refusingSecond struct {
+	*staleReads
+	err    error
+	writes atomic.Int32
+}
+
+func (s *refusingSecond) Write(ctx context.Context, t tmtable.Txn) (tmtable.Result, error) {
+	if s.writes.Add(1) > 1 {
+		return tmtable.Result{}, s.err
+	}
+	return s.staleReads.Write(ctx, t)
+}
+
 // Guards against a cancellation that is answered as in doubt, after the whole time of its caller,
 // though nothing was stored.
 func TestCancellationThatStoredNothingIsNotInDoubt(t *testing.T) {
--- a/io/tmintake/intake.go
+++ b/io/tmintake/intake.go
@@ -163,8 +163,8 @@
 		Expects: []tmtable.Expect{{Key: key}, {Key: tmrecord.OutcomeKey(shard, j.ID)}},
 		Puts:    []tmtable.Put{{Key: key, Value: tmrecord.EncodeJob(j)}},
 	}
-	maybeStored := false
-	if err := in.beginWrite(j.ID); err != nil {
+	maybeStored, err := in.beginWrite(j.ID)
+	if err != nil {
 		return err
 	}
 	for {
@@ -179,18 +179,30 @@
 		case errors.Is(err, tmtable.ErrOutcomeUnknown):
 			maybeStored = true
 		case errors.Is(err, tmtable.ErrInvalid):
-			return fmt.Errorf("%w: %w: %w", ErrNotAccepted, ErrTooLarge, err)
+			err = in.notStored(j.ID, maybeStored, err)
+			if errors.Is(err, ErrNotAccepted) {
+				return fmt.Errorf("%w: %w", ErrTooLarge, err)
+			}
+			return err
 		}
 		if !tmwait.Pause(ctx, retryDelay) || !maybeStored {
-			if maybeStored {
-				in.setInDoubt(j.ID)
-				return fmt.Errorf("%w: %w", ErrOutcomeUnknown, err)
-			}
-			return fmt.Errorf("%w: %w", ErrNotAccepted, err)
+			return in.notStored(j.ID, maybeStored, err)
 		}
 	}
 }
 
+// notStored ends the writing of a job that was not seen to be stored, and returns the error for
+// its caller. That is ErrNotAccepted only if no submission can have stored it.
+func (in *Intake) notStored(id string, maybeStored bool, cause error) error {
+	switch {
+	case maybeStored:
+		in.setInDoubt(id)
+	case !in.endWrite(id):
+		return fmt.Errorf("%w: %w", ErrNotAccepted, cause)
+	}
+	return fmt.Errorf("%w: %w", ErrOutcomeUnknown, cause)
+}
+
 func (in *Intake) write(ctx context.Context, t tmtable.Txn) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
--- a/io/tmintake/submissions.go
+++ b/io/tmintake/submissions.go
@@ -32,17 +32,18 @@
 	}
 }
 
-// beginWrite records that a submission of a job is about to write. If another one was refused
-// before any has written, it returns that refusal, and the job must not be written.
-func (in *Intake) beginWrite(id string) error {
+// beginWrite records that a submission of a job is about to write, and reports whether an earlier
+// one may have stored it. If another one was refused before any has written, it returns that
+// refusal, and the job must not be written.
+func (in *Intake) beginWrite(id string) (inDoubt bool, err error) {
 	in.mu.Lock()
 	defer in.mu.Unlock()
 	s := in.submissions[id]
 	if s.refused != nil {
-		return s.refused
+		return false, s.refused
 	}
 	s.writes++
-	return nil
+	return in.gate.IsInDoubt(id, in.millis()), nil
 }
 
 // tryRefuse records the refusal of a job that a read, begun after enter, has not shown. It reports
@@ -58,3 +59,13 @@
 	s.refused = refusal
 	return true
 }
+
+// endWrite records that certainly nothing was stored by a submission of a job. It reports whether
+// the job may be stored all the same, by another submission.
+func (in *Intake) endWrite(id string) bool {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	s := in.submissions[id]
+	s.writes--
+	return s.writes > 0 || in.gate.IsInDoubt(id, in.millis())
+}
