core/tmadmit: doubt about a job lasts its two minutes

Cause: a doubt counted from an earlier refusal of the job, so that it ended up to two minutes too soon, and refusals displaced it. A job that was refused again kept its place among those to be forgotten.

Change: doubts are in a bounded memory of their own and count from when they arose; what was set least recently is dropped first.

Seen to fail before: TestDoubtLastsWhateverWasRefused (refused 60 s after the doubt, and after 10,000 other refusals), TestJobRefusedAgainIsRemembered (0 earlier refusals instead of 2). A remembered job takes about 150 bytes (heap after 4,096 jobs, ids of 16 bytes included).

--- a/core/tmadmit/backlog.go
+++ b/core/tmadmit/backlog.go
@@ -29,8 +29,8 @@
 	minRetryAfter = tmclock.Second
 	maxRetryAfter = 30 * tmclock.Second
 	retrySpread   = 10 * tmclock.Second
-	// maxRemembered limits the refused jobs that a Gate remembers, which take about 100 bytes
-	// each. A job is forgotten after rememberTime, when callers have given up.
+	// maxRemembered limits the refused jobs that a Gate remembers, and those in doubt, which take
+	// about 150 bytes each. A job is forgotten after rememberTime, when callers have given up.
 	maxRemembered = 4096
 	rememberTime  = 2 * tmclock.Minute
 )
@@ -94,23 +94,24 @@
 type Gate struct {
 	// sinceProbe counts the refusals by queue since the last probe.
 	sinceProbe map[string]int
-	refused    map[string]refusal
-	// order holds the ids in refused by the time of their first entry.
-	order []string
+	refused    memory[refusal]
+	// inDoubt holds the jobs that may be stored, with the time since which that is so. They are
+	// kept apart, so that refusals don't displace them.
+	inDoubt memory[tmclock.Millis]
 }
 
-// refusal is what is known about a job that was submitted before.
+// refusal is what is known about a job that was refused before.
 type refusal struct {
-	// count counts the refusals. firstAt is when the first of them was, or the doubt.
+	// count counts the refusals. firstAt is when the first of them was.
 	count   int
 	firstAt tmclock.Millis
-	// inDoubt is set if the job may be stored.
-	inDoubt bool
 }
 
 // NewGate returns a Gate that has refused nothing.
 func NewGate() *Gate {
-	return &Gate{sinceProbe: map[string]int{}, refused: map[string]refusal{}}
+	return &Gate{
+		sinceProbe: map[string]int{}, refused: newMemory[refusal](maxRemembered), inDoubt: newMemory[tmclock.Millis](maxRemembered),
+	}
 }
 
 // Decide decides about a job, given the backlog of its queue as reported the time age ago. A job
@@ -128,14 +129,11 @@
 	if !(objective > 0) || path > bound {
 		return Decision{}
 	}
-	earlier := g.earlier(s.Job.ID, now)
-	if earlier.inDoubt {
+	if g.IsInDoubt(s.Job.ID, now) {
 		return Decision{}
 	}
-	var elapsed tmclock.Span
-	if earlier.count > 0 {
-		elapsed = now.Sub(earlier.firstAt)
-	}
+	earlier := g.earlier(s.Job.ID, now)
+	elapsed := now.Sub(earlier.firstAt)
 	fromNow := float64(wait) + path
 	end := fromNow + float64(elapsed)
 	// A job that would meet its objective if it were new is worth its work also after a refusal.
@@ -151,20 +149,19 @@
 	ready := fromNow - refusalMargin*bound
 	d.RetryAfter = retryAfter(s.Job.ID, earlier.count, ready, bound-path-float64(elapsed))
 	earlier.count++
-	g.remember(s.Job.ID, earlier, now)
+	g.refused.set(s.Job.ID, earlier)
 	return d
 }
 
-// SetInDoubt records that a job may have been stored, or may still be. It is not refused any more:
-// a refusal says that it never runs, and no read can tell that.
-func (g *Gate) SetInDoubt(id string, now tmclock.Millis) {
-	earlier := g.earlier(id, now)
-	earlier.inDoubt = true
-	g.remember(id, earlier, now)
-}
+// SetInDoubt records that a job may have been stored, or may still be. It is not refused within
+// rememberTime: a refusal says that it never runs, and no read can tell that.
+func (g *Gate) SetInDoubt(id string, now tmclock.Millis) { g.inDoubt.set(id, now) }
 
 // IsInDoubt reports whether a job was recorded as possibly stored lately.
-func (g *Gate) IsInDoubt(id string, now tmclock.Millis) bool { return g.earlier(id, now).inDoubt }
+func (g *Gate) IsInDoubt(id string, now tmclock.Millis) bool {
+	since, ok := g.inDoubt.get(id)
+	return ok && now.Sub(since) <= rememberTime
+}
 
 // isProbe counts a refusal of a job of the queue and reports whether to admit the job instead.
 func (g *Gate) isProbe(queue string) bool {
@@ -176,30 +173,15 @@
 	return true
 }
 
-// earlier returns what is known about earlier submissions of a job.
+// earlier returns what is known about earlier refusals of a job.
 func (g *Gate) earlier(id string, now tmclock.Millis) refusal {
-	r := g.refused[id]
-	if r != (refusal{}) && (now.Before(r.firstAt) || now.Sub(r.firstAt) > rememberTime) {
-		return refusal{}
+	r, ok := g.refused.get(id)
+	if !ok || now.Before(r.firstAt) || now.Sub(r.firstAt) > rememberTime {
+		return refusal{firstAt: now}
 	}
 	return r
 }
 
-// remember records what is known about a job.
-func (g *Gate) remember(id string, earlier refusal, now tmclock.Millis) {
-	if _, known := g.refused[id]; !known {
-		if len(g.order) == maxRemembered {
-			delete(g.refused, g.order[0])
-			g.order = append(g.order[:0], g.order[1:]...)
-		}
-		g.order = append(g.order, id)
-	}
-	if earlier.firstAt == 0 {
-		earlier.firstAt = now
-	}
-	g.refused[id] = earlier
-}
-
 // criticalPath returns the longest chain of steps in ms. run is the mean run time of the tasks
 // of the queue, 0 if unknown, which bounds the declared ones.
 func criticalPath(steps []tmjob.Step, run float64) float64 {
--- a/core/tmadmit/backlog_test.go
+++ b/core/tmadmit/backlog_test.go
@@ -164,6 +164,47 @@
 	assert.Assert(t, g.Decide(bookings("b"), backlogOf(40_000), 0, 3+5*tmclock.Millis(tmclock.Minute)).Refuse)
 }
 
+// Guards against a refusal of a job in doubt because it had been refused long before, or because
+// many others were refused since.
+func TestDoubtLastsWhateverWasRefused(t *testing.T) {
+	const minute = tmclock.Millis(tmclock.Minute)
+	g := tmadmit.NewGate()
+	assert.Assert(t, g.Decide(bookings("a"), backlogOf(40_000), 0, 1).Refuse)
+	g.SetInDoubt("a", 1+minute*3/2)
+	assert.Check(t, !g.Decide(bookings("a"), backlogOf(40_000), 0, 1+minute*5/2).Refuse, "refused long before the doubt")
+	assert.Check(t, g.Decide(bookings("a"), backlogOf(40_000), 0, 1+minute*4).Refuse)
+
+	g.SetInDoubt("b", 1)
+	for i := range 10_000 {
+		g.Decide(bookings(fmt.Sprint(i)), backlogOf(40_000), 0, 1)
+	}
+	assert.Check(t, !g.Decide(bookings("b"), backlogOf(40_000), 0, 2).Refuse, "10,000 refusals since")
+	// Doubts are bounded as well, and the oldest goes first.
+	for i := range 4095 {
+		g.SetInDoubt(fmt.Sprint("doubt", i), 3)
+	}
+	g.SetInDoubt("b", 4)
+	g.SetInDoubt("last", 5)
+	for id, is := range map[string]bool{"b": true, "last": true, "doubt0": false, "doubt1": true} {
+		assert.Check(t, g.IsInDoubt(id, 6) == is, id)
+	}
+}
+
+// Guards against a job whose earlier refusals are forgotten though it was refused again lately.
+func TestJobRefusedAgainIsRemembered(t *testing.T) {
+	g := tmadmit.NewGate()
+	g.Decide(bookings("a"), backlogOf(40_000), 0, 1)
+	for i := range 4000 {
+		g.Decide(bookings(fmt.Sprint(i)), backlogOf(40_000), 0, 1)
+	}
+	attempts := g.Decide(bookings("a"), backlogOf(40_000), 0, 2).Attempt
+	for i := range 1000 {
+		g.Decide(bookings(fmt.Sprint("more", i)), backlogOf(40_000), 0, 3)
+	}
+	assert.Equal(t, attempts, 1)
+	assert.Equal(t, g.Decide(bookings("a"), backlogOf(40_000), 0, 4).Attempt, 2)
+}
+
 // Guards against a node whose memory grows with the jobs that it has refused.
 func TestRefusedJobsAreForgotten(t *testing.T) {
 	g := tmadmit.NewGate()
