io/tmrecord: a backlog that does not fit into the row leaves out no others

Cause: the row of an owner ended at the first queue that did not fit. One queue with a long list of teams and the longest wait hid the backlogs of all others, whose jobs were then admitted.

Change: a queue that doesn't fit is left out, and the next one is tried.

Seen to fail before: TestRowOfAnOwnerLeavesOutWhatDoesNotFit (no backlog at all).

--- a/io/tmrecord/backlog.go
+++ b/io/tmrecord/backlog.go
@@ -28,8 +28,8 @@
 	Teams []string `json:"t,omitempty"`
 }
 
-// encodeBacklogs encodes the backlogs with the longest waits. The order of equal ones is that of
-// the names of their queues.
+// encodeBacklogs encodes the backlogs with the longest waits, without those that don't fit. The
+// order of equal ones is that of the names of their queues.
 func encodeBacklogs(backlogs map[string]tmadmit.Backlog) json.RawMessage {
 	names := slices.SortedFunc(maps.Keys(backlogs), func(a, b string) int {
 		return cmp.Or(-cmp.Compare(backlogs[a].Wait, backlogs[b].Wait), cmp.Compare(a, b))
@@ -42,11 +42,13 @@
 		if !row.isFinite() {
 			continue
 		}
-		size += len(encode(map[string]backlogRow{name: row}))
-		if len(rows) == maxBacklogs || size > maxBacklogBytes {
+		if len(rows) == maxBacklogs {
 			break
 		}
-		rows[name] = row
+		if more := len(encode(map[string]backlogRow{name: row})); size+more <= maxBacklogBytes {
+			size += more
+			rows[name] = row
+		}
 	}
 	if len(rows) == 0 {
 		return nil
--- a/io/tmrecord/backlog_test.go
+++ b/io/tmrecord/backlog_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"math"
 	"strings"
 	"testing"
@@ -43,6 +44,24 @@
 	}
 }
 
+// Guards against a queue whose teams don't fit into the row and which leaves out all others.
+func TestRowOfAnOwnerLeavesOutWhatDoesNotFit(t *testing.T) {
+	o := tmrecord.Owner{Holder: "n", Token: 3, Backlogs: map[string]tmadmit.Backlog{"q": {Wait: 600, Work: 1, Drain: 1}, "r": {Wait: 700, Work: 1, Drain: 1}}}
+	want := maps.Clone(o.Backlogs)
+	large := tmadmit.Backlog{Wait: 650, Work: 1, Drain: 1}
+	for i := range 500 {
+		large.Teams = append(large.Teams, fmt.Sprint("team", i))
+	}
+	o.Backlogs["large"] = large
+	large.Wait = 40_000
+	o.Backlogs["larger"] = large
+	row := tmrecord.EncodeOwner(o)
+	assert.Assert(t, len(row) < 4096, "%d bytes", len(row))
+	got, err := tmrecord.DecodeOwner(row)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, got.Backlogs, want)
+}
+
 // Guards against nodes that don't know the owner any more, and against a row that can't be
 // written, because of nonsense about backlogs.
 func TestNonsenseAboutBacklogsLeavesTheOwnerReadable(t *testing.T) {
