io/tmintake: a cancellation is tried until the caller's time is over

Cause: since a cancellation that stored nothing is answered with 503, it gave up after one call that the store refused.

Change: it keeps trying; only the final answer tells whether certainly nothing was stored (503) or not (504).

Seen to fail before: TestCancellationIsTriedUntilTheCallerGivesUp (number of shards unknown, reads refused, writes refused).

--- a/io/tmintake/intake.go
+++ b/io/tmintake/intake.go
@@ -323,8 +323,8 @@
 	return started, nil, nil
 }
 
-// Cancel stores the cancellation of a job. It also succeeds if the job was cancelled
-// before. It returns ErrNoJob if the queue has no such job or the job has ended in
+// Cancel stores the cancellation of a job, and tries again until ctx ends. It also succeeds if
+// the job was cancelled before. It returns ErrNoJob if the queue has no such job or the job has ended in
 // another way, ErrNotReady or ErrNotAccepted if certainly nothing was stored, and
 // ErrOutcomeUnknown if that is in doubt.
 func (in *Intake) Cancel(ctx context.Context, queue, id string) error {
@@ -334,17 +334,16 @@
 		if done {
 			return err
 		}
-		var conflict *tmtable.ConflictError
-		isChanged := errors.As(err, &conflict)
 		if errors.Is(err, tmtable.ErrOutcomeUnknown) {
 			maybeStored = true
 		}
-		if !tmwait.Pause(ctx, retryDelay) || !maybeStored && !isChanged {
-			if maybeStored {
-				return fmt.Errorf("%w: %w", ErrOutcomeUnknown, err)
-			}
-			return fmt.Errorf("%w: %w", ErrNotAccepted, err)
+		if tmwait.Pause(ctx, retryDelay) {
+			continue
 		}
+		if maybeStored {
+			return fmt.Errorf("%w: %w", ErrOutcomeUnknown, err)
+		}
+		return fmt.Errorf("%w: %w", ErrNotAccepted, err)
 	}
 }
 
