--- a/core/tmadmit/backlog.go
+++ b/core/tmadmit/backlog.go
@@ -14,16 +14,16 @@
 	// MaxReportAge is how old the backlog report of an owner may be. Owners report every 500 ms,
 	// so that two reports may be lost; what is older says nothing about the demand of now.
 	MaxReportAge = 1500 * tmclock.Millisecond
-	// usefulObjectives is within how many times its objective a job is worth serving at all.
-	usefulObjectives = 3
-	// refusalMargin is by how much the predicted end must exceed that, because the wait is an
+	// UsefulObjectives is within how many times its objective a job is worth serving at all.
+	UsefulObjectives = 3
+	// RefusalMargin is by how much the predicted end must exceed that, because the wait is an
 	// estimate and a refusal costs the caller more than a short wait.
-	refusalMargin = 1.5
+	RefusalMargin = 1.5
 	// maxPlausibleWait is the longest wait that is believed.
 	maxPlausibleWait = tmclock.Hour
-	// maxEstimateRatio limits how far a declared run time may differ from the mean of its queue,
-	// as a factor in either direction. Owners use the same factor.
-	maxEstimateRatio = 2
+	// MaxEstimateRatio limits how far a declared run time may differ from the mean of its queue,
+	// as a factor in either direction.
+	MaxEstimateRatio = 2
 	// minRetryAfter and maxRetryAfter bound the time after which a caller is to come back.
 	// retrySpread is the least time over which callers are spread that are to come back late.
 	minRetryAfter = tmclock.Second
@@ -125,7 +125,7 @@
 	}
 	path := criticalPath(s.Job.Steps, b.Run)
 	objective := s.Stretch*path + float64(s.Objective)
-	bound := usefulObjectives * objective
+	bound := UsefulObjectives * objective
 	if !(objective > 0) || path > bound {
 		return Decision{}
 	}
@@ -137,7 +137,7 @@
 	fromNow := float64(wait) + path
 	end := fromNow + float64(elapsed)
 	// A job that would meet its objective if it were new is worth its work also after a refusal.
-	if fromNow <= objective || end <= refusalMargin*bound {
+	if fromNow <= objective || end <= RefusalMargin*bound {
 		return Decision{}
 	}
 	d := Decision{Wait: wait, End: tmclock.Span(end), Bound: tmclock.Span(bound), Attempt: earlier.count}
@@ -146,7 +146,7 @@
 		return d
 	}
 	d.Refuse = true
-	ready := fromNow - refusalMargin*bound
+	ready := fromNow - RefusalMargin*bound
 	d.RetryAfter = retryAfter(s.Job.ID, earlier.count, ready, bound-path-float64(elapsed))
 	earlier.count++
 	g.refused.set(s.Job.ID, earlier)
@@ -190,7 +190,7 @@
 	for i := range steps {
 		took := math.Max(float64(steps[i].Estimate), 1)
 		if run > 0 {
-			took = math.Max(run/maxEstimateRatio, math.Min(run*maxEstimateRatio, took))
+			took = math.Max(run/MaxEstimateRatio, math.Min(run*MaxEstimateRatio, took))
 		}
 		start := 0.0
 		for _, a := range steps[i].After {
--- a/core/tmcontrol/backlog.go
+++ b/core/tmcontrol/backlog.go
@@ -14,11 +14,9 @@
 	minReportedWait = 500
 	// waitIterations is how often the wait is corrected for the limits of teams.
 	waitIterations = 8
-	// usefulObjectives is within how many times its objective a job is of use to its caller.
-	usefulObjectives = 3
 	// sameWait is the fraction of the wait of a queue from which a team counts as having it. The
 	// difference is within the margin that nodes leave to an estimate.
-	sameWait = 1 / 1.5
+	sameWait = 1 / tmadmit.RefusalMargin
 	// fullShare is the fraction of its cores that a full pool has free at most. Tasks that wait
 	// although more is free wait for something else, such as a label, memory or the limit of
 	// their team, and a new job need not wait for them.
@@ -50,7 +48,7 @@
 
 // queueBacklog is the remaining work of the jobs of a queue by team, in thousandths of a core
 // times ms. fresh is that of the jobs that can still meet their objective, useful that of the jobs
-// that can end within usefulObjectives times as much, all that of all jobs.
+// that can end within tmadmit.UsefulObjectives times as much, all that of all jobs.
 type queueBacklog struct {
 	fresh, useful, all map[string]float64
 	// jobs counts the jobs, work and path are the sums of their work and of their critical paths.
@@ -118,7 +116,7 @@
 	b.all[j.spec.Team] += work
 	objective := q.Stretch*load.fullCriticalPath + float64(q.Objective)
 	end := float64(wall) + load.criticalPath - float64(j.spec.Due(o.number))
-	if end <= usefulObjectives*objective {
+	if end <= tmadmit.UsefulObjectives*objective {
 		b.useful[j.spec.Team] += work
 	}
 	if end <= objective {
@@ -281,7 +279,7 @@
 	if ahead.wait+path > objective {
 		ahead = c.waitFor(useful, p)
 	}
-	if ahead.wait+path > usefulObjectives*objective {
+	if ahead.wait+path > tmadmit.UsefulObjectives*objective {
 		ahead = c.waitFor(all, p)
 	}
 	b := tmadmit.Backlog{Wait: ahead.wait, Work: ahead.work / 1000}
@@ -290,7 +288,7 @@
 	}
 	b.Drain = b.Work / b.Wait
 	b.Teams = c.teamsThatWait(ahead)
-	if t := c.runTimes[name]; t != nil && t.Count() >= 5 {
+	if t := c.runTimes[name]; t != nil && t.Count() >= minEstimateRuns {
 		b.Run = t.Mean()
 	}
 	return b
--- a/core/tmcontrol/estimate.go
+++ b/core/tmcontrol/estimate.go
@@ -3,19 +3,15 @@
 import (
 	"math"
 
+	"turmericmoor/core/tmadmit"
 	"turmericmoor/core/tmclock"
 	"turmericmoor/core/tmjob"
 	"turmericmoor/core/tmstraggler"
 )
 
-const (
-	// maxEstimateRatio limits how far a declared run time may differ from those of its queue,
-	// as a factor in either direction.
-	maxEstimateRatio = 2.0
-	// minEstimateRuns is the number of runs of a queue from which on declared run times are
-	// limited by them.
-	minEstimateRuns = 5
-)
+// minEstimateRuns is the number of runs of a queue from which on declared run times are limited
+// by them.
+const minEstimateRuns = 5
 
 // recordRunTime adds the duration of a run that is done to the run times of its step and of
 // its queue.
@@ -37,8 +33,8 @@
 }
 
 // estimate returns the expected run time of a task in ms: the declared run time, limited to
-// the range from 1/maxEstimateRatio to maxEstimateRatio times that of a typical task of the
-// queue.
+// the range from 1/tmadmit.MaxEstimateRatio to tmadmit.MaxEstimateRatio times that of a typical
+// task of the queue.
 func (c *Controller) estimate(queue string, s *tmjob.Step) float64 {
 	return c.limitEstimate(queue, s, (*tmstraggler.Times).Typical)
 }
@@ -56,7 +52,7 @@
 		return math.Max(declared, 1)
 	}
 	usual := centre(t)
-	return math.Max(usual/maxEstimateRatio, math.Min(usual*maxEstimateRatio, declared))
+	return math.Max(usual/tmadmit.MaxEstimateRatio, math.Min(usual*tmadmit.MaxEstimateRatio, declared))
 }
 
 // workload is the planner's estimate of an occurrence.
--- a/io/tmowner/owner.go
+++ b/io/tmowner/owner.go
@@ -89,6 +89,8 @@
 	// ownership never waits for a pass of the planner.
 	confirmed atomic.Pointer[confirmation]
 	published atomic.Pointer[status]
+	// loggedBacklogs holds the backlogs whose begin was logged, by queue. It is guarded by mu.
+	loggedBacklogs map[string]loggedBacklog
 
 	startHedges, holdHedges *hedgeBudget
 
@@ -127,6 +129,7 @@
 		opts: opts, shard: opts.Shard.Index(), token: token,
 		ctl:            tmcontrol.New(opts.Shard, opts.Bounds, token, opts.Emit),
 		held:           map[string]bool{},
+		loggedBacklogs: map[string]loggedBacklog{},
 		startHedges:    newHedgeBudget(),
 		holdHedges:     newHedgeBudget(),
 		overdue:        map[string]chan time.Duration{},
