io/tmintake: numbers of waiting jobs count from their arrival

Cause: since backlogs count from when the renewal of a row was sent, the numbers of waiting jobs in it did so too, so that a count could be refused while the write of the owner took long, where it was told before.

Change: only backlogs count from the time of sending.

Seen to fail before: TestNumberOfWaitingJobsCountsFromItsArrival.

--- a/io/tmintake/backlog_test.go
+++ b/io/tmintake/backlog_test.go
@@ -74,6 +74,21 @@
 	return ok
 }
 
+// Guards against a number of waiting jobs that can't be told because the owner's write of its row
+// took long, and against one that is told after the owner has fallen silent.
+func TestNumberOfWaitingJobsCountsFromItsArrival(t *testing.T) {
+	f := newIntakeFixture(1)
+	o := tmrecord.Owner{Holder: "n", Token: 1, Waiting: map[string]int{"q": 7}, WaitingKnown: true}
+	f.SetOwner(0, o, f.now.Add(-900*time.Millisecond))
+	f.now = f.now.Add(1500 * time.Millisecond)
+	n, err := f.Waiting("q")
+	assert.NilError(t, err)
+	assert.Equal(t, n, 7)
+	f.now = f.now.Add(time.Millisecond)
+	_, err = f.Waiting("q")
+	assert.ErrorIs(t, err, tmintake.ErrNotReady)
+}
+
 // Guards against a refusal of a job that is stored nevertheless, and against one without a time
 // to come back.
 func TestJobOfAFullQueueIsRefusedBeforeItIsStored(t *testing.T) {
--- a/io/tmintake/intake.go
+++ b/io/tmintake/intake.go
@@ -115,13 +115,14 @@
 }
 
 // SetOwner records the numbers of waiting jobs and the backlogs from the newest row of the
-// owner of a shard, which was read at the given time.
-func (in *Intake) SetOwner(shard int, o tmrecord.Owner, at time.Time) {
+// owner of a shard, which was read at the given time. That is the age of the backlogs, which refuse
+// jobs. The numbers of waiting jobs count from now on.
+func (in *Intake) SetOwner(shard int, o tmrecord.Owner, readAt time.Time) {
 	in.mu.Lock()
 	defer in.mu.Unlock()
-	in.setReport(shard, o, at)
+	in.setReport(shard, o, readAt)
 	if o.WaitingKnown {
-		in.waiting[shard] = waitingJobs{byQueue: o.Waiting, at: at}
+		in.waiting[shard] = waitingJobs{byQueue: o.Waiting, at: in.opts.Now()}
 	}
 }
 
