cmd/turmericmoor: config check names warnings in its verdict

Cause: "causes 1 warnings", "1 changes are right", and "changes are right" below printed warnings.

Change: singular and plural; with warnings, the verdict counts them in place of "are right".

--- a/cmd/turmericmoor/check.go
+++ b/cmd/turmericmoor/check.go
@@ -70,12 +70,31 @@
 		return err
 	}
 	if n := newWarnings(report); strict && n > 0 {
-		return fmt.Errorf("%s causes %d warnings, expected none with --strict", path, n)
+		return fmt.Errorf("%s causes %s, expected none with --strict", path, counted(n, "warning"))
 	}
-	_, err = fmt.Fprintf(cmd.ErrOrStderr(), "%d changes are right, checked against %s\n", len(changes), against)
+	_, err = fmt.Fprintf(cmd.ErrOrStderr(), "%s, checked against %s\n", verdict(len(changes), len(report.Findings)), against)
 	return err
 }
 
+// verdict sums up the check of a file without errors.
+func verdict(changes, warnings int) string {
+	switch {
+	case warnings > 0:
+		return fmt.Sprintf("%s without errors, with %s", counted(changes, "change"), counted(warnings, "warning"))
+	case changes == 1:
+		return "1 change is right"
+	}
+	return counted(changes, "change") + " are right"
+}
+
+// counted returns a number with its noun.
+func counted(n int, noun string) string {
+	if n != 1 {
+		noun += "s"
+	}
+	return fmt.Sprintf("%d %s", n, noun)
+}
+
 // current returns the present configuration as a State without members, which
 // checks of changes don't use.
 func (o *operatorOptions) current(cmd *cobra.Command) (tmfleet.State, error) {
--- a/cmd/turmericmoor/check_test.go
+++ b/cmd/turmericmoor/check_test.go
@@ -25,17 +25,18 @@
 	assert.Equal(t, *report.Version, uint64(9))
 	assert.Equal(t, len(report.Findings), 0)
 	assert.DeepEqual(t, report.Differences, []differenceOutput{{"pools", "steps", "changed", []fieldOutput{{"max_unavailable", "1", "2"}}}})
-	assert.Equal(t, text, "1 changes are right, checked against version 9\n")
+	assert.Equal(t, text, "1 change is right, checked against version 9\n")
 	out, _ := c.run(exitDone, right, "config check -")
 	assert.Equal(t, out, "SECTION  NAME   DIFFERENCE  FIELDS\npools    steps  changed     max_unavailable \"1\" -> \"2\"\n")
 
 	const warns = `[{"op":"add_zone","name":"z1","region":"west"}]`
-	report, _ = check(exitDone, warns, "")
+	report, text = check(exitDone, warns, "")
+	assert.Equal(t, text, "1 change without errors, with 1 warning, checked against version 9\n")
 	assert.DeepEqual(t, report.Findings, []findingOutput{{
 		"zone_without_instances", "warning", "zones.z1", "no instance is in the zone", "an instance in it, or no such zone", false,
 	}})
 	_, text = check(exitFailed, warns, "--strict")
-	assert.Assert(t, strings.Contains(text, "causes 1 warnings"), text)
+	assert.Assert(t, strings.Contains(text, "causes 1 warning, expected none"), text)
 	c.run(exitDone, "", "zone add z1 --region west")
 	check(exitDone, right, "--strict")
 
@@ -59,7 +60,7 @@
 	t.Setenv(envOperator, "")
 	out, text := c.run(exitDone, `[{"op":"zone_out","name":"z"},{"op":"zone_in","name":"z"}]`, "config check -")
 	assert.Assert(t, strings.Contains(out, "change_overridden"), out)
-	assert.Equal(t, text, "2 changes are right, checked against its form only\n")
+	assert.Equal(t, text, "2 changes without errors, with 1 warning, checked against its form only\n")
 	out, _ = c.run(exitDone, `[{"op":"zone_out","name":"z"}]`, "config check - --output json")
 	assert.Equal(t, out, "{\n  \"findings\": [],\n  \"differences\": []\n}\n")
 }
