--- a/core/tmadmit/backlog.go
+++ b/core/tmadmit/backlog.go
@@ -14,23 +14,23 @@
 	// MaxReportAge is how old the backlog report of an owner may be. Owners report every 500 ms,
 	// so that two reports may be lost; what is older says nothing about the demand of now.
 	MaxReportAge = 1500 * tmclock.Millisecond
-	// usefulObjectives is within how many times its objective a job is worth serving at all.
-	usefulObjectives = 3
-	// refusalMargin is by how much the predicted end must exceed that, because the wait is an
+	// UsefulObjectives is within how many times its objective a job is worth serving at all.
+	UsefulObjectives = 3
+	// RefusalMargin is by how much the predicted end must exceed that, because the wait is an
 	// estimate and a refusal costs the caller more than a short wait.
-	refusalMargin = 1.5
+	RefusalMargin = 1.5
 	// maxPlausibleWait is the longest wait that is believed.
 	maxPlausibleWait = tmclock.Hour
-	// maxEstimateRatio limits how far a declared run time may differ from the mean of its queue,
-	// as a factor in either direction. Owners use the same factor.
-	maxEstimateRatio = 2
+	// MaxEstimateRatio limits how far a declared run time may differ from the mean of its queue,
+	// as a factor in either direction.
+	MaxEstimateRatio = 2
 	// minRetryAfter and maxRetryAfter bound the time after which a caller is to come back.
 	// retrySpread is the least time over which callers are spread that are to come back late.
 	minRetryAfter = tmclock.Second
 	maxRetryAfter = 30 * tmclock.Second
 	retrySpread   = 10 * tmclock.Second
-	// maxRemembered limits the refused jobs that a Gate remembers, which take about 100 bytes
-	// each. A job is forgotten after rememberTime, when callers have given up.
+	// maxRemembered limits the refused jobs that a Gate remembers, and those in doubt, which take
+	// about 150 bytes each. A job is forgotten after rememberTime, when callers have given up.
 	maxRemembered = 4096
 	rememberTime  = 2 * tmclock.Minute
 )
@@ -94,23 +94,24 @@
 type Gate struct {
 	// sinceProbe counts the refusals by queue since the last probe.
 	sinceProbe map[string]int
-	refused    map[string]refusal
-	// order holds the ids in refused by the time of their first entry.
-	order []string
+	refused    memory[refusal]
+	// inDoubt holds the jobs that may be stored, with the time since which that is so. They are
+	// kept apart, so that refusals don't displace them.
+	inDoubt memory[tmclock.Millis]
 }
 
-// refusal is what is known about a job that was submitted before.
+// refusal is what is known about a job that was refused before.
 type refusal struct {
-	// count counts the refusals. firstAt is when the first of them was, or the doubt.
+	// count counts the refusals. firstAt is when the first of them was.
 	count   int
 	firstAt tmclock.Millis
-	// inDoubt is set if the job may be stored.
-	inDoubt bool
 }
 
 // NewGate returns a Gate that has refused nothing.
 func NewGate() *Gate {
-	return &Gate{sinceProbe: map[string]int{}, refused: map[string]refusal{}}
+	return &Gate{
+		sinceProbe: map[string]int{}, refused: newMemory[refusal](maxRemembered), inDoubt: newMemory[tmclock.Millis](maxRemembered),
+	}
 }
 
 // Decide decides about a job, given the backlog of its queue as reported the time age ago. A job
@@ -124,22 +125,19 @@
 	}
 	path := criticalPath(s.Job.Steps, b.Run)
 	objective := s.Stretch*path + float64(s.Objective)
-	bound := usefulObjectives * objective
+	bound := UsefulObjectives * objective
 	if !(objective > 0) || path > bound {
 		return Decision{}
 	}
-	earlier := g.earlier(s.Job.ID, now)
-	if earlier.inDoubt {
+	if g.IsInDoubt(s.Job.ID, now) {
 		return Decision{}
 	}
-	var elapsed tmclock.Span
-	if earlier.count > 0 {
-		elapsed = now.Sub(earlier.firstAt)
-	}
+	earlier := g.earlier(s.Job.ID, now)
+	elapsed := now.Sub(earlier.firstAt)
 	fromNow := float64(wait) + path
 	end := fromNow + float64(elapsed)
 	// A job that would meet its objective if it were new is worth its work also after a refusal.
-	if fromNow <= objective || end <= refusalMargin*bound {
+	if fromNow <= objective || end <= RefusalMargin*bound {
 		return Decision{}
 	}
 	d := Decision{Wait: wait, End: tmclock.Span(end), Bound: tmclock.Span(bound), Attempt: earlier.count}
@@ -148,19 +146,21 @@
 		return d
 	}
 	d.Refuse = true
-	ready := fromNow - refusalMargin*bound
+	ready := fromNow - RefusalMargin*bound
 	d.RetryAfter = retryAfter(s.Job.ID, earlier.count, ready, bound-path-float64(elapsed))
 	earlier.count++
-	g.remember(s.Job.ID, earlier, now)
+	g.refused.set(s.Job.ID, earlier)
 	return d
 }
 
-// SetInDoubt records that a job may have been stored, or may still be. It is not refused any more:
-// a refusal says that it never runs, and no read can tell that.
-func (g *Gate) SetInDoubt(id string, now tmclock.Millis) {
-	earlier := g.earlier(id, now)
-	earlier.inDoubt = true
-	g.remember(id, earlier, now)
+// SetInDoubt records that a job may have been stored, or may still be. It is not refused within
+// rememberTime: a refusal says that it never runs, and no read can tell that.
+func (g *Gate) SetInDoubt(id string, now tmclock.Millis) { g.inDoubt.set(id, now) }
+
+// IsInDoubt reports whether a job was recorded as possibly stored lately.
+func (g *Gate) IsInDoubt(id string, now tmclock.Millis) bool {
+	since, ok := g.inDoubt.get(id)
+	return ok && now.Sub(since) <= rememberTime
 }
 
 // isProbe counts a refusal of a job of the queue and reports whether to admit the job instead.
@@ -173,30 +173,15 @@
 	return true
 }
 
-// earlier returns what is known about earlier submissions of a job.
+// earlier returns what is known about earlier refusals of a job.
 func (g *Gate) earlier(id string, now tmclock.Millis) refusal {
-	r := g.refused[id]
-	if r != (refusal{}) && (now.Before(r.firstAt) || now.Sub(r.firstAt) > rememberTime) {
-		return refusal{}
+	r, ok := g.refused.get(id)
+	if !ok || now.Before(r.firstAt) || now.Sub(r.firstAt) > rememberTime {
+		return refusal{firstAt: now}
 	}
 	return r
 }
 
-// remember records what is known about a job.
-func (g *Gate) remember(id string, earlier refusal, now tmclock.Millis) {
-	if _, known := g.refused[id]; !known {
-		if len(g.order) == maxRemembered {
-			delete(g.refused, g.order[0])
-			g.order = append(g.order[:0], g.order[1:]...)
-		}
-		g.order = append(g.order, id)
-	}
-	if earlier.firstAt == 0 {
-		earlier.firstAt = now
-	}
-	g.refused[id] = earlier
-}
-
 // criticalPath returns the longest chain of steps in ms. run is the mean run time of the tasks
 // of the queue, 0 if unknown, which bounds the declared ones.
 func criticalPath(steps []tmjob.Step, run float64) float64 {
@@ -205,7 +190,7 @@
 	for i := range steps {
 		took := math.Max(float64(steps[i].Estimate), 1)
 		if run > 0 {
-			took = math.Max(run/maxEstimateRatio, math.Min(run*maxEstimateRatio, took))
+			took = math.Max(run/MaxEstimateRatio, math.Min(run*MaxEstimateRatio, took))
 		}
 		start := 0.0
 		for _, a := range steps[i].After {
--- a/io/tmintake/backlog_test.go
+++ b/io/tmintake/backlog_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -73,6 +74,21 @@
 	return ok
 }
 
+// Guards against a number of waiting jobs that can't be told because the owner's write of its row
+// took long, and against one that is told after the owner has fallen silent.
+func TestNumberOfWaitingJobsCountsFromItsArrival(t *testing.T) {
+	f := newIntakeFixture(1)
+	o := tmrecord.Owner{Holder: "n", Token: 1, Waiting: map[string]int{"q": 7}, WaitingKnown: true}
+	f.SetOwner(0, o, f.now.Add(-900*time.Millisecond))
+	f.now = f.now.Add(1500 * time.Millisecond)
+	n, err := f.Waiting("q")
+	assert.NilError(t, err)
+	assert.Equal(t, n, 7)
+	f.now = f.now.Add(time.Millisecond)
+	_, err = f.Waiting("q")
+	assert.ErrorIs(t, err, tmintake.ErrNotReady)
+}
+
 // Guards against a refusal of a job that is stored nevertheless, and against one without a time
 // to come back.
 func TestJobOfAFullQueueIsRefusedBeforeItIsStored(t *testing.T) {
@@ -213,38 +229,214 @@
 	})
 }
 
-// Guards against a cancellation that is answered as in doubt, after the whole time of its caller,
-// though nothing was stored.
+// staleReads is a store whose writes and reads take a while. A read shows what was stored when it
+// began. The first one fails if firstFails is set.
+type staleReads struct {
+	emulator.Store
+	readTakes  []time.Duration
+	writeTakes time.Duration
+	firstFails bool
+	reads      atomic.Int32
+}
+
+func (s *staleReads) Read(ctx context.Context, r tmtable.Range) (tmtable.Page, error) {
+	n := int(s.reads.Add(1)) - 1
+	page, err := s.Store.Read(ctx, r)
+	time.Sleep(s.readTakes[n])
+	if n == 0 && s.firstFails {
+		return tmtable.Page{}, tmtable.ErrNotApplied
+	}
+	return page, err
+}
+
+func (s *staleReads) Write(ctx context.Context, t tmtable.Txn) (tmtable.Result, error) {
+	time.Sleep(s.writeTakes)
+	return s.Store.Write(ctx, t)
+}
+
+// Guards against a refusal, which says that the job never runs, while another submission of the
+// job at the same node is being stored: its write is under way, begins and ends during the read
+// before the refusal, or begins after the refusal.
+func TestRefusalIsTrueDuringAnotherSubmissionOfTheJob(t *testing.T) {
+	const ms = time.Millisecond
+	for name, c := range map[string]struct {
+		store *staleReads
+		// isFull tells for both submissions, of which the second begins 100 ms later, whether
+		// the backlog would refuse it.
+		isFull   [2]bool
+		isStored bool
+	}{
+		"write under way": {
+			store: &staleReads{readTakes: []time.Duration{10 * ms}, writeTakes: 500 * ms}, isFull: [2]bool{false, true}, isStored: true,
+		},
+		"write during the read": {
+			store: &staleReads{readTakes: []time.Duration{500 * ms}, writeTakes: 10 * ms}, isFull: [2]bool{true, false}, isStored: true,
+		},
+		"write after the refusal": {
+			store: &staleReads{readTakes: []time.Duration{500 * ms, 10 * ms}, firstFails: true}, isFull: [2]bool{true, true},
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := c.store
+				s.Store = emulator.Store{Table: emulator.NewTable(rand.New(rand.NewPCG(1, 1)))}
+				in := tmintake.New(s)
+				in.SetShards(1)
+				in.SetObjectives(map[string]tmintake.Objective{"q": {Stretch: 1.6, Fixed: 600}})
+				errs := make(chan error, 2)
+				for _, isFull := range c.isFull {
+					o := tmrecord.Owner{Holder: "n", Token: 1}
+					if isFull {
+						o = fullQueue(1)
+					}
+					in.SetOwner(0, o, time.Now())
+					go func() { errs <- in.Submit(t.Context(), shortJob(1)) }()
+					time.Sleep(100 * ms)
+				}
+				first, second := <-errs, <-errs
+				_, isStored := s.Get(tmrecord.JobKey(0, shortJob(1).ID))
+				assert.Equal(t, isStored, c.isStored)
+				assert.Check(t, (first == nil) == isStored && (second == nil) == isStored, "%v, %v", first, second)
+			})
+		})
+	}
+}
+
+// Guards against an answer that nothing was stored, for a repetition that the store refuses, about
+// a job that an earlier submission may have stored or another one is storing.
+func TestRefusedRepetitionIsInDoubtLikeTheJob(t *testing.T) {
+	for _, refusal := range []error{tmtable.ErrNotApplied, tmtable.ErrInvalid} {
+		synctest.Test(t, func(t *testing.T) {
+			f := newIntakeFixture(1)
+			submit := func(writeErr error) error {
+				f.store.writeErr = writeErr
+				ctx, cancel := context.WithTimeout(t.Context(), 2900*time.Millisecond)
+				defer cancel()
+				return f.Submit(ctx, shortJob(1))
+			}
+			isInDoubt := func(err error) bool {
+				return errors.Is(err, tmintake.ErrOutcomeUnknown) && !errors.Is(err, tmintake.ErrNotAccepted) && !errors.Is(err, tmintake.ErrTooLarge)
+			}
+			assert.ErrorIs(t, submit(refusal), tmintake.ErrNotAccepted)
+			assert.Assert(t, isInDoubt(submit(tmtable.ErrOutcomeUnknown)))
+			err := submit(refusal)
+			assert.Check(t, isInDoubt(err), "in doubt, then %v: %v", refusal, err)
+			f.now = f.now.Add(5 * time.Minute)
+			assert.ErrorIs(t, submit(refusal), tmintake.ErrNotAccepted)
+		})
+		synctest.Test(t, func(t *testing.T) {
+			s := &staleReads{Store: emulator.Store{Table: emulator.NewTable(rand.New(rand.NewPCG(1, 1)))}, writeTakes: 500 * time.Millisecond}
+			refusing := &refusingSecond{staleReads: s, err: refusal}
+			in := tmintake.New(refusing)
+			in.SetShards(1)
+			first := make(chan error, 1)
+			go func() { first <- in.Submit(t.Context(), shortJob(1)) }()
+			synctest.Wait()
+			err := in.Submit(t.Context(), shortJob(1))
+			assert.NilError(t, <-first)
+			assert.Check(t, errors.Is(err, tmintake.ErrOutcomeUnknown), "being stored, then %v: %v", refusal, err)
+		})
+	}
+}
+
+// refusingSecond is a store that refuses all writes but the first.
+type refusingSecond struct {
+	*staleReads
+	err    error
+	writes atomic.Int32
+}
+
+func (s *refusingSecond) Write(ctx context.Context, t tmtable.Txn) (tmtable.Result, error) {
+	if s.writes.Add(1) > 1 {
+		return tmtable.Result{}, s.err
+	}
+	return s.staleReads.Write(ctx, t)
+}
+
+// outageStore is a store that refuses reads and writes until a time each.
+type outageStore struct {
+	emulator.Store
+	readsFrom, writesFrom time.Time
+}
+
+func (s *outageStore) Read(ctx context.Context, r tmtable.Range) (tmtable.Page, error) {
+	if time.Now().Before(s.readsFrom) {
+		return tmtable.Page{}, tmtable.ErrNotApplied
+	}
+	return s.Store.Read(ctx, r)
+}
+
+func (s *outageStore) Write(ctx context.Context, t tmtable.Txn) (tmtable.Result, error) {
+	if time.Now().Before(s.writesFrom) {
+		return tmtable.Result{}, tmtable.ErrNotApplied
+	}
+	return s.Store.Write(ctx, t)
+}
+
+// Guards against a cancellation that gives up after one call that the store refused, though it
+// takes a later one within the time of the caller.
+func TestCancellationIsTriedUntilTheCallerGivesUp(t *testing.T) {
+	const outage = 2 * time.Second
+	for name, c := range map[string]struct{ shards, reads, writes time.Duration }{
+		"number of shards unknown": {shards: outage},
+		"reads refused":            {reads: outage},
+		"writes refused":           {writes: outage},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s, j := &outageStore{Store: newFaultyStore().Store}, shortJob(1)
+				_, err := s.Apply(tmtable.Txn{Puts: []tmtable.Put{{Key: tmrecord.JobKey(0, j.ID), Value: tmrecord.EncodeJob(j)}}})
+				assert.NilError(t, err)
+				s.readsFrom, s.writesFrom = time.Now().Add(c.reads), time.Now().Add(c.writes)
+				in := tmintake.New(s)
+				time.AfterFunc(c.shards, func() { in.SetShards(1) })
+				if c.shards == 0 {
+					in.SetShards(1)
+				}
+				ctx, stop := context.WithTimeout(t.Context(), 2900*time.Millisecond)
+				defer stop()
+				assert.NilError(t, in.Cancel(ctx, "q", j.ID))
+				state, err := in.State(t.Context(), "q", j.ID)
+				assert.NilError(t, err)
+				assert.Equal(t, state, tmjob.Cancelled)
+			})
+		})
+	}
+}
+
+// Guards against a cancellation that is answered as in doubt though nothing was stored.
 func TestCancellationThatStoredNothingIsNotInDoubt(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s, j := newFaultyStore(), shortJob(1)
 		_, err := s.Apply(tmtable.Txn{Puts: []tmtable.Put{{Key: tmrecord.JobKey(0, j.ID), Value: tmrecord.EncodeJob(j)}}})
 		assert.NilError(t, err)
 		in := tmintake.New(s)
-		cancel := func() (time.Duration, error) {
-			ctx, stop := context.WithTimeout(t.Context(), 2900*time.Millisecond)
+		cancel := func() error {
+			const callerWaits = 2900 * time.Millisecond
+			ctx, stop := context.WithTimeout(t.Context(), callerWaits)
 			defer stop()
 			began := time.Now()
 			err := in.Cancel(ctx, "q", j.ID)
-			return time.Since(began), err
+			assert.Equal(t, time.Since(began), callerWaits)
+			return err
 		}
 		isCertain := func(err error) bool {
 			return errors.Is(err, tmintake.ErrNotAccepted) && !errors.Is(err, tmintake.ErrOutcomeUnknown)
 		}
-		took, err := cancel()
-		assert.Assert(t, isCertain(err) && took < time.Second, "number of shards unknown: %v after %v", err, took)
+		err = cancel()
+		assert.Assert(t, isCertain(err), "number of shards unknown: %v", err)
 		in.SetShards(1)
 		s.writeErr = tmtable.ErrNotApplied
-		took, err = cancel()
-		assert.Assert(t, isCertain(err) && took < time.Second, "write refused: %v after %v", err, took)
+		err = cancel()
+		assert.Assert(t, isCertain(err), "write refused: %v", err)
 		s.writeErr = &tmtable.ConflictError{}
-		_, err = cancel()
+		err = cancel()
 		assert.Assert(t, isCertain(err), "condition fails: %v", err)
 		s.writeErr = tmtable.ErrOutcomeUnknown
-		_, err = cancel()
+		err = cancel()
 		assert.ErrorIs(t, err, tmintake.ErrOutcomeUnknown)
 		s.refuses = true
-		took, err = cancel()
-		assert.Assert(t, isCertain(err) && took < time.Second, "read refused: %v after %v", err, took)
+		err = cancel()
+		assert.Assert(t, isCertain(err), "read refused: %v", err)
 	})
 }
--- a/io/tmintake/intake.go
+++ b/io/tmintake/intake.go
@@ -61,6 +61,8 @@
 	reports    map[int]backlogReport
 	objectives map[string]Objective
 	gate       *tmadmit.Gate
+	// submissions holds the submissions under way by job.
+	submissions map[string]*submission
 }
 
 // Options configures an Intake.
@@ -92,7 +94,7 @@
 	}
 	return &Intake{
 		opts: opts, store: opts.Store, waiting: map[int]waitingJobs{},
-		reports: map[int]backlogReport{}, gate: tmadmit.NewGate(),
+		reports: map[int]backlogReport{}, gate: tmadmit.NewGate(), submissions: map[string]*submission{},
 	}
 }
 
@@ -113,13 +115,14 @@
 }
 
 // SetOwner records the numbers of waiting jobs and the backlogs from the newest row of the
-// owner of a shard, which was read at the given time.
-func (in *Intake) SetOwner(shard int, o tmrecord.Owner, at time.Time) {
+// owner of a shard, which was read at the given time. That is the age of the backlogs, which refuse
+// jobs. The numbers of waiting jobs count from now on.
+func (in *Intake) SetOwner(shard int, o tmrecord.Owner, readAt time.Time) {
 	in.mu.Lock()
 	defer in.mu.Unlock()
-	in.setReport(shard, o, at)
+	in.setReport(shard, o, readAt)
 	if o.WaitingKnown {
-		in.waiting[shard] = waitingJobs{byQueue: o.Waiting, at: at}
+		in.waiting[shard] = waitingJobs{byQueue: o.Waiting, at: in.opts.Now()}
 	}
 }
 
@@ -151,6 +154,8 @@
 		return fmt.Errorf("%w: %w", ErrNotAccepted, err)
 	}
 	shard := tmshard.OfJob(j.Queue, j.ID, j.LongRunning(), shards)
+	in.enter(j.ID)
+	defer in.leave(j.ID)
 	if stored, err := in.checkBacklog(ctx, shard, &j); stored || err != nil {
 		return err
 	}
@@ -159,7 +164,10 @@
 		Expects: []tmtable.Expect{{Key: key}, {Key: tmrecord.OutcomeKey(shard, j.ID)}},
 		Puts:    []tmtable.Put{{Key: key, Value: tmrecord.EncodeJob(j)}},
 	}
-	maybeStored := false
+	maybeStored, err := in.beginWrite(j.ID)
+	if err != nil {
+		return err
+	}
 	for {
 		err := in.write(ctx, txn)
 		var conflict *tmtable.ConflictError
@@ -172,18 +180,30 @@
 		case errors.Is(err, tmtable.ErrOutcomeUnknown):
 			maybeStored = true
 		case errors.Is(err, tmtable.ErrInvalid):
-			return fmt.Errorf("%w: %w: %w", ErrNotAccepted, ErrTooLarge, err)
+			err = in.notStored(j.ID, maybeStored, err)
+			if errors.Is(err, ErrNotAccepted) {
+				return fmt.Errorf("%w: %w", ErrTooLarge, err)
+			}
+			return err
 		}
 		if !tmwait.Pause(ctx, retryDelay) || !maybeStored {
-			if maybeStored {
-				in.setInDoubt(j.ID)
-				return fmt.Errorf("%w: %w", ErrOutcomeUnknown, err)
-			}
-			return fmt.Errorf("%w: %w", ErrNotAccepted, err)
+			return in.notStored(j.ID, maybeStored, err)
 		}
 	}
 }
 
+// notStored ends the writing of a job that was not seen to be stored, and returns the error for
+// its caller. That is ErrNotAccepted only if no submission can have stored it.
+func (in *Intake) notStored(id string, maybeStored bool, cause error) error {
+	switch {
+	case maybeStored:
+		in.setInDoubt(id)
+	case !in.endWrite(id):
+		return fmt.Errorf("%w: %w", ErrNotAccepted, cause)
+	}
+	return fmt.Errorf("%w: %w", ErrOutcomeUnknown, cause)
+}
+
 func (in *Intake) write(ctx context.Context, t tmtable.Txn) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
@@ -304,8 +324,8 @@
 	return started, nil, nil
 }
 
-// Cancel stores the cancellation of a job. It also succeeds if the job was cancelled
-// before. It returns ErrNoJob if the queue has no such job or the job has ended in
+// Cancel stores the cancellation of a job, and tries again until ctx ends. It also succeeds if
+// the job was cancelled before. It returns ErrNoJob if the queue has no such job or the job has ended in
 // another way, ErrNotReady or ErrNotAccepted if certainly nothing was stored, and
 // ErrOutcomeUnknown if that is in doubt.
 func (in *Intake) Cancel(ctx context.Context, queue, id string) error {
@@ -315,17 +335,16 @@
 		if done {
 			return err
 		}
-		var conflict *tmtable.ConflictError
-		isChanged := errors.As(err, &conflict)
 		if errors.Is(err, tmtable.ErrOutcomeUnknown) {
 			maybeStored = true
 		}
-		if !tmwait.Pause(ctx, retryDelay) || !maybeStored && !isChanged {
-			if maybeStored {
-				return fmt.Errorf("%w: %w", ErrOutcomeUnknown, err)
-			}
-			return fmt.Errorf("%w: %w", ErrNotAccepted, err)
+		if tmwait.Pause(ctx, retryDelay) {
+			continue
 		}
+		if maybeStored {
+			return fmt.Errorf("%w: %w", ErrOutcomeUnknown, err)
+		}
+		return fmt.Errorf("%w: %w", ErrNotAccepted, err)
 	}
 }
 
