core/tmcontrol: the tests of copies suspect the endpoint of the straggler

Cause: suspectAll ranged over the map of endpoints, and a pool of three permits one suspect, so that another endpoint than that of the straggler was sometimes suspected. TestNoCopyWithoutSpareCapacity failed in 6 of 60 runs.

Change: the endpoint of the straggler is suspected.

--- a/core/tmcontrol/copy_test.go
+++ b/core/tmcontrol/copy_test.go
@@ -33,19 +33,16 @@
 		f.answerHold(id)
 	}
 	if suspected {
-		f.suspectAll()
+		f.suspectEndpointOf(11)
 	}
 	return f.advance(1)
 }
 
-// suspectAll makes each endpoint that has runs suspected of being slow, as far as the bound of the pool
-// permits.
-func (f *fixture) suspectAll() {
-	for id, e := range f.c.endpoints {
-		if len(f.runs[id]) > 0 {
-			f.c.suspectEndpoint(e, tmstraggler.Suspicion{Cause: tmstraggler.Slow, Severity: 5}, f.now)
-		}
-	}
+// suspectEndpointOf makes the endpoint that runs a task of job j suspected of being slow. A pool of three
+// permits no second suspect.
+func (f *fixture) suspectEndpointOf(index int) {
+	t := f.c.jobs["j"].task(tmjob.TaskID{Job: "j", Index: index})
+	f.c.suspectEndpoint(t.active[0].ep, tmstraggler.Suspicion{Cause: tmstraggler.Slow, Severity: 5}, f.now)
 }
 
 // Guards against a task that runs twice although its step doesn't permit it, and against the
@@ -109,7 +106,7 @@
 	for id := range f.runs {
 		f.answerHold(id)
 	}
-	f.suspectAll()
+	f.suspectEndpointOf(29)
 	copies := 0
 	for range 10 {
 		copies += len(f.advance(1))
