core/tmcontrol: a reservation ends in a pool that has become half empty

Cause: whether half of a pool is in use was checked only when a reservation was planned. A gang reserved four endpoints, three of their runs ended and the fourth was long: small jobs stood still for 5 s at a quarter of the capacity.

Ruled out: to release at once. A gang may have to empty more than half of a pool, and TestLargeTasksStartInAFullPool fails.

Change: a reservation is released once the pool has been below half of its capacity for 2 s.

Seen to fail before: TestReservationEndsInAHalfEmptyPool (no start within 3 s).

--- a/core/tmcontrol/reserve.go
+++ b/core/tmcontrol/reserve.go
@@ -23,6 +23,10 @@
 	// minReservedUse is the fraction of a resource of the pool that must be in use. A job
 	// must not stand still for a reservation while a pool is half empty.
 	minReservedUse = 0.5
+	// maxIdleReservation is how long a reservation may last while the pool is below that. A
+	// wide step may have to empty more than half of a pool, but a job must not stand still
+	// for 3 s there.
+	maxIdleReservation = 2 * tmclock.Second
 	// overdueEnd is when a run that has exceeded its estimate is expected to end, as a
 	// fraction of the estimate from now.
 	overdueEnd = 0.25
@@ -41,6 +45,8 @@
 	step      *step
 	since     tmclock.Millis
 	endpoints []*endpoint
+	// halfEmptySince is since when the pool has been below minReservedUse, 0 if it is not.
+	halfEmptySince tmclock.Millis
 }
 
 // reserve keeps capacity for that many tasks of a step, which are blocked, if it is the first
@@ -143,20 +149,33 @@
 }
 
 // checkReservation ends the reservation of a pool once its step has no waiting task, when it
-// has lasted too long, or when the pool has room.
-func (c *Controller) checkReservation(state *poolOrder, now tmclock.Millis) {
+// has lasted too long, or when the pool has room or has been half empty for too long.
+func (c *Controller) checkReservation(state *poolOrder, p *pool, now tmclock.Millis) {
 	r := state.reservation
 	if r == nil {
 		return
 	}
 	j := r.step.occ.job
-	if state.scarce && !j.final && r.step.left > 0 && r.step.hasWaiting(now) && now.Sub(r.since) < maxReservation && len(r.endpoints) > 0 {
+	tooLong := now.Sub(r.since) >= maxReservation || r.isIdle(p, now)
+	if state.scarce && !j.final && r.step.left > 0 && r.step.hasWaiting(now) && !tooLong && len(r.endpoints) > 0 {
 		return
 	}
 	r.release()
 	state.reservation, state.lastReserved, state.lastReservedAt = nil, r.step, now
 }
 
+// isIdle reports whether the pool has been half empty for maxIdleReservation.
+func (r *reservation) isIdle(p *pool, now tmclock.Millis) bool {
+	if p.isHalfUsed() {
+		r.halfEmptySince = 0
+		return false
+	}
+	if r.halfEmptySince == 0 {
+		r.halfEmptySince = now
+	}
+	return now.Sub(r.halfEmptySince) >= maxIdleReservation
+}
+
 // mayBackfill reports whether a task of the step may start on e without delaying the tasks
 // that e is reserved for.
 func (c *Controller) mayBackfill(s *step, e *endpoint) bool {
--- a/core/tmcontrol/reserve_test.go
+++ b/core/tmcontrol/reserve_test.go
@@ -69,3 +69,34 @@
 	f.c.Submitted(small)
 	assert.DeepEqual(t, f.startsByJob(), map[string]int{"small": 1})
 }
+
+// Guards against jobs that stand still for longer than 3 s in a pool that has become half empty
+// since a gang reserved all of it, because one of the runs that the gang waits for is long.
+func TestReservationEndsInAHalfEmptyPool(t *testing.T) {
+	f := newFixture(t, 4)
+	for i := range 4 {
+		j := sized(fmt.Sprintf("full%d", i), "t", 1, 1000)
+		j.Steps[0].Size.CPU, j.Steps[0].Estimate = 8000, 800
+		f.c.Submitted(j)
+	}
+	for n := 0; n < 4; {
+		n += len(f.advance(10))
+	}
+	gang := sized("gang", "t", 4, int64(f.now))
+	gang.Steps[0].Size.CPU, gang.Steps[0].Gang, gang.Steps[0].Estimate = 8000, true, 800
+	f.c.Submitted(gang)
+	for i := range 8 {
+		j := sized(fmt.Sprintf("small%d", i), "t", 1, int64(f.now))
+		j.Steps[0].Estimate = 800
+		f.c.Submitted(j)
+	}
+	f.advance(300)
+	assert.Assert(t, f.c.orderOf("s").reservation != nil)
+	for i := 1; i <= 3; i++ {
+		f.finishRuns(f.endpointInfo(i).ID)
+	}
+	began := f.now
+	for len(f.advance(50)) == 0 {
+		assert.Assert(t, f.now.Sub(began) < 3*tmclock.Second)
+	}
+}
--- a/core/tmcontrol/schedule.go
+++ b/core/tmcontrol/schedule.go
@@ -247,7 +247,7 @@
 	in.Capacity, in.Free = in.Capacity.Add(incoming), in.Free.Add(incoming)
 	placed, scarce := state.orderer.Order(in, w.jobs)
 	state.blocked, state.hasBlocked, state.scarce = false, false, scarce
-	c.checkReservation(state, now)
+	c.checkReservation(state, p, now)
 	c.recordOrder(p.service, state, w, placed, now, wall)
 	return placed
 }
