core/tmcontrol: last attempts avoid trials; their waits neither add up nor fall away

Cause: a last attempt preferred an endpoint on trial, like any other task. A step that had waited for an avoided endpoint kept the time since when, so that its next last attempt did not wait at all. The hold of a last attempt and the wait for an avoided endpoint followed each other, up to 4 s. A step that no endpoint could run ended the trials of its pool in each pass.

Change: endpoints on trial are no calm ones, and the last choice before them is any other endpoint. A failed attempt resets the wait of its step. The time of a hold counts for the wait for avoided endpoints. Trials are lifted for the choice of one step only.

Seen to fail before, and with each change undone alone: TestLastAttemptIsNoTrial, TestLastAttemptWaitsAfterItsStepWasBlocked (waited for 50 ms), TestWaitsOfALastAttemptDoNotAddUp (3 s and more), TestBlockedStepEndsNoTrials.

--- a/core/tmcontrol/attempt.go
+++ b/core/tmcontrol/attempt.go
@@ -21,8 +21,8 @@
 )
 
 // chooseFor returns an endpoint for a task. A task that has failed, or has its last attempt,
-// prefers endpoints without failures in the last seconds, there and in their rack. A last
-// attempt waits for such a place for at most maxAttemptHold.
+// prefers endpoints without failures in the last seconds, there and in their rack, and then those
+// that are not on trial. A last attempt waits for such a place for at most maxAttemptHold.
 func (c *Controller) chooseFor(t *task, p *pool, now tmclock.Millis) *endpoint {
 	last := c.isLastAttempt(t)
 	if t.failures == 0 && !last {
@@ -32,6 +32,9 @@
 		return e
 	}
 	e := c.chooseAmong(t.step, p, p.quietOwn(now), now)
+	if e == nil {
+		e = c.chooseAmong(t.step, p, p.trusted(now), now)
+	}
 	if e == nil {
 		e = c.choose(t.step, p, now)
 	}
@@ -71,29 +74,40 @@
 // troubles holds the endpoints of a pool by their recent failures, for one planning pass.
 type troubles struct {
 	known bool
-	// own holds the endpoints without recent failures, calm those of them in whose rack none
-	// had any either.
-	own, calm []*endpoint
+	// trusted holds the endpoints that are not on trial, own those of them without recent
+	// failures, calm those of these in whose rack none had any either.
+	trusted, own, calm []*endpoint
 }
 
-// calmEndpoints returns the endpoints without recent failures, there and in their rack.
+// calmEndpoints returns the endpoints that are not on trial and without recent failures, there
+// and in their rack.
 func (p *pool) calmEndpoints(now tmclock.Millis) []*endpoint {
 	p.findTroubles(now)
 	return p.troubles.calm
 }
 
-// quietOwn returns the endpoints without recent failures.
+// quietOwn returns the endpoints that are not on trial and without recent failures.
 func (p *pool) quietOwn(now tmclock.Millis) []*endpoint {
 	p.findTroubles(now)
 	return p.troubles.own
 }
 
+// trusted returns the endpoints that are not on trial.
+func (p *pool) trusted(now tmclock.Millis) []*endpoint {
+	p.findTroubles(now)
+	return p.troubles.trusted
+}
+
 func (p *pool) findTroubles(now tmclock.Millis) {
 	if p.troubles.known {
 		return
 	}
 	p.troubles.known = true
 	for _, e := range p.endpoints {
+		if e.onTrial {
+			continue
+		}
+		p.troubles.trusted = append(p.troubles.trusted, e)
 		if e.health.HadTrouble(now) {
 			continue
 		}
@@ -106,25 +120,36 @@
 
 // chooseAvoided returns an endpoint that is avoided or on trial for a task of a step that has waited for
 // maxAvoidanceWait, if the pool is at most half full: the step may need a label that only
-// avoided endpoints have, or more room than is left on any other.
+// avoided endpoints have, or more room than is left on any other. The time for which a last
+// attempt was held counts.
 func (c *Controller) chooseAvoided(t *task, p *pool, now tmclock.Millis) *endpoint {
 	s := t.step
 	if len(p.avoided)+len(p.onTrial) == 0 || t.isHeld(now) {
 		return nil
 	}
 	if s.blockedSince == 0 {
-		s.blockedSince = now
+		s.blockedSince = cmp.Or(t.heldSince, now)
 	}
 	if now.Sub(s.blockedSince) < maxAvoidanceWait || p.usedShare() > 0.5 {
 		return nil
 	}
+	if e := c.chooseOnTrial(s, p, now); e != nil {
+		return e
+	}
+	return c.chooseAmong(s, p, p.avoided, now)
+}
+
+// chooseOnTrial chooses from the endpoints on trial as if they were not. For other tasks the
+// trials go on.
+func (c *Controller) chooseOnTrial(s *step, p *pool, now tmclock.Millis) *endpoint {
 	for _, e := range p.onTrial {
 		e.onTrial = false
 	}
-	if e := c.chooseAmong(s, p, p.onTrial, now); e != nil {
-		return e
+	chosen := c.chooseAmong(s, p, p.onTrial, now)
+	for _, e := range p.onTrial {
+		e.onTrial = true
 	}
-	return c.chooseAmong(s, p, p.avoided, now)
+	return chosen
 }
 
 // usedShare returns the reserved share of the capacity of a pool, avoided endpoints included,
--- a/core/tmcontrol/attempt_test.go
+++ b/core/tmcontrol/attempt_test.go
@@ -5,7 +5,9 @@
 
 	"gotest.tools/v3/assert"
 
+	"turmericmoor/core/tmclock"
 	"turmericmoor/core/tmjob"
+	"turmericmoor/core/tmstraggler"
 )
 
 // setRack puts endpoints into a rack.
@@ -129,3 +131,111 @@
 		assert.Assert(t, f.now.Sub(began) <= maxAvoidanceWait+500)
 	}
 }
+
+// Guards against a last attempt that is made at an endpoint on trial while others are idle: it was
+// preferred like any first attempt, so that a slow or failing endpoint failed the job.
+func TestLastAttemptIsNoTrial(t *testing.T) {
+	for _, troubled := range []bool{false, true} {
+		f := newFixture(t, 4)
+		bad := f.failOnce("j")
+		var suspect *endpoint
+		for i := 1; i <= 4 && suspect == nil; i++ {
+			if id := f.endpointInfo(i).ID; id != bad {
+				suspect = f.c.endpoints[id]
+			}
+		}
+		f.c.suspectEndpoint(suspect, tmstraggler.Suspicion{Cause: tmstraggler.Slow, Severity: 7}, f.now)
+		f.c.jobs["j"].task(tmjob.TaskID{Job: "j"}).notBefore = suspect.avoidUntil
+		f.now = suspect.avoidUntil
+		var starts []StartOrder
+		for began := f.now; len(starts) == 0; {
+			for i := 1; troubled && i <= 4; i++ {
+				if e := f.c.endpoints[f.endpointInfo(i).ID]; e != suspect {
+					e.health.FailedByTask(f.now)
+				}
+			}
+			starts = f.advance(50)
+			assert.Assert(t, f.now.Sub(began) <= maxAttemptHold+100)
+		}
+		assert.Assert(t, starts[0].Ref.Endpoint != suspect.info.ID, "others have failed lately: %v", troubled)
+	}
+}
+
+// labelEndpoint gives endpoint 1 a label that no other has, and makes it avoided for a time.
+func (f *fixture) labelEndpoint(avoidedFor tmclock.Span) *endpoint {
+	info := f.endpointInfo(1)
+	info.Labels = []string{"big"}
+	f.c.SetEndpoint(info, f.now)
+	e := f.c.endpoints["e1"]
+	if avoidedFor > 0 {
+		f.c.suspectEndpoint(e, tmstraggler.Suspicion{Cause: tmstraggler.Failing, Severity: 2}, f.now)
+		e.avoidUntil = f.now.Add(avoidedFor)
+	}
+	return e
+}
+
+// submitLabelled submits a job that needs the label of endpoint 1.
+func (f *fixture) submitLabelled() {
+	j := oneTask("labelled")
+	j.Steps[0].Label = "big"
+	f.c.Submitted(j)
+}
+
+// Guards against a last attempt that doesn't wait for a better place, because its step had waited
+// before the attempt that failed.
+func TestLastAttemptWaitsAfterItsStepWasBlocked(t *testing.T) {
+	f := newFixture(t, 4)
+	e := f.labelEndpoint(4 * maxAvoidanceWait)
+	f.submitLabelled()
+	for len(f.advance(50)) == 0 {
+	}
+	assert.Assert(t, f.c.jobs["labelled"].begun)
+	f.now = f.now.Add(1000)
+	f.failRuns("e1")
+	failed := f.now
+	f.c.clearSuspicion(e, "test")
+	e.health.FailedByTask(f.now)
+	for len(f.advance(50)) == 0 {
+		e.health.FailedByTask(f.now)
+	}
+	assert.Assert(t, f.now.Sub(failed) >= maxAttemptHold, "waited for %d ms", f.now.Sub(failed))
+}
+
+// Guards against a job that stands still for longer than 3 s because the wait of a last attempt
+// for a better place and that for an avoided endpoint follow each other.
+func TestWaitsOfALastAttemptDoNotAddUp(t *testing.T) {
+	f := newFixture(t, 4)
+	e := f.labelEndpoint(0)
+	f.submitLabelled()
+	f.advance(10)
+	f.failRuns("e1")
+	failed := f.now
+	for range 36 {
+		f.advance(50)
+	}
+	f.c.suspectEndpoint(e, tmstraggler.Suspicion{Cause: tmstraggler.Failing, Severity: 2}, f.now)
+	e.avoidUntil = f.now.Add(4 * tmclock.Second)
+	for len(f.advance(50)) == 0 {
+		assert.Assert(t, f.now.Sub(failed) < 3*tmclock.Second)
+	}
+}
+
+// Guards against endpoints on trial that get all kinds of work at once, because a step that
+// no endpoint of the pool can run has waited for long.
+func TestBlockedStepEndsNoTrials(t *testing.T) {
+	f := newFixture(t, 4)
+	j := oneTask("nowhere")
+	j.Steps[0].Label = "none"
+	f.c.Submitted(j)
+	e := f.labelEndpoint(2 * maxAvoidanceWait)
+	for range 45 {
+		f.advance(50)
+	}
+	e.avoidUntil = f.now
+	f.singles("a", 16)
+	for range 3 {
+		f.advance(10)
+	}
+	assert.Assert(t, e.health.OnTrial(f.now))
+	assert.Assert(t, len(e.runs) <= 1, "%d runs", len(e.runs))
+}
--- a/core/tmcontrol/end.go
+++ b/core/tmcontrol/end.go
@@ -61,6 +61,8 @@
 			return
 		}
 		t.failures++
+		// The next attempt may wait anew for a better place.
+		t.step.blockedSince = 0
 		j.failed = true
 		limit := c.rules.Queues[j.spec.Queue].Attempts
 		if limit > 0 && t.failures >= limit {
