core/tmcontrol: large tasks that need a label get a reservation

Cause: whether a task fits somewhere, and whether half of the pool is in use, was decided over all endpoints. A large task whose label a single endpoint has waited for ever beside idle endpoints without the label, because the labelled one always got small tasks.

Change: for a step with a label, the search for room and the use count endpoints with the label only; such a step says nothing about what is too large for the pool.

--- a/core/tmcontrol/plan.go
+++ b/core/tmcontrol/plan.go
@@ -142,11 +142,15 @@
 		return false
 	}
 	var e *endpoint
-	if !p.knownTooLarge(spec.Reservation()) || c.orderOf(p.service).hasReserved(t.step) {
+	blocked := p.knownTooLarge(spec.Reservation())
+	if !blocked || c.orderOf(p.service).hasReserved(t.step) {
 		c.neighbours.beginSearch()
 		e = c.chooseFor(t, p, now)
 		if e == nil && !c.fitsAny(t.step, p) {
-			p.tooLarge = append(p.tooLarge, spec.Reservation())
+			blocked = true
+			if spec.Label == "" {
+				p.tooLarge = append(p.tooLarge, spec.Reservation())
+			}
 			c.recordBlocked(t.step, p)
 			c.reportBlocked(t.step, p, 1)
 		}
@@ -157,7 +161,7 @@
 		t.step.blockedSince = 0
 	}
 	if e == nil {
-		if p.knownTooLarge(spec.Reservation()) {
+		if blocked {
 			c.reserve(t.step, p, 1, now)
 		}
 		if spec.LongRunning {
@@ -181,11 +185,11 @@
 	return waiting
 }
 
-// fitsAny reports whether a task of the step fits on some endpoint, beside what is reserved
-// there for others, regardless of other requirements.
+// fitsAny reports whether a task of the step fits on some endpoint with the label that it
+// requires, beside what is reserved there for others, regardless of other requirements.
 func (c *Controller) fitsAny(s *step, p *pool) bool {
 	for _, e := range p.endpoints {
-		if s.spec.Reservation().Fits(e.free()) && c.mayBackfill(s, e) {
+		if s.labelPermits(e) && s.spec.Reservation().Fits(e.free()) && c.mayBackfill(s, e) {
 			return true
 		}
 	}
--- a/core/tmcontrol/reserve.go
+++ b/core/tmcontrol/reserve.go
@@ -53,7 +53,7 @@
 // step in the order of its pool of which that is true and which others would always precede.
 func (c *Controller) reserve(s *step, p *pool, tasks int64, now tmclock.Millis) {
 	state := c.orderOf(p.service)
-	if state.hasBlocked || !state.scarce || s.spec.LongRunning || s.tasks[0].isSuspect() || !state.precedes(s, tasks) || !p.isHalfUsed() {
+	if state.hasBlocked || !state.scarce || s.spec.LongRunning || s.tasks[0].isSuspect() || !state.precedes(s, tasks) || !p.isHalfUsedFor(s) {
 		return
 	}
 	state.hasBlocked = true
@@ -202,6 +202,21 @@
 	}
 }
 
+// isHalfUsedFor is like isHalfUsed for the endpoints with the label that the step requires. They
+// may be full while the rest of the pool is idle, for at most maxIdleReservation.
+func (p *pool) isHalfUsedFor(s *step) bool {
+	if s.spec.Label == "" {
+		return p.isHalfUsed()
+	}
+	labelled := pool{service: p.service}
+	for _, e := range p.endpoints {
+		if s.labelPermits(e) {
+			labelled.endpoints = append(labelled.endpoints, e)
+		}
+	}
+	return labelled.isHalfUsed()
+}
+
 // isHalfUsed reports whether half of some resource of the pool is in use.
 func (p *pool) isHalfUsed() bool {
 	var used, capacity tmjob.Resources
--- a/core/tmcontrol/reserve_test.go
+++ b/core/tmcontrol/reserve_test.go
@@ -100,3 +100,55 @@
 		assert.Assert(t, f.now.Sub(began) < 3*tmclock.Second)
 	}
 }
+
+// Guards against a large task that never starts because the only endpoint with its label always
+// gets small tasks, while the other endpoints of the pool are idle.
+func TestLargeTaskWithLabelStarts(t *testing.T) {
+	f := newFixture(t, 4)
+	f.labelEndpoint(0)
+	running := map[tmclock.Millis][]StartOrder{}
+	submitted := tmclock.Millis(0)
+	for i := range 900 {
+		f.c.Submitted(sized(fmt.Sprintf("small%03d", i), "t", 1, int64(f.now)))
+		if i == 20 {
+			submitted = f.now
+			j := sized("large", "t", 1, int64(f.now))
+			j.Steps[0].Size.CPU, j.Steps[0].Label = 7500, "big"
+			f.c.Submitted(j)
+		}
+		for _, s := range f.advance(50 - tmclock.Span(f.now%50)) {
+			if s.Ref.Task.Job == "large" {
+				t.Logf("waited %d ms", f.now.Sub(submitted))
+				return
+			}
+			end := f.now.Add(700) / 50
+			running[end] = append(running[end], s)
+		}
+		for _, s := range running[f.now/50] {
+			f.end(s.Ref.Endpoint, s.Ref.Task, 1, EndDone)
+		}
+		assert.Assert(t, submitted == 0 || f.now.Sub(submitted) < 20*tmclock.Second)
+	}
+}
+
+// Guards against a small job that stands still for longer than 3 s because the endpoint with its
+// label is reserved for a large one, while the rest of the pool is idle.
+func TestReservationOfALabelEndsInAHalfEmptyPool(t *testing.T) {
+	f := newFixture(t, 4)
+	f.labelEndpoint(0)
+	submit := func(id string, cpu int64, estimate tmclock.Span) {
+		j := sized(id, "t", 1, int64(f.now))
+		j.Steps[0].Size.CPU, j.Steps[0].Estimate, j.Steps[0].Label = cpu, estimate, "big"
+		f.c.Submitted(j)
+		f.advance(10)
+	}
+	submit("long", 5000, 60*tmclock.Second)
+	submit("large", 7500, 800)
+	submit("small", 1000, 70*tmclock.Second)
+	began := f.now
+	assert.Assert(t, f.c.endpoints["e1"].hold != nil)
+	for !f.c.jobs["small"].begun {
+		f.advance(50)
+		assert.Assert(t, f.now.Sub(began) < 3*tmclock.Second)
+	}
+}
