core/tmcontrol: a gang beyond the limit of its team reserves nothing

Cause: placeGang asked for a reservation of a size that is known not to fit before it looked at the limit of the team, so that capacity was kept for a gang that must not start.

Change: the limit is checked first.

Seen to fail before: TestGangBeyondItsLimitReservesNothing.

--- a/core/tmcontrol/gang.go
+++ b/core/tmcontrol/gang.go
@@ -15,14 +15,14 @@
 		}
 		n = max(n, t.runs)
 	}
-	if p.knownTooLarge(s.spec.Reservation()) && !c.orderOf(p.service).hasReserved(s) {
-		c.reserve(s, p, int64(len(s.tasks)), now)
-		return
-	}
 	if n := int64(len(s.tasks)); !c.withinLimit(s, n) {
 		c.reportQuotaShortage(s, n, n)
 		return
 	}
+	if p.knownTooLarge(s.spec.Reservation()) && !c.orderOf(p.service).hasReserved(s) {
+		c.reserve(s, p, int64(len(s.tasks)), now)
+		return
+	}
 	if s.tasks[0].isSuspect() && c.tryGang(s, p.quietEndpoints(), n+1, now) {
 		s.isolateGang()
 		return
--- a/core/tmcontrol/reserve_test.go
+++ b/core/tmcontrol/reserve_test.go
@@ -152,3 +152,35 @@
 		assert.Assert(t, f.now.Sub(began) < 3*tmclock.Second)
 	}
 }
+
+// Guards against capacity that is kept for a gang which the limit of its team does not permit.
+func TestGangBeyondItsLimitReservesNothing(t *testing.T) {
+	f := newFixture(t, 4)
+	rules := testRules(2)
+	rules.Teams["limited"] = Team{Name: "limited", Weight: 1, Limit: tmjob.Resources{CPU: 10000}}
+	f.c.SetRules(rules)
+	for i := range 8 {
+		j := sized(fmt.Sprintf("run%d", i), "t", 1, 1000)
+		j.Steps[0].Size.CPU, j.Steps[0].Estimate = 3500, 800
+		f.c.Submitted(j)
+	}
+	for n := 0; n < 8; {
+		n += len(f.advance(10))
+	}
+	// A task that is too large for what is free makes the size of the gang's tasks known as such.
+	large := sized("large", "t", 1, int64(f.now)-100)
+	large.Steps[0].Size.CPU, large.Steps[0].Estimate, large.Steps[0].LongRunning = 4500, 800, true
+	f.c.Submitted(large)
+	gang := sized("gang", "limited", 4, int64(f.now))
+	gang.Steps[0].Size.CPU, gang.Steps[0].Gang, gang.Steps[0].Estimate = 5000, true, 800
+	f.c.Submitted(gang)
+	for i := range 12 {
+		j := sized(fmt.Sprintf("small%d", i), "t", 4, int64(f.now))
+		j.Steps[0].Estimate = 5000
+		f.c.Submitted(j)
+	}
+	for range 5 {
+		f.advance(10)
+		assert.Assert(t, f.c.orderOf("s").reservation == nil)
+	}
+}
