--- a/core/tmcontrol/plan.go
+++ b/core/tmcontrol/plan.go
@@ -17,6 +17,8 @@
 	// avoided holds those that get no tasks on suspicion, onTrial those of endpoints that get
 	// one.
 	avoided, onTrial []*endpoint
+	// vacating holds those that get no tasks so that their instances can move.
+	vacating []*endpoint
 	// troubledRacks are the racks with recent failures, in all pools. troubles is found when a
 	// task that has failed is placed.
 	troubledRacks map[string]bool
@@ -94,7 +96,7 @@
 		if e.info.Rack != "" && e.health.HadTrouble(now) {
 			troubledRacks[e.info.Rack] = true
 		}
-		if !e.usable(now) || c.zonesOut[e.info.Zone] {
+		if !e.isAvailable(now) || c.zonesOut[e.info.Zone] {
 			continue
 		}
 		p := pools[e.info.Service]
@@ -142,11 +144,15 @@
 		return false
 	}
 	var e *endpoint
-	if !p.knownTooLarge(spec.Reservation()) || c.orderOf(p.service).hasReserved(t.step) {
+	blocked := p.knownTooLarge(spec.Reservation())
+	if !blocked || c.orderOf(p.service).hasReserved(t.step) {
 		c.neighbours.beginSearch()
 		e = c.chooseFor(t, p, now)
 		if e == nil && !c.fitsAny(t.step, p) {
-			p.tooLarge = append(p.tooLarge, spec.Reservation())
+			blocked = true
+			if spec.Label == "" {
+				p.tooLarge = append(p.tooLarge, spec.Reservation())
+			}
 			c.recordBlocked(t.step, p)
 			c.reportBlocked(t.step, p, 1)
 		}
@@ -157,7 +163,7 @@
 		t.step.blockedSince = 0
 	}
 	if e == nil {
-		if p.knownTooLarge(spec.Reservation()) {
+		if blocked {
 			c.reserve(t.step, p, 1, now)
 		}
 		if spec.LongRunning {
@@ -181,11 +187,11 @@
 	return waiting
 }
 
-// fitsAny reports whether a task of the step fits on some endpoint, beside what is reserved
-// there for others, regardless of other requirements.
+// fitsAny reports whether a task of the step fits on some endpoint with the label that it
+// requires, beside what is reserved there for others, regardless of other requirements.
 func (c *Controller) fitsAny(s *step, p *pool) bool {
 	for _, e := range p.endpoints {
-		if s.spec.Reservation().Fits(e.free()) && c.mayBackfill(s, e) {
+		if s.labelPermits(e) && s.spec.Reservation().Fits(e.free()) && c.mayBackfill(s, e) {
 			return true
 		}
 	}
--- a/core/tmcontrol/reserve.go
+++ b/core/tmcontrol/reserve.go
@@ -1,6 +1,7 @@
 package tmcontrol
 
 import (
+	"cmp"
 	"slices"
 
 	"turmericmoor/core/tmclock"
@@ -23,6 +24,10 @@
 	// minReservedUse is the fraction of a resource of the pool that must be in use. A job
 	// must not stand still for a reservation while a pool is half empty.
 	minReservedUse = 0.5
+	// maxIdleReservation is how long a reservation may last while the pool is below that. A
+	// wide step may have to empty more than half of a pool, but a job must not stand still
+	// for 3 s there.
+	maxIdleReservation = 2 * tmclock.Second
 	// overdueEnd is when a run that has exceeded its estimate is expected to end, as a
 	// fraction of the estimate from now.
 	overdueEnd = 0.25
@@ -41,13 +46,15 @@
 	step      *step
 	since     tmclock.Millis
 	endpoints []*endpoint
+	// halfEmptySince is since when the pool has been below minReservedUse, 0 if it is not.
+	halfEmptySince tmclock.Millis
 }
 
 // reserve keeps capacity for that many tasks of a step, which are blocked, if it is the first
 // step in the order of its pool of which that is true and which others would always precede.
 func (c *Controller) reserve(s *step, p *pool, tasks int64, now tmclock.Millis) {
 	state := c.orderOf(p.service)
-	if state.hasBlocked || !state.scarce || s.spec.LongRunning || s.tasks[0].isSuspect() || !state.precedes(s, tasks) || !p.isHalfUsed() {
+	if state.hasBlocked || !state.scarce || s.spec.LongRunning || s.tasks[0].isSuspect() || !state.precedes(s, tasks) || !p.isHalfUsedFor(s) {
 		return
 	}
 	state.hasBlocked = true
@@ -119,21 +126,26 @@
 func (c *Controller) placeOn(e *endpoint, s *step, now tmclock.Millis) tmorder.Place {
 	place := tmorder.Place{Free: e.free(), Max: int64(s.spec.PerEndpoint)}
 	for _, r := range e.runs {
-		other := r.task.step
-		if other.spec.LongRunning {
+		if r.task.step.spec.LongRunning {
 			continue
 		}
-		takes := c.estimate(other.occ.job.spec.Queue, other.spec)
-		end := max(r.startedAt, r.sentAt).Add(tmclock.Span(takes))
-		if r.startedAt == 0 && r.sentAt == 0 {
-			end = now.Add(tmclock.Span(takes))
-		}
-		end = max(end, now.Add(tmclock.Span(overdueEnd*takes)))
-		place.Ends = append(place.Ends, tmorder.End{At: end, Frees: r.reservation})
+		place.Ends = append(place.Ends, tmorder.End{At: c.expectedEnd(r, now), Frees: r.reservation})
 	}
 	return place
 }
 
+// expectedEnd returns when a run is expected to end. One that has exceeded its estimate ends some
+// time after now.
+func (c *Controller) expectedEnd(r *run, now tmclock.Millis) tmclock.Millis {
+	s := r.task.step
+	takes := c.estimate(s.occ.job.spec.Queue, s.spec)
+	began := cmp.Or(max(r.startedAt, r.sentAt), now)
+	if end := began.Add(tmclock.Span(takes)); end.After(now) {
+		return end
+	}
+	return now.Add(tmclock.Span(overdueEnd * takes))
+}
+
 // release gives up the capacity.
 func (r *reservation) release() {
 	for _, e := range r.endpoints {
@@ -143,20 +155,33 @@
 }
 
 // checkReservation ends the reservation of a pool once its step has no waiting task, when it
-// has lasted too long, or when the pool has room.
-func (c *Controller) checkReservation(state *poolOrder, now tmclock.Millis) {
+// has lasted too long, or when the pool has room or has been half empty for too long.
+func (c *Controller) checkReservation(state *poolOrder, p *pool, now tmclock.Millis) {
 	r := state.reservation
 	if r == nil {
 		return
 	}
 	j := r.step.occ.job
-	if state.scarce && !j.final && r.step.left > 0 && r.step.hasWaiting(now) && now.Sub(r.since) < maxReservation && len(r.endpoints) > 0 {
+	tooLong := now.Sub(r.since) >= maxReservation || r.isIdle(p, now)
+	if state.scarce && !j.final && r.step.left > 0 && r.step.hasWaiting(now) && !tooLong && len(r.endpoints) > 0 {
 		return
 	}
 	r.release()
 	state.reservation, state.lastReserved, state.lastReservedAt = nil, r.step, now
 }
 
+// isIdle reports whether the pool has been half empty for maxIdleReservation.
+func (r *reservation) isIdle(p *pool, now tmclock.Millis) bool {
+	if p.isHalfUsed() {
+		r.halfEmptySince = 0
+		return false
+	}
+	if r.halfEmptySince == 0 {
+		r.halfEmptySince = now
+	}
+	return now.Sub(r.halfEmptySince) >= maxIdleReservation
+}
+
 // mayBackfill reports whether a task of the step may start on e without delaying the tasks
 // that e is reserved for.
 func (c *Controller) mayBackfill(s *step, e *endpoint) bool {
@@ -183,11 +208,34 @@
 	}
 }
 
-// isHalfUsed reports whether half of some resource of the pool is in use.
+// isHalfUsedFor is like isHalfUsed for the endpoints with the label that the step requires. They
+// may be full while the rest of the pool is idle, for at most maxIdleReservation.
+func (p *pool) isHalfUsedFor(s *step) bool {
+	if s.spec.Label == "" {
+		return p.isHalfUsed()
+	}
+	labelled := pool{service: p.service}
+	for _, e := range p.endpoints {
+		if s.labelPermits(e) {
+			labelled.endpoints = append(labelled.endpoints, e)
+		}
+	}
+	for _, e := range p.vacating {
+		if s.labelPermits(e) {
+			labelled.vacating = append(labelled.vacating, e)
+		}
+	}
+	return labelled.isHalfUsed()
+}
+
+// isHalfUsed reports whether half of some resource of the pool is in use, vacated endpoints
+// included.
 func (p *pool) isHalfUsed() bool {
 	var used, capacity tmjob.Resources
-	for _, e := range p.endpoints {
-		used, capacity = used.Add(e.used), capacity.Add(e.info.Capacity)
+	for _, endpoints := range [][]*endpoint{p.endpoints, p.vacating} {
+		for _, e := range endpoints {
+			used, capacity = used.Add(e.used), capacity.Add(e.info.Capacity)
+		}
 	}
 	half := func(used, capacity int64) bool {
 		return capacity > 0 && float64(used) >= minReservedUse*float64(capacity)
--- a/core/tmcontrol/reserve_test.go
+++ b/core/tmcontrol/reserve_test.go
@@ -69,3 +69,118 @@
 	f.c.Submitted(small)
 	assert.DeepEqual(t, f.startsByJob(), map[string]int{"small": 1})
 }
+
+// Guards against jobs that stand still for longer than 3 s in a pool that has become half empty
+// since a gang reserved all of it, because one of the runs that the gang waits for is long.
+func TestReservationEndsInAHalfEmptyPool(t *testing.T) {
+	f := newFixture(t, 4)
+	for i := range 4 {
+		j := sized(fmt.Sprintf("full%d", i), "t", 1, 1000)
+		j.Steps[0].Size.CPU, j.Steps[0].Estimate = 8000, 800
+		f.c.Submitted(j)
+	}
+	for n := 0; n < 4; {
+		n += len(f.advance(10))
+	}
+	gang := sized("gang", "t", 4, int64(f.now))
+	gang.Steps[0].Size.CPU, gang.Steps[0].Gang, gang.Steps[0].Estimate = 8000, true, 800
+	f.c.Submitted(gang)
+	for i := range 8 {
+		j := sized(fmt.Sprintf("small%d", i), "t", 1, int64(f.now))
+		j.Steps[0].Estimate = 800
+		f.c.Submitted(j)
+	}
+	f.advance(300)
+	assert.Assert(t, f.c.orderOf("s").reservation != nil)
+	for i := 1; i <= 3; i++ {
+		f.finishRuns(f.endpointInfo(i).ID)
+	}
+	began := f.now
+	for len(f.advance(50)) == 0 {
+		assert.Assert(t, f.now.Sub(began) < 3*tmclock.Second)
+	}
+}
+
+// Guards against a large task that never starts because the only endpoint with its label always
+// gets small tasks, while the other endpoints of the pool are idle.
+func TestLargeTaskWithLabelStarts(t *testing.T) {
+	f := newFixture(t, 4)
+	f.labelEndpoint(0)
+	running := map[tmclock.Millis][]StartOrder{}
+	submitted := tmclock.Millis(0)
+	for i := range 900 {
+		f.c.Submitted(sized(fmt.Sprintf("small%03d", i), "t", 1, int64(f.now)))
+		if i == 20 {
+			submitted = f.now
+			j := sized("large", "t", 1, int64(f.now))
+			j.Steps[0].Size.CPU, j.Steps[0].Label = 7500, "big"
+			f.c.Submitted(j)
+		}
+		for _, s := range f.advance(50 - tmclock.Span(f.now%50)) {
+			if s.Ref.Task.Job == "large" {
+				t.Logf("waited %d ms", f.now.Sub(submitted))
+				return
+			}
+			end := f.now.Add(700) / 50
+			running[end] = append(running[end], s)
+		}
+		for _, s := range running[f.now/50] {
+			f.end(s.Ref.Endpoint, s.Ref.Task, 1, EndDone)
+		}
+		assert.Assert(t, submitted == 0 || f.now.Sub(submitted) < 20*tmclock.Second)
+	}
+}
+
+// Guards against a small job that stands still for longer than 3 s because the endpoint with its
+// label is reserved for a large one, while the rest of the pool is idle.
+func TestReservationOfALabelEndsInAHalfEmptyPool(t *testing.T) {
+	f := newFixture(t, 4)
+	f.labelEndpoint(0)
+	submit := func(id string, cpu int64, estimate tmclock.Span) {
+		j := sized(id, "t", 1, int64(f.now))
+		j.Steps[0].Size.CPU, j.Steps[0].Estimate, j.Steps[0].Label = cpu, estimate, "big"
+		f.c.Submitted(j)
+		f.advance(10)
+	}
+	submit("long", 5000, 60*tmclock.Second)
+	submit("large", 7500, 800)
+	submit("small", 1000, 70*tmclock.Second)
+	began := f.now
+	assert.Assert(t, f.c.endpoints["e1"].hold != nil)
+	for !f.c.jobs["small"].begun {
+		f.advance(50)
+		assert.Assert(t, f.now.Sub(began) < 3*tmclock.Second)
+	}
+}
+
+// Guards against capacity that is kept for a gang which the limit of its team does not permit.
+func TestGangBeyondItsLimitReservesNothing(t *testing.T) {
+	f := newFixture(t, 4)
+	rules := testRules(2)
+	rules.Teams["limited"] = Team{Name: "limited", Weight: 1, Limit: tmjob.Resources{CPU: 10000}}
+	f.c.SetRules(rules)
+	for i := range 8 {
+		j := sized(fmt.Sprintf("run%d", i), "t", 1, 1000)
+		j.Steps[0].Size.CPU, j.Steps[0].Estimate = 3500, 800
+		f.c.Submitted(j)
+	}
+	for n := 0; n < 8; {
+		n += len(f.advance(10))
+	}
+	// A task that is too large for what is free makes the size of the gang's tasks known as such.
+	large := sized("large", "t", 1, int64(f.now)-100)
+	large.Steps[0].Size.CPU, large.Steps[0].Estimate, large.Steps[0].LongRunning = 4500, 800, true
+	f.c.Submitted(large)
+	gang := sized("gang", "limited", 4, int64(f.now))
+	gang.Steps[0].Size.CPU, gang.Steps[0].Gang, gang.Steps[0].Estimate = 5000, true, 800
+	f.c.Submitted(gang)
+	for i := range 12 {
+		j := sized(fmt.Sprintf("small%d", i), "t", 4, int64(f.now))
+		j.Steps[0].Estimate = 5000
+		f.c.Submitted(j)
+	}
+	for range 5 {
+		f.advance(10)
+		assert.Assert(t, f.c.orderOf("s").reservation == nil)
+	}
+}
