core/tmcontrol: reservations that take turns end like one

Cause: a reservation that replaced that of another step began anew. Two large steps that took turns in the order kept an endpoint free for good.

Change: the replacement keeps the time since when capacity is kept, and for how long the pool has been half empty. After a reservation that lasted too long, the pool has none for 2 s.

Seen to fail before: TestReservationsThatTakeTurnsEnd (held for 12 s of 12 s).

--- a/core/tmcontrol/reserve.go
+++ b/core/tmcontrol/reserve.go
@@ -21,6 +21,9 @@
 	// maxReservation is how long a reservation may keep capacity from others, and how long the
 	// step then gets no other one. It bounds the loss when run times are far off.
 	maxReservation = 5 * tmclock.Second
+	// reservationPause is for how long a pool has no reservation after one that lasted too long,
+	// so that the other tasks get what was kept from them.
+	reservationPause = 2 * tmclock.Second
 	// minReservedUse is the fraction of a resource of the pool that must be in use. A job
 	// must not stand still for a reservation while a pool is half empty.
 	minReservedUse = 0.5
@@ -58,16 +61,18 @@
 		return
 	}
 	state.hasBlocked = true
-	if now.Sub(state.reservedAt) < reservationUpdate || state.lastReserved == s && now.Sub(state.lastReservedAt) < maxReservation {
+	if now.Before(state.noReservationBefore) || now.Sub(state.reservedAt) < reservationUpdate || state.lastReserved == s && now.Sub(state.lastReservedAt) < maxReservation {
 		return
 	}
 	state.reservedAt = now
 	r := state.reservation
-	if r == nil || r.step != s {
-		if r != nil {
-			r.release()
-		}
+	switch {
+	case r == nil:
 		r = &reservation{step: s, since: now}
+	case r.step != s:
+		// Steps that take turns keep no capacity for longer than one.
+		r.release()
+		r = &reservation{step: s, since: r.since, halfEmptySince: r.halfEmptySince}
 	}
 	c.planReservation(r, p, tasks, now)
 	if state.reservation != r && len(r.endpoints) > 0 {
@@ -168,6 +173,9 @@
 	}
 	r.release()
 	state.reservation, state.lastReserved, state.lastReservedAt = nil, r.step, now
+	if tooLong {
+		state.noReservationBefore = now.Add(reservationPause)
+	}
 }
 
 // isIdle reports whether the pool has been half empty for maxIdleReservation.
--- a/core/tmcontrol/reserve_test.go
+++ b/core/tmcontrol/reserve_test.go
@@ -184,3 +184,36 @@
 		assert.Assert(t, f.c.orderOf("s").reservation == nil)
 	}
 }
+
+// Guards against an endpoint that is kept free for good because two large steps take turns with
+// the reservation, each of which began anew.
+func TestReservationsThatTakeTurnsEnd(t *testing.T) {
+	f := newFixture(t, 1)
+	run := sized("run", "t", 1, 1000)
+	run.Steps[0].Size.CPU, run.Steps[0].Estimate = 5000, 800
+	f.c.Submitted(run)
+	f.advance(10)
+	p := f.c.pools(f.now)["s"]
+	var steps []*step
+	for _, id := range []string{"x", "y"} {
+		j := sized(id, "t", 1, int64(f.now))
+		j.Steps[0].Size.CPU, j.Steps[0].Estimate = 7000, 800
+		f.c.Submitted(j)
+		f.c.Tick(f.now, int64(f.now))
+		steps = append(steps, f.c.jobs[id].occurrences[0].steps[0])
+	}
+	state := f.c.orderOf("s")
+	state.queue.smallest = tmjob.Resources{CPU: 100, Mem: 1}
+	heldSince, longest := f.now, tmclock.Span(0)
+	for i := range 40 {
+		f.now = f.now.Add(300)
+		state.hasBlocked, state.scarce = false, true
+		f.c.checkReservation(state, p, f.now)
+		f.c.reserve(steps[i%2], p, 1, f.now)
+		if f.c.endpoints["e1"].hold == nil {
+			heldSince = f.now
+		}
+		longest = max(longest, f.now.Sub(heldSince))
+	}
+	assert.Assert(t, longest > 0 && longest <= maxReservation+300, "held for %d ms", longest)
+}
--- a/core/tmcontrol/schedule.go
+++ b/core/tmcontrol/schedule.go
@@ -50,11 +50,13 @@
 	usage   tmorder.Usage
 	// hasBlocked is set once a blocked step was found in the current pass that may have a
 	// reservation. reservation is that of the pool, or nil; reservedAt is when it was planned.
-	// lastReserved is the step that had the one before, which ended at lastReservedAt.
+	// lastReserved is the step that had the one before, which ended at lastReservedAt. If it
+	// lasted too long there is none before noReservationBefore.
 	hasBlocked                 bool
 	reservation                *reservation
 	lastReserved               *step
 	reservedAt, lastReservedAt tmclock.Millis
+	noReservationBefore        tmclock.Millis
 }
 
 // waitingQueues returns the waiting jobs by pool.
