core/tmorder: long-running jobs keep their order in a scarce pool

Cause: the order of a scarce pool left long-running jobs as they came.

Change: they are sorted as in a pool with room.

Seen to fail before: TestLongRunningJobsKeepTheirOrderInAScarcePool.

--- a/core/tmorder/order_test.go
+++ b/core/tmorder/order_test.go
@@ -187,3 +187,15 @@
 	names, _ := u.shares(tmjob.Resources{CPU: 100, Mem: 100}, 200_000)
 	assert.DeepEqual(t, names, []string{"processor"})
 }
+
+// Guards against long-running jobs that are placed in any order once their pool is scarce.
+func TestLongRunningJobsKeepTheirOrderInAScarcePool(t *testing.T) {
+	jobs := []Job{{LongRunning: true, Priority: 5, Due: 2}, {LongRunning: true, Priority: 0, Due: 1}}
+	for _, blocked := range []bool{false, true} {
+		var o Orderer
+		capacity := tmjob.Resources{CPU: 1000}
+		placed, scarce := o.Order(Pool{Blocked: blocked, Capacity: capacity, Free: capacity}, jobs)
+		assert.Equal(t, scarce, blocked)
+		assert.Equal(t, placed[0].Index, 1)
+	}
+}
--- a/core/tmorder/scarce.go
+++ b/core/tmorder/scarce.go
@@ -56,6 +56,7 @@
 			waiting = append(waiting, e)
 		}
 	}
+	slices.SortStableFunc(s.groups[WithRoom], func(a, b *entry) int { return compareWithRoom(p.Now, a.job, b.job) })
 	waiting = s.promoteAged(waiting)
 	s.setScores(waiting)
 	s.classify(waiting)
