core/tmcontrol: no copy that could use up the attempts of its task

Cause: the comment of needsCopy said that the failures of both runs must not use up the last attempt, but with two attempts they did, and the job failed because of a copy.

Change: there is no copy if two more failures would use up the attempts, by the invariant that no job is shown as failed without cause.

Seen to fail before: TestNoCopyWithTheLastAttempts.

--- a/core/tmcontrol/copy.go
+++ b/core/tmcontrol/copy.go
@@ -40,13 +40,13 @@
 
 // needsCopy reports whether a second copy of a task would probably end before the run that is
 // under way, on an endpoint that is suspected: a task that is long by itself takes as long
-// elsewhere. The failures of both must not use up the last of its attempts.
+// elsewhere. The failures of both must not use up its attempts, because a copy is no cause for a job to fail.
 func (t *task) needsCopy(attempts int, now tmclock.Millis) bool {
 	s := t.step
 	if !s.spec.Speculative || s.spec.Gang || s.spec.LongRunning || s.spec.BestEffort || t.done || len(t.active) != 1 || t.crashes > 0 {
 		return false
 	}
-	if attempts > 0 && t.failures+2 > attempts || t.page.refused || now.Before(t.notBefore) {
+	if attempts > 0 && t.failures+2 >= attempts || t.page.refused || now.Before(t.notBefore) {
 		return false
 	}
 	r := t.active[0]
--- a/core/tmcontrol/copy_test.go
+++ b/core/tmcontrol/copy_test.go
@@ -9,6 +9,17 @@
 	"turmericmoor/core/tmstraggler"
 )
 
+// newCopyFixture returns a fixture whose tasks have the given number of attempts.
+func newCopyFixture(t *testing.T, attempts int) *fixture {
+	f := newFixture(t, 3)
+	rules := testRules(2)
+	q := rules.Queues["q"]
+	q.Attempts = attempts
+	rules.Queues["q"] = q
+	f.c.SetRules(rules)
+	return f
+}
+
 // straggle starts a step of twelve tasks, of which all but the last end after 800 ms. The last
 // is at 12% after a second. It returns the starts that follow.
 func (f *fixture) straggle(speculative, suspected bool, cpu int64) []StartOrder {
@@ -49,7 +60,7 @@
 // long tasks of a speculative step that hold up their job.
 func TestStragglerGetsCopyIfPermitted(t *testing.T) {
 	for _, speculative := range []bool{true, false} {
-		f := newFixture(t, 3)
+		f := newCopyFixture(t, 3)
 		starts := f.straggle(speculative, true, 1000)
 		assert.Equal(t, len(starts) == 1, speculative)
 		if !speculative {
@@ -67,14 +78,21 @@
 
 // Guards against copies of tasks that are long by themselves and take as long elsewhere.
 func TestNoCopyFromASoundEndpoint(t *testing.T) {
-	f := newFixture(t, 3)
+	f := newCopyFixture(t, 3)
 	assert.Equal(t, len(f.straggle(true, false, 1000)), 0)
 }
 
+// Guards against a job that fails because of a copy: the failures of both runs would be all that its
+// task has.
+func TestNoCopyWithTheLastAttempts(t *testing.T) {
+	f := newCopyFixture(t, 2)
+	assert.Equal(t, len(f.straggle(true, true, 1000)), 0)
+}
+
 // Guards against copies that take what is left of the capacity of an almost full pool.
 func TestNoCopyWithoutSpareCapacity(t *testing.T) {
 	for others, copies := range map[int]int{4: 1, 6: 0} {
-		f := newFixture(t, 3)
+		f := newCopyFixture(t, 3)
 		j := oneTask("other")
 		j.Steps[0].Count, j.Steps[0].Size = others, tmjob.Resources{CPU: 3500}
 		f.c.Submitted(j)
@@ -85,7 +103,7 @@
 
 // Guards against copies of many tasks at once: more than a tenth of the runs.
 func TestCopiesAreATenthOfTheRuns(t *testing.T) {
-	f := newFixture(t, 3)
+	f := newCopyFixture(t, 3)
 	j := oneTask("j")
 	j.Steps[0].Count, j.Steps[0].Size, j.Steps[0].Speculative = 30, tmjob.Resources{CPU: 100}, true
 	f.c.Submitted(j)
