core/tmcontrol: one function for objectives; occurrences are read in their order

Cause: the objective of a job was written out four times. The limit of a team is divided among occurrences in the order in which they are read, which was that of a map, and so was the order in which copies are placed. A comparison function and the check of labels existed twice.

Change: Queue.objective, job.inOrder, tmorder.First and labelPermits are used throughout; plan.go has its imports in one group. No behaviour changes beside the order; no new test.

--- a/core/tmcontrol/backlog.go
+++ b/core/tmcontrol/backlog.go
@@ -108,7 +108,7 @@
 	b.work += work
 	b.path += load.fullCriticalPath
 	b.all[j.spec.Team] += work
-	objective := q.Stretch*load.fullCriticalPath + float64(q.Objective)
+	objective := q.objective(load.fullCriticalPath)
 	end := float64(wall) + load.criticalPath - float64(j.spec.Due(o.number))
 	if end <= usefulObjectives*objective {
 		b.useful[j.spec.Team] += work
@@ -194,7 +194,7 @@
 	if own != nil {
 		path = own.path / max(own.jobs, 1)
 	}
-	objective := q.Stretch*path + float64(q.Objective)
+	objective := q.objective(path)
 	ahead := c.waitFor(fresh, p)
 	if ahead.wait+path > objective {
 		ahead = c.waitFor(useful, p)
--- a/core/tmcontrol/job.go
+++ b/core/tmcontrol/job.go
@@ -2,6 +2,7 @@
 
 import (
 	"iter"
+	"maps"
 	"slices"
 
 	"turmericmoor/core/tmclock"
@@ -279,10 +280,24 @@
 	}
 }
 
-// tasks returns the tasks of the occurrences that are known.
+// inOrder returns the occurrences that are known by their number. Most jobs have one.
+func (j *job) inOrder() iter.Seq[*occurrence] {
+	if len(j.occurrences) <= 1 {
+		return maps.Values(j.occurrences)
+	}
+	return func(yield func(*occurrence) bool) {
+		for _, n := range slices.Sorted(maps.Keys(j.occurrences)) {
+			if o := j.occurrences[n]; o != nil && !yield(o) {
+				return
+			}
+		}
+	}
+}
+
+// tasks returns the tasks of the occurrences that are known, in their order.
 func (j *job) tasks() iter.Seq[*task] {
 	return func(yield func(*task) bool) {
-		for _, o := range j.occurrences {
+		for o := range j.inOrder() {
 			for t := range o.tasks() {
 				if !yield(t) {
 					return
--- a/core/tmcontrol/plan.go
+++ b/core/tmcontrol/plan.go
@@ -3,9 +3,8 @@
 import (
 	"slices"
 
-	"turmericmoor/core/tmevent"
-
 	"turmericmoor/core/tmclock"
+	"turmericmoor/core/tmevent"
 	"turmericmoor/core/tmjob"
 )
 
--- a/core/tmcontrol/rules.go
+++ b/core/tmcontrol/rules.go
@@ -22,6 +22,11 @@
 	NeedsAdvice bool
 }
 
+// objective returns the time within which a job with the given critical path is to end, in ms.
+func (q *Queue) objective(criticalPath float64) float64 {
+	return q.Stretch*criticalPath + float64(q.Objective)
+}
+
 // Service is the configuration of one pool, which runs the jobs of its queues.
 type Service struct {
 	Name string
--- a/core/tmcontrol/schedule.go
+++ b/core/tmcontrol/schedule.go
@@ -73,7 +73,7 @@
 			continue
 		}
 		w := queues[q.Service]
-		for _, o := range j.occurrences {
+		for o := range j.inOrder() {
 			c.addWaiting(w, o, q, now, wall)
 		}
 	}
@@ -88,7 +88,7 @@
 	}
 	j := o.job
 	out := c.workload(o)
-	objective := q.Stretch*out.fullCriticalPath + float64(q.Objective)
+	objective := q.objective(out.fullCriticalPath)
 	due := j.spec.Due(o.number)
 	if !j.longRunning && o.runCount > 0 && tmorder.IsAged(wall, due, objective) {
 		w.agedCPU += o.runningCPU()
--- a/core/tmcontrol/shortage.go
+++ b/core/tmcontrol/shortage.go
@@ -23,7 +23,7 @@
 	reservation := s.spec.Reservation()
 	slots, fits := int64(0), false
 	for _, e := range p.endpoints {
-		if s.spec.Label != "" && !e.info.hasLabel(s.spec.Label) {
+		if !s.labelPermits(e) {
 			continue
 		}
 		fits = fits || reservation.Fits(e.info.Capacity)
--- a/core/tmcontrol/vacate.go
+++ b/core/tmcontrol/vacate.go
@@ -7,6 +7,7 @@
 	"turmericmoor/core/tmclock"
 	"turmericmoor/core/tmevent"
 	"turmericmoor/core/tmjob"
+	"turmericmoor/core/tmorder"
 	"turmericmoor/core/tmsizing"
 )
 
@@ -105,8 +106,7 @@
 // missesObjective reports whether an occurrence misses its objective even if nothing waits.
 func (c *Controller) missesObjective(o *occurrence, q Queue, wall int64) bool {
 	out := c.workload(o)
-	objective := float64(o.job.spec.Due(o.number)) + q.Stretch*out.fullCriticalPath + float64(q.Objective)
-	return float64(wall)+out.criticalPath > objective
+	return float64(wall)+out.criticalPath > float64(o.job.spec.Due(o.number))+q.objective(out.fullCriticalPath)
 }
 
 // vacate keeps new tasks away from endpoints of pools that have more than their target, as
@@ -154,7 +154,7 @@
 		idleAt[e] = c.idleAt(e, now)
 	}
 	slices.SortStableFunc(candidates, func(a, b *endpoint) int {
-		return cmp.Or(boolCompare(b.vacatingSince != 0, a.vacatingSince != 0), cmp.Compare(idleAt[a], idleAt[b]))
+		return cmp.Or(tmorder.First(a.vacatingSince != 0, b.vacatingSince != 0), cmp.Compare(idleAt[a], idleAt[b]))
 	})
 	for i, e := range candidates {
 		switch {
@@ -168,16 +168,6 @@
 	return min(n, len(candidates))
 }
 
-func boolCompare(a, b bool) int {
-	switch {
-	case a == b:
-		return 0
-	case a:
-		return 1
-	}
-	return -1
-}
-
 // canVacate reports whether an endpoint can become idle by itself within maxVacateTime.
 func (c *Controller) canVacate(e *endpoint, now tmclock.Millis) bool {
 	return !now.Before(e.noVacateBefore) && e.answering && e.listed && !e.gone && !e.reserved && !e.info.Draining && e.isolated == nil && e.info.Instance != "" &&
