--- a/core/tmcontrol/schedule.go
+++ b/core/tmcontrol/schedule.go
@@ -50,11 +50,13 @@
 	usage   tmorder.Usage
 	// hasBlocked is set once a blocked step was found in the current pass that may have a
 	// reservation. reservation is that of the pool, or nil; reservedAt is when it was planned.
-	// lastReserved is the step that had the one before, which ended at lastReservedAt.
+	// lastReserved is the step that had the one before, which ended at lastReservedAt. If it
+	// lasted too long there is none before noReservationBefore.
 	hasBlocked                 bool
 	reservation                *reservation
 	lastReserved               *step
 	reservedAt, lastReservedAt tmclock.Millis
+	noReservationBefore        tmclock.Millis
 }
 
 // waitingQueues returns the waiting jobs by pool.
@@ -71,7 +73,7 @@
 			continue
 		}
 		w := queues[q.Service]
-		for _, o := range j.occurrences {
+		for o := range j.inOrder() {
 			c.addWaiting(w, o, q, now, wall)
 		}
 	}
@@ -86,7 +88,7 @@
 	}
 	j := o.job
 	out := c.workload(o)
-	objective := q.Stretch*out.fullCriticalPath + float64(q.Objective)
+	objective := q.objective(out.fullCriticalPath)
 	due := j.spec.Due(o.number)
 	if !j.longRunning && o.runCount > 0 && tmorder.IsAged(wall, due, objective) {
 		w.agedCPU += o.runningCPU()
