core/tmcontrol: a task that waits for a reservation blocks no shorter ones

Cause: the size of a task that had room only where capacity is kept for others was recorded as too large for the pool. A short task of that size, which would have ended before the reservation begins, was not tried.

Change: such a task is recorded with how long it takes, and holds back only those as large that take as long. So the search is still made once for many alike tasks. Nothing is copied while such a task waits, as before.

Seen to fail before: TestReservationMakesNoSizeTooLarge.

--- a/core/tmcontrol/copy.go
+++ b/core/tmcontrol/copy.go
@@ -25,7 +25,7 @@
 			continue
 		}
 		if _, known := spare[p]; !known {
-			spare[p] = len(p.tooLarge) == 0 && p.usedShare() <= maxCopyLoad
+			spare[p] = len(p.tooLarge)+len(p.held) == 0 && p.usedShare() <= maxCopyLoad
 		}
 		if !spare[p] {
 			continue
--- a/core/tmcontrol/plan.go
+++ b/core/tmcontrol/plan.go
@@ -30,6 +30,14 @@
 	hasOverdue  bool
 	// tooLarge holds reservations that fit on no endpoint for the rest of the pass.
 	tooLarge []tmjob.Resources
+	// held holds tasks that had room only where capacity is kept for others.
+	held []heldSize
+}
+
+// heldSize is the size of a task and how long it is expected to run, in ms.
+type heldSize struct {
+	reservation tmjob.Resources
+	takes       float64
 }
 
 // knownTooLarge reports whether an earlier search found no endpoint for the
@@ -43,6 +51,35 @@
 	return false
 }
 
+// knownBlocked reports whether an earlier search shows that no endpoint may take a task of the
+// step. A task that is as large as one that had to wait for a reservation has to wait as well if it
+// takes as long.
+func (c *Controller) knownBlocked(s *step, p *pool) bool {
+	reservation := s.spec.Reservation()
+	if p.knownTooLarge(reservation) {
+		return true
+	}
+	if s.spec.LongRunning || len(p.held) == 0 {
+		return false
+	}
+	takes := c.estimate(s.occ.job.spec.Queue, s.spec)
+	return slices.ContainsFunc(p.held, func(h heldSize) bool { return h.reservation.Fits(reservation) && takes >= h.takes })
+}
+
+// addBlocked records that no endpoint may take a task of the step. A step with a label says nothing
+// about others.
+func (c *Controller) addBlocked(s *step, p *pool) {
+	reservation := s.spec.Reservation()
+	hasRoom := func(e *endpoint) bool { return reservation.Fits(e.free()) }
+	switch {
+	case s.spec.Label != "":
+	case slices.ContainsFunc(p.endpoints, hasRoom):
+		p.held = append(p.held, heldSize{reservation, c.estimate(s.occ.job.spec.Queue, s.spec)})
+	default:
+		p.tooLarge = append(p.tooLarge, reservation)
+	}
+}
+
 // Plan places waiting tasks. Placements become start orders once they are stored.
 func (c *Controller) Plan(now tmclock.Millis, wall int64) {
 	if !c.loaded || c.stale || c.deposed || c.rules.Version == 0 {
@@ -143,15 +180,13 @@
 		return false
 	}
 	var e *endpoint
-	blocked := p.knownTooLarge(spec.Reservation())
+	blocked := c.knownBlocked(t.step, p)
 	if !blocked || c.orderOf(p.service).hasReserved(t.step) {
 		c.neighbours.beginSearch()
 		e = c.chooseFor(t, p, now)
 		if e == nil && !c.fitsAny(t.step, p) {
 			blocked = true
-			if spec.Label == "" {
-				p.tooLarge = append(p.tooLarge, spec.Reservation())
-			}
+			c.addBlocked(t.step, p)
 			c.recordBlocked(t.step, p)
 			c.reportBlocked(t.step, p, 1)
 		}
--- a/core/tmcontrol/reserve_test.go
+++ b/core/tmcontrol/reserve_test.go
@@ -217,3 +217,28 @@
 	}
 	assert.Assert(t, longest > 0 && longest <= maxReservation+300, "held for %d ms", longest)
 }
+
+// Guards against a short task that isn't placed although it ends before a reservation begins, because
+// a long one of the same size had to wait for the reservation.
+func TestReservationMakesNoSizeTooLarge(t *testing.T) {
+	f := newFixture(t, 1)
+	rules := testRules(2)
+	low := rules.Queues["q"]
+	low.Name, low.Priority = "low", 1
+	rules.Queues["low"] = low
+	f.c.SetRules(rules)
+	submit := func(id, queue string, cpu int64, estimate tmclock.Span) {
+		j := sized(id, "t", 1, int64(f.now))
+		j.Queue, j.Steps[0].Size.CPU, j.Steps[0].Estimate = queue, cpu, estimate
+		f.c.Submitted(j)
+	}
+	submit("run", "q", 5000, 3000)
+	f.advance(10)
+	submit("large", "q", 7000, 800)
+	submit("other", "q", 2000, 70_000)
+	f.advance(10)
+	f.advance(10)
+	submit("short", "low", 2000, 500)
+	assert.Assert(t, f.c.endpoints["e1"].hold != nil)
+	assert.Equal(t, f.startsByJob()["short"], 1)
+}
