core/tmcontrol: reading occurrences in order allocates nothing per job

The end of vacating and reservations by a restart had no test.

Seen to fail: TestRestartEndsVacatingAndReservation without forgetPlans.

--- a/core/tmcontrol/job.go
+++ b/core/tmcontrol/job.go
@@ -1,8 +1,8 @@
 package tmcontrol
 
 import (
+	"cmp"
 	"iter"
-	"maps"
 	"slices"
 
 	"turmericmoor/core/tmclock"
@@ -280,24 +280,22 @@
 	}
 }
 
-// inOrder returns the occurrences that are known by their number. Most jobs have one.
-func (j *job) inOrder() iter.Seq[*occurrence] {
-	if len(j.occurrences) <= 1 {
-		return maps.Values(j.occurrences)
+// inOrder appends the occurrences that are known to list, which is empty, by their number.
+func (j *job) inOrder(list []*occurrence) []*occurrence {
+	for _, o := range j.occurrences {
+		list = append(list, o)
 	}
-	return func(yield func(*occurrence) bool) {
-		for _, n := range slices.Sorted(maps.Keys(j.occurrences)) {
-			if o := j.occurrences[n]; o != nil && !yield(o) {
-				return
-			}
-		}
+	if len(list) > 1 {
+		slices.SortFunc(list, func(a, b *occurrence) int { return cmp.Compare(a.number, b.number) })
 	}
+	return list
 }
 
 // tasks returns the tasks of the occurrences that are known, in their order.
 func (j *job) tasks() iter.Seq[*task] {
 	return func(yield func(*task) bool) {
-		for o := range j.inOrder() {
+		var one [1]*occurrence // Most jobs have one.
+		for _, o := range j.inOrder(one[:0]) {
 			for t := range o.tasks() {
 				if !yield(t) {
 					return
--- a/core/tmcontrol/schedule.go
+++ b/core/tmcontrol/schedule.go
@@ -62,6 +62,7 @@
 // waitingQueues returns the waiting jobs by pool.
 func (c *Controller) waitingQueues(jobs []*job, pools map[string]*pool, now tmclock.Millis, wall int64) map[string]*waitingQueue {
 	queues := map[string]*waitingQueue{}
+	var occurrences []*occurrence
 	for service := range pools {
 		state := c.orderOf(service)
 		state.queue.reset()
@@ -73,7 +74,8 @@
 			continue
 		}
 		w := queues[q.Service]
-		for o := range j.inOrder() {
+		occurrences = j.inOrder(occurrences[:0])
+		for _, o := range occurrences {
 			c.addWaiting(w, o, q, now, wall)
 		}
 	}
--- a/core/tmcontrol/vacate_test.go
+++ b/core/tmcontrol/vacate_test.go
@@ -228,3 +228,15 @@
 		}
 	}
 }
+
+// Guards against an endpoint that gets no tasks, or keeps its capacity for others, because of what was
+// planned before it restarted under its id.
+func TestRestartEndsVacatingAndReservation(t *testing.T) {
+	f := newVacateFixture(t)
+	e := f.c.endpoints["e1"]
+	f.c.vacateEndpoints("s", 4, f.now)
+	assert.Assert(t, e.vacatingSince != 0)
+	e.hold = &hold{}
+	f.restart("e1")
+	assert.Assert(t, e.vacatingSince == 0 && e.hold == nil)
+}
