--- a/core/tmadmit/backlog_load_test.go
+++ b/core/tmadmit/backlog_load_test.go
@@ -128,14 +128,14 @@
 // report predicts the wait of a new job as owners do.
 func (f *loadFleet) report() {
 	now := f.clock.Now()
-	var fresh, useful, all float64
+	var timely, useful, all float64
 	for _, j := range f.jobs {
 		all += j.left / poolCores
 		if !j.isLate(3, now) {
 			useful += j.left / poolCores
 		}
 		if !j.isLate(1, now) {
-			fresh += j.left / poolCores
+			timely += j.left / poolCores
 		}
 	}
 	f.longest = max(f.longest, all)
@@ -143,8 +143,8 @@
 	if f.freshFirst && useful+jobPath <= 3*jobObjective {
 		f.wait = useful
 	}
-	if f.freshFirst && fresh+jobPath <= jobObjective {
-		f.wait = fresh
+	if f.freshFirst && timely+jobPath <= jobObjective {
+		f.wait = timely
 	}
 }
 
--- a/core/tmcontrol/attempt.go
+++ b/core/tmcontrol/attempt.go
@@ -28,10 +28,10 @@
 	if t.failures == 0 && !last {
 		return c.choose(t.step, p, now)
 	}
-	if e := c.chooseAmong(t.step, p, p.calmEndpoints(now), now); e != nil {
+	if e := c.chooseAmong(t.step, p, p.endpointsWithoutTrouble(now), now); e != nil {
 		return e
 	}
-	e := c.chooseAmong(t.step, p, p.quietOwn(now), now)
+	e := c.chooseAmong(t.step, p, p.endpointsWithoutFailures(now), now)
 	if e == nil {
 		e = c.chooseAmong(t.step, p, p.trusted(now), now)
 	}
@@ -74,22 +74,23 @@
 // troubles holds the endpoints of a pool by their recent failures, for one planning pass.
 type troubles struct {
 	known bool
-	// trusted holds the endpoints that are not on trial, own those of them without recent
-	// failures, calm those of these in whose rack none had any either.
-	trusted, own, calm []*endpoint
+	// trusted holds the endpoints that are not on trial, withoutFailures those of them without
+	// recent failures, inSoundRacks those of these in whose rack none had any either.
+	trusted, withoutFailures, inSoundRacks []*endpoint
 }
 
-// calmEndpoints returns the endpoints that are not on trial and without recent failures, there
-// and in their rack.
-func (p *pool) calmEndpoints(now tmclock.Millis) []*endpoint {
+// endpointsWithoutTrouble returns the endpoints that are not on trial and without recent
+// failures, there and in their rack.
+func (p *pool) endpointsWithoutTrouble(now tmclock.Millis) []*endpoint {
 	p.findTroubles(now)
-	return p.troubles.calm
+	return p.troubles.inSoundRacks
 }
 
-// quietOwn returns the endpoints that are not on trial and without recent failures.
-func (p *pool) quietOwn(now tmclock.Millis) []*endpoint {
+// endpointsWithoutFailures returns the endpoints that are not on trial and without recent
+// failures.
+func (p *pool) endpointsWithoutFailures(now tmclock.Millis) []*endpoint {
 	p.findTroubles(now)
-	return p.troubles.own
+	return p.troubles.withoutFailures
 }
 
 // trusted returns the endpoints that are not on trial.
@@ -111,9 +112,9 @@
 		if e.health.HadTrouble(now) {
 			continue
 		}
-		p.troubles.own = append(p.troubles.own, e)
+		p.troubles.withoutFailures = append(p.troubles.withoutFailures, e)
 		if e.info.Rack == "" || !p.troubledRacks[e.info.Rack] {
-			p.troubles.calm = append(p.troubles.calm, e)
+			p.troubles.inSoundRacks = append(p.troubles.inSoundRacks, e)
 		}
 	}
 }
--- a/core/tmcontrol/backlog.go
+++ b/core/tmcontrol/backlog.go
@@ -47,10 +47,10 @@
 }
 
 // queueBacklog is the remaining work of the jobs of a queue by team, in thousandths of a core
-// times ms. fresh is that of the jobs that can still meet their objective, useful that of the jobs
+// times ms. timely is that of the jobs that can still meet their objective, useful that of the jobs
 // that can end within tmadmit.UsefulObjectives times as much, all that of all jobs.
 type queueBacklog struct {
-	fresh, useful, all map[string]float64
+	timely, useful, all map[string]float64
 	// jobs counts the jobs, work and path are the sums of their work and of their critical paths.
 	jobs, work, path float64
 }
@@ -107,7 +107,7 @@
 	p.addReady(o)
 	b := p.queues[j.spec.Queue]
 	if b == nil {
-		b = &queueBacklog{fresh: map[string]float64{}, useful: map[string]float64{}, all: map[string]float64{}}
+		b = &queueBacklog{timely: map[string]float64{}, useful: map[string]float64{}, all: map[string]float64{}}
 		p.queues[j.spec.Queue] = b
 	}
 	b.jobs++
@@ -120,7 +120,7 @@
 		b.useful[j.spec.Team] += work
 	}
 	if end <= objective {
-		b.fresh[j.spec.Team] += work
+		b.timely[j.spec.Team] += work
 	}
 }
 
@@ -262,10 +262,10 @@
 func (c *Controller) backlogOf(name string, p *poolBacklog) tmadmit.Backlog {
 	q := c.rules.Queues[name]
 	own := p.queues[name]
-	fresh, useful, all := map[string]float64{}, map[string]float64{}, map[string]float64{}
+	timely, useful, all := map[string]float64{}, map[string]float64{}, map[string]float64{}
 	for other, load := range p.queues {
 		if c.goesBefore(other, name, p) {
-			addTeams(fresh, load.fresh)
+			addTeams(timely, load.timely)
 			addTeams(useful, load.useful)
 			addTeams(all, load.all)
 		}
@@ -275,7 +275,7 @@
 		path = own.path / max(own.jobs, 1)
 	}
 	objective := q.objective(path)
-	ahead := c.waitFor(fresh, p)
+	ahead := c.waitFor(timely, p)
 	if ahead.wait+path > objective {
 		ahead = c.waitFor(useful, p)
 	}
--- a/core/tmcontrol/copy.go
+++ b/core/tmcontrol/copy.go
@@ -64,7 +64,7 @@
 	}
 	first := t.active[0]
 	var others []*endpoint
-	for _, e := range p.calmEndpoints(now) {
+	for _, e := range p.endpointsWithoutTrouble(now) {
 		if e != first.ep && !e.onTrial {
 			others = append(others, e)
 		}
--- a/core/tmcontrol/endpoint.go
+++ b/core/tmcontrol/endpoint.go
@@ -78,8 +78,8 @@
 	vacatingSince tmclock.Millis
 	// noVacateBefore is until when the endpoint is not chosen again, because it was vacated in vain.
 	noVacateBefore tmclock.Millis
-	// hold is the part of a reservation for large tasks here, or nil.
-	hold *hold
+	// reservedRoom is the part of a reservation for large tasks here, or nil.
+	reservedRoom *reservedRoom
 	// ending is set once an order was issued that ends all runs here.
 	ending bool
 	// isolated is the suspect for which the endpoint is set aside, or nil.
--- a/core/tmcontrol/gang.go
+++ b/core/tmcontrol/gang.go
@@ -34,7 +34,7 @@
 			}
 		}
 	}
-	if s.hasFailed() && c.tryGang(s, &pool{service: p.service, endpoints: p.calmEndpoints(now)}, n+1, now) {
+	if s.hasFailed() && c.tryGang(s, &pool{service: p.service, endpoints: p.endpointsWithoutTrouble(now)}, n+1, now) {
 		return
 	}
 	if !c.tryGang(s, p, n+1, now) {
--- a/core/tmcontrol/lifetime.go
+++ b/core/tmcontrol/lifetime.go
@@ -97,7 +97,7 @@
 
 // forgetPlans drops what was planned for an earlier lifetime of an endpoint.
 func (e *endpoint) forgetPlans() {
-	e.vacatingSince, e.noVacateBefore, e.hold = 0, 0, nil
+	e.vacatingSince, e.noVacateBefore, e.reservedRoom = 0, 0, nil
 }
 
 // runsLostBy returns the runs that the new lifetime of an endpoint has not listed.
--- a/core/tmcontrol/reserve.go
+++ b/core/tmcontrol/reserve.go
@@ -36,8 +36,8 @@
 	overdueEnd = 0.25
 )
 
-// hold is the part of a reservation on one endpoint.
-type hold struct {
+// reservedRoom is the part of a reservation on one endpoint.
+type reservedRoom struct {
 	step *step
 	// at is when the reserved tasks are expected to start, spare what is left then.
 	at    tmclock.Millis
@@ -77,7 +77,7 @@
 	c.planReservation(r, p, tasks, now)
 	if state.reservation != r && len(r.endpoints) > 0 {
 		c.event(tmevent.CapacityReserved, "job", s.occ.job.spec.ID, "step", s.i, "pool", p.service, "tasks", tasks,
-			"endpoints", len(r.endpoints), "after_ms", int64(r.endpoints[0].hold.at.Sub(now)))
+			"endpoints", len(r.endpoints), "after_ms", int64(r.endpoints[0].reservedRoom.at.Sub(now)))
 	}
 	state.reservation = r
 }
@@ -98,13 +98,13 @@
 	held := slices.Clone(r.endpoints)
 	r.release()
 	held = slices.DeleteFunc(held, func(e *endpoint) bool { return !slices.Contains(p.endpoints, e) })
-	if !c.holdEndpoints(r, held, tasks, now) {
-		c.holdEndpoints(r, p.endpoints, tasks, now)
+	if !c.reserveEndpoints(r, held, tasks, now) {
+		c.reserveEndpoints(r, p.endpoints, tasks, now)
 	}
 }
 
-// holdEndpoints reserves some of the endpoints. It reports false if they don't suffice.
-func (c *Controller) holdEndpoints(r *reservation, from []*endpoint, tasks int64, now tmclock.Millis) bool {
+// reserveEndpoints reserves some of the endpoints. It reports false if they don't suffice.
+func (c *Controller) reserveEndpoints(r *reservation, from []*endpoint, tasks int64, now tmclock.Millis) bool {
 	s := r.step
 	var endpoints []*endpoint
 	var places []tmorder.Place
@@ -120,7 +120,7 @@
 	}
 	for i, n := range found.Counts {
 		if n > 0 {
-			endpoints[i].hold = &hold{step: s, at: found.At, spare: found.Spare[i]}
+			endpoints[i].reservedRoom = &reservedRoom{step: s, at: found.At, spare: found.Spare[i]}
 			r.endpoints = append(r.endpoints, endpoints[i])
 		}
 	}
@@ -154,7 +154,7 @@
 // release gives up the capacity.
 func (r *reservation) release() {
 	for _, e := range r.endpoints {
-		e.hold = nil
+		e.reservedRoom = nil
 	}
 	r.endpoints = nil
 }
@@ -193,24 +193,24 @@
 // mayBackfill reports whether a task of the step may start on e without delaying the tasks
 // that e is reserved for.
 func (c *Controller) mayBackfill(s *step, e *endpoint) bool {
-	h := e.hold
+	h := e.reservedRoom
 	return h == nil || h.step == s || s.spec.LongRunning || c.endsBefore(s, h) || s.spec.Reservation().Fits(h.spare)
 }
 
 // endsBefore reports whether a task of the step that starts now ends before the reserved
 // tasks start.
-func (c *Controller) endsBefore(s *step, h *hold) bool {
+func (c *Controller) endsBefore(s *step, h *reservedRoom) bool {
 	return !c.now.Add(tmclock.Span(c.estimate(s.occ.job.spec.Queue, s.spec))).After(h.at)
 }
 
 // useSpare takes a run from the capacity that is reserved where it was placed, or from what
 // is spare beside that.
 func (c *Controller) useSpare(r *run) {
-	h := r.ep.hold
+	h := r.ep.reservedRoom
 	switch {
 	case h == nil:
 	case h.step == r.task.step:
-		r.ep.hold = nil
+		r.ep.reservedRoom = nil
 	case !c.endsBefore(r.task.step, h):
 		h.spare = h.spare.Sub(r.reservation)
 	}
--- a/core/tmcontrol/reserve_test.go
+++ b/core/tmcontrol/reserve_test.go
@@ -146,7 +146,7 @@
 	submit("large", 7500, 800)
 	submit("small", 1000, 70*tmclock.Second)
 	began := f.now
-	assert.Assert(t, f.c.endpoints["e1"].hold != nil)
+	assert.Assert(t, f.c.endpoints["e1"].reservedRoom != nil)
 	for !f.c.jobs["small"].begun {
 		f.advance(50)
 		assert.Assert(t, f.now.Sub(began) < 3*tmclock.Second)
@@ -210,7 +210,7 @@
 		state.hasBlocked, state.scarce = false, true
 		f.c.checkReservation(state, p, f.now)
 		f.c.reserve(steps[i%2], p, 1, f.now)
-		if f.c.endpoints["e1"].hold == nil {
+		if f.c.endpoints["e1"].reservedRoom == nil {
 			heldSince = f.now
 		}
 		longest = max(longest, f.now.Sub(heldSince))
@@ -239,6 +239,6 @@
 	f.advance(10)
 	f.advance(10)
 	submit("short", "low", 2000, 500)
-	assert.Assert(t, f.c.endpoints["e1"].hold != nil)
+	assert.Assert(t, f.c.endpoints["e1"].reservedRoom != nil)
 	assert.Equal(t, f.startsByJob()["short"], 1)
 }
--- a/core/tmcontrol/vacate_test.go
+++ b/core/tmcontrol/vacate_test.go
@@ -236,7 +236,7 @@
 	e := f.c.endpoints["e1"]
 	f.c.vacateEndpoints("s", 4, f.now)
 	assert.Assert(t, e.vacatingSince != 0)
-	e.hold = &hold{}
+	e.reservedRoom = &reservedRoom{}
 	f.restart("e1")
-	assert.Assert(t, e.vacatingSince == 0 && e.hold == nil)
+	assert.Assert(t, e.vacatingSince == 0 && e.reservedRoom == nil)
 }
