--- a/core/tmorder/scarce.go
+++ b/core/tmorder/scarce.go
@@ -160,9 +160,8 @@
 }
 
 // turnsPerPart is into how many turns the part of a team is divided. All teams have their
-// first turn before any has its second one. With 1, a small team's jobs may come after those
-// of all others and then be late. In the bursts of load_test.go, 2 serves as many callers as 1
-// to within 0.3%, and 1% more than 1,000.
+// first turn before any has its second one. With one turn, a small team's jobs may come after
+// those of all others and then be late.
 const turnsPerPart = 2
 
 // splitByShare divides the jobs into those within the part of their team, those over it,
@@ -209,9 +208,7 @@
 }
 
 // runTimeMargin is the fraction of the critical path by which run times may exceed their
-// estimates before a job that counts as meeting its objective misses it. In the simulated
-// bursts of load_test.go, 0 and 0.25 serve the same number of callers to within 1%, and 0.5
-// serves 3% fewer.
+// estimates before a job that counts as meeting its objective misses it.
 const runTimeMargin = 0.25
 
 // slack returns how long the start of a job may be delayed if it is to meet its objective.
--- a/core/tmstraggler/health.go
+++ b/core/tmstraggler/health.go
@@ -11,9 +11,8 @@
 const (
 	// maxChance is the probability of the observed long runs or failures on a healthy
 	// endpoint below which the endpoint is suspected. If the tail of the workload is known,
-	// it is maxKnownChance for long runs: endpoints are judged several times a second, and
-	// with 0.01 a simulated load of 2,400 tasks, 3 in 100 of them long, had healthy endpoints
-	// avoided 5 to 7 times.
+	// it is maxKnownChance for long runs: endpoints are judged several times a second, so that
+	// chances add up.
 	maxChance      = 0.01
 	maxKnownChance = 0.001
 	// minLongRuns is the minimum number of long runs at a slow endpoint: a single long task
