--- a/review/standin2/site.go
+++ b/review/standin2/site.go
@@ -22,6 +22,8 @@
 	service = "svc-a"
 	host    = "jobs.example"
 	apiKey  = "key-of-team-one-0123"
+	// otherKey is that of the other team.
+	otherKey = "key-of-team-two-0123"
 )
 
 // site is a small deployment: the platform and the workers in this process, the nodes as
@@ -50,6 +52,11 @@
 	}
 }
 
+// tenant is a team of the configuration, without a limit.
+func tenant(name, key string) map[string]any {
+	return map[string]any{"name": name, "apiKeys": []string{key}, "weight": 36, "upperBound": map[string]int64{"cpu": 0, "memMb": 0, "gpu": 0}}
+}
+
 // newSite starts the platform, the workers by their kinds, and the nodes, and waits until all
 // nodes are ready and the workers are held.
 func newSite(rec *record, root string, nodes int, kinds []string, routes ...map[string]any) (*site, error) {
@@ -74,7 +81,7 @@
 		"version": 3, "routes": routes,
 		"services": []map[string]any{{"name": service, "healthPath": "/health", "maxConns": 64, "rejectsOverload": false, "standby": false}},
 		"limits":   map[string]any{"maxBodyBytes": 262144},
-		"tenants":  []map[string]any{{"name": "team-one", "apiKeys": []string{apiKey}, "weight": 36, "upperBound": map[string]int64{"cpu": 0, "memMb": 0, "gpu": 0}}},
+		"tenants":  []map[string]any{tenant("team-one", apiKey), tenant("team-two", otherKey)},
 	})
 	for _, w := range s.workers {
 		w.start(0)
@@ -201,6 +208,10 @@
 
 // call makes a call of a requester at a node and returns the status, 0 without an answer.
 func (s *site) call(n *node, method, path string, body any) (int, map[string]any) {
+	return s.callAs(apiKey, n, method, path, body)
+}
+
+func (s *site) callAs(key string, n *node, method, path string, body any) (int, map[string]any) {
 	var payload io.Reader
 	if body != nil {
 		data, _ := json.Marshal(body)
@@ -211,7 +222,7 @@
 		return 0, nil
 	}
 	req.Host = host
-	req.Header.Set("Api-Key", apiKey)
+	req.Header.Set("Api-Key", key)
 	req.Header.Set("X-Deadline-Ms", "3000")
 	req.Header.Set("Content-Type", "application/json")
 	resp, err := client.Do(req)
