--- a/review/standin2/site.go
+++ b/review/standin2/site.go
@@ -204,7 +204,7 @@
 	}
 }
 
-var client = &http.Client{Timeout: 4 * time.Second}
+var client = &http.Client{Timeout: 4 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 64, MaxConnsPerHost: 128}}
 
 // call makes a call of a requester at a node and returns the status, 0 without an answer.
 func (s *site) call(n *node, method, path string, body any) (int, map[string]any) {
