--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,4 +4,4 @@
 cd "$(dirname "$0")/.."
 mkdir -p target
 cd review/standin2
-go build -o ../../target/review-standin2 .
+go build -buildvcs=false -o ../../target/review-standin2 .
