--- a/review/standin2/upkeep.go
+++ b/review/standin2/upkeep.go
@@ -53,8 +53,8 @@
 		rec.add("node", owner.name, "owns the fleet and is killed")
 		_ = owner.cmd.Process.Signal(syscall.SIGKILL)
 	}
-	// The usual work goes on.
-	job := map[string]any{"spec": "ms=6000", "steps": []map[string]any{{"count": 1, "cpu": 2000, "memMb": 1000, "estimatedMs": 6000}}}
+	// The usual work goes on. Its data lies in the rack of m-01.
+	job := map[string]any{"spec": "ms=6000", "steps": []map[string]any{{"count": 1, "cpu": 2000, "memMb": 1000, "estimatedMs": 6000, "dataRack": "r1-1"}}}
 	for i := range 24 {
 		time.Sleep(500 * time.Millisecond)
 		for k := range s.nodes {
