--- a/review/standin2/starved.go
+++ b/review/standin2/starved.go
@@ -29,7 +29,7 @@
 		return nil, err
 	}
 	id := jobID(1)
-	lasting := map[string]any{"spec": "last", "steps": []map[string]any{{"count": lastingTasks, "cpu": 8000, "memMb": 4000, "estimatedMs": 1000, "longRunning": true, "antiAffinity": 1}}}
+	lasting := map[string]any{"spec": "last", "steps": []map[string]any{{"count": lastingTasks, "cpu": 16000, "memMb": 4000, "estimatedMs": 1000, "longRunning": true, "antiAffinity": 1}}}
 	if err := s.submit("watch", id, lasting); err != nil {
 		return nil, err
 	}
