--- a/review/standin3/judge.go
+++ b/review/standin3/judge.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"strings"
 	"sync"
+	"time"
 )
 
 // judge sees what workers start and end, and finds tasks that run twice. As in RULES, TWICE is two
@@ -16,6 +17,8 @@
 	active map[string]map[int]*worker
 	// done holds the tasks of which an end as done was taken note of.
 	done map[string]bool
+	// idleSince holds since when a task that has run has no run at work.
+	idleSince map[string]time.Time
 	// begun holds the jobs of which a task was started.
 	begun  map[string]bool
 	starts int
@@ -24,7 +27,7 @@
 }
 
 func newJudge(w *world) *judge {
-	return &judge{w: w, active: map[string]map[int]*worker{}, done: map[string]bool{}, begun: map[string]bool{}, ends: map[string]int{}}
+	return &judge{w: w, active: map[string]map[int]*worker{}, done: map[string]bool{}, idleSince: map[string]time.Time{}, begun: map[string]bool{}, ends: map[string]int{}}
 }
 
 func (j *judge) started(k *worker, id runID) {
@@ -42,6 +45,7 @@
 		j.active[id.task] = map[int]*worker{}
 	}
 	j.active[id.task][id.run] = k
+	delete(j.idleSince, id.task)
 	job, _, _ := strings.Cut(id.task, ".")
 	j.begun[job] = true
 }
@@ -52,6 +56,9 @@
 	j.ends[how]++
 	j.w.note("end %s run %d on %s: %s", id.task, id.run, k.id, how)
 	delete(j.active[id.task], id.run)
+	if len(j.active[id.task]) == 0 {
+		j.idleSince[id.task] = time.Now()
+	}
 }
 
 // noted records that an owner has taken note of an end.
@@ -69,6 +76,16 @@
 	return j.begun[job]
 }
 
+// idleFor returns for how long a task has had no run at work since its last one.
+func (j *judge) idleFor(task string) time.Duration {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if since, ok := j.idleSince[task]; ok {
+		return time.Since(since)
+	}
+	return 0
+}
+
 func (j *judge) breaks(format string, args ...any) {
 	text := fmt.Sprintf(format, args...)
 	j.broken = append(j.broken, text)
--- a/review/standin3/main.go
+++ b/review/standin3/main.go
@@ -17,7 +17,7 @@
 const cannotRun = 2
 
 var scenarios = map[string]func(*world) int{
-	"late": playLate, "memory": playMemory, "stale": playStale, "wave": playWave,
+	"late": playLate, "memory": playMemory, "stale": playStale, "wave": playWave, "relocate": playRelocate,
 }
 
 func main() {
--- a/review/standin3/worker.go
+++ b/review/standin3/worker.go
@@ -260,7 +260,7 @@
 	}
 }
 
-var takesPattern = regexp.MustCompile(`ms=(\d+)`)
+var takesPattern = regexp.MustCompile(`ms=(\d+)(?:-(\d+))?`)
 
 func (k *worker) startRun(o order) string {
 	id := runID{o.Task, o.Run}
@@ -279,6 +279,9 @@
 	r := &running{id: id, began: time.Now()}
 	if m := takesPattern.FindStringSubmatch(o.Spec); m != nil {
 		ms, _ := strconv.Atoi(m[1])
+		if most, err := strconv.Atoi(m[2]); err == nil {
+			ms += rand.IntN(most - ms)
+		}
 		r.takes = time.Duration(ms) * time.Millisecond
 	}
 	if r.takes > 0 {
--- a/review/standin3/world.go
+++ b/review/standin3/world.go
@@ -368,6 +368,7 @@
 	Mem      int64 `json:"memMb"`
 	Estimate int64 `json:"estimatedMs"`
 	Lasts    bool  `json:"longRunning,omitempty"`
+	MayMiss  int   `json:"mayMiss,omitempty"`
 	After    []int `json:"after,omitempty"`
 }
 
