--- a/review/standin3/memory.go
+++ b/review/standin3/memory.go
@@ -9,9 +9,12 @@
 )
 
 const (
-	// plannedJobs is how many jobs for a later time are handed in, at plannedPerS a second.
-	plannedJobs = 1300
-	plannedPerS = 25
+	// Jobs for a later time come in bursts of burstTime at burstPerS a second: 2.6 times the site's 12.5
+	// jobs a second, for 4 s. Between two of them none comes.
+	bursts     = 10
+	burstPerS  = 32
+	burstTime  = 4 * time.Second
+	burstPause = 3 * time.Second
 	// plannedSteps is the number of steps of each of them with the disruption, and without it.
 	plannedSteps, fewSteps = 900, 2
 	// finishTime is after what time the jobs of the last traffic are asked for.
@@ -40,10 +43,14 @@
 		}
 		planned.Steps = append(planned.Steps, s)
 	}
-	accepted := w.handIn(plannedJobs, time.Second/plannedPerS, func(n int) (string, jobBody) {
-		return fmt.Sprintf("/quick/%016x", 0x100000+n), planned
-	})
-	w.note("%d of %d planned jobs of %d steps accepted", len(accepted), plannedJobs, count)
+	const burstJobs = int(burstPerS * burstTime / time.Second)
+	for b := range bursts {
+		accepted := w.handIn(burstJobs, time.Second/burstPerS, func(n int) (string, jobBody) {
+			return fmt.Sprintf("/quick/%016x", 0x100000+b*burstJobs+n), planned
+		})
+		w.note("burst %d: %d of %d planned jobs of %d steps accepted", b, len(accepted), burstJobs, count)
+		time.Sleep(burstPause)
+	}
 	// The ordinary jobs come after the large ones.
 	quick := jobBody{Spec: "ms=500", Steps: []step{{Count: 4, CPU: 1000, Mem: 100, Estimate: 500}}}
 	ordinary := w.handIn(20, 500*time.Millisecond, func(n int) (string, jobBody) {
--- a/review/standin3/relocate.go
+++ b/review/standin3/relocate.go
@@ -10,11 +10,12 @@
 	// lastingJob is the job whose tasks last, lastingTasks how many it has.
 	lastingJob   = "00000000000000a0"
 	lastingTasks = 4
-	// maxIdle is for how long a task that lasts may be without a run: 6 s, and then 3 s and the 4 s
-	// before them that have to be calm.
-	maxIdle = 13 * time.Second
-	// loadTime is how long short jobs come once the wave was requested.
-	loadTime = 30 * time.Second
+	// maxIdle is for how long a task that lasts may be without a run: 6 s and 3 s, and a second for
+	// the accuracy of the check. There is no disturbance, so that all of it is calm.
+	maxIdle = 10 * time.Second
+	// turnTime is how long short jobs come, and watchTime how long the tasks are watched.
+	turnTime  = 5 * time.Second
+	watchTime = 25 * time.Second
 )
 
 // playRelocate plays a wave of upkeep in a pool that is full of short tasks. A worker joins the pool.
@@ -30,20 +31,18 @@
 		return cannotRun
 	}
 	time.Sleep(3 * time.Second)
-	stop := make(chan struct{})
 	var load sync.WaitGroup
-	load.Go(func() { w.fillPool(stop, &load) })
-	time.Sleep(6 * time.Second)
+	load.Go(func() { w.fillPool(&load) })
+	time.Sleep(1500 * time.Millisecond)
 	if trouble {
 		machines := w.machinesOf(lastingJob)
 		w.note("the operator requests wave 1 for %v", machines)
 		w.store.put("op", "wave/1", map[string]any{"wave": 1, "machines": machines, "durationS": 60, "upperBound": 1})
 	}
-	time.Sleep(2 * time.Second)
+	time.Sleep(500 * time.Millisecond)
 	w.note("a machine joins the pool")
 	w.addMachine("m-08", "svc", "z0", "r2", capacity)
-	longest := w.watchLasting(loadTime)
-	close(stop)
+	longest := w.watchLasting(watchTime)
 	load.Wait()
 	w.note("a task that lasts had no run for %v, while the pool was full", longest)
 	fmt.Printf("a task that lasts had no run for %v, while the pool was full\n", longest.Round(100*time.Millisecond))
@@ -53,14 +52,11 @@
 	return 0
 }
 
-// fillPool hands in short jobs, more than the pool can hold.
-func (w *world) fillPool(stop <-chan struct{}, calls *sync.WaitGroup) {
-	for n := 0; ; n++ {
-		select {
-		case <-stop:
-			return
-		case <-time.After(110 * time.Millisecond):
-		}
+// fillPool hands in short jobs for one turn, some three times what the pool can hold.
+func (w *world) fillPool(calls *sync.WaitGroup) {
+	end := time.Now().Add(turnTime)
+	for n := 0; time.Now().Before(end); n++ {
+		time.Sleep(72 * time.Millisecond)
 		calls.Go(func() {
 			steps := []step{{Count: 48, CPU: 1000, Mem: 100, Estimate: 1000}}
 			w.submit(fmt.Sprintf("/quick/%016x", 0x1000+n), jobBody{Spec: "ms=500-1500", Steps: steps})
--- a/review/standin3/world.go
+++ b/review/standin3/world.go
@@ -182,7 +182,7 @@
 		"routes":   []any{route("quick", "/quick/"), route("watch", "/watch/")},
 		"services": services,
 		"limits":   map[string]any{"maxBodyBytes": 1 << 20},
-		"tenants":  []any{map[string]any{"name": "team-1", "apiKeys": []string{keyOfTeam}, "weight": 30, "upperBound": resources{}}},
+		"tenants":  []any{map[string]any{"name": "team-1", "apiKeys": []string{keyOfTeam}, "weight": 33, "upperBound": resources{}}},
 	})
 	for i := range workers {
 		w.addMachine(fmt.Sprintf("m-%02d", i), "svc", fmt.Sprintf("z%d", i%2), fmt.Sprintf("r%d", i/4), capacity)
@@ -225,16 +225,24 @@
 move_s = 1.5
 `
 
+// firstPort and ports are a range of ports that the system doesn't give to outgoing connections.
+const (
+	firstPort = 12000
+	ports     = 20000
+)
+
 // freeAddresses returns loopback addresses with free ports.
 func freeAddresses(n int) ([]string, error) {
 	var addresses []string
-	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
+	for tries := 0; len(addresses) < n; tries++ {
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(ports)))
+		if err != nil && tries > 100 {
 			return nil, err
 		}
-		defer func() { _ = l.Close() }()
-		addresses = append(addresses, l.Addr().String())
+		if err == nil {
+			defer func() { _ = l.Close() }()
+			addresses = append(addresses, l.Addr().String())
+		}
 	}
 	return addresses, nil
 }
