tmcontrol: a start order without an answer outlives the lifetime of its endpoint

An endpoint crashed and started again under its id, and the new lifetime carried out start orders that were meant for the one before, while their tasks ran elsewhere or had ended.

Cause: an order is bound to the id of its endpoint, which lifetimes share, and the end of the lease in it doesn't expire on the new clock. The owner forgot orders that could still arrive: all of them when the list of instances ended the lifetime, and else those of runs that had been listed, although a second copy may be on its way; and it took the list of a new lifetime for proof although earlier orders could still follow.

Ruled out: the id in the header can't tell lifetimes apart; stops bar a run only in the lifetime that gets them; waiting for the end of the lease in the order, see the clock.

A run that was released before is taken up again if its task is to start. A list of instances that was requested before the endpoint last answered ends no lifetime.

--- a/core/tmcontrol/backlog_test.go
+++ b/core/tmcontrol/backlog_test.go
@@ -123,7 +123,7 @@
 		next.Submitted(j.spec)
 	}
 	next.Tick(f.now, int64(f.now))
-	next.HoldAnswered("e1", HoldResponse{Clock: int64(f.now), StartedAt: 5}, f.now, f.now+1)
+	next.HoldAnswered("e1", HoldResponse{Clock: int64(f.now), StartedAt: 5}, next.callTo("e1", f.now), f.now+1)
 	assert.Equal(t, len(next.Backlogs(int64(f.now))), 0, "not all jobs may be known")
 	next.Loaded()
 	next.Tick(f.now, int64(f.now))
--- a/core/tmcontrol/bench_test.go
+++ b/core/tmcontrol/bench_test.go
@@ -38,7 +38,8 @@
 	}
 	c.Loaded()
 	for i := range endpoints {
-		c.HoldAnswered(fmt.Sprintf("e%d", i), HoldResponse{Clock: 1000, StartedAt: 1}, now, now)
+		id := fmt.Sprintf("e%d", i)
+		c.HoldAnswered(id, HoldResponse{Clock: 1000, StartedAt: 1}, c.callTo(id, now), now)
 	}
 	for i := range jobs {
 		c.Submitted(tmjob.Job{ID: fmt.Sprintf("j%d", i), Queue: fmt.Sprintf("q%d", i%5), Team: "t", Accepted: 1000, Steps: []tmjob.Step{
--- a/core/tmcontrol/controller.go
+++ b/core/tmcontrol/controller.go
@@ -19,6 +19,7 @@
 
 	"turmericmoor/core/tmclock"
 	"turmericmoor/core/tmevent"
+	"turmericmoor/core/tmfence"
 	"turmericmoor/core/tmjob"
 	"turmericmoor/core/tmquota"
 	"turmericmoor/core/tmshard"
@@ -30,7 +31,7 @@
 type Controller struct {
 	shard  tmshard.Shard
 	bounds Bounds
-	token  int64
+	tokens tmfence.Tokens
 	rules  Rules
 	emit   func(tmevent.Event)
 
@@ -104,7 +105,7 @@
 // receives every decision as an event.
 func New(shard tmshard.Shard, bounds Bounds, token int64, emit func(tmevent.Event)) *Controller {
 	c := &Controller{
-		shard: shard, bounds: bounds, token: token, emit: emit,
+		shard: shard, bounds: bounds, tokens: tmfence.New(token), emit: emit,
 		jobs: map[string]*job{}, endpoints: map[string]*endpoint{}, onInstance: map[string][]*endpoint{}, finalAt: map[string]tmclock.Millis{},
 		now: 1, teams: map[string]tmjob.Resources{}, shares: map[string]*shareMeter{}, zonesOut: map[string]bool{}, orders: map[string]*poolOrder{},
 		runTimes: map[string]*tmstraggler.Times{}, failureRates: map[string]*tmstraggler.Rate{},
@@ -346,6 +347,7 @@
 		return
 	}
 	r.ep.dropRun(r)
+	r.ep.keepLateStart(r, c.now)
 	c.leavePlace(r)
 	c.markAnswered(r)
 	c.teams[r.team] = c.teams[r.team].Sub(r.size)
--- a/core/tmcontrol/controller_test.go
+++ b/core/tmcontrol/controller_test.go
@@ -93,10 +93,15 @@
 // answerHold answers a hold of an endpoint with its active runs and the given ends.
 func (f *fixture) answerHold(endpoint string, ends ...EndedRun) {
 	f.now++
-	f.c.HoldAnswered(endpoint, HoldResponse{Clock: int64(f.now), StartedAt: 5 + f.restarts[endpoint], Active: f.runs[endpoint], Ended: ends}, f.now, f.now+1)
+	f.c.HoldAnswered(endpoint, HoldResponse{Clock: int64(f.now), StartedAt: 5 + f.restarts[endpoint], Active: f.runs[endpoint], Ended: ends}, f.c.callTo(endpoint, f.now), f.now+1)
 	f.now++
 }
 
+// callTo returns a hold that is sent to an endpoint now.
+func (c *Controller) callTo(endpoint string, now tmclock.Millis) HoldCall {
+	return HoldCall{SentAt: now, Token: c.endpoints[endpoint].token}
+}
+
 // end ends a run at an endpoint and reports it.
 func (f *fixture) end(endpoint string, task tmjob.TaskID, run int, reason EndReason) {
 	f.ends[endpoint]++
@@ -187,7 +192,7 @@
 	f.c.Submitted(oneTask("j"))
 	ref := f.advance(10)[0].Ref
 	f.now += 10
-	f.c.HoldAnswered("e1", HoldResponse{Clock: int64(f.now), StartedAt: 5, Truncated: true}, f.now, f.now+1)
+	f.c.HoldAnswered("e1", HoldResponse{Clock: int64(f.now), StartedAt: 5, Truncated: true}, f.c.callTo("e1", f.now), f.now+1)
 	assert.Equal(t, len(f.advance(10)), 0)
 	f.runs["e1"] = nil
 	f.answerHold("e1", EndedRun{Number: 501, Task: ref.Task, Run: ref.Run, Reason: EndDone})
--- a/core/tmcontrol/crash.go
+++ b/core/tmcontrol/crash.go
@@ -39,6 +39,11 @@
 	causeMoved       lossCause = "moved to another pool"
 )
 
+// mayReturn reports whether the endpoint may start again under its id.
+func (l lossCause) mayReturn() bool {
+	return l == causeDown || l == causeUnknown || l == causeRestarted
+}
+
 // crash is the end of a lifetime of an endpoint that was not planned.
 type crash struct {
 	endpoint, zone string
--- a/core/tmcontrol/dump.go
+++ b/core/tmcontrol/dump.go
@@ -18,7 +18,7 @@
 		return nil
 	}
 	for id, e := range c.endpoints {
-		if !held[id] && !e.gone && e.info.Address != "" && (e.listed || len(e.runs) > 0) {
+		if !held[id] && e.needsHold() {
 			ids = append(ids, id)
 		}
 	}
@@ -29,8 +29,7 @@
 // Paced handles the answer to a pace order.
 func (c *Controller) Paced(o PaceOrder, a Answer) {
 	if a == Fenced {
-		c.OwnerFenced(o.Ref.Endpoint)
-		return
+		c.orderFenced(o.Ref)
 	}
 	e := c.endpoints[o.Ref.Endpoint]
 	if e == nil || a == Accepted {
@@ -102,7 +101,7 @@
 // Dump returns the state of the controller.
 func (c *Controller) Dump() Dump {
 	d := Dump{
-		Token: c.token, Rules: c.rules.Version, Jobs: len(c.jobs), Waiting: c.Waiting(), StartWindow: c.window.size(),
+		Token: c.tokens.First(), Rules: c.rules.Version, Jobs: len(c.jobs), Waiting: c.Waiting(), StartWindow: c.window.size(),
 		Interference: c.neighbours.dump(), Pools: map[string]PoolDump{}, Teams: map[string]tmjob.Resources{},
 	}
 	for team, used := range c.teams {
--- a/core/tmcontrol/endpoint.go
+++ b/core/tmcontrol/endpoint.go
@@ -27,9 +27,12 @@
 type endpoint struct {
 	info   EndpointInfo
 	listed bool
+	// token is the fencing token of calls to the endpoint. It is higher than that of all calls
+	// to earlier lifetimes.
+	token int64
 	// listedAt is when this lifetime was first seen in the list.
 	listedAt tmclock.Millis
-	// tokenAccepted is set once the endpoint has accepted this owner's fencing token.
+	// tokenAccepted is set once this lifetime has accepted token.
 	// answering is set while the endpoint answers holds, answeredAt is when it last did,
 	// silentAt when it last ceased to.
 	tokenAccepted, answering bool
@@ -51,6 +54,9 @@
 	// effects are stored.
 	seen, acked int64
 	runs        map[runKey]*run
+	// lateStarts holds the start orders of runs that are not in runs any more, as long as
+	// another lifetime may carry them out.
+	lateStarts []lateStart
 	// stepRuns counts the runs by the step of one occurrence.
 	stepRuns map[*step]int
 	// unknownRuns counts the runs that the endpoint lists and the controller doesn't
@@ -108,6 +114,7 @@
 // addEndpoint adds an endpoint that is not known yet.
 func (c *Controller) addEndpoint(info EndpointInfo) *endpoint {
 	e := newEndpoint(EndpointInfo{ID: info.ID})
+	e.token = c.tokens.Current()
 	c.endpoints[info.ID] = e
 	c.byID, c.needsSort = append(c.byID, e), true
 	c.setInfo(e, info)
--- a/core/tmcontrol/fleet.go
+++ b/core/tmcontrol/fleet.go
@@ -170,7 +170,13 @@
 // of the endpoint has expired.
 func (c *Controller) checkAlive(e *endpoint, sentAt tmclock.Millis) {
 	i, ok := c.fleet.instances[e.info.Instance]
-	if e.gone || !sentAt.After(e.listedAt) {
+	if e.gone {
+		if !ok || i.State != InstanceUp {
+			c.releaseLateStarts(e, sentAt)
+		}
+		return
+	}
+	if !sentAt.After(e.listedAt) || sentAt.Before(max(e.answeredAt, e.orderAnsweredAt)) {
 		return
 	}
 	if e.info.Instance == "" && !e.answering && len(c.fleet.instances) > 0 && !c.isOnInstance(e.info.ID) {
--- a/core/tmcontrol/hold.go
+++ b/core/tmcontrol/hold.go
@@ -17,10 +17,10 @@
 // false once the endpoint needs no more calls.
 func (c *Controller) NextHold(id string, now tmclock.Millis) (HoldRequest, bool) {
 	e := c.endpoints[id]
-	if e == nil || e.gone || (!e.listed && len(e.runs) == 0) || e.info.Address == "" {
+	if e == nil || !e.needsHold() {
 		return HoldRequest{}, false
 	}
-	h := HoldRequest{Address: e.info.Address, Token: c.token, Acked: e.acked}
+	h := HoldRequest{Address: e.info.Address, Token: e.token, Acked: e.acked}
 	// A busy owner may always be late, so that it withholds them only once.
 	isLate := now.Sub(e.answeredAt) > minRestartTime && !e.acksWithheld
 	e.acksWithheld = !e.answering || isLate
@@ -48,7 +48,13 @@
 	if e == nil || e.gone || len(e.runs) == 0 {
 		return HoldRequest{}, false
 	}
-	return HoldRequest{Address: e.info.Address, Token: c.token}, true
+	return HoldRequest{Address: e.info.Address, Token: e.token}, true
+}
+
+// needsHold reports whether an endpoint is to be called. One that has crashed is called as long
+// as its next lifetime may carry out orders that were meant for it.
+func (e *endpoint) needsHold() bool {
+	return e.info.Address != "" && (e.listed && !e.gone || len(e.runs)+len(e.lateStarts) > 0)
 }
 
 // minRestartTime is the least time in which an endpoint can crash and start again. After a
@@ -119,17 +125,17 @@
 // OwnershipConfirmed records that this node was seen to own the fleet.
 func (c *Controller) OwnershipConfirmed(now tmclock.Millis) { c.confirmedAt = now }
 
-// HoldAnswered handles the response to a hold that was sent at sentAt. It reports
-// whether the caller has to plan again or to send orders.
-func (c *Controller) HoldAnswered(id string, response HoldResponse, sentAt, now tmclock.Millis) (news bool) {
+// HoldAnswered handles the response to a hold. It reports whether the caller has to plan again
+// or to send orders.
+func (c *Controller) HoldAnswered(id string, response HoldResponse, call HoldCall, now tmclock.Millis) (news bool) {
 	e := c.endpoints[id]
-	if e == nil || e.gone || e.isOvertaken(response) {
+	if e == nil || e.isOvertaken(response, call) {
 		return false
 	}
 	c.neighbours.reached(now)
-	news = len(response.Ended) > 0 || !e.answering
-	list := response.list(sentAt)
-	if response.StartedAt > e.info.StartedAt && e.info.StartedAt != 0 || e.tokenAccepted && response.Clock < e.clock {
+	news = len(response.Ended) > 0 || !e.answering || !e.tokenAccepted
+	list := response.list(call.SentAt)
+	if response.StartedAt > e.info.StartedAt && e.info.StartedAt != 0 || (e.tokenAccepted || e.gone) && response.Clock < e.clock {
 		c.event(tmevent.EndpointRestarted, "endpoint", id, "born", response.StartedAt)
 		c.resetLifetime(e, max(response.StartedAt, e.info.StartedAt), list)
 	}
@@ -142,7 +148,10 @@
 	if !e.tokenAccepted {
 		c.endReplacedLifetimes(e.info)
 	}
-	e.tokenAccepted, e.answering, e.answeredAt = true, true, now
+	e.gone, e.answering, e.answeredAt = false, true, now
+	if call.Token >= e.token {
+		c.acceptToken(e, now)
+	}
 	c.forgetLapse(e)
 	for _, end := range response.Ended {
 		if end.Number > e.seen {
@@ -158,16 +167,21 @@
 			c.stopUnknown(e, a, now)
 		}
 	}
-	c.reconcileAllMissing(e, list, now)
+	if e.tokenAccepted {
+		c.reconcileAllMissing(e, list, now)
+	}
 	c.planPaces(e, now)
 	c.checkProgress(e, now)
 	return news || e.stopping > 0 || len(c.stops)+len(c.paces) > 0
 }
 
-// isOvertaken reports whether a response is older than one that was handled before: from
-// an earlier lifetime, or from an earlier time of the same one. Answers to holds that are
-// under way at the same time may arrive in any order.
-func (e *endpoint) isOvertaken(response HoldResponse) bool {
+// isOvertaken reports whether a response is older than what is known of the endpoint: from an
+// earlier lifetime, from an earlier time of the same one, or from before this one was found to
+// be over. Answers to holds that are under way at the same time may arrive in any order.
+func (e *endpoint) isOvertaken(response HoldResponse, call HoldCall) bool {
+	if e.gone && response.StartedAt <= e.info.StartedAt && call.Token < e.token {
+		return true
+	}
 	if response.StartedAt == 0 || response.StartedAt > e.info.StartedAt {
 		return false
 	}
@@ -202,8 +216,25 @@
 func (c *Controller) OwnerFenced(id string) {
 	if !c.deposed {
 		c.deposed = true
-		c.event(tmevent.OwnerDeposed, "endpoint", id, "token", c.token)
+		c.event(tmevent.OwnerDeposed, "endpoint", id, "token", c.tokens.Current())
+	}
+}
+
+// HoldFenced records that a hold was rejected because of a higher fencing token.
+func (c *Controller) HoldFenced(id string, call HoldCall) {
+	if e := c.endpoints[id]; e == nil || call.Token >= e.token {
+		c.OwnerFenced(id)
+	}
+}
+
+// orderFenced records that an order was rejected because of a higher fencing token. It reports
+// false if that is the token to which this owner itself has raised that of the endpoint since.
+func (c *Controller) orderFenced(ref RunRef) bool {
+	if e := c.endpoints[ref.Endpoint]; e != nil && ref.Token < e.token {
+		return false
 	}
+	c.OwnerFenced(ref.Endpoint)
+	return true
 }
 
 func (c *Controller) updateActive(r *run, a ActiveRun, now tmclock.Millis) {
@@ -231,9 +262,9 @@
 
 func (c *Controller) stopUnknown(e *endpoint, a ActiveRun, now tmclock.Millis) {
 	e.unknownRuns++
-	ref := RunRef{Task: a.Task, Run: a.Run, Endpoint: e.info.ID, SentAt: now}
+	ref := RunRef{Task: a.Task, Run: a.Run, Endpoint: e.info.ID, SentAt: now, Token: e.token}
 	c.event(tmevent.RunUnexplained, "task", a.Task.String(), "run", a.Run, "endpoint", e.info.ID)
-	c.stops = append(c.stops, StopOrder{Ref: ref, Address: e.info.Address, Token: c.token})
+	c.stops = append(c.stops, StopOrder{Ref: ref, Address: e.info.Address})
 }
 
 // reconcileAllMissing handles the runs that an endpoint doesn't list. A truncated list
--- a/core/tmcontrol/job.go
+++ b/core/tmcontrol/job.go
@@ -150,7 +150,13 @@
 	inFlight   bool
 	unanswered bool
 	tries      int
-	startedAt  tmclock.Millis
+	// copies counts the copies of the start order that were sent, answeredCopies those that got
+	// an answer. accepted is set if one of the answers was Accepted. Until lateUntil the others
+	// may be carried out.
+	copies, answeredCopies int
+	accepted               bool
+	lateUntil              tmclock.Millis
+	startedAt              tmclock.Millis
 	// begun is set once the endpoint has accepted or listed the run.
 	begun bool
 	// atWork is set once the endpoint has listed the run MinWorkTime after its start.
--- a/core/tmcontrol/lifetime.go
+++ b/core/tmcontrol/lifetime.go
@@ -62,17 +62,20 @@
 	truncated bool
 }
 
-// shows reports whether the list tells what became of a run: it is there, or it can no
-// longer start.
-func (l *runList) shows(r *run) bool {
-	return l.runs[r.key()] || !l.truncated && !r.inFlight && !r.unanswered && l.sentAt.After(r.settledAt)
+// provesAbsence reports whether the list tells that a run is not there. All copies of its
+// start order have been answered.
+func (l *runList) provesAbsence(r *run) bool {
+	return !l.runs[r.key()] && !l.truncated && l.sentAt.After(r.settledAt)
 }
 
 // resetLifetime ends the runs of the earlier lifetime of an endpoint that restarted under
 // its id. list is what the new lifetime has listed, nil if that isn't known yet.
 func (c *Controller) resetLifetime(e *endpoint, startedAt int64, list *runList) {
 	lost := runsLostBy(e, list)
-	c.recordCrash(e, causeRestarted, lost)
+	if !e.gone {
+		c.recordCrash(e, causeRestarted, lost)
+		c.raiseToken(e)
+	}
 	c.settleLapse(e)
 	e.info.StartedAt = startedAt
 	e.lifetime++
@@ -86,13 +89,28 @@
 	e.forgetPlans()
 	e.isolated = nil
 	e.place.Restarted()
-	for _, r := range lost {
-		if r.mayStartLate(list) {
-			c.stopLateStart(r)
-		} else {
-			c.loseRun(r, causeRestarted)
-		}
+	c.endRuns(lost, func(r *run) bool { return r.mayStartLate(list, c.now) }, causeRestarted)
+	c.recallLateStarts(e)
+}
+
+// raiseToken raises the fencing token of an endpoint whose lifetime is over, so that the next
+// lifetime carries out no more orders that were meant for this one once it has been called.
+func (c *Controller) raiseToken(e *endpoint) {
+	token, ok := c.tokens.Raise()
+	if !ok {
+		// The next owner has new ones.
+		c.OwnerFenced(e.info.ID)
+	}
+	e.token, e.tokenAccepted = token, false
+}
+
+// acceptToken records that an endpoint has accepted its fencing token. Before that, calls to an
+// earlier lifetime may have extended its lease as far as possible.
+func (c *Controller) acceptToken(e *endpoint, now tmclock.Millis) {
+	if !e.tokenAccepted && e.lifetime > 0 {
+		e.leaseExpiry = now.Add(maxLeaseTime(c.bounds.MaxLease))
 	}
+	e.tokenAccepted = true
 }
 
 // forgetPlans drops what was planned for an earlier lifetime of an endpoint.
@@ -111,22 +129,7 @@
 	return lost
 }
 
-// mayStartLate reports whether the new lifetime of its endpoint may have carried out the
-// start order of a run, or may still do so. An order is not bound to a lifetime.
-func (r *run) mayStartLate(list *runList) bool {
-	if r.phase == planned || r.listed {
-		return false
-	}
-	return list == nil || !list.shows(r)
-}
-
-// stopLateStart stops a run whose start order the new lifetime of its endpoint may carry out.
-// Until the endpoint shows that it is gone, the task must not start elsewhere.
-func (c *Controller) stopLateStart(r *run) {
-	c.stopRun(r, string(causeRestarted))
-	r.stopSentAt, r.stopConfirmed, r.crashed = 0, false, true
-}
-
+// endLifetime ends the lifetime of an endpoint that is known to be over.
 func (c *Controller) endLifetime(e *endpoint, cause lossCause) {
 	if e.gone {
 		return
@@ -135,9 +138,17 @@
 	e.forgetHealth()
 	e.forgetPlans()
 	c.event(tmevent.EndpointLost, "endpoint", e.info.ID, "runs", len(e.runs), "cause", string(cause))
-	c.recordCrash(e, cause, runsLostBy(e, nil))
+	lost := runsLostBy(e, nil)
+	c.recordCrash(e, cause, lost)
 	c.settleLapse(e)
-	c.loseRuns(e, cause)
+	c.raiseToken(e)
+	if !cause.mayReturn() {
+		c.loseRuns(e, cause)
+		e.lateStarts = nil
+		return
+	}
+	c.endRuns(lost, func(r *run) bool { return r.lateCopies(c.now) > 0 }, cause)
+	c.recallLateStarts(e)
 }
 
 func (c *Controller) loseRuns(e *endpoint, cause lossCause) {
--- a/core/tmcontrol/message.go
+++ b/core/tmcontrol/message.go
@@ -14,6 +14,8 @@
 	// SentAt distinguishes a late answer to an earlier order from the answer to the
 	// latest one.
 	SentAt tmclock.Millis
+	// Token is the fencing token that the order carries.
+	Token int64
 }
 
 // StartOrder tells an endpoint to start a task.
@@ -23,7 +25,6 @@
 	Spec    string
 	// Until is the end of the lease on the endpoint's clock in milliseconds.
 	Until      int64
-	Token      int64
 	Checkpoint string
 	// Ticket is the placement policy's permission to run the task at the endpoint, or
 	// "" if the queue needs none.
@@ -34,7 +35,6 @@
 type StopOrder struct {
 	Ref     RunRef
 	Address string
-	Token   int64
 }
 
 // PaceOrder tells an endpoint at what percentage of its full speed a task may
@@ -43,7 +43,6 @@
 	Ref     RunRef
 	Address string
 	Percent int
-	Token   int64
 }
 
 // Answer is the outcome of an order to an endpoint.
@@ -87,8 +86,8 @@
 func (a Answer) String() string { return answerNames[a] }
 
 // IsDefinite reports whether the answer to a start order also tells the fate of every
-// other order for the same run at the same endpoint: the run exists there, or no order
-// for it can be carried out there any more.
+// other order for the same run in the same lifetime of the endpoint: the run exists there,
+// or no order for it can be carried out there any more.
 func (a Answer) IsDefinite() bool {
 	return a == Accepted || a == Fenced || a == Superseded || a == OtherEndpoint
 }
@@ -152,6 +151,13 @@
 	Truncated bool
 }
 
+// HoldCall identifies the call that a HoldResponse answers: when it was sent, and the
+// fencing token that it carried.
+type HoldCall struct {
+	SentAt tmclock.Millis
+	Token  int64
+}
+
 // HoldRequest is the content of a hold: a long poll that renews the lease of an
 // endpoint and returns its active and ended runs.
 type HoldRequest struct {
--- a/core/tmcontrol/neighbour_test.go
+++ b/core/tmcontrol/neighbour_test.go
@@ -196,7 +196,7 @@
 	for _, r := range s.running[id] {
 		response.Active = append(response.Active, ActiveRun{Task: r.ref.Task, Run: r.ref.Run, Percent: 100})
 	}
-	s.c.HoldAnswered(id, response, s.now, s.now)
+	s.c.HoldAnswered(id, response, s.c.callTo(id, s.now), s.now)
 }
 
 // checkWaiting counts a pass after which a task waits although an endpoint has room for it.
--- a/core/tmcontrol/order.go
+++ b/core/tmcontrol/order.go
@@ -23,16 +23,16 @@
 func (c *Controller) sendStart(r *run, now tmclock.Millis) {
 	r.phase, r.inFlight, r.sentAt = ordered, true, now
 	r.tries++
+	r.copySent(now)
 	if r.pending {
 		c.unansweredStarts = append(c.unansweredStarts, r)
 	}
 	e := r.ep
 	c.starts = append(c.starts, StartOrder{
-		Ref:        RunRef{Task: r.task.id, Run: r.n, Endpoint: e.info.ID, SentAt: now},
+		Ref:        RunRef{Task: r.task.id, Run: r.n, Endpoint: e.info.ID, SentAt: now, Token: e.token},
 		Address:    e.info.Address,
 		Spec:       r.task.step.occ.job.spec.Spec,
 		Until:      e.grantLease(startValidity, now),
-		Token:      c.token,
 		Checkpoint: r.startCheckpoint(),
 		Ticket:     r.ticket,
 	})
@@ -79,15 +79,14 @@
 
 // Started handles the answer to a start order.
 func (c *Controller) Started(ref RunRef, a Answer, now tmclock.Millis) {
-	e := c.endpoints[ref.Endpoint]
-	if e == nil {
-		return
-	}
-	r := e.runs[runKey{ref.Task, ref.Run}]
+	r := c.findRun(ref)
 	if r == nil || r.sentAt != ref.SentAt {
+		c.CopyAnswered(ref, a)
 		return
 	}
+	e := r.ep
 	r.inFlight = false
+	r.copyAnswered(a)
 	c.recordStart(r, a, now)
 	c.markAnswered(r)
 	if a != Accepted {
@@ -103,7 +102,9 @@
 			c.sendStop(r, now)
 		}
 	case Fenced:
-		c.OwnerFenced(ref.Endpoint)
+		if !c.orderFenced(ref) {
+			c.notStarted(r, a, now)
+		}
 	case Superseded:
 		// The run, or a later one of its task, has ended or been stopped at the endpoint.
 		// The next response to a hold shows whether the run ended.
@@ -162,15 +163,14 @@
 		return
 	}
 	r.stopSentAt = now
-	ref := RunRef{Task: r.task.id, Run: r.n, Endpoint: r.ep.info.ID, SentAt: now}
-	c.stops = append(c.stops, StopOrder{Ref: ref, Address: r.ep.info.Address, Token: c.token})
+	ref := RunRef{Task: r.task.id, Run: r.n, Endpoint: r.ep.info.ID, SentAt: now, Token: r.ep.token}
+	c.stops = append(c.stops, StopOrder{Ref: ref, Address: r.ep.info.Address})
 }
 
 // Stopped handles the answer to a stop order.
 func (c *Controller) Stopped(ref RunRef, a Answer, now tmclock.Millis) {
 	if a == Fenced {
-		c.OwnerFenced(ref.Endpoint)
-		return
+		c.orderFenced(ref)
 	}
 	e := c.endpoints[ref.Endpoint]
 	if e == nil || a != Accepted {
--- a/core/tmcontrol/order_test.go
+++ b/core/tmcontrol/order_test.go
@@ -69,10 +69,10 @@
 	f.advance(10)
 	f.answerHold("e1")
 	early := HoldResponse{Clock: int64(f.now) - 5, StartedAt: 5, Active: f.runs["e1"]}
-	f.c.HoldAnswered("e1", early, f.now, f.now+1)
+	f.c.HoldAnswered("e1", early, f.c.callTo("e1", f.now), f.now+1)
 	assert.Equal(t, len(f.c.endpoints["e1"].runs), 1)
 	previous := HoldResponse{Clock: int64(f.now) + 9000, StartedAt: 4, Ended: []EndedRun{{Number: 900, Task: tmjob.TaskID{Job: "x"}}}}
-	f.c.HoldAnswered("e1", previous, f.now, f.now+1)
+	f.c.HoldAnswered("e1", previous, f.c.callTo("e1", f.now), f.now+1)
 	assert.Equal(t, f.c.endpoints["e1"].seen, int64(0))
 }
 
--- a/core/tmcontrol/pace.go
+++ b/core/tmcontrol/pace.go
@@ -48,8 +48,8 @@
 		r.pace, r.pacedAt = pace, now
 		c.event(tmevent.TaskPaced, "task", r.task.id.String(), "run", r.n, "endpoint", e.info.ID,
 			"percent", pace, "worst_of_target", worst)
-		ref := RunRef{Task: r.task.id, Run: r.n, Endpoint: e.info.ID, SentAt: now}
-		c.paces = append(c.paces, PaceOrder{Ref: ref, Address: e.info.Address, Percent: pace, Token: c.token})
+		ref := RunRef{Task: r.task.id, Run: r.n, Endpoint: e.info.ID, SentAt: now, Token: e.token}
+		c.paces = append(c.paces, PaceOrder{Ref: ref, Address: e.info.Address, Percent: pace})
 	}
 }
 
--- a/core/tmcontrol/pool.go
+++ b/core/tmcontrol/pool.go
@@ -337,7 +337,7 @@
 
 func (c *Controller) orderMove(m *move, now tmclock.Millis) {
 	m.orderedAt, m.inFlight = now, true
-	c.orderInstance(InstanceOrder{Instance: m.instance, Token: c.token, Pool: m.pool})
+	c.orderInstance(InstanceOrder{Instance: m.instance, Token: c.tokens.First(), Pool: m.pool})
 }
 
 // retryMoves repeats move orders that got no answer. The platform also accepts the
--- a/core/tmcontrol/tick.go
+++ b/core/tmcontrol/tick.go
@@ -13,7 +13,8 @@
 		if len(e.runs) > 0 && !e.answering && now.After(e.leaseExpiry) {
 			c.lapse(e)
 		}
-		if !e.listed && len(e.runs) == 0 {
+		e.pruneLateStarts(now)
+		if !e.listed && len(e.runs)+len(e.lateStarts) == 0 {
 			c.removeEndpoint(e)
 			continue
 		}
--- a/core/tmcontrol/uneven_test.go
+++ b/core/tmcontrol/uneven_test.go
@@ -213,7 +213,7 @@
 		}
 		response.Active = append(response.Active, ActiveRun{Task: r.ref.Task, Run: r.ref.Run, Percent: min(percent, 99)})
 	}
-	s.c.HoldAnswered(id, response, s.now, s.now)
+	s.c.HoldAnswered(id, response, s.c.callTo(id, s.now), s.now)
 }
 
 // failed counts the jobs that failed or have no outcome.
--- a/core/tmcontrol/wave.go
+++ b/core/tmcontrol/wave.go
@@ -283,7 +283,7 @@
 			if e := c.endpointOn(it.id); e != nil {
 				e.ending = true
 			}
-			c.orderInstance(InstanceOrder{Instance: it.id, Token: c.token, Wave: w.Number})
+			c.orderInstance(InstanceOrder{Instance: it.id, Token: c.tokens.First(), Wave: w.Number})
 		}
 	}
 }
--- a/internal/emulator/endpoint.go
+++ b/internal/emulator/endpoint.go
@@ -209,7 +209,7 @@
 	}
 	key := taskRun{o.Ref.Task, o.Ref.Run}
 	switch {
-	case !e.fence(o.Token):
+	case !e.fence(o.Ref.Token):
 		return tmcontrol.Fenced
 	case e.runs[key] != nil:
 		return tmcontrol.Accepted
@@ -253,7 +253,7 @@
 // Stop processes a stop order.
 func (e *Endpoint) Stop(o tmcontrol.StopOrder) tmcontrol.Answer {
 	e.advance()
-	if !e.fence(o.Token) {
+	if !e.fence(o.Ref.Token) {
 		return tmcontrol.Fenced
 	}
 	key := taskRun{o.Ref.Task, o.Ref.Run}
--- a/internal/fleetsim/shard_test.go
+++ b/internal/fleetsim/shard_test.go
@@ -5,6 +5,7 @@
 	"testing/synctest"
 	"time"
 
+	"turmericmoor/core/tmfence"
 	"turmericmoor/internal/tmseed"
 	"turmericmoor/io/tmrecord"
 )
@@ -111,7 +112,7 @@
 		sim.nodes[i] = restarted
 		sim.mu.Unlock()
 		time.Sleep(restartTime)
-		if after := sim.store.ownerToken(); after != before+1 || sim.owner() != i {
+		if after := sim.store.ownerToken(); after != tmfence.NextTerm(before) || sim.owner() != i {
 			t.Errorf("the token was %d and is %d, and node %d owns the fleet instead of %d", before, after, sim.owner(), i)
 		}
 		killed.stop()
--- a/io/tmelection/election.go
+++ b/io/tmelection/election.go
@@ -15,6 +15,7 @@
 
 	"turmericmoor/core/tmadmit"
 	"turmericmoor/core/tmevent"
+	"turmericmoor/core/tmfence"
 
 	"turmericmoor/io/tmrecord"
 	"turmericmoor/io/tmtable"
@@ -124,7 +125,7 @@
 	if !ok {
 		return 0, false
 	}
-	next := tmrecord.Owner{Holder: c.Board.Name, Token: row.Token + 1, Cores: c.Board.Cores}
+	next := tmrecord.Owner{Holder: c.Board.Name, Token: tmfence.NextTerm(row.Token), Cores: c.Board.Cores}
 	if err := c.write(ctx, next, version); err != nil {
 		return 0, false
 	}
--- a/io/tmowner/call.go
+++ b/io/tmowner/call.go
@@ -125,7 +125,6 @@
 	if !tmwait.Pause(ctx, tmcontrol.MinWorkTime.Duration()) {
 		return
 	}
-	sentAt := o.opts.Clock.Now()
 	o.mu.Lock()
 	h, ok := o.ctl.ListRequest(id)
 	o.mu.Unlock()
@@ -135,8 +134,8 @@
 	callCtx, cancel := context.WithTimeout(ctx, holdTimeoutMargin)
 	defer cancel()
 	// The hold that is under way shows whether the endpoint is silent.
-	if response, err := o.opts.Endpoints.Hold(callCtx, id, h); err == nil {
-		o.holdAnswered(id, response, sentAt)
+	if held := o.callHold(callCtx, id, h); held.err == nil {
+		o.holdAnswered(id, held)
 		o.requestPlan()
 	}
 }
@@ -166,10 +165,10 @@
 			return
 		}
 		if held.err != nil {
-			o.holdFailed(ctx, id, held.err)
+			o.holdFailed(ctx, id, held)
 			continue
 		}
-		if stored, ends := o.holdAnswered(id, held.response, held.sentAt); ends {
+		if stored, ends := o.holdAnswered(id, held); ends {
 			o.awaitStored(ctx, stored)
 		}
 	}
@@ -178,10 +177,10 @@
 // holdAnswered passes the response of a hold to the controller. It returns the
 // channel that is closed when the next flush is stored, and whether ends of the endpoint
 // wait for that.
-func (o *Owner) holdAnswered(id string, resp tmcontrol.HoldResponse, sent tmclock.Millis) (<-chan struct{}, bool) {
+func (o *Owner) holdAnswered(id string, held heldRuns) (<-chan struct{}, bool) {
 	now := o.opts.Clock.Now()
 	o.lockForStarts()
-	changed := o.ctl.HoldAnswered(id, resp, sent, now)
+	changed := o.ctl.HoldAnswered(id, held.response, held.call, now)
 	stored, ends := o.storedCh, o.ctl.HasUnstoredEnds(id)
 	o.mu.Unlock()
 	if changed {
@@ -190,12 +189,12 @@
 	return stored, ends
 }
 
-func (o *Owner) holdFailed(ctx context.Context, id string, err error) {
+func (o *Owner) holdFailed(ctx context.Context, id string, held heldRuns) {
 	o.mu.Lock()
-	if errors.Is(err, ErrFenced) {
-		o.ctl.OwnerFenced(id)
+	if errors.Is(held.err, ErrFenced) {
+		o.ctl.HoldFenced(id, held.call)
 	} else {
-		o.ctl.HoldFailed(id, err.Error(), o.opts.Clock.Now())
+		o.ctl.HoldFailed(id, held.err.Error(), o.opts.Clock.Now())
 	}
 	o.mu.Unlock()
 	o.requestPlan()
--- a/io/tmowner/hedge.go
+++ b/io/tmowner/hedge.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
@@ -18,10 +19,11 @@
 // hedged makes a call in a goroutine of work, and makes it a second time if there is no
 // result after delay and allow permits it. A delay of 0 means no second call, unless a
 // delay arrives from later. hedged returns the results in the order in which they arrived,
-// up to the first one that settles the matter.
+// up to the first one that settles the matter, and the channel on which the results of the
+// calls arrive that are still under way.
 func hedged[T any](
 	work *sync.WaitGroup, delay time.Duration, later <-chan time.Duration, allow func() bool, call func(attempt int) T, settles func(T) bool,
-) []T {
+) ([]T, underWay[T]) {
 	results := make(chan T, 2)
 	work.Go(func() { results <- call(1) })
 	outstanding := 1
@@ -46,12 +48,18 @@
 			outstanding--
 			all = append(all, r)
 			if settles(r) || outstanding == 0 {
-				return all
+				return all, underWay[T]{n: outstanding, results: results}
 			}
 		}
 	}
 }
 
+// underWay are n calls that have no result yet.
+type underWay[T any] struct {
+	n       int
+	results <-chan T
+}
+
 // hedgeBudget limits second calls to a fraction of all calls of one kind. It keeps an
 // owner that is itself too busy to read answers from making twice the calls. It is safe
 // for concurrent use.
@@ -74,30 +82,61 @@
 	return b.budget.AllowRetry()
 }
 
-// hedgedStart sends a start order, and sends it once more if no answer comes. An endpoint
-// carries out an order only once. A refusal counts only if no other order for the run
-// may still be carried out.
+// hedgedStart sends a start order, and sends it once more if no answer comes. A lifetime of
+// an endpoint carries out an order only once. A refusal counts only if no other copy of the
+// order may still be carried out.
 func (o *Owner) hedgedStart(ctx context.Context, s tmcontrol.StartOrder) tmcontrol.Answer {
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
-	defer cancel()
 	o.startHedges.recordCall()
-	answers := hedged(&o.work, startHedgeDelay, nil, o.startHedges.allow,
+	answers, rest := hedged(&o.work, startHedgeDelay, nil, func() bool { return o.repeatStart(s.Ref) },
 		func(int) tmcontrol.Answer { return o.opts.Endpoints.Start(ctx, s) }, tmcontrol.Answer.IsDefinite)
-	last := answers[len(answers)-1]
-	if !last.IsDefinite() {
-		for _, a := range answers {
-			if a == tmcontrol.NoAnswer {
-				return a
-			}
+	o.work.Go(func() {
+		defer cancel()
+		for range rest.n {
+			o.copyAnswered(s.Ref, <-rest.results)
+		}
+	})
+	decisive := decisiveAnswer(answers)
+	for i, a := range answers {
+		if i != decisive {
+			o.copyAnswered(s.Ref, a)
 		}
 	}
+	return answers[decisive]
+}
+
+// decisiveAnswer returns the index of the answer that tells most about a start order: the last
+// one, unless another copy may still be carried out.
+func decisiveAnswer(answers []tmcontrol.Answer) int {
+	last := len(answers) - 1
+	if i := slices.Index(answers, tmcontrol.NoAnswer); i >= 0 && !answers[last].IsDefinite() {
+		return i
+	}
 	return last
 }
 
-// heldRuns is the result of a hold that was sent at sentAt.
+// repeatStart reports whether a second copy of a start order may be sent, and records it.
+func (o *Owner) repeatStart(ref tmcontrol.RunRef) bool {
+	if !o.startHedges.allow() {
+		return false
+	}
+	now := o.opts.Clock.Now()
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.ctl.StartRepeated(ref, now)
+}
+
+// copyAnswered passes the answer to one of two copies of a start order on.
+func (o *Owner) copyAnswered(ref tmcontrol.RunRef, a tmcontrol.Answer) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.ctl.CopyAnswered(ref, a)
+}
+
+// heldRuns is the result of a hold.
 type heldRuns struct {
 	response tmcontrol.HoldResponse
-	sentAt   tmclock.Millis
+	call     tmcontrol.HoldCall
 	err      error
 }
 
@@ -111,19 +150,24 @@
 	ctx, cancel := context.WithTimeout(ctx, h.Wait.Duration()+holdTimeoutMargin)
 	defer cancel()
 	o.holdHedges.recordCall()
-	results := hedged(&o.work, h.Overdue.Duration(), o.awaitOverdue(id, h), o.holdHedges.allow, func(attempt int) heldRuns {
+	results, _ := hedged(&o.work, h.Overdue.Duration(), o.awaitOverdue(id, h), o.holdHedges.allow, func(attempt int) heldRuns {
 		req := h
 		if attempt > 1 {
 			// The answer may be overdue because the endpoint has restarted.
 			req = req.WithoutAcks()
 		}
-		sentAt := o.opts.Clock.Now()
-		response, err := o.opts.Endpoints.Hold(ctx, id, req)
-		return heldRuns{response: response, sentAt: sentAt, err: err}
+		return o.callHold(ctx, id, req)
 	}, heldRuns.isSettled)
 	return results[len(results)-1]
 }
 
+// callHold makes a hold call.
+func (o *Owner) callHold(ctx context.Context, id string, h tmcontrol.HoldRequest) heldRuns {
+	call := tmcontrol.HoldCall{SentAt: o.opts.Clock.Now(), Token: h.Token}
+	response, err := o.opts.Endpoints.Hold(ctx, id, h)
+	return heldRuns{response: response, call: call, err: err}
+}
+
 // awaitOverdue returns the channel on which startAccepted tells when the answer to a hold
 // is overdue after all, or nil if that is known already.
 func (o *Owner) awaitOverdue(id string, h tmcontrol.HoldRequest) <-chan time.Duration {
