tmcontrol, tmowner: an endpoint that may carry out late orders is probed until it answers

Between the start of a lifetime and the first call with the raised token, late start orders are carried out.

Cause: the owner called a crashed endpoint again only when its hold had failed and 150 ms had passed; a hold to an endpoint that is silent takes seconds to fail.

Ruled out: to acknowledge the ends of such runs later would hide the second run from the endpoint's books, and not prevent it.

--- a/core/tmcontrol/controller.go
+++ b/core/tmcontrol/controller.go
@@ -73,6 +73,7 @@
 	// loaded is set once all jobs of the store have been loaded, stale while the store has
 	// not confirmed lately what the operator and the endpoints have written.
 	loaded, stale  bool
+	loadedAt       tmclock.Millis
 	starts         []StartOrder
 	stops          []StopOrder
 	paces          []PaceOrder
@@ -89,6 +90,9 @@
 	// in which the orders were sent.
 	unansweredStarts []*run
 
+	// probing is the number of endpoints that are probed.
+	probing int
+
 	// newCrashes are the crashes of endpoints that are not attributed yet, recentCrashes
 	// those within the last crashRetention.
 	newCrashes, recentCrashes []*crash
@@ -299,7 +303,7 @@
 // begin. An earlier owner may have stored some pages of a change and not the others: the
 // end of some members of a gang, or the ends of all tasks of a job without its outcome.
 func (c *Controller) Loaded() {
-	c.loaded = true
+	c.loaded, c.loadedAt = true, c.now
 	for _, j := range slices.Clone(c.openJobs) {
 		for _, o := range j.occurrences {
 			c.completeGangs(o)
--- a/internal/fleetsim/endpoint_test.go
+++ b/internal/fleetsim/endpoint_test.go
@@ -11,7 +11,12 @@
 	"turmericmoor/io/tmowner"
 )
 
-const callLatency = 2 * time.Millisecond
+const (
+	callLatency = 2 * time.Millisecond
+	// fenceTimeout is within how long after its start a lifetime of an endpoint has to be called,
+	// so that it carries out no more orders that were meant for an earlier one.
+	fenceTimeout = 100 * time.Millisecond
+)
 
 // endpointClient is the connection of one node to the endpoints.
 type endpointClient struct {
@@ -63,12 +68,9 @@
 	startedAt := e.StartedAt()
 	c.sim.fleet.Unlock()
 	c.sim.lateOrders.Go(func() {
-		if !c.sim.sleep(delay) {
-			return
-		}
-		c.sim.fleet.Lock()
-		defer c.sim.fleet.Unlock()
-		if !e.Down() && e.StartedAt() == startedAt {
+		if c.sim.sleep(delay) && c.sim.awaitFence(e, startedAt) {
+			c.sim.fleet.Lock()
+			defer c.sim.fleet.Unlock()
 			do(e, true)
 		}
 	})
@@ -76,6 +78,21 @@
 	return tmcontrol.NoAnswer
 }
 
+// awaitFence waits until a late order that was meant for the lifetime of an endpoint that began at
+// startedAt reaches it. It reports false if the endpoint is down then.
+func (sim *simulation) awaitFence(e *emulator.Endpoint, startedAt int64) bool {
+	sim.fleet.Lock()
+	age := time.Since(time.UnixMilli(e.StartedAt()))
+	restarted := e.StartedAt() != startedAt
+	sim.fleet.Unlock()
+	if restarted && age < fenceTimeout && !sim.sleep(fenceTimeout-age) {
+		return false
+	}
+	sim.fleet.Lock()
+	defer sim.fleet.Unlock()
+	return !e.Down()
+}
+
 func (c *endpointClient) Start(ctx context.Context, o tmcontrol.StartOrder) tmcontrol.Answer {
 	if !c.awaitTurn(ctx) {
 		return tmcontrol.NotSent
--- a/internal/fleetsim/restart_test.go
+++ b/internal/fleetsim/restart_test.go
@@ -45,7 +45,38 @@
 	}
 }
 
-// restartEndpoint lets an endpoint crash and restart under its id.
+// Guards against two runs of a task: start orders without an answer were meant for a lifetime of
+// an endpoint that has ended, and the next one carried them out late, while their tasks were at
+// work elsewhere or done.
+func TestLateOrdersReachNoLaterLifetime(t *testing.T) {
+	for i := range uint64(fleetSeeds) {
+		synctest.Test(t, func(t *testing.T) {
+			sim := newSimulation(t, tmseed.First()+i, 1)
+			sim.fleet.TaskDuration = func(tmjob.TaskID) time.Duration { return shortTask }
+			sim.start()
+			time.Sleep(warmupDuration)
+			sim.mu.Lock()
+			sim.lateOrderRatio = 2 * lateRatio
+			sim.mu.Unlock()
+			for n := range jobCount {
+				sim.submit(n + 1)
+				sim.restartEndpoint(fmt.Sprintf("w%d", sim.rng.IntN(endpointsPerShard)))
+				time.Sleep(restartInterval)
+			}
+			sim.mu.Lock()
+			sim.lateOrderRatio = 0
+			sim.mu.Unlock()
+			sim.awaitFinalStates()
+			sim.close()
+			for _, v := range sim.violations() {
+				t.Errorf("seed %d: %s", tmseed.First()+i, v)
+			}
+		})
+	}
+}
+
+// restartEndpoint lets an endpoint crash and restart under its id, and put itself on the list of
+// endpoints again.
 func (sim *simulation) restartEndpoint(id string) {
 	sim.fleet.Lock()
 	sim.fleet.Endpoint(id).Crash()
@@ -54,4 +85,5 @@
 	sim.fleet.Lock()
 	sim.fleet.Endpoint(id).Restart()
 	sim.fleet.Unlock()
+	sim.store.Set(endpointTable, id, []byte(id))
 }
--- a/io/tmowner/call.go
+++ b/io/tmowner/call.go
@@ -133,11 +133,7 @@
 	}
 	callCtx, cancel := context.WithTimeout(ctx, holdTimeoutMargin)
 	defer cancel()
-	// The hold that is under way shows whether the endpoint is silent.
-	if held := o.callHold(callCtx, id, h); held.err == nil {
-		o.holdAnswered(id, held)
-		o.requestPlan()
-	}
+	o.probeAnswered(id, o.callHold(callCtx, id, h))
 }
 
 // hold renews the lease of one endpoint and collects its active and ended runs,
--- a/io/tmowner/owner.go
+++ b/io/tmowner/owner.go
@@ -79,7 +79,8 @@
 	ctl *tmcontrol.Controller
 	// listedAt is the time on the BootClock as of which the list of endpoints is known.
 	listedAt time.Time
-	held     map[string]bool
+	// held and probed are the endpoints under a hold and those that are probed.
+	held, probed map[string]bool
 	// overdue holds, by endpoint, the channel of a hold that was sent without knowing
 	// when its answer would be overdue.
 	overdue  map[string]chan time.Duration
@@ -129,6 +130,7 @@
 		opts: opts, shard: opts.Shard.Index(), token: token,
 		ctl:            tmcontrol.New(opts.Shard, opts.Bounds, token, opts.Emit),
 		held:           map[string]bool{},
+		probed:         map[string]bool{},
 		loggedBacklogs: map[string]loggedBacklog{},
 		startHedges:    newHedgeBudget(),
 		holdHedges:     newHedgeBudget(),
@@ -250,6 +252,10 @@
 	for _, id := range ids {
 		o.held[id] = true
 	}
+	probes := o.ctl.EndpointsToProbe(o.probed)
+	for _, id := range probes {
+		o.probed[id] = true
+	}
 	o.mu.Unlock()
 	o.requestFlush()
 	for _, s := range starts {
@@ -271,6 +277,9 @@
 	for _, id := range ids {
 		o.work.Go(func() { o.hold(ctx, id) })
 	}
+	for _, id := range probes {
+		o.work.Go(func() { o.probe(ctx, id) })
+	}
 }
 
 func (o *Owner) emit(name tmevent.Name, fields ...any) {
