tmcontrol: a wave waits for a list of instances that was requested after it

Cause: an instance of a wave that is not in the owner's list counted as one that no longer exists. The list is read only while it is needed, and while the platform's interface can't be read it stays as it is, so it may be older than the wave and the instance newer than the list.

Ruled out: to ask the platform by an order about each instance that is not listed; an order that it can't answer would hold a place of the wave.

Change: an instance counts as gone only in a list that was requested after the wave became known. Until then it is due. The event says why an instance is done.

--- a/core/tmcontrol/wave.go
+++ b/core/tmcontrol/wave.go
@@ -178,7 +178,7 @@
 	if e != nil && !e.gone {
 		e.reserved, e.ending = false, false
 	}
-	c.event(tmevent.UpkeepDone, "instance", it.id, "wave", w.Name)
+	c.event(tmevent.UpkeepDone, "instance", it.id, "wave", w.Name, "cause", "maintenance")
 }
 
 func (c *Controller) maintenanceAnswer(it *waveItem, a Answer, now tmclock.Millis) {
@@ -265,7 +265,7 @@
 			if down+draining >= w.slots {
 				break
 			}
-			if c.beginDrain(it, now) {
+			if c.beginDrain(it, w, now) {
 				draining++
 			}
 		}
@@ -306,13 +306,17 @@
 	return due
 }
 
-func (c *Controller) beginDrain(it *waveItem, now tmclock.Millis) bool {
+// beginDrain keeps new tasks away from an instance that is due. An instance that no longer
+// exists is done, but a list that is older than the wave doesn't show that: the instance may be
+// newer than the list.
+func (c *Controller) beginDrain(it *waveItem, w *wave, now tmclock.Millis) bool {
 	i, ok := c.fleet.instances[it.id]
-	if !ok {
+	if !ok && c.fleet.listedAt.After(w.startedAt) {
+		c.event(tmevent.UpkeepDone, "instance", it.id, "wave", w.Name, "cause", "the instance does not exist")
 		it.state = itemDone
 		return false
 	}
-	if i.State != InstanceUp {
+	if !ok || i.State != InstanceUp {
 		return false
 	}
 	e := c.endpointOn(it.id)
--- a/core/tmcontrol/wave_test.go
+++ b/core/tmcontrol/wave_test.go
@@ -253,3 +253,30 @@
 	report = f.c.report(w)
 	assert.Assert(t, report.Completed && len(report.Done) == 0)
 }
+
+// Guards against a wave that is completed without the maintenance of an instance: the list of
+// instances was older than the wave, and the instance newer than the list.
+func TestInstanceThatIsNewerThanTheListIsDue(t *testing.T) {
+	f := newFixture(t, 1)
+	f.c.SetInstances([]Instance{upInstance("i1")}, f.now)
+	f.now += 1000
+	f.startWave(2, "i1", "i2", "i3")
+	for range 3 {
+		f.advance(100)
+		assert.Assert(t, !f.c.fleet.waves["1"].done)
+	}
+	requested := f.now
+	ordered := map[string]bool{}
+	for range 10 {
+		f.c.SetInstances([]Instance{upInstance("i1"), upInstance("i2")}, requested)
+		f.advance(100)
+		orders, _ := f.c.TakeInstanceOrders()
+		for _, o := range orders {
+			ordered[o.Instance] = true
+			f.c.InstanceOrdered(o, Accepted, f.now)
+		}
+		requested = f.now
+	}
+	assert.DeepEqual(t, ordered, map[string]bool{"i1": true, "i2": true})
+	assert.Assert(t, f.c.fleet.waves["1"].done)
+}
--- a/core/tmevent/event.go
+++ b/core/tmevent/event.go
@@ -166,7 +166,7 @@
 	TaskPlaced Name = "task_placed"
 	// TaskSuspected: an endpoint crashed under a task, which starts again in isolation: task, endpoint, crashes, suspicions.
 	TaskSuspected Name = "task_suspected"
-	// UpkeepDone: the maintenance of an instance is done: instance, wave.
+	// UpkeepDone: an instance of a wave is done, by its maintenance or because it does not exist: instance, wave, cause.
 	UpkeepDone Name = "upkeep_done"
 	// WaveBegins: a maintenance wave began: wave, instances, bound, within_ms.
 	WaveBegins Name = "wave_begins"
