tmcontrol: an entry of an earlier lifetime of an endpoint changes nothing

A write of an endpoint's entry in the list was performed late, after the endpoint had started again, and all its tasks started elsewhere as well.

Cause: the entry set the known start of the lifetime back, so that the next entry looked like a restart.

Change: an entry of an earlier lifetime is ignored, and so is an earlier one of the same lifetime by its sequence number, which could end the draining of an endpoint. A new owner that reads a late entry first knows the later lifetime by the stored placements; until now it held a crash against their tasks.

--- a/core/tmcontrol/controller.go
+++ b/core/tmcontrol/controller.go
@@ -278,6 +278,10 @@
 		e = c.addEndpoint(EndpointInfo{ID: place.Endpoint, StartedAt: place.EndpointStart})
 		e.listed = false
 	}
+	// The entry in the list may be that of an earlier lifetime, written late.
+	if place.EndpointStart > e.info.StartedAt {
+		e.info.StartedAt, e.info.Seq = place.EndpointStart, 0
+	}
 	r := c.addRun(t, e, place.Run)
 	r.phase = unconfirmed
 	if place.EndpointStart != 0 && e.info.StartedAt > place.EndpointStart {
--- a/core/tmcontrol/lifetime.go
+++ b/core/tmcontrol/lifetime.go
@@ -16,7 +16,10 @@
 		c.reserveFor(e)
 		return
 	}
-	if e.gone && info.StartedAt <= e.info.StartedAt {
+	if info.StartedAt == 0 {
+		info.StartedAt = e.info.StartedAt
+	}
+	if e.info.isNewerThan(info) || e.gone && info.StartedAt == e.info.StartedAt {
 		return
 	}
 	if info.StartedAt > e.info.StartedAt && e.info.StartedAt != 0 {
@@ -77,7 +80,7 @@
 		c.raiseToken(e)
 	}
 	c.settleLapse(e)
-	e.info.StartedAt = startedAt
+	e.info.StartedAt, e.info.Seq = startedAt, 0
 	e.lifetime++
 	e.tokenAccepted, e.answering = false, false
 	e.seen, e.acked, e.clock, e.unknownRuns = 0, 0, 0, 0
--- a/core/tmcontrol/restart_test.go
+++ b/core/tmcontrol/restart_test.go
@@ -235,6 +235,84 @@
 	assert.Equal(t, len(f.advance(500)), 1)
 }
 
+// Guards against two runs of a task at once: an entry that an earlier lifetime of the endpoint had
+// written was stored late, so that the next entry of the current one looked like a restart.
+func TestLateEntryOfAnEarlierLifetimeChangesNothing(t *testing.T) {
+	f := newFixture(t, 2)
+	f.restart("e1", "e2")
+	current := map[string]EndpointInfo{}
+	for i := range 2 {
+		info := f.endpointInfo(i + 1)
+		f.c.SetEndpoint(info, f.now)
+		info.StartedAt++
+		current[info.ID] = info
+	}
+	f.c.Submitted(oneTask("j"))
+	first := f.advance(10)[0].Ref
+	f.answerHold(first.Endpoint)
+	late := current[first.Endpoint]
+	late.StartedAt--
+	f.c.SetEndpoint(late, f.now)
+	f.c.SetEndpoint(current[first.Endpoint], f.now)
+	for range 5 {
+		assert.Equal(t, len(f.advance(100)), 0)
+		f.answerHold(first.Endpoint)
+	}
+	assert.Equal(t, len(f.c.endpoints[first.Endpoint].runs), 1)
+}
+
+// Guards against tasks on an endpoint that is about to leave: an entry from before it began to drain
+// was stored late.
+func TestLateEntryDoesNotEndDraining(t *testing.T) {
+	f := newFixture(t, 1)
+	info := f.endpointInfo(1)
+	info.Seq, info.Draining = 8, true
+	f.c.SetEndpoint(info, f.now)
+	info.Seq, info.Draining = 7, false
+	f.c.SetEndpoint(info, f.now)
+	f.c.Submitted(oneTask("j"))
+	assert.Equal(t, len(f.advance(10)), 0)
+	info.Seq, info.StartedAt = 1, info.StartedAt+1
+	f.c.SetEndpoint(info, f.now)
+	f.restarts["e1"]++
+	f.answerHold("e1")
+	assert.Equal(t, len(f.advance(10)), 1)
+}
+
+// Guards against an entry that is ignored because the lifetime before had made more of them.
+func TestFirstEntryOfALifetimeThatHasAnswered(t *testing.T) {
+	f := newFixture(t, 1)
+	info := f.endpointInfo(1)
+	info.Seq = 30
+	f.c.SetEndpoint(info, f.now)
+	f.restart("e1")
+	info.Seq, info.StartedAt, info.Draining = 1, info.StartedAt+1, true
+	f.c.SetEndpoint(info, f.now)
+	assert.Assert(t, f.c.endpoints["e1"].info.Draining)
+}
+
+// Guards against crashes that are held against a task although its endpoint has not crashed: a new
+// owner read the late entry of an earlier lifetime first. The stored placement names the later one.
+func TestLateEntryIsKnownByTheStoredPlacement(t *testing.T) {
+	f := newFixture(t, 2)
+	f.restart("e1", "e2")
+	f.c.Submitted(oneTask("j"))
+	first := f.advance(10)[0].Ref
+	f.answerHold(first.Endpoint)
+	current := f.restarts[first.Endpoint]
+	f.restarts[first.Endpoint] = 0
+	f.restoreAtNewOwner("j")
+	f.restarts[first.Endpoint] = current
+	info := f.c.endpoints[first.Endpoint].info
+	info.StartedAt = 5 + current
+	f.c.SetEndpoint(info, f.now)
+	f.answerHold("e1")
+	f.answerHold("e2")
+	f.advance(10)
+	assert.Equal(t, len(f.c.endpoints[first.Endpoint].runs), 1)
+	assert.Equal(t, f.c.jobs["j"].task(first.Task).crashes, 0)
+}
+
 // instanceDown has a list of instances arrive in which that of an endpoint is down.
 func (f *fixture) instanceDown(endpoint string) {
 	f.now += 10
--- a/core/tmcontrol/rules.go
+++ b/core/tmcontrol/rules.go
@@ -64,7 +64,18 @@
 	// StartedAt is when the current lifetime of the endpoint, from start to exit of its
 	// process, began, in milliseconds since the Unix epoch.
 	StartedAt int64
-	Draining  bool
+	// Seq counts the entries of a lifetime, 0 if unknown.
+	Seq      int64
+	Draining bool
+}
+
+// isNewerThan reports whether an entry was made after another one of the same endpoint, which may
+// have been written late.
+func (i *EndpointInfo) isNewerThan(other EndpointInfo) bool {
+	if i.StartedAt != other.StartedAt {
+		return i.StartedAt > other.StartedAt
+	}
+	return other.Seq != 0 && i.Seq > other.Seq
 }
 
 func (i *EndpointInfo) hasLabel(label string) bool {
