tmcontrol: a new owner settles the late orders of the one before first

The order for the first had got no answer, its owner was killed, and it was carried out 8.5 s late, while the next owner had taken another instance down.

Cause: the next owner counted an instance that the one before may have ordered as down for HandoverDelay (3 s) only. A call with a higher token shuts it out, but for each instance separately, and the next owner made none for this one before it took another.

Change: such an instance counts as down for as long as an order may be late, 13 s, or until the owner's own order for it is carried out; it is the first to be drained and ordered. It stays in the stored row of recent orders, for the owner after that. An instance that is listed as in maintenance counts as down whatever is known of its order.

Tests: TestNextOwnerSettlesEarlierOrdersFirst and TestEarlierOrdersStayStored failed on the code before.

--- a/core/tmcontrol/fleet.go
+++ b/core/tmcontrol/fleet.go
@@ -81,6 +81,8 @@
 	// earliestOrder holds the earliest time of an order about each instance that an
 	// earlier owner may have given an order about recently.
 	earliestOrder map[string]tmclock.Millis
+	// earlierOrders holds until when such an order may still be carried out, if it got no answer.
+	earlierOrders map[string]tmclock.Millis
 }
 
 func newFleet() fleet {
@@ -89,7 +91,7 @@
 		moves: map[string]*move{}, moveRetryAt: map[string]tmclock.Millis{},
 		refusedMoves: map[refusedMove]bool{}, demands: map[string]*demand{},
 		shortages: map[string]int{}, storing: map[string]bool{}, orderedAt: map[string]tmclock.Millis{},
-		earliestOrder: map[string]tmclock.Millis{},
+		earliestOrder: map[string]tmclock.Millis{}, earlierOrders: map[string]tmclock.Millis{},
 	}
 }
 
@@ -199,6 +201,7 @@
 func (c *Controller) RestoreOrders(instances []string, now tmclock.Millis) {
 	for _, id := range instances {
 		c.fleet.earliestOrder[id] = now.Add(c.bounds.HandoverDelay)
+		c.fleet.earlierOrders[id] = now.Add(maxOrderDelay)
 	}
 }
 
--- a/core/tmcontrol/instance.go
+++ b/core/tmcontrol/instance.go
@@ -74,7 +74,8 @@
 }
 
 // recentOrders returns the instances about which orders are being stored or were given within
-// the last HandoverDelay.
+// the last HandoverDelay, and those about which an order of an earlier owner may still be
+// carried out.
 func (c *Controller) recentOrders(now tmclock.Millis) []string {
 	ids := []string{}
 	for id, at := range c.fleet.orderedAt {
@@ -87,6 +88,17 @@
 	for id := range c.fleet.storing {
 		ids = append(ids, id)
 	}
+	for id := range c.fleet.earlierOrders {
+		if c.mayHaveEarlierOrder(id, now) {
+			ids = append(ids, id)
+		}
+	}
 	slices.Sort(ids)
-	return ids
+	return slices.Compact(ids)
+}
+
+// mayHaveEarlierOrder reports whether an order of an earlier owner about an instance may still be
+// carried out.
+func (c *Controller) mayHaveEarlierOrder(instance string, now tmclock.Millis) bool {
+	return now.Before(c.fleet.earlierOrders[instance])
 }
--- a/core/tmcontrol/wave.go
+++ b/core/tmcontrol/wave.go
@@ -7,6 +7,7 @@
 	"turmericmoor/core/tmclock"
 	"turmericmoor/core/tmevent"
 	"turmericmoor/core/tmjob"
+	"turmericmoor/core/tmorder"
 )
 
 // Wave is a request for the maintenance of instances.
@@ -231,24 +232,15 @@
 	w.slots = c.shard.WaveSlots(w.parts, w.MaxUnavailable, func(shard int) bool { return finished[shard] })
 	down, draining, open := 0, 0, 0
 	for _, it := range w.items {
-		switch it.state {
-		case itemOrdered, itemDown:
+		switch {
+		case it.state == itemDone:
+			continue
+		case c.mayBeDown(it, now):
 			down++
-		case itemDraining:
+		case it.state == itemDraining:
 			draining++
-			if it.unanswered {
-				down++
-			}
-		case itemDue:
-			// An earlier owner may have ordered its maintenance.
-			if c.fleet.instances[it.id].State == InstanceMaintenance || now.Before(c.fleet.earliestOrder[it.id]) {
-				down++
-			}
-		case itemDone:
-		}
-		if it.state != itemDone {
-			open++
 		}
+		open++
 	}
 	if open == 0 {
 		w.done = true
@@ -260,14 +252,13 @@
 		w.changed = false
 		c.fleet.reports = append(c.fleet.reports, c.report(w))
 	}
-	if down+draining < w.slots {
-		for _, it := range c.nextDue(w) {
-			if down+draining >= w.slots {
-				break
-			}
-			if c.beginDrain(it, w, now) {
-				draining++
-			}
+	for _, it := range c.nextDue(w, now) {
+		counted := c.mayBeDown(it, now)
+		if !counted && down+draining >= w.slots {
+			break
+		}
+		if c.beginDrain(it, w, now) && !counted {
+			draining++
 		}
 	}
 	for _, it := range w.items {
@@ -275,10 +266,10 @@
 			c.relocate(it.id, pools, now)
 		}
 		if it.state == itemDraining && c.mayTakeDown(it, w, down, now) {
-			it.state = itemOrdered
-			if !it.unanswered {
+			if !c.mayBeDown(it, now) {
 				down++
 			}
+			it.state = itemOrdered
 			it.since = now
 			if e := c.endpointOn(it.id); e != nil {
 				e.ending = true
@@ -288,9 +279,16 @@
 	}
 }
 
-// nextDue returns the items that are still due, those on the least loaded
-// instances first.
-func (c *Controller) nextDue(w *wave) []*waveItem {
+// mayBeDown reports whether the maintenance of an item that is not done has begun, or may begin at
+// any time: its order is on its way, or one got no answer or may have got none at an earlier owner.
+func (c *Controller) mayBeDown(it *waveItem, now tmclock.Millis) bool {
+	return it.state == itemOrdered || it.state == itemDown || it.unanswered ||
+		c.mayHaveEarlierOrder(it.id, now) || c.fleet.instances[it.id].State == InstanceMaintenance
+}
+
+// nextDue returns the items that are still due: first those that may be down anyway, because the
+// order of this owner settles that, then those on the least loaded instances.
+func (c *Controller) nextDue(w *wave, now tmclock.Millis) []*waveItem {
 	var due []*waveItem
 	load := map[*waveItem]int64{}
 	for _, it := range w.items {
@@ -302,7 +300,9 @@
 			load[it] = e.used.CPU
 		}
 	}
-	slices.SortStableFunc(due, func(a, b *waveItem) int { return cmp.Compare(load[a], load[b]) })
+	slices.SortStableFunc(due, func(a, b *waveItem) int {
+		return cmp.Or(tmorder.First(c.mayBeDown(a, now), c.mayBeDown(b, now)), cmp.Compare(load[a], load[b]))
+	})
 	return due
 }
 
@@ -334,7 +334,7 @@
 	if it.unanswered {
 		return now.Sub(it.since) >= orderRetryInterval
 	}
-	if down >= w.slots {
+	if down >= w.slots && !c.mayBeDown(it, now) {
 		return false
 	}
 	e := c.endpointOn(it.id)
--- a/core/tmcontrol/wave_test.go
+++ b/core/tmcontrol/wave_test.go
@@ -280,3 +280,56 @@
 	assert.DeepEqual(t, ordered, map[string]bool{"i1": true, "i2": true})
 	assert.Assert(t, f.c.fleet.waves["1"].done)
 }
+
+// Guards against more than MaxUnavailable instances down at once: an order of the earlier owner got
+// no answer and is carried out late, while the next owner takes another instance down.
+func TestNextOwnerSettlesEarlierOrdersFirst(t *testing.T) {
+	f := newFixture(t, 2)
+	f.c.bounds.HandoverDelay = 3000
+	f.c.Submitted(tmjob.Job{ID: "j", Queue: "q", Accepted: 1000, Steps: []tmjob.Step{{
+		Count: 1, Size: tmjob.Resources{CPU: 1000}, LongRunning: true,
+	}}})
+	loaded := f.advance(10)[0].Ref.Endpoint
+	earlier := f.c.endpoints[loaded].info.Instance
+	f.c.RestoreOrders([]string{earlier}, f.now)
+	list := []Instance{upInstance("i1"), upInstance("i2")}
+	f.c.SetInstances(list, f.now)
+	f.startWave(1, "i1", "i2")
+	var orders []InstanceOrder
+	for range 60 {
+		f.answerHold("e1")
+		f.answerHold("e2")
+		f.advance(100)
+		f.c.SetInstances(list, f.now)
+		taken, _ := f.c.TakeInstanceOrders()
+		orders = append(orders, taken...)
+	}
+	assert.Equal(t, len(orders), 1)
+	assert.Equal(t, orders[0].Instance, earlier)
+
+	f.c.InstanceOrdered(orders[0], Accepted, f.now)
+	for range 60 {
+		f.answerHold("e1")
+		f.answerHold("e2")
+		f.advance(100)
+		f.c.SetInstances(list, f.now)
+		taken, _ := f.c.TakeInstanceOrders()
+		for _, o := range taken {
+			f.c.InstanceOrdered(o, Accepted, f.now)
+		}
+		orders = append(orders, taken...)
+	}
+	assert.Assert(t, f.c.fleet.waves["1"].done)
+}
+
+// Guards against the same across two changes of the owner: the second one gave orders as well, so
+// that the stored list no longer named the instance.
+func TestEarlierOrdersStayStored(t *testing.T) {
+	f := newFixture(t, 1)
+	f.c.bounds.HandoverDelay = 3000
+	f.c.RestoreOrders([]string{"i1"}, f.now)
+	f.advance(4000)
+	assert.DeepEqual(t, f.c.recentOrders(f.now), []string{"i1"})
+	f.advance(maxOrderDelay)
+	assert.DeepEqual(t, f.c.recentOrders(f.now), []string{})
+}
