tmcontrol: no run is in doubt on an endpoint that was replaced

Cause: a lifetime that was over was not looked at again, so that neither the list of instances nor the answer of the next endpoint on the instance ended the doubt about its runs.

Test: TestReplacementOfACrashedEndpointEndsTheDoubt failed on the code before in all three ways.

--- a/core/tmcontrol/fleet.go
+++ b/core/tmcontrol/fleet.go
@@ -173,9 +173,7 @@
 func (c *Controller) checkAlive(e *endpoint, sentAt tmclock.Millis) {
 	i, ok := c.fleet.instances[e.info.Instance]
 	if e.gone {
-		if !ok || i.State != InstanceUp {
-			c.releaseLateStarts(e, sentAt)
-		}
+		c.checkReturn(e, i, ok, sentAt)
 		return
 	}
 	if !sentAt.After(e.listedAt) || sentAt.Before(max(e.answeredAt, e.orderAnsweredAt)) {
@@ -196,6 +194,18 @@
 	}
 }
 
+// checkReturn releases the runs of an endpoint that has crashed once the list of instances shows
+// that it does not start again under its id, or that its instance is still down after the last of
+// its orders could be carried out.
+func (c *Controller) checkReturn(e *endpoint, i Instance, listed bool, sentAt tmclock.Millis) {
+	switch {
+	case !listed, i.State == InstanceUp && i.Endpoint != "" && i.Endpoint != e.info.ID:
+		c.forgetLateStarts(e, causeReplaced)
+	case i.State != InstanceUp:
+		c.releaseLateStarts(e, sentAt)
+	}
+}
+
 // RestoreOrders loads the instances about which an earlier owner has recently
 // given orders.
 func (c *Controller) RestoreOrders(instances []string, now tmclock.Millis) {
--- a/core/tmcontrol/late.go
+++ b/core/tmcontrol/late.go
@@ -170,6 +170,12 @@
 	e.lateStarts = kept
 }
 
+// forgetLateStarts releases all runs of an endpoint that does not start again under its id.
+func (c *Controller) forgetLateStarts(e *endpoint, cause lossCause) {
+	c.loseRuns(e, cause)
+	e.lateStarts = nil
+}
+
 // releaseLateStarts releases the runs on an endpoint that is over, once their start orders can't
 // be carried out any more and its instance was still down when the list of instances was
 // requested.
--- a/core/tmcontrol/lifetime.go
+++ b/core/tmcontrol/lifetime.go
@@ -135,6 +135,9 @@
 // endLifetime ends the lifetime of an endpoint that is known to be over.
 func (c *Controller) endLifetime(e *endpoint, cause lossCause) {
 	if e.gone {
+		if !cause.mayReturn() {
+			c.forgetLateStarts(e, cause)
+		}
 		return
 	}
 	e.gone, e.listed, e.answering = true, false, false
@@ -146,8 +149,7 @@
 	c.settleLapse(e)
 	c.raiseToken(e)
 	if !cause.mayReturn() {
-		c.loseRuns(e, cause)
-		e.lateStarts = nil
+		c.forgetLateStarts(e, cause)
 		return
 	}
 	c.endRuns(lost, func(r *run) bool { return r.lateCopies(c.now) > 0 }, cause)
--- a/core/tmcontrol/restart_test.go
+++ b/core/tmcontrol/restart_test.go
@@ -168,6 +168,38 @@
 	assert.Equal(t, len(f.advance(10)), 1)
 }
 
+// Guards against the same where the list of instances showed first that the instance was down.
+func TestReplacementOfACrashedEndpointEndsTheDoubt(t *testing.T) {
+	ways := map[string]func(f *fixture, instance string){
+		"listed instance": func(f *fixture, instance string) {
+			f.c.SetInstances([]Instance{{ID: instance, Pool: "s", State: InstanceUp, Endpoint: "e9"}}, f.now)
+		},
+		"no instance": func(f *fixture, _ string) {
+			f.c.SetInstances([]Instance{upInstance("i9")}, f.now)
+		},
+		"endpoint that answers": func(f *fixture, instance string) {
+			info := f.endpointInfo(9)
+			info.Instance = instance
+			f.c.SetEndpoint(info, f.now)
+			f.answerHold(info.ID)
+		},
+	}
+	for name, replace := range ways {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, 2)
+			f.c.Submitted(oneTask("j"))
+			first := f.order(10)[0].Ref
+			f.c.Started(first, NoAnswer, f.now)
+			i := f.c.endpoints[first.Endpoint].info.Instance
+			f.instanceDown(first.Endpoint)
+			assert.Equal(t, len(f.advance(10)), 0)
+			replace(f, i)
+			assert.Equal(t, len(f.advance(10)), 1)
+			assert.Equal(t, len(f.c.EndpointsToProbe(none)), 0)
+		})
+	}
+}
+
 // Guards against an owner that takes the raise of its own token for a later owner.
 func TestOwnTokenDeposesNobody(t *testing.T) {
 	f := newFixture(t, 2)
