--- a/core/tmcontrol/controller.go
+++ b/core/tmcontrol/controller.go
@@ -90,6 +90,9 @@
 	// in which the orders were sent.
 	unansweredStarts []*run
 
+	// endedLifetimes holds the endpoints of which a lifetime has ended since TakeEndedLifetimes was
+	// last called.
+	endedLifetimes []string
 	// probing is the number of endpoints that are probed.
 	probing int
 
--- a/core/tmcontrol/late.go
+++ b/core/tmcontrol/late.go
@@ -33,12 +33,15 @@
 
 // copyAnswered records the answer to a copy of the start order of a run. A copy with an answer
 // is not carried out later.
-func (r *run) copyAnswered(a Answer) {
+func (r *run) copyAnswered(a Answer, now tmclock.Millis) {
 	if a == NoAnswer {
 		return
 	}
 	r.answeredCopies++
 	r.accepted = r.accepted || a == Accepted
+	if r.unansweredCopies() == 0 {
+		r.lateUntil = now
+	}
 }
 
 // lateCopies returns how many copies of the start order of a run may still be carried out.
@@ -46,6 +49,12 @@
 	if !now.Before(r.lateUntil) {
 		return 0
 	}
+	return r.unansweredCopies()
+}
+
+// unansweredCopies returns how many copies of the start order of a run have no answer and were not
+// carried out.
+func (r *run) unansweredCopies() int {
 	n := r.copies - r.answeredCopies
 	if r.begun && !r.accepted {
 		// One of those without an answer was carried out.
@@ -67,9 +76,9 @@
 
 // CopyAnswered handles the answer to a copy of a start order whose answer Started does not get:
 // another copy was answered first.
-func (c *Controller) CopyAnswered(ref RunRef, a Answer) {
+func (c *Controller) CopyAnswered(ref RunRef, a Answer, now tmclock.Millis) {
 	if r := c.findRun(ref); r != nil {
-		r.copyAnswered(a)
+		r.copyAnswered(a, now)
 		return
 	}
 	if e := c.endpoints[ref.Endpoint]; e != nil && a != NoAnswer {
--- a/core/tmcontrol/lifetime.go
+++ b/core/tmcontrol/lifetime.go
@@ -105,6 +105,15 @@
 		c.OwnerFenced(e.info.ID)
 	}
 	e.token, e.tokenAccepted = token, false
+	c.endedLifetimes = append(c.endedLifetimes, e.info.ID)
+}
+
+// TakeEndedLifetimes returns the endpoints of which a lifetime has ended since the last call. What
+// is under way there was meant for that lifetime.
+func (c *Controller) TakeEndedLifetimes() []string {
+	ended := c.endedLifetimes
+	c.endedLifetimes = nil
+	return ended
 }
 
 // acceptToken records that an endpoint has accepted its fencing token. Before that, calls to an
--- a/core/tmcontrol/message.go
+++ b/core/tmcontrol/message.go
@@ -73,18 +73,23 @@
 	// NoConnection: the order was not sent, because this node has no port or file descriptor
 	// left for another connection.
 	NoConnection
+	// Undelivered: the order may have been carried out, but is not carried out later.
+	Undelivered
 	// NoAnswer: the order may have been carried out or may be carried out later.
 	NoAnswer
 )
 
 var answerNames = [...]string{
 	"accepted", "fenced", "superseded", "too_late", "no_room", "bad_ticket",
-	"other_life", "unhealthy", "refused", "not_sent", "no_connection", "no_answer",
+	"other_life", "unhealthy", "refused", "not_sent", "no_connection", "undelivered", "no_answer",
 }
 
 // String returns the name of the answer as written to logs.
 func (a Answer) String() string { return answerNames[a] }
 
+// IsUnknown reports whether the order may have been carried out.
+func (a Answer) IsUnknown() bool { return a == Undelivered || a == NoAnswer }
+
 // IsDefinite reports whether the answer to a start order also tells the fate of every
 // other order for the same run in the same lifetime of the endpoint: the run exists there,
 // or no order for it can be carried out there any more.
--- a/core/tmcontrol/order.go
+++ b/core/tmcontrol/order.go
@@ -1,6 +1,8 @@
 package tmcontrol
 
 import (
+	"slices"
+
 	"turmericmoor/core/tmclock"
 	"turmericmoor/core/tmevent"
 )
@@ -81,12 +83,12 @@
 func (c *Controller) Started(ref RunRef, a Answer, now tmclock.Millis) {
 	r := c.findRun(ref)
 	if r == nil || r.sentAt != ref.SentAt {
-		c.CopyAnswered(ref, a)
+		c.CopyAnswered(ref, a, now)
 		return
 	}
 	e := r.ep
 	r.inFlight = false
-	r.copyAnswered(a)
+	r.copyAnswered(a, now)
 	c.recordStart(r, a, now)
 	c.markAnswered(r)
 	if a != Accepted {
@@ -114,7 +116,7 @@
 	case OtherEndpoint:
 		e.blockedUntil = now.Add(avoidTime)
 		c.notStarted(r, a, now)
-	case NoAnswer:
+	case Undelivered, NoAnswer:
 		r.settledAt, r.unanswered = now, true
 		e.blockedUntil = now.Add(avoidTime)
 	}
@@ -193,11 +195,28 @@
 			}
 		}
 	}
+	c.dropEarlierStarts(now)
 	starts, stops, paces := c.starts, c.stops, c.paces
 	c.starts, c.stops, c.paces = nil, nil, nil
 	return starts, stops, paces
 }
 
+// dropEarlierStarts drops the start orders that were meant for a lifetime that has ended since.
+func (c *Controller) dropEarlierStarts(now tmclock.Millis) {
+	var dropped []StartOrder
+	c.starts = slices.DeleteFunc(c.starts, func(s StartOrder) bool {
+		e := c.endpoints[s.Ref.Endpoint]
+		if e != nil && e.token == s.Ref.Token {
+			return false
+		}
+		dropped = append(dropped, s)
+		return true
+	})
+	for _, s := range dropped {
+		c.Started(s.Ref, NotSent, now)
+	}
+}
+
 // startPlaced orders the starts whose placements are stored, and releases those that are
 // not permitted any more: storing them may have taken long. The members of a gang start
 // together or not at all, so that those of which others are not stored yet wait for them.
--- a/core/tmcontrol/restart_test.go
+++ b/core/tmcontrol/restart_test.go
@@ -108,7 +108,7 @@
 	first := f.order(10)[0].Ref
 	assert.Assert(t, f.c.StartRepeated(first, f.now))
 	f.c.Started(first, Accepted, f.now)
-	f.c.CopyAnswered(first, Accepted)
+	f.c.CopyAnswered(first, Accepted, f.now)
 	f.runs[first.Endpoint] = []ActiveRun{{Task: first.Task, Run: first.Run}}
 	f.answerHold(first.Endpoint)
 	f.instanceDown(first.Endpoint)
@@ -155,6 +155,60 @@
 	assert.Equal(t, len(f.advance(10)), 1)
 }
 
+// Guards against a task that waits for long although its order can't arrive any more.
+func TestUndeliveredOrderEndsTheDoubt(t *testing.T) {
+	f := newFixture(t, 2)
+	f.c.Submitted(oneTask("j"))
+	first := f.order(10)[0].Ref
+	assert.Assert(t, f.c.StartRepeated(first, f.now))
+	f.instanceDown(first.Endpoint)
+	f.c.CopyAnswered(first, Undelivered, f.now)
+	f.instanceDown(first.Endpoint)
+	assert.Equal(t, len(f.advance(10)), 0)
+	f.c.Started(first, Undelivered, f.now)
+	// It may have arrived before the connection was reset, at a lifetime that began meanwhile.
+	assert.Equal(t, len(f.advance(10)), 0)
+	f.instanceDown(first.Endpoint)
+	assert.Equal(t, len(f.advance(10)), 1)
+}
+
+// Guards against an order that is sent to the next lifetime of its endpoint: it was given just
+// before the one before was found to be over.
+func TestOrderToAnEndedLifetimeIsNotSent(t *testing.T) {
+	f := newFixture(t, 2)
+	f.c.Submitted(oneTask("j"))
+	f.now += 10
+	f.c.Tick(f.now, int64(f.now))
+	f.c.Plan(f.now, int64(f.now))
+	f.c.Stored(f.c.TakeFlush(f.now), f.now)
+	assert.Equal(t, len(f.c.starts), 1)
+	endpoint := f.c.starts[0].Ref.Endpoint
+	f.instanceDown(endpoint)
+	assert.DeepEqual(t, f.c.TakeEndedLifetimes(), []string{endpoint})
+	assert.Equal(t, len(f.c.TakeEndedLifetimes()), 0)
+	starts, _, _ := f.c.TakeOrders(f.now)
+	assert.Equal(t, len(starts), 0)
+	second := f.advance(100)
+	assert.Equal(t, len(second), 1)
+	assert.Assert(t, second[0].Ref.Endpoint != endpoint)
+}
+
+// Guards against two runs of a task: an order that was not delivered in full may have been carried
+// out by the lifetime that it was meant for.
+func TestUndeliveredOrderMayBeCarriedOut(t *testing.T) {
+	f := newFixture(t, 2)
+	f.c.Submitted(oneTask("j"))
+	first := f.order(10)[0].Ref
+	f.c.Started(first, Undelivered, f.now)
+	assert.Equal(t, len(f.advance(10)), 0)
+	f.runs[first.Endpoint] = []ActiveRun{{Task: first.Task, Run: first.Run}}
+	f.answerHold(first.Endpoint)
+	assert.Equal(t, len(f.advance(10)), 0)
+	f.end(first.Endpoint, first.Task, first.Run, EndDone)
+	f.advance(10)
+	assert.Equal(t, len(f.c.jobs), 0)
+}
+
 // Guards against tasks that wait for nothing: an instance that has a new endpoint carries out
 // no order to the one before.
 func TestReplacedEndpointLeavesNoDoubt(t *testing.T) {
--- a/core/tmcontrol/window.go
+++ b/core/tmcontrol/window.go
@@ -46,7 +46,7 @@
 // whether the limit has fallen.
 func (w *startWindow) record(a Answer, took tmclock.Span) bool {
 	switch {
-	case a == TooLate || a == NotSent || a == NoConnection || a == NoAnswer:
+	case a == TooLate || a == NotSent || a == NoConnection || a.IsUnknown():
 		w.failed++
 	case took >= lateStartAnswer:
 		w.late++
@@ -84,7 +84,7 @@
 // has answered others meanwhile.
 func (c *Controller) recordStart(r *run, a Answer, now tmclock.Millis) {
 	e := r.ep
-	if a == NotSent || a == NoAnswer {
+	if a == NotSent || a.IsUnknown() {
 		hasAnswered := e.answeredAt.After(r.sentAt) || e.orderAnsweredAt.After(r.sentAt)
 		if !hasAnswered || now.Sub(r.sentAt) < lateStartAnswer {
 			return
--- a/io/tmowner/call.go
+++ b/io/tmowner/call.go
@@ -35,9 +35,10 @@
 	adviceTimeout = 2 * time.Second
 )
 
-func (o *Owner) sendStart(ctx context.Context, s tmcontrol.StartOrder) {
+// sendStart sends a start order to the lifetime of an endpoint that lifetimeCtx belongs to.
+func (o *Owner) sendStart(ctx, lifetimeCtx context.Context, s tmcontrol.StartOrder) {
 	began := time.Now()
-	a := o.hedgedStart(ctx, s)
+	a := o.hedgedStart(lifetimeCtx, s)
 	o.observeAnswer("start", began, a)
 	now := o.opts.Clock.Now()
 	o.mu.Lock()
@@ -143,6 +144,7 @@
 		o.mu.Lock()
 		delete(o.held, id)
 		delete(o.overdue, id)
+		o.endLifetimes([]string{id})
 		o.mu.Unlock()
 	}()
 	for ctx.Err() == nil {
@@ -152,14 +154,19 @@
 			o.ctl.OwnershipConfirmed(c.at)
 		}
 		h, ok := o.ctl.NextHold(id, now)
+		lifetimeCtx := o.lifetimeContext(ctx, id)
 		o.mu.Unlock()
 		if !ok {
 			return
 		}
-		held := o.hedgedHold(ctx, id, h)
+		held := o.hedgedHold(lifetimeCtx, id, h)
 		if ctx.Err() != nil {
 			return
 		}
+		if held.err != nil && lifetimeCtx.Err() != nil {
+			// The next hold is for the next lifetime.
+			continue
+		}
 		if held.err != nil {
 			o.holdFailed(ctx, id, held)
 			continue
--- a/io/tmowner/hedge.go
+++ b/io/tmowner/hedge.go
@@ -109,7 +109,7 @@
 // one, unless another copy may still be carried out.
 func decisiveAnswer(answers []tmcontrol.Answer) int {
 	last := len(answers) - 1
-	if i := slices.Index(answers, tmcontrol.NoAnswer); i >= 0 && !answers[last].IsDefinite() {
+	if i := slices.IndexFunc(answers, tmcontrol.Answer.IsUnknown); i >= 0 && !answers[last].IsDefinite() {
 		return i
 	}
 	return last
@@ -128,9 +128,10 @@
 
 // copyAnswered passes the answer to one of two copies of a start order on.
 func (o *Owner) copyAnswered(ref tmcontrol.RunRef, a tmcontrol.Answer) {
+	now := o.opts.Clock.Now()
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.ctl.CopyAnswered(ref, a)
+	o.ctl.CopyAnswered(ref, a, now)
 }
 
 // heldRuns is the result of a hold.
--- a/io/tmowner/owner.go
+++ b/io/tmowner/owner.go
@@ -81,6 +81,8 @@
 	listedAt time.Time
 	// held and probed are the endpoints under a hold and those that are probed.
 	held, probed map[string]bool
+	// lifetimes holds, by endpoint, the context of the calls to its current lifetime.
+	lifetimes map[string]lifetime
 	// overdue holds, by endpoint, the channel of a hold that was sent without knowing
 	// when its answer would be overdue.
 	overdue  map[string]chan time.Duration
@@ -131,6 +133,7 @@
 		ctl:            tmcontrol.New(opts.Shard, opts.Bounds, token, opts.Emit),
 		held:           map[string]bool{},
 		probed:         map[string]bool{},
+		lifetimes:      map[string]lifetime{},
 		loggedBacklogs: map[string]loggedBacklog{},
 		startHedges:    newHedgeBudget(),
 		holdHedges:     newHedgeBudget(),
@@ -248,6 +251,11 @@
 	starts, stops, paces := o.ctl.TakeOrders(now)
 	adviceRequests := o.ctl.TakeAdviceRequests()
 	instanceOrders, reports := o.ctl.TakeInstanceOrders()
+	o.endLifetimes(o.ctl.TakeEndedLifetimes())
+	lifetimes := make([]context.Context, 0, len(starts))
+	for _, s := range starts {
+		lifetimes = append(lifetimes, o.lifetimeContext(ctx, s.Ref.Endpoint))
+	}
 	ids := o.ctl.EndpointsToHold(o.held)
 	for _, id := range ids {
 		o.held[id] = true
@@ -258,8 +266,8 @@
 	}
 	o.mu.Unlock()
 	o.requestFlush()
-	for _, s := range starts {
-		o.work.Go(func() { o.sendStart(ctx, s) })
+	for i, s := range starts {
+		o.work.Go(func() { o.sendStart(ctx, lifetimes[i], s) })
 	}
 	for _, s := range stops {
 		o.work.Go(func() { o.sendStop(ctx, s) })
