--- a/io/tmexplain/explain.go
+++ b/io/tmexplain/explain.go
@@ -97,7 +97,7 @@
 
 // runStage ranks the events of one run in causal order.
 var runStage = map[tmevent.Name]int{
-	tmevent.CallerSubmit: 0, tmevent.TaskPlaced: 1, tmevent.StartAnswer: 2, tmevent.RunStopping: 3,
+	tmevent.CallerSubmit: 0, tmevent.TaskPlaced: 1, tmevent.StartAnswer: 2, tmevent.RunStopping: 3, tmevent.RunInDoubt: 3,
 	tmevent.RunEnded: 4, tmevent.RunGone: 4, tmevent.RunLost: 4,
 }
 
@@ -165,6 +165,9 @@
 		f.openRuns[key] = line
 	case tmevent.StartAnswer:
 		f.addProblem("%s: start answered %s by %s", key, line.text("answer"), line.text("endpoint"))
+	case tmevent.RunInDoubt:
+		f.addProblem("%s: %s crashed, and may carry out the start order when it is back; starts nowhere else for up to %s ms",
+			key, line.text("endpoint"), line.text("for_ms"))
 	case tmevent.RunLost, tmevent.RunGone:
 		delete(f.openRuns, key)
 		f.addProblem("%s: lost on %s, %s", key, line.text("endpoint"), line.text("cause"))
