tmcontrol: settling earlier orders keeps the bound of the wave

Change: the row names the instances whose maintenance may begin by an order without an answer, which are within the bound by what their owner knew. No order is given while more may be down than the bound. In rows of earlier versions each order counts as one for maintenance.

--- a/core/tmcontrol/crash_test.go
+++ b/core/tmcontrol/crash_test.go
@@ -273,7 +273,7 @@
 func TestCrashAfterAnEarlierOrderCounts(t *testing.T) {
 	f := newFixture(t, 2)
 	f.c.bounds.HandoverDelay = 3000
-	f.c.RestoreOrders([]string{"i1", "i2"}, f.now)
+	f.c.RestoreOrders(maintenanceOf("i1", "i2"), f.now)
 	f.c.Submitted(oneTask("j"))
 	ref := f.advance(10)[0].Ref
 	i := f.c.endpoints[ref.Endpoint].info.Instance
--- a/core/tmcontrol/fleet.go
+++ b/core/tmcontrol/fleet.go
@@ -81,7 +81,8 @@
 	// earliestOrder holds the earliest time of an order about each instance that an
 	// earlier owner may have given an order about recently.
 	earliestOrder map[string]tmclock.Millis
-	// earlierOrders holds until when such an order may still be carried out, if it got no answer.
+	// earlierOrders holds until when such an order for the maintenance of an instance may still be
+	// carried out, if it got no answer.
 	earlierOrders map[string]tmclock.Millis
 }
 
@@ -208,9 +209,11 @@
 
 // RestoreOrders loads the instances about which an earlier owner has recently
 // given orders.
-func (c *Controller) RestoreOrders(instances []string, now tmclock.Millis) {
-	for _, id := range instances {
+func (c *Controller) RestoreOrders(orders RecentOrders, now tmclock.Millis) {
+	for _, id := range orders.Instances {
 		c.fleet.earliestOrder[id] = now.Add(c.bounds.HandoverDelay)
+	}
+	for _, id := range orders.Maintenance {
 		c.fleet.earlierOrders[id] = now.Add(maxOrderDelay)
 	}
 }
--- a/core/tmcontrol/instance.go
+++ b/core/tmcontrol/instance.go
@@ -38,7 +38,8 @@
 		return 0
 	}
 	left := c.rowBytes() - orderRowBytes
-	for _, id := range c.recentOrders(now) {
+	recent := c.recentOrders(now)
+	for _, id := range slices.Concat(recent.Instances, recent.Maintenance) {
 		left -= tmjob.TextBytes(id) + listItemBytes
 	}
 	for i, o := range c.fleet.unstoredOrders {
@@ -73,10 +74,16 @@
 	}
 }
 
-// recentOrders returns the instances about which orders are being stored or were given within
-// the last HandoverDelay, and those about which an order of an earlier owner may still be
-// carried out.
-func (c *Controller) recentOrders(now tmclock.Millis) []string {
+// RecentOrders are the instances about which orders are being stored or were given within the last
+// HandoverDelay.
+type RecentOrders struct {
+	Instances []string
+	// Maintenance are the instances whose maintenance may begin by an order that has no answer.
+	Maintenance []string
+}
+
+// recentOrders returns what the next owner has to know about the orders of this one.
+func (c *Controller) recentOrders(now tmclock.Millis) *RecentOrders {
 	ids := []string{}
 	for id, at := range c.fleet.orderedAt {
 		if now.Sub(at) > c.bounds.HandoverDelay {
@@ -88,17 +95,32 @@
 	for id := range c.fleet.storing {
 		ids = append(ids, id)
 	}
+	slices.Sort(ids)
+	return &RecentOrders{Instances: ids, Maintenance: c.unansweredMaintenance(now)}
+}
+
+// unansweredMaintenance returns the instances whose maintenance may begin by an order that has no
+// answer, of this owner or an earlier one.
+func (c *Controller) unansweredMaintenance(now tmclock.Millis) []string {
+	ids := []string{}
 	for id := range c.fleet.earlierOrders {
 		if c.mayHaveEarlierOrder(id, now) {
 			ids = append(ids, id)
 		}
 	}
+	for _, w := range c.fleet.waves {
+		for _, it := range w.items {
+			if it.state == itemOrdered || it.state == itemDraining && it.unanswered {
+				ids = append(ids, it.id)
+			}
+		}
+	}
 	slices.Sort(ids)
 	return slices.Compact(ids)
 }
 
-// mayHaveEarlierOrder reports whether an order of an earlier owner about an instance may still be
-// carried out.
+// mayHaveEarlierOrder reports whether an order of an earlier owner for the maintenance of an
+// instance may still be carried out.
 func (c *Controller) mayHaveEarlierOrder(instance string, now tmclock.Millis) bool {
 	return now.Before(c.fleet.earlierOrders[instance])
 }
--- a/core/tmcontrol/message.go
+++ b/core/tmcontrol/message.go
@@ -205,9 +205,8 @@
 type Flush struct {
 	Number  int64
 	Changes []Change
-	// Orders lists the instances about which orders were recently given, nil if there
-	// is nothing new.
-	Orders []string
+	// Orders are the recent orders about instances, nil if there is nothing new.
+	Orders *RecentOrders
 	// Quotas are the shard's parts of limits of teams that have changed.
 	Quotas []tmquota.Row
 
--- a/core/tmcontrol/wave.go
+++ b/core/tmcontrol/wave.go
@@ -254,6 +254,9 @@
 	}
 	for _, it := range c.nextDue(w, now) {
 		counted := c.mayBeDown(it, now)
+		if counted && down > w.slots {
+			continue
+		}
 		if !counted && down+draining >= w.slots {
 			break
 		}
@@ -334,7 +337,10 @@
 	if it.unanswered {
 		return now.Sub(it.since) >= orderRetryInterval
 	}
-	if down >= w.slots && !c.mayBeDown(it, now) {
+	if !c.mayBeDown(it, now) {
+		down++
+	}
+	if down > w.slots {
 		return false
 	}
 	e := c.endpointOn(it.id)
--- a/core/tmcontrol/wave_test.go
+++ b/core/tmcontrol/wave_test.go
@@ -157,7 +157,7 @@
 func TestNextOwnerKeepsHandoverDelay(t *testing.T) {
 	f := newFixture(t, 1)
 	f.c.bounds.HandoverDelay = 3000
-	f.c.RestoreOrders([]string{"i1"}, f.now)
+	f.c.RestoreOrders(maintenanceOf("i1"), f.now)
 	f.c.SetInstances([]Instance{{ID: "i1", Pool: "s", State: InstanceUp, Endpoint: "e1"}}, f.now)
 	f.startWave(2, "i1")
 	for range 20 {
@@ -177,7 +177,7 @@
 func TestNextOwnerCountsInstancesThatAreDown(t *testing.T) {
 	f := newFixture(t, 3)
 	f.c.bounds.HandoverDelay = 3000
-	f.c.RestoreOrders([]string{"i1"}, f.now)
+	f.c.RestoreOrders(maintenanceOf("i1"), f.now)
 	f.c.SetInstances([]Instance{
 		{ID: "i1", Pool: "s", State: InstanceUp, Endpoint: "e1"},
 		{ID: "i2", Pool: "s", State: InstanceMaintenance, Endpoint: "e2"},
@@ -291,7 +291,7 @@
 	}}})
 	loaded := f.advance(10)[0].Ref.Endpoint
 	earlier := f.c.endpoints[loaded].info.Instance
-	f.c.RestoreOrders([]string{earlier}, f.now)
+	f.c.RestoreOrders(maintenanceOf(earlier), f.now)
 	list := []Instance{upInstance("i1"), upInstance("i2")}
 	f.c.SetInstances(list, f.now)
 	f.startWave(1, "i1", "i2")
@@ -327,9 +327,74 @@
 func TestEarlierOrdersStayStored(t *testing.T) {
 	f := newFixture(t, 1)
 	f.c.bounds.HandoverDelay = 3000
-	f.c.RestoreOrders([]string{"i1"}, f.now)
+	f.c.RestoreOrders(maintenanceOf("i1"), f.now)
 	f.advance(4000)
-	assert.DeepEqual(t, f.c.recentOrders(f.now), []string{"i1"})
+	assert.DeepEqual(t, f.c.recentOrders(f.now).Maintenance, []string{"i1"})
 	f.advance(maxOrderDelay)
-	assert.DeepEqual(t, f.c.recentOrders(f.now), []string{})
+	assert.Equal(t, len(f.c.recentOrders(f.now).Maintenance), 0)
+}
+
+// Guards against the bound of a wave being exceeded by the orders that settle those of an earlier
+// owner: there are more of them than the bound permits, because moves count as well in a row of an
+// earlier version.
+func TestEarlierOrdersKeepTheBound(t *testing.T) {
+	f := newFixture(t, 5)
+	f.c.bounds.HandoverDelay = 3000
+	all := []string{"i1", "i2", "i3", "i4", "i5"}
+	f.c.RestoreOrders(maintenanceOf(all...), f.now)
+	var list []Instance
+	for _, id := range all {
+		list = append(list, upInstance(id))
+	}
+	f.startWave(2, all...)
+	under := map[string]bool{}
+	for range 400 {
+		for i := range all {
+			f.answerHold(f.endpointInfo(i + 1).ID)
+		}
+		f.now += 100
+		f.c.SetInstances(list, f.now)
+		for id := range under {
+			if it := f.waveItem(id); it.state == itemDone {
+				delete(under, id)
+			}
+		}
+		f.advance(1)
+		orders, _ := f.c.TakeInstanceOrders()
+		for _, o := range orders {
+			under[o.Instance] = true
+			f.c.InstanceOrdered(o, Accepted, f.now)
+		}
+		assert.Assert(t, len(under) <= 2, "%v are down", under)
+	}
+	assert.Assert(t, f.c.fleet.waves["1"].done)
+}
+
+// Guards against a wave that waits for moves of an earlier owner.
+func TestEarlierMovesDelayNoWave(t *testing.T) {
+	f := newFixture(t, 2)
+	f.c.RestoreOrders(RecentOrders{Instances: []string{"i1", "i2"}}, f.now)
+	f.now += 10
+	f.c.SetInstances([]Instance{upInstance("i1"), upInstance("i2")}, f.now)
+	f.startWave(1, "i1", "i2")
+	f.advance(10)
+	f.advance(10)
+	orders, _ := f.c.TakeInstanceOrders()
+	assert.Equal(t, len(orders), 1)
+	assert.DeepEqual(t, f.c.recentOrders(f.now).Maintenance, []string{orders[0].Instance})
+}
+
+// maintenanceOf returns the recent orders of an owner that has ordered the maintenance of instances.
+func maintenanceOf(instances ...string) RecentOrders {
+	return RecentOrders{Instances: instances, Maintenance: instances}
+}
+
+// waveItem returns the item of an instance in wave 1.
+func (f *fixture) waveItem(instance string) *waveItem {
+	for _, it := range f.c.fleet.waves["1"].items {
+		if it.id == instance {
+			return it
+		}
+	}
+	return nil
 }
--- a/io/tmowner/flush.go
+++ b/io/tmowner/flush.go
@@ -207,7 +207,7 @@
 		txn.Puts = append(txn.Puts, tmtable.Put{Key: tmrecord.QuotaKey(o.shard, row.Team), Value: tmrecord.EncodeQuota(row)})
 	}
 	if f.Orders != nil {
-		txn.Puts = append(txn.Puts, tmtable.Put{Key: tmrecord.OrdersKey(o.shard), Value: tmrecord.EncodeOrders(f.Orders)})
+		txn.Puts = append(txn.Puts, tmtable.Put{Key: tmrecord.OrdersKey(o.shard), Value: tmrecord.EncodeOrders(tmrecord.Orders(*f.Orders))})
 	}
 	for _, m := range moved {
 		txn.Removes = append(txn.Removes, tmrecord.OwnerOutcomeKey(o.shard, m.job))
--- a/io/tmowner/load.go
+++ b/io/tmowner/load.go
@@ -9,6 +9,7 @@
 	"turmericmoor/internal/tmwait"
 
 	"turmericmoor/core/tmclock"
+	"turmericmoor/core/tmcontrol"
 	"turmericmoor/core/tmevent"
 	"turmericmoor/core/tmjob"
 	"turmericmoor/io/tmrecord"
@@ -218,11 +219,11 @@
 
 // restoreOrders loads the instances that recent orders were about. The caller holds mu.
 func (o *Owner) restoreOrders(row tmtable.Row, now tmclock.Millis) {
-	instances, err := tmrecord.DecodeOrders(row.Value)
+	orders, err := tmrecord.DecodeOrders(row.Value)
 	if err != nil {
 		o.emitUnreadable(row, err)
 	}
-	o.ctl.RestoreOrders(instances, now)
+	o.ctl.RestoreOrders(tmcontrol.RecentOrders(orders), now)
 }
 
 // restoreOutcome loads the outcome of a job. The caller holds mu.
--- a/io/tmrecord/codec.go
+++ b/io/tmrecord/codec.go
@@ -323,20 +323,34 @@
 	return Wave(row), nil
 }
 
+// Orders are the recent orders about instances: all instances, and those whose maintenance may
+// begin by an order that has no answer.
+type Orders struct{ Instances, Maintenance []string }
+
+// ordersRow is the row of the recent orders. Earlier versions stored no list of those for
+// maintenance.
 type ordersRow struct {
-	Instances []string `json:"i"`
+	Instances   []string  `json:"i"`
+	Maintenance *[]string `json:"m,omitempty"`
 }
 
-// EncodeOrders encodes the row with the instances that recent orders were about.
-func EncodeOrders(instances []string) []byte { return encode(ordersRow{Instances: instances}) }
+// EncodeOrders encodes the row of the recent orders about instances.
+func EncodeOrders(o Orders) []byte {
+	return encode(ordersRow{Instances: o.Instances, Maintenance: &o.Maintenance})
+}
 
-// DecodeOrders decodes the row with the instances that recent orders were about.
-func DecodeOrders(data []byte) ([]string, error) {
+// DecodeOrders decodes the row of the recent orders about instances. In a row of an earlier
+// version each may be for maintenance.
+func DecodeOrders(data []byte) (Orders, error) {
 	var row ordersRow
 	if err := decode("orders", data, &row); err != nil {
-		return nil, err
+		return Orders{}, err
+	}
+	o := Orders{Instances: row.Instances, Maintenance: row.Instances}
+	if row.Maintenance != nil {
+		o.Maintenance = *row.Maintenance
 	}
-	return row.Instances, nil
+	return o, nil
 }
 
 // Node is what a node publishes about itself.
