tmcontrol: runs that are lost after a change of the owner end with their lease

Cause: a new owner keeps restored runs for as long as the earlier owner may renew their lease, 10 s and the lease; but from when the endpoint has accepted the new token that one can't. And an instance that the list no longer has told nothing.

Change: when an endpoint accepts a token, its lease ends within the longest lease. An instance that is missing in a list requested after its endpoint was last heard of, while the endpoint has runs and doesn't answer, ends the lifetime.

Ruled out: to believe a missing instance while its endpoint answers, or an empty list.

Tests: TestLeaseOfAnEarlierOwnerEndsWithItsToken and TestInstanceThatIsGoneEndsItsTasks failed on the code before.

--- a/core/tmcontrol/controller_test.go
+++ b/core/tmcontrol/controller_test.go
@@ -253,6 +253,40 @@
 	assert.Assert(t, second[0].Ref.Endpoint != first.Endpoint)
 }
 
+// Guards against the same where the instance is gone for good, so that the list doesn't have it.
+func TestInstanceThatIsGoneEndsItsTasks(t *testing.T) {
+	f := newFixture(t, 2)
+	f.c.Submitted(oneTask("j"))
+	first := f.advance(10)[0].Ref
+	f.answerHold(first.Endpoint)
+	rest := []Instance{upInstance("i9")}
+	f.now += 10
+	f.c.SetInstances(rest, f.now)
+	assert.Equal(t, len(f.advance(10)), 0)
+	f.c.HoldFailed(first.Endpoint, "test", f.now)
+	f.c.SetInstances(nil, f.now)
+	assert.Equal(t, len(f.advance(10)), 0)
+	f.c.SetInstances(rest, f.now)
+	assert.Equal(t, len(f.advance(10)), 1)
+}
+
+// Guards against tasks that stand still for 15 s after a change of the owner: their endpoint was lost
+// after it had answered the new owner, from when on the earlier one could not renew its lease.
+func TestLeaseOfAnEarlierOwnerEndsWithItsToken(t *testing.T) {
+	f := newFixture(t, 2)
+	f.c.Submitted(oneTask("j"))
+	first := f.advance(10)[0].Ref
+	f.restoreAtNewOwner("j")
+	f.answerHold("e1")
+	f.answerHold("e2")
+	accepted := f.now
+	f.c.HoldFailed(first.Endpoint, "test", f.now)
+	for f.now.Sub(accepted) < testBounds().MaxLease {
+		assert.Equal(t, len(f.advance(100)), 0)
+	}
+	assert.Equal(t, len(f.advance(500)), 1)
+}
+
 // Guards against best-effort tasks that keep their pace while a serving task beside them
 // misses its target, or stay slow afterwards.
 func TestBestEffortTasksAreSlowed(t *testing.T) {
--- a/core/tmcontrol/crash.go
+++ b/core/tmcontrol/crash.go
@@ -30,6 +30,7 @@
 	causeRestarted lossCause = "endpoint restarted"
 	causeReplaced  lossCause = "instance has a new endpoint"
 	causeDown      lossCause = "instance is down"
+	causeRemoved   lossCause = "instance does not exist any more"
 	// causeUnknown: the instance of the endpoint is not known, so an order for it may
 	// have ended the endpoint.
 	causeUnknown lossCause = "no instance runs the endpoint"
@@ -95,16 +96,16 @@
 	switch cause {
 	case causeMaintenance, causeMoved, causeLapsed:
 		return false
-	case causeRestarted, causeReplaced, causeDown, causeUnknown:
+	case causeRestarted, causeReplaced, causeDown, causeRemoved, causeUnknown:
 	}
 	return !e.ending && !e.info.Draining
 }
 
 // mayHaveBeenOrdered reports whether an order of an earlier owner may have ended a
-// lifetime. An instance that is down has crashed: orders keep it moving or in maintenance.
+// lifetime. An instance that is down or gone has crashed: orders keep it moving or in maintenance.
 func (c *Controller) mayHaveBeenOrdered(e *endpoint, cause lossCause) bool {
 	switch cause {
-	case causeDown:
+	case causeDown, causeRemoved:
 		return false
 	case causeUnknown:
 		return true
--- a/core/tmcontrol/fleet.go
+++ b/core/tmcontrol/fleet.go
@@ -168,9 +168,9 @@
 	return false
 }
 
-// checkAlive ends the lifetime of an endpoint whose instance is down or runs another
-// endpoint, according to the list of instances. That is known well before the lease
-// of the endpoint has expired.
+// checkAlive ends the lifetime of an endpoint whose instance is down, runs another endpoint
+// or, while the endpoint has runs and doesn't answer, is missing, according to the list. That
+// is known well before the lease of the endpoint has expired.
 func (c *Controller) checkAlive(e *endpoint, sentAt tmclock.Millis) {
 	i, ok := c.fleet.instances[e.info.Instance]
 	if e.gone {
@@ -184,10 +184,10 @@
 		c.endLifetime(e, causeUnknown)
 		return
 	}
-	if !ok {
-		return
-	}
 	switch {
+	case !ok && e.info.Instance != "" && !e.answering && len(e.runs) > 0 && len(c.fleet.instances) > 0:
+		c.endLifetime(e, causeRemoved)
+	case !ok:
 	case i.State == InstanceDown:
 		c.endLifetime(e, causeDown)
 	case i.State == InstanceUp && i.Endpoint != "" && i.Endpoint != e.info.ID:
@@ -200,7 +200,7 @@
 // its orders could be carried out.
 func (c *Controller) checkReturn(e *endpoint, i Instance, listed bool, sentAt tmclock.Millis) {
 	switch {
-	case !listed, i.State == InstanceUp && i.Endpoint != "" && i.Endpoint != e.info.ID:
+	case !listed && e.info.Instance != "", i.State == InstanceUp && i.Endpoint != "" && i.Endpoint != e.info.ID:
 		c.forgetLateStarts(e, causeReplaced)
 	case i.State != InstanceUp:
 		c.releaseLateStarts(e, sentAt)
--- a/core/tmcontrol/lifetime.go
+++ b/core/tmcontrol/lifetime.go
@@ -116,11 +116,17 @@
 	return ended
 }
 
-// acceptToken records that an endpoint has accepted its fencing token. Before that, calls to an
-// earlier lifetime may have extended its lease as far as possible.
+// acceptToken records that an endpoint has accepted its fencing token. Calls with a lower one, of an
+// earlier owner or to an earlier lifetime, may have extended its lease as far as possible before, and
+// extend it no more.
 func (c *Controller) acceptToken(e *endpoint, now tmclock.Millis) {
-	if !e.tokenAccepted && e.lifetime > 0 {
-		e.leaseExpiry = now.Add(maxLeaseTime(c.bounds.MaxLease))
+	latest := now.Add(maxLeaseTime(c.bounds.MaxLease))
+	switch {
+	case e.tokenAccepted:
+	case e.lifetime > 0:
+		e.leaseExpiry = latest
+	default:
+		e.leaseExpiry = min(e.leaseExpiry, latest)
 	}
 	e.tokenAccepted = true
 }
