tmcontrol: a job waits until an endpoint has accepted or listed a run of it

Cause: a job counted as begun once a task was placed, and a restored one once anything of it was stored.

Change: begun is set by what endpoints say, and by stored ends.

Tests: TestJobWhoseStartIsRefusedWaits and TestRestoredJobWaitsUntilItsRunIsKnown. TestRunsOfAFinalJob read the field to see whether a task was placed, and looks at the runs of the job instead.

--- a/core/tmcontrol/backlog_test.go
+++ b/core/tmcontrol/backlog_test.go
@@ -332,3 +332,32 @@
 		}
 	}
 }
+
+// Guards against jobs that are not counted as waiting although none of their tasks has started: their
+// starts were placed, and refused.
+func TestJobWhoseStartIsRefusedWaits(t *testing.T) {
+	f := newFixture(t, 1)
+	f.c.Submitted(oneTask("j"))
+	first := f.order(10)[0].Ref
+	assert.Equal(t, f.c.Waiting()["q"], 1)
+	f.c.Started(first, Unhealthy, f.now)
+	assert.Equal(t, f.c.Waiting()["q"], 1)
+
+	f.restoreAtNewOwner("j")
+	f.answerHold("e1")
+	f.advance(2000)
+	assert.Equal(t, f.c.Waiting()["q"], 0)
+}
+
+// Guards against the same after a change of the owner, and against a job that counts as waiting
+// although a task has started.
+func TestRestoredJobWaitsUntilItsRunIsKnown(t *testing.T) {
+	f := newFixture(t, 1)
+	f.c.Submitted(oneTask("j"))
+	first := f.order(10)[0].Ref
+	f.restoreAtNewOwner("j")
+	assert.Equal(t, f.c.Waiting()["q"], 1)
+	f.runs["e1"] = []ActiveRun{{Task: first.Task, Run: first.Run}}
+	f.answerHold("e1")
+	assert.Equal(t, f.c.Waiting()["q"], 0)
+}
--- a/core/tmcontrol/end.go
+++ b/core/tmcontrol/end.go
@@ -14,7 +14,7 @@
 	t := c.findTask(end.Task)
 	c.event(tmevent.RunEnded, "task", end.Task.String(), "run", end.Run, "endpoint", e.info.ID, "how", end.Reason.String(), "number", end.Number)
 	if r != nil {
-		r.begun = true
+		r.markBegun()
 		c.recordHealth(e, r, end.Reason, now)
 		c.recordRunTime(r, end.Reason, now)
 		c.release(r)
--- a/core/tmcontrol/hold.go
+++ b/core/tmcontrol/hold.go
@@ -246,7 +246,8 @@
 	}
 	c.markAnswered(r)
 	r.settledAt, r.unanswered = now, false
-	r.begun, r.listed, r.crashed = true, true, false
+	r.markBegun()
+	r.listed, r.crashed = true, false
 	r.atWork = r.atWork || now.Sub(r.startedAt) >= MinWorkTime
 	c.exonerate(r.task.culprit())
 	if a.Percent != r.percent {
--- a/core/tmcontrol/job.go
+++ b/core/tmcontrol/job.go
@@ -27,7 +27,7 @@
 	// final is set once the outcome is decided; state is that outcome.
 	final bool
 	state tmjob.State
-	// begun is set once some task was started.
+	// begun is set once some task was started, by what its endpoint has said.
 	begun bool
 	// hasStoredRuns is set if the job is final and its progress is stored nevertheless,
 	// because runs had not ended. rowsReleased is set once it is not needed any more.
@@ -183,6 +183,12 @@
 	stopReason    string
 }
 
+// markBegun records that the endpoint has accepted or listed the run.
+func (r *run) markBegun() {
+	r.begun = true
+	r.task.step.occ.job.begun = true
+}
+
 func (r *run) key() runKey { return runKey{task: r.task.id, run: r.n} }
 
 func newJob(spec tmjob.Job) *job {
--- a/core/tmcontrol/load_test.go
+++ b/core/tmcontrol/load_test.go
@@ -108,5 +108,5 @@
 			assert.Assert(t, c.Progress == nil && c.Final == tmjob.Cancelled)
 		}
 	}
-	assert.Equal(t, f.c.jobs["other"].begun, true)
+	assert.Assert(t, !f.c.jobs["other"].idle())
 }
--- a/core/tmcontrol/order.go
+++ b/core/tmcontrol/order.go
@@ -96,7 +96,8 @@
 	}
 	switch a {
 	case Accepted:
-		r.phase, r.settledAt, r.unanswered, r.begun = active, now, false, true
+		r.phase, r.settledAt, r.unanswered = active, now, false
+		r.markBegun()
 		if r.startedAt == 0 {
 			r.startedAt = now
 		}
--- a/core/tmcontrol/plan.go
+++ b/core/tmcontrol/plan.go
@@ -247,7 +247,6 @@
 		r.ticket = tk
 	}
 	j := t.step.occ.job
-	j.begun = true
 	c.markDirty(t)
 	c.event(tmevent.TaskPlaced, "task", t.id.String(), "run", n, "endpoint", e.info.ID,
 		"free_cpu", e.free().CPU, "queue", j.spec.Queue, "team", j.spec.Team, "rules", c.rules.Version, "left", t.step.left)
