tmcontrol: jobs that no instance can run leave room for others

Cause: at most 100,000 tasks are open at a time, and jobs that nothing can run stay open until they are cancelled.

Change: half of the open tasks are kept for jobs that the instances of the fleet could run if they were empty: by label, size, limit of the team and width of a gang.

Ruled out: a part for each team, since later jobs of the same team have to run as well; closing open jobs, which would change the order of a full pool.

--- a/core/tmcontrol/tick.go
+++ b/core/tmcontrol/tick.go
@@ -63,6 +63,9 @@
 	// bytes each. Beyond it only jobs without an open occurrence that are long-running
 	// open one.
 	maxOpenTasks = 100_000
+	// feasibleTasks is the part of them that is kept for jobs that the fleet could run. Others stay
+	// open until they are cancelled.
+	feasibleTasks = maxOpenTasks / 2
 )
 
 // openAllDue opens the occurrences that have become due, in order of the arrival of their
@@ -72,13 +75,14 @@
 	for _, j := range c.openJobs {
 		room -= len(j.occurrences) * j.tasksPerOccurrence
 	}
+	f := newFeasibility(c)
 	for _, j := range c.openJobs {
-		c.openDue(j, &room, now, wall)
+		c.openDue(j, &room, f, now, wall)
 	}
 }
 
 // openDue opens the due occurrences of a job as long as there is room for their tasks.
-func (c *Controller) openDue(j *job, room *int, now tmclock.Millis, wall int64) {
+func (c *Controller) openDue(j *job, room *int, f *feasibility, now tmclock.Millis, wall int64) {
 	for j.next < j.spec.Occurrences() && j.openOccurrences() < maxOpenOccurrences {
 		if j.spec.Repeats > 0 && wall < j.spec.Due(j.next) {
 			return
@@ -86,6 +90,9 @@
 		if *room < j.tasksPerOccurrence && (!j.longRunning || len(j.occurrences) > 0) {
 			return
 		}
+		if *room-j.tasksPerOccurrence < feasibleTasks && !f.couldRun(j) {
+			return
+		}
 		*room -= j.tasksPerOccurrence
 		c.addOccurrence(j.open(j.next), now, wall)
 	}
