tmcontrol: long-running tasks get reservations too

Cause: long-running tasks go first, but a task that is larger than the short ones never finds room at once, since each of those takes the room that the one before leaves; reservations left them out.

Change: a blocked long-running step can have the reservation of its pool, within the same bounds in time as any other.

Ruled out: to reserve the place that `relocate` has found before it stops the task; that helps waves only, and the task waits 2 s now.

--- a/core/tmcontrol/reserve.go
+++ b/core/tmcontrol/reserve.go
@@ -57,7 +57,7 @@
 // step in the order of its pool of which that is true and which others would always precede.
 func (c *Controller) reserve(s *step, p *pool, tasks int64, now tmclock.Millis) {
 	state := c.orderOf(p.service)
-	if state.hasBlocked || !state.scarce || s.spec.LongRunning || s.tasks[0].isSuspect() || !state.precedes(s, tasks) || !p.isHalfUsedFor(s) {
+	if state.hasBlocked || !state.scarce || s.tasks[0].isSuspect() || !state.precedes(s, tasks) || !p.isHalfUsedFor(s) {
 		return
 	}
 	state.hasBlocked = true
