tmcontrol: crashes of endpoints don't fail long-running jobs

Cause: after that many crashes, or two in isolation, a task counts as their cause, and its job is given up. A long-running task has to run until its job is cancelled, however its runs end, and meets many crashes in its time.

Change: a long-running task that would be given up starts again, in isolation, after a pause of 1 s that doubles with each crash up to 8 s. So one that does crash its endpoints takes one at a time, and seldom.

Ruled out: to count crashes while at work no more; a storm of crashes hits a task while it starts as well.

Test: TestLongRunningTaskOutlivesCrashes failed on the code before.

--- a/core/tmcontrol/crash_test.go
+++ b/core/tmcontrol/crash_test.go
@@ -92,6 +92,38 @@
 	}
 }
 
+// Guards against a long-running job that is given up, with all its tasks that are at work, because
+// endpoints have crashed under one of them, and against a task that crashes one endpoint after
+// the other without a pause.
+func TestLongRunningTaskOutlivesCrashes(t *testing.T) {
+	f := newFixture(t, 4)
+	lasting := oneTask("lasting")
+	lasting.Steps[0].LongRunning = true
+	f.c.Submitted(lasting)
+	crashed := tmclock.Millis(0)
+	for n := range 12 {
+		for f.placeOf("lasting") == "" {
+			f.advance(50)
+			f.work(50)
+			assert.Assert(t, f.now.Sub(crashed) < maxCrashDelay+tmclock.Second, "crash %d", n)
+		}
+		if n > maxCrashes+3 {
+			assert.Assert(t, f.now.Sub(crashed) >= maxCrashDelay, "crash %d", n)
+		}
+		crashed = f.now
+		f.restart(f.placeOf("lasting"))
+	}
+	assert.Equal(t, f.c.finalAt["lasting"], tmclock.Millis(0))
+	for f.placeOf("lasting") == "" {
+		f.advance(50)
+		f.work(50)
+	}
+	f.work(MinWorkTime)
+	f.work(exonerationTime)
+	f.work(MinWorkTime)
+	assert.Equal(t, f.c.jobs["lasting"].occurrences[0].steps[0].tasks[0].crashes, 0)
+}
+
 // Guards against a crashing task that starts anew with each owner.
 func TestCrashesAreCountedAcrossOwners(t *testing.T) {
 	f := newFixture(t, 2)
--- a/core/tmcontrol/lapse.go
+++ b/core/tmcontrol/lapse.go
@@ -32,7 +32,7 @@
 // job of its task fails if the endpoint has crashed.
 func (r *run) awaitsEvidence(now tmclock.Millis) bool {
 	t := r.task.culprit()
-	return t.crashes >= maxCrashes-1 && !r.stop && r.mayHaveCrashed() && now.Sub(r.ep.leaseExpiry) < maxEvidenceWait
+	return t.crashes >= maxCrashes-1 && !t.step.spec.LongRunning && !r.stop && r.mayHaveCrashed() && now.Sub(r.ep.leaseExpiry) < maxEvidenceWait
 }
 
 // mayHaveCrashed reports whether a run on a silent endpoint was starting there.
--- a/core/tmcontrol/suspicion.go
+++ b/core/tmcontrol/suspicion.go
@@ -34,6 +34,11 @@
 	// maxStartingTime is the most time between a start and the first sign of a crash for
 	// which a task that was not listed meanwhile was certainly starting.
 	maxStartingTime = 2 * MinWorkTime
+	// minCrashDelay is the time after which a long-running task starts again that would fail its job
+	// if it were not to run until that is cancelled. It doubles with each further crash, up to
+	// maxCrashDelay.
+	minCrashDelay = 1000 * tmclock.Millisecond
+	maxCrashDelay = 8000 * tmclock.Millisecond
 	// exonerationTime is how long a run must last for the earlier crashes under its task
 	// to be forgotten. A healthy task meets few crashes so soon after its starts.
 	exonerationTime = 2 * tmclock.Second
@@ -99,15 +104,32 @@
 }
 
 // recordCrashUnder stores that an endpoint has crashed under a task, and fails the job of
-// the task if that was once too often.
+// the task if that was once too often. A long-running task starts again in any case, alone on its
+// endpoint, and later each time.
 func (c *Controller) recordCrashUnder(t *task, endpoint string) {
-	if t.suspicions < maxSuspicions && t.crashes < maxCrashes {
+	isBlamed := t.suspicions >= maxSuspicions || t.crashes >= maxCrashes
+	if !isBlamed || t.step.spec.LongRunning {
 		c.suspect(t, endpoint)
-		return
 	}
-	c.markDirty(t)
-	c.finish(t.step.occ.job, tmjob.Failed, "endpoints crashed under task "+t.id.String())
-	c.explainCrashes(t)
+	switch {
+	case !isBlamed:
+	case t.step.spec.LongRunning:
+		t.suspicions = min(t.suspicions, maxSuspicions)
+		t.notBefore = max(t.notBefore, c.now.Add(crashDelay(t.crashes)))
+	default:
+		c.markDirty(t)
+		c.finish(t.step.occ.job, tmjob.Failed, "endpoints crashed under task "+t.id.String())
+		c.explainCrashes(t)
+	}
+}
+
+// crashDelay returns how long a long-running task waits after that many crashes.
+func crashDelay(crashes int) tmclock.Span {
+	delay := minCrashDelay
+	for range max(0, crashes-maxCrashes) {
+		delay = min(2*delay, maxCrashDelay)
+	}
+	return delay
 }
 
 // suspect stores that an endpoint has, or may have, crashed under a task.
