tmlate: the sends of an order have a package of their own

core/tmcontrol counted them in four fields of a run, under the name of copies, which are second runs of a task elsewhere.

--- a/core/tmcontrol/fleet.go
+++ b/core/tmcontrol/fleet.go
@@ -4,6 +4,7 @@
 	"turmericmoor/core/tmclock"
 	"turmericmoor/core/tmevent"
 	"turmericmoor/core/tmjob"
+	"turmericmoor/core/tmlate"
 )
 
 // InstanceState is the stage of an instance in its life cycle.
@@ -214,7 +215,7 @@
 		c.fleet.earliestOrder[id] = now.Add(c.bounds.HandoverDelay)
 	}
 	for _, id := range orders.Maintenance {
-		c.fleet.earlierOrders[id] = now.Add(maxOrderDelay)
+		c.fleet.earlierOrders[id] = now.Add(tmlate.MaxDelay)
 	}
 }
 
--- a/core/tmcontrol/job.go
+++ b/core/tmcontrol/job.go
@@ -8,6 +8,7 @@
 	"turmericmoor/core/tmclock"
 	"turmericmoor/core/tminterference"
 	"turmericmoor/core/tmjob"
+	"turmericmoor/core/tmlate"
 	"turmericmoor/core/tmstraggler"
 )
 
@@ -150,13 +151,9 @@
 	inFlight   bool
 	unanswered bool
 	tries      int
-	// copies counts the copies of the start order that were sent, answeredCopies those that got
-	// an answer. accepted is set if one of the answers was Accepted. Until lateUntil the others
-	// may be carried out.
-	copies, answeredCopies int
-	accepted               bool
-	lateUntil              tmclock.Millis
-	startedAt              tmclock.Millis
+	// sends counts the sends of the start order.
+	sends     tmlate.Sends
+	startedAt tmclock.Millis
 	// begun is set once the endpoint has accepted or listed the run.
 	begun bool
 	// atWork is set once the endpoint has listed the run MinWorkTime after its start.
@@ -186,6 +183,7 @@
 // markBegun records that the endpoint has accepted or listed the run.
 func (r *run) markBegun() {
 	r.begun = true
+	r.sends.CarriedOut()
 	r.task.step.occ.job.begun = true
 }
 
--- a/core/tmcontrol/late.go
+++ b/core/tmcontrol/late.go
@@ -5,6 +5,7 @@
 
 	"turmericmoor/core/tmclock"
 	"turmericmoor/core/tmevent"
+	"turmericmoor/core/tmlate"
 )
 
 // This file keeps track of start orders that may be carried out late. An order without an
@@ -13,76 +14,41 @@
 // of the lease in the order doesn't expire the order there. Only a call with a higher fencing
 // token shuts such orders out.
 
-// maxOrderDelay is the longest time after which an order without an answer may still be
-// carried out.
-const maxOrderDelay = 13 * tmclock.Second
-
-// lateStart is a released run of which copies of the start order have no answer.
+// lateStart is a released run whose start order may still be carried out.
 type lateStart struct {
-	run    runKey
-	copies int
-	// until is the time after which no copy is carried out any more.
+	run runKey
+	// sends is how many sends of the order have no answer, until when they may be carried out.
+	sends int
 	until tmclock.Millis
 }
 
-// copySent records that a copy of the start order of a run is being sent.
-func (r *run) copySent(now tmclock.Millis) {
-	r.copies++
-	r.lateUntil = now.Add(maxOrderDelay)
-}
-
-// copyAnswered records the answer to a copy of the start order of a run. A copy with an answer
-// is not carried out later.
-func (r *run) copyAnswered(a Answer, now tmclock.Millis) {
-	if a == NoAnswer {
-		return
-	}
-	r.answeredCopies++
-	r.accepted = r.accepted || a == Accepted
-	if r.unansweredCopies() == 0 {
-		r.lateUntil = now
-	}
-}
-
-// lateCopies returns how many copies of the start order of a run may still be carried out.
-func (r *run) lateCopies(now tmclock.Millis) int {
-	if !now.Before(r.lateUntil) {
-		return 0
-	}
-	return r.unansweredCopies()
-}
-
-// unansweredCopies returns how many copies of the start order of a run have no answer and were not
-// carried out.
-func (r *run) unansweredCopies() int {
-	n := r.copies - r.answeredCopies
-	if r.begun && !r.accepted {
-		// One of those without an answer was carried out.
-		n--
+// startAnswered records the answer to a send of the start order of a run.
+func (r *run) startAnswered(a Answer, now tmclock.Millis) {
+	if a != NoAnswer {
+		r.sends.Answered(a == Accepted, now)
 	}
-	return max(n, 0)
 }
 
-// StartRepeated records that a second copy of a start order is about to be sent. It reports
-// false if the copy must not be sent, because the run has to end or its endpoint has restarted.
+// StartRepeated records that a start order is about to be sent a second time. It reports false if
+// that must not happen, because the run has to end or its endpoint has restarted.
 func (c *Controller) StartRepeated(ref RunRef, now tmclock.Millis) bool {
 	r := c.findRun(ref)
 	if r == nil || r.sentAt != ref.SentAt || r.ep.token != ref.Token || r.stop {
 		return false
 	}
-	r.copySent(now)
+	r.sends.Sent(now)
 	return true
 }
 
-// CopyAnswered handles the answer to a copy of a start order whose answer Started does not get:
-// another copy was answered first.
-func (c *Controller) CopyAnswered(ref RunRef, a Answer, now tmclock.Millis) {
+// SendAnswered handles the answer to a send of a start order that Started does not get, because
+// another send was answered first.
+func (c *Controller) SendAnswered(ref RunRef, a Answer, now tmclock.Millis) {
 	if r := c.findRun(ref); r != nil {
-		r.copyAnswered(a, now)
+		r.startAnswered(a, now)
 		return
 	}
 	if e := c.endpoints[ref.Endpoint]; e != nil && a != NoAnswer {
-		e.forgetLateCopy(runKey{ref.Task, ref.Run})
+		e.forgetLateSend(runKey{ref.Task, ref.Run})
 	}
 }
 
@@ -95,21 +61,21 @@
 	return e.runs[runKey{ref.Task, ref.Run}]
 }
 
-// keepLateStart remembers a released run of which copies may still be carried out.
+// keepLateStart remembers a released run whose start order may still be carried out.
 func (e *endpoint) keepLateStart(r *run, now tmclock.Millis) {
-	if n := r.lateCopies(now); n > 0 {
-		e.lateStarts = append(e.lateStarts, lateStart{run: r.key(), copies: n, until: r.lateUntil})
+	if n := r.sends.Late(now); n > 0 {
+		e.lateStarts = append(e.lateStarts, lateStart{run: r.key(), sends: n, until: r.sends.Until()})
 	}
 }
 
-// forgetLateCopy takes one copy of the start order of a released run off.
-func (e *endpoint) forgetLateCopy(key runKey) {
+// forgetLateSend takes one send of the start order of a released run off.
+func (e *endpoint) forgetLateSend(key runKey) {
 	i := slices.IndexFunc(e.lateStarts, func(l lateStart) bool { return l.run == key })
 	if i < 0 {
 		return
 	}
-	e.lateStarts[i].copies--
-	if e.lateStarts[i].copies == 0 {
+	e.lateStarts[i].sends--
+	if e.lateStarts[i].sends == 0 {
 		e.lateStarts = slices.Delete(e.lateStarts, i, i+1)
 	}
 }
@@ -126,7 +92,7 @@
 	switch {
 	case r.phase == planned:
 		return false
-	case r.lateCopies(now) > 0:
+	case r.sends.Late(now) > 0:
 		return true
 	case r.listed:
 		return false
@@ -156,9 +122,9 @@
 	c.stopRun(r, string(causeRestarted))
 	r.phase, r.settledAt, r.listed = unconfirmed, c.now, false
 	r.stopSentAt, r.stopConfirmed, r.crashed = 0, false, true
-	r.ep.extendLeaseExpiry(r.lateUntil.Add(maxLeaseTime(c.bounds.MaxLease)))
+	r.ep.extendLeaseExpiry(r.sends.Until().Add(maxLeaseTime(c.bounds.MaxLease)))
 	c.event(tmevent.RunInDoubt, "task", r.task.id.String(), "run", r.n, "endpoint", r.ep.info.ID,
-		"copies", r.copies, "unanswered", r.lateCopies(c.now), "for_ms", int64(max(0, r.lateUntil.Sub(c.now))))
+		"sends", r.sends.Count(), "unanswered", r.sends.Late(c.now), "for_ms", int64(max(0, r.sends.Until().Sub(c.now))))
 }
 
 // recallLateStarts takes up again the runs that the next lifetime of an endpoint may start
@@ -172,7 +138,7 @@
 			continue
 		}
 		r := c.addRun(t, e, l.run.run)
-		r.copies, r.lateUntil = l.copies, l.until
+		r.sends = tmlate.Restore(l.sends, l.until)
 		c.markDirty(t)
 		c.stopLateStart(r)
 	}
@@ -190,7 +156,7 @@
 // requested.
 func (c *Controller) releaseLateStarts(e *endpoint, listedAt tmclock.Millis) {
 	for _, r := range e.runs {
-		if listedAt.After(r.lateUntil) {
+		if listedAt.After(r.sends.Until()) {
 			c.loseRun(r, causeDown)
 		}
 	}
--- a/core/tmcontrol/lifetime.go
+++ b/core/tmcontrol/lifetime.go
@@ -65,7 +65,7 @@
 	truncated bool
 }
 
-// provesAbsence reports whether the list tells that a run is not there. All copies of its
+// provesAbsence reports whether the list tells that a run is not there. All sends of its
 // start order have been answered.
 func (l *runList) provesAbsence(r *run) bool {
 	return !l.runs[r.key()] && !l.truncated && l.sentAt.After(r.settledAt)
@@ -167,7 +167,7 @@
 		c.forgetLateStarts(e, cause)
 		return
 	}
-	c.endRuns(lost, func(r *run) bool { return r.lateCopies(c.now) > 0 }, cause)
+	c.endRuns(lost, func(r *run) bool { return r.sends.Late(c.now) > 0 }, cause)
 	c.recallLateStarts(e)
 }
 
--- a/core/tmcontrol/order.go
+++ b/core/tmcontrol/order.go
@@ -25,7 +25,7 @@
 func (c *Controller) sendStart(r *run, now tmclock.Millis) {
 	r.phase, r.inFlight, r.sentAt = ordered, true, now
 	r.tries++
-	r.copySent(now)
+	r.sends.Sent(now)
 	if r.pending {
 		c.unansweredStarts = append(c.unansweredStarts, r)
 	}
@@ -83,12 +83,12 @@
 func (c *Controller) Started(ref RunRef, a Answer, now tmclock.Millis) {
 	r := c.findRun(ref)
 	if r == nil || r.sentAt != ref.SentAt {
-		c.CopyAnswered(ref, a, now)
+		c.SendAnswered(ref, a, now)
 		return
 	}
 	e := r.ep
 	r.inFlight = false
-	r.copyAnswered(a, now)
+	r.startAnswered(a, now)
 	c.recordStart(r, a, now)
 	c.markAnswered(r)
 	if a != Accepted {
--- a/core/tmcontrol/probe.go
+++ b/core/tmcontrol/probe.go
@@ -4,6 +4,7 @@
 	"slices"
 
 	"turmericmoor/core/tmclock"
+	"turmericmoor/core/tmlate"
 )
 
 // This file decides which endpoints are probed. An endpoint that has crashed may carry out late
@@ -64,7 +65,7 @@
 		return true
 	}
 	for _, r := range e.runs {
-		if r.lateCopies(now) > 0 {
+		if r.sends.Late(now) > 0 {
 			return true
 		}
 	}
@@ -75,5 +76,5 @@
 // had no answer.
 func (c *Controller) mayHaveEarlierOrders(e *endpoint) bool {
 	tenure := c.now.Sub(c.loadedAt)
-	return tenure < maxOrderDelay && (e.answeredAt != 0 || tenure > adoptionProbeDelay)
+	return tenure < tmlate.MaxDelay && (e.answeredAt != 0 || tenure > adoptionProbeDelay)
 }
--- a/core/tmcontrol/probe_test.go
+++ b/core/tmcontrol/probe_test.go
@@ -7,6 +7,7 @@
 	"gotest.tools/v3/assert"
 
 	"turmericmoor/core/tmclock"
+	"turmericmoor/core/tmlate"
 )
 
 // none is what EndpointsToProbe gets while nothing is probed.
@@ -59,7 +60,7 @@
 	f.end("e1", first.Task, first.Run, EndDone)
 	f.c.HoldFailed("e1", "test", f.now)
 	assert.Equal(t, len(f.c.EndpointsToProbe(none)), 1)
-	f.advance(maxOrderDelay)
+	f.advance(tmlate.MaxDelay)
 	assert.Equal(t, len(f.c.EndpointsToProbe(none)), 0)
 }
 
@@ -81,7 +82,7 @@
 	f.c.HoldFailed("e1", "test", f.now)
 	f.advance(10)
 	assert.DeepEqual(t, f.c.EndpointsToProbe(none), []string{"e1"})
-	f.advance(maxOrderDelay)
+	f.advance(tmlate.MaxDelay)
 	assert.Equal(t, len(f.c.EndpointsToProbe(none)), 0)
 }
 
--- a/core/tmcontrol/wave_test.go
+++ b/core/tmcontrol/wave_test.go
@@ -8,6 +8,7 @@
 	"gotest.tools/v3/assert"
 
 	"turmericmoor/core/tmjob"
+	"turmericmoor/core/tmlate"
 )
 
 // startWave starts a wave over instances, of which at most bound may be down at once.
@@ -295,19 +296,20 @@
 	list := []Instance{upInstance("i1"), upInstance("i2")}
 	f.c.SetInstances(list, f.now)
 	f.startWave(1, "i1", "i2")
-	var orders []InstanceOrder
-	for range 60 {
-		f.answerHold("e1")
-		f.answerHold("e2")
-		f.advance(100)
-		f.c.SetInstances(list, f.now)
-		taken, _ := f.c.TakeInstanceOrders()
-		orders = append(orders, taken...)
-	}
+	orders := f.playWave(list, func(InstanceOrder) {})
 	assert.Equal(t, len(orders), 1)
 	assert.Equal(t, orders[0].Instance, earlier)
 
-	f.c.InstanceOrdered(orders[0], Accepted, f.now)
+	accept := func(o InstanceOrder) { f.c.InstanceOrdered(o, Accepted, f.now) }
+	accept(orders[0])
+	f.playWave(list, accept)
+	assert.Assert(t, f.c.fleet.waves["1"].done)
+}
+
+// playWave lets six seconds pass in which e1 and e2 answer and the list of instances is read. It
+// returns the orders about instances, each of which is passed to answer.
+func (f *fixture) playWave(list []Instance, answer func(InstanceOrder)) []InstanceOrder {
+	var orders []InstanceOrder
 	for range 60 {
 		f.answerHold("e1")
 		f.answerHold("e2")
@@ -315,11 +317,11 @@
 		f.c.SetInstances(list, f.now)
 		taken, _ := f.c.TakeInstanceOrders()
 		for _, o := range taken {
-			f.c.InstanceOrdered(o, Accepted, f.now)
+			answer(o)
 		}
 		orders = append(orders, taken...)
 	}
-	assert.Assert(t, f.c.fleet.waves["1"].done)
+	return orders
 }
 
 // Guards against the same across two changes of the owner: the second one gave orders as well, so
@@ -330,7 +332,7 @@
 	f.c.RestoreOrders(maintenanceOf("i1"), f.now)
 	f.advance(4000)
 	assert.DeepEqual(t, f.c.recentOrders(f.now).Maintenance, []string{"i1"})
-	f.advance(maxOrderDelay)
+	f.advance(tmlate.MaxDelay)
 	assert.Equal(t, len(f.c.recentOrders(f.now).Maintenance), 0)
 }
 
--- a/core/tmevent/event.go
+++ b/core/tmevent/event.go
@@ -138,7 +138,7 @@
 	RunEnded Name = "run_ended"
 	// RunGone: a run is known to be no longer active: task, run, endpoint, cause.
 	RunGone Name = "run_gone"
-	// RunInDoubt: an endpoint has crashed, and its next lifetime may carry out the start order of a run, of which unanswered copies have no answer; the task starts nowhere else until the next lifetime shows that it can't, or for_ms have passed: task, run, endpoint, copies, unanswered, for_ms.
+	// RunInDoubt: an endpoint has crashed, and its next lifetime may carry out the start order of a run, of which unanswered sends have no answer; the task starts nowhere else until the next lifetime shows that it can't, or for_ms have passed: task, run, endpoint, sends, unanswered, for_ms.
 	RunInDoubt Name = "run_in_doubt"
 	// RunLost: a run was lost with its endpoint: task, run, endpoint, at_work, cause.
 	RunLost Name = "run_lost"
--- a/internal/fleetsim/restart_test.go
+++ b/internal/fleetsim/restart_test.go
@@ -22,33 +22,19 @@
 // Guards against two runs of a task at once: an endpoint restarted while a start order was
 // on its way, and the new lifetime carried the order out.
 func TestOrdersOnTheirWayAtARestartRunOnce(t *testing.T) {
-	for i := range uint64(fleetSeeds) {
-		synctest.Test(t, func(t *testing.T) {
-			sim := newSimulation(t, tmseed.First()+i, 1)
-			sim.fleet.TaskDuration = func(tmjob.TaskID) time.Duration { return shortTask }
-			sim.start()
-			time.Sleep(warmupDuration)
-			sim.mu.Lock()
-			sim.answerDelay = slowAnswer
-			sim.mu.Unlock()
-			for n := range jobCount {
-				sim.submit(n + 1)
-				sim.restartEndpoint(fmt.Sprintf("w%d", sim.rng.IntN(endpointsPerShard)))
-				time.Sleep(restartInterval)
-			}
-			sim.awaitFinalStates()
-			sim.close()
-			for _, v := range sim.violations() {
-				t.Errorf("seed %d: %s", tmseed.First()+i, v)
-			}
-		})
-	}
+	playRestarts(t, func(sim *simulation) { sim.answerDelay = slowAnswer })
 }
 
 // Guards against two runs of a task: start orders without an answer were meant for a lifetime of
 // an endpoint that has ended, and the next one carried them out late, while their tasks were at
 // work elsewhere or done.
 func TestLateOrdersReachNoLaterLifetime(t *testing.T) {
+	playRestarts(t, func(sim *simulation) { sim.lateOrderRatio = 2 * lateRatio })
+}
+
+// playRestarts plays simulations in which endpoints restart one after the other while disturb has
+// changed something. The changes end with the restarts.
+func playRestarts(t *testing.T, disturb func(sim *simulation)) {
 	for i := range uint64(fleetSeeds) {
 		synctest.Test(t, func(t *testing.T) {
 			sim := newSimulation(t, tmseed.First()+i, 1)
@@ -56,7 +42,7 @@
 			sim.start()
 			time.Sleep(warmupDuration)
 			sim.mu.Lock()
-			sim.lateOrderRatio = 2 * lateRatio
+			disturb(sim)
 			sim.mu.Unlock()
 			for n := range jobCount {
 				sim.submit(n + 1)
@@ -64,7 +50,7 @@
 				time.Sleep(restartInterval)
 			}
 			sim.mu.Lock()
-			sim.lateOrderRatio = 0
+			sim.answerDelay, sim.lateOrderRatio = 0, 0
 			sim.mu.Unlock()
 			sim.awaitFinalStates()
 			sim.close()
--- a/io/tmexplain/explain_test.go
+++ b/io/tmexplain/explain_test.go
@@ -14,7 +14,7 @@
 const sample = `not json
   0.1 node-1 {"time":"2026-01-01T00:00:00.100Z","level":"info","msg":"caller_submit","node":"node-1","job":"aa","queue":"q","outcome":"ok","took_ms":9}
 {"time":"2026-01-01T00:00:01.500Z","level":"info","msg":"run_lost","node":"node-2","task":"aa.0.0.0","run":1,"endpoint":"e1","cause":"lease lapsed"}
-{"time":"2026-01-01T00:00:01.400Z","level":"info","msg":"run_in_doubt","node":"node-2","task":"aa.0.0.0","run":1,"endpoint":"e1","copies":2,"unanswered":1,"for_ms":9000}
+{"time":"2026-01-01T00:00:01.400Z","level":"info","msg":"run_in_doubt","node":"node-2","task":"aa.0.0.0","run":1,"endpoint":"e1","sends":2,"unanswered":1,"for_ms":9000}
 {"time":"2026-01-01T00:00:01.600Z","level":"info","msg":"task_placed","node":"node-3","task":"aa.0.0.0","run":1,"endpoint":"e1"}
 {"time":"2026-01-01T00:00:01.200Z","level":"info","msg":"endpoint_silent","node":"node-2","endpoint":"e1","runs":1,"cause":"timeout"}
 {"time":"2026-01-01T00:00:01.700Z","level":"info","msg":"endpoint_silent","node":"node-2","endpoint":"e9","runs":1,"cause":"timeout"}
--- a/io/tmowner/hedge.go
+++ b/io/tmowner/hedge.go
@@ -83,7 +83,7 @@
 }
 
 // hedgedStart sends a start order, and sends it once more if no answer comes. A lifetime of
-// an endpoint carries out an order only once. A refusal counts only if no other copy of the
+// an endpoint carries out an order only once. A refusal counts only if no other send of the
 // order may still be carried out.
 func (o *Owner) hedgedStart(ctx context.Context, s tmcontrol.StartOrder) tmcontrol.Answer {
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
@@ -93,20 +93,20 @@
 	o.work.Go(func() {
 		defer cancel()
 		for range rest.n {
-			o.copyAnswered(s.Ref, <-rest.results)
+			o.sendAnswered(s.Ref, <-rest.results)
 		}
 	})
 	decisive := decisiveAnswer(answers)
 	for i, a := range answers {
 		if i != decisive {
-			o.copyAnswered(s.Ref, a)
+			o.sendAnswered(s.Ref, a)
 		}
 	}
 	return answers[decisive]
 }
 
 // decisiveAnswer returns the index of the answer that tells most about a start order: the last
-// one, unless another copy may still be carried out.
+// one, unless another send may still be carried out.
 func decisiveAnswer(answers []tmcontrol.Answer) int {
 	last := len(answers) - 1
 	if i := slices.IndexFunc(answers, tmcontrol.Answer.IsUnknown); i >= 0 && !answers[last].IsDefinite() {
@@ -115,7 +115,7 @@
 	return last
 }
 
-// repeatStart reports whether a second copy of a start order may be sent, and records it.
+// repeatStart reports whether a start order may be sent a second time, and records it.
 func (o *Owner) repeatStart(ref tmcontrol.RunRef) bool {
 	if !o.startHedges.allow() {
 		return false
@@ -126,12 +126,12 @@
 	return o.ctl.StartRepeated(ref, now)
 }
 
-// copyAnswered passes the answer to one of two copies of a start order on.
-func (o *Owner) copyAnswered(ref tmcontrol.RunRef, a tmcontrol.Answer) {
+// sendAnswered passes the answer to one of two sends of a start order on.
+func (o *Owner) sendAnswered(ref tmcontrol.RunRef, a tmcontrol.Answer) {
 	now := o.opts.Clock.Now()
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.ctl.CopyAnswered(ref, a, now)
+	o.ctl.SendAnswered(ref, a, now)
 }
 
 // heldRuns is the result of a hold.
