tmcontrol, tmjob: timed jobs of many steps are packed until they are due

Cause: an owner keeps all steps of each job decoded from the moment it reads the row, nearly 0.3 MB here.

Change: the steps of a timed job with 32 or more are kept compressed while no occurrence is open.

Ruled out: to read the row again when it is due; the store may be away then.

--- a/core/tmcontrol/job.go
+++ b/core/tmcontrol/job.go
@@ -14,7 +14,9 @@
 
 // job is an accepted job that is not final, or whose last runs are still stopping.
 type job struct {
-	spec        tmjob.Job
+	spec tmjob.Job
+	// packed holds the steps of a timed job while no occurrence is open, instead of spec.
+	packed      tmjob.PackedSteps
 	longRunning bool
 	// tasksPerOccurrence is the number of tasks of one occurrence.
 	tasksPerOccurrence int
@@ -193,14 +195,42 @@
 	j := &job{spec: spec, longRunning: spec.LongRunning(), tasksPerOccurrence: spec.Tasks(), occurrences: map[int]*occurrence{}, pages: map[int]*page{}}
 	j.speculative = slices.ContainsFunc(spec.Steps, func(s tmjob.Step) bool { return s.Speculative })
 	j.page(0)
+	j.pack()
 	return j
 }
 
+// minPackedSteps is the number of steps from which on a timed job is packed.
+const minPackedSteps = 32
+
+// pack packs the steps of a timed job of which no occurrence is open. Very many such jobs may wait
+// for a later time.
+func (j *job) pack() {
+	if j.spec.Repeats == 0 || len(j.occurrences) > 0 || len(j.spec.Steps) < minPackedSteps {
+		return
+	}
+	if packed, err := tmjob.PackSteps(j.spec.Steps); err == nil {
+		j.packed, j.spec.Steps = packed, nil
+	}
+}
+
+// unpack restores the steps.
+func (j *job) unpack() {
+	if j.packed.IsEmpty() {
+		return
+	}
+	steps, err := j.packed.Unpack()
+	if err != nil {
+		panic("tmcontrol: " + err.Error())
+	}
+	j.spec.Steps, j.packed = steps, tmjob.PackedSteps{}
+}
+
 // open adds occurrence k with all tasks waiting, unless it exists.
 func (j *job) open(k int) *occurrence {
 	if o, ok := j.occurrences[k]; ok {
 		return o
 	}
+	j.unpack()
 	o := &occurrence{job: j, number: k, left: len(j.spec.Steps)}
 	for i := range j.spec.Steps {
 		s := &step{occ: o, i: i, spec: &j.spec.Steps[i]}
--- a/core/tmcontrol/occurrence_test.go
+++ b/core/tmcontrol/occurrence_test.go
@@ -5,6 +5,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"turmericmoor/core/tmclock"
 	"turmericmoor/core/tmjob"
 )
 
@@ -46,3 +47,34 @@
 	}
 	assert.DeepEqual(t, storedProgress(j).Done, []tmjob.OccurrenceRange{{First: 0, Last: 0}, {First: 3, Last: 3}})
 }
+
+// Guards against an owner whose memory is exhausted by jobs for a later time, and against one whose
+// steps are missing once it is due.
+func TestTimedJobIsPackedUntilItIsDue(t *testing.T) {
+	f := newFixture(t, 2)
+	j := oneTask("j")
+	j.Repeats, j.StartAt, j.Interval = 2, int64(f.now)+1000, 60_000
+	first := j.Steps[0]
+	for i := range minPackedSteps - 1 {
+		s := first
+		s.After = []int{i}
+		j.Steps = append(j.Steps, s)
+	}
+	f.c.Submitted(j)
+	known := f.c.jobs["j"]
+	for n := range j.Repeats {
+		assert.Assert(t, known.spec.Steps == nil && !known.packed.IsEmpty())
+		assert.Equal(t, len(f.advance(100)), 0)
+		f.now += tmclock.Millis(1000 + n*60_000)
+		f.answerHold("e1")
+		f.answerHold("e2")
+		for i := range j.Steps {
+			starts := f.advance(10)
+			assert.Equal(t, len(starts), 1)
+			assert.Equal(t, starts[0].Ref.Task.Step, i)
+			f.end(starts[0].Ref.Endpoint, starts[0].Ref.Task, 1, EndDone)
+		}
+	}
+	f.advance(10)
+	assert.Assert(t, f.c.finalAt["j"] != 0)
+}
--- a/core/tmcontrol/page.go
+++ b/core/tmcontrol/page.go
@@ -192,6 +192,7 @@
 		return
 	}
 	delete(j.occurrences, o.number)
+	j.pack()
 	c.markPageDirty(j.head())
 }
 
--- a/core/tmcontrol/tick.go
+++ b/core/tmcontrol/tick.go
@@ -90,6 +90,7 @@
 		if *room < j.tasksPerOccurrence && (!j.longRunning || len(j.occurrences) > 0) {
 			return
 		}
+		j.unpack()
 		if *room-j.tasksPerOccurrence < feasibleTasks && !f.couldRun(j) {
 			return
 		}
