--- a/internal/emulator/endpoint.go
+++ b/internal/emulator/endpoint.go
@@ -60,6 +60,8 @@
 	// before it started. Starts of that run or an earlier one are superseded.
 	closedRuns map[tmjob.TaskID]int
 	down       bool
+	// calledAt is when this lifetime first answered a hold.
+	calledAt time.Time
 	// failing makes runs fail failDelay after their start.
 	failing bool
 	// clockRate is the rate of the endpoint's clock relative to the host clock.
@@ -186,7 +188,7 @@
 	if !e.down {
 		return
 	}
-	e.down, e.clockStart = false, time.Now()
+	e.down, e.clockStart, e.calledAt = false, time.Now(), time.Time{}
 	e.startedAt = e.clockStart.UnixMilli()
 	e.token, e.lastEndNumber, e.lastEndAtExpiry, e.leaseExpiry = 0, 0, 0, time.Time{}
 	e.endedRuns, e.closedRuns = nil, map[tmjob.TaskID]int{}
@@ -270,6 +272,9 @@
 	if !e.fence(h.Token) {
 		return tmcontrol.HoldResponse{}, false
 	}
+	if e.calledAt.IsZero() {
+		e.calledAt = time.Now()
+	}
 	if h.Until != 0 {
 		e.extend(h.Until)
 	}
@@ -321,6 +326,9 @@
 // epoch.
 func (e *Endpoint) StartedAt() int64 { return e.startedAt }
 
+// CalledAt returns when the current lifetime first answered a hold, or the zero time.
+func (e *Endpoint) CalledAt() time.Time { return e.calledAt }
+
 // Down reports whether the process has crashed and not been restarted.
 func (e *Endpoint) Down() bool { return e.down }
 
