tmcontrol: a wave sorts what is due only when something may be drained

It had done so in every planning pass since earlier orders are settled first. An endpoint that was listed a moment ago is not probed before it had time to answer.

--- a/core/tmcontrol/late.go
+++ b/core/tmcontrol/late.go
@@ -119,7 +119,7 @@
 	if r.phase == unconfirmed && r.crashed {
 		return
 	}
-	c.stopRun(r, string(causeRestarted))
+	c.stopRun(r, "its endpoint may start it late")
 	r.phase, r.settledAt, r.listed = unconfirmed, c.now, false
 	r.stopSentAt, r.stopConfirmed, r.crashed = 0, false, true
 	r.ep.extendLeaseExpiry(r.sends.Until().Add(maxLeaseTime(c.bounds.MaxLease)))
--- a/core/tmcontrol/probe.go
+++ b/core/tmcontrol/probe.go
@@ -16,8 +16,8 @@
 	// probes of all endpoints together may be sent in a second.
 	minProbeInterval = 15 * tmclock.Millisecond
 	maxProbeRate     = 400
-	// adoptionProbeDelay is how long a new owner waits for the first answer of an endpoint before
-	// it probes that.
+	// adoptionProbeDelay is how long an owner waits for the first answer of an endpoint before it
+	// probes that.
 	adoptionProbeDelay = 500 * tmclock.Millisecond
 )
 
@@ -75,6 +75,6 @@
 // mayHaveEarlierOrders reports whether an endpoint may carry out orders of an earlier owner that
 // had no answer.
 func (c *Controller) mayHaveEarlierOrders(e *endpoint) bool {
-	tenure := c.now.Sub(c.loadedAt)
-	return tenure < tmlate.MaxDelay && (e.answeredAt != 0 || tenure > adoptionProbeDelay)
+	isOverdue := c.now.Sub(max(c.loadedAt, e.listedAt)) > adoptionProbeDelay
+	return c.now.Sub(c.loadedAt) < tmlate.MaxDelay && (e.answeredAt != 0 || isOverdue)
 }
--- a/core/tmcontrol/wave.go
+++ b/core/tmcontrol/wave.go
@@ -231,12 +231,14 @@
 	finished := c.fleet.finishedParts[w.Name]
 	w.slots = c.shard.WaveSlots(w.parts, w.MaxUnavailable, func(shard int) bool { return finished[shard] })
 	down, draining, open := 0, 0, 0
+	unsettled := false
 	for _, it := range w.items {
 		switch {
 		case it.state == itemDone:
 			continue
 		case c.mayBeDown(it, now):
 			down++
+			unsettled = unsettled || it.state == itemDue
 		case it.state == itemDraining:
 			draining++
 		}
@@ -252,17 +254,8 @@
 		w.changed = false
 		c.fleet.reports = append(c.fleet.reports, c.report(w))
 	}
-	for _, it := range c.nextDue(w, now) {
-		counted := c.mayBeDown(it, now)
-		if counted && down > w.slots {
-			continue
-		}
-		if !counted && down+draining >= w.slots {
-			break
-		}
-		if c.beginDrain(it, w, now) && !counted {
-			draining++
-		}
+	if unsettled || down+draining < w.slots {
+		c.drainNext(w, down, draining, now)
 	}
 	for _, it := range w.items {
 		if it.state == itemDraining && !it.unanswered {
@@ -282,6 +275,23 @@
 	}
 }
 
+// drainNext begins to drain items that are due, within the bound of the wave: down of its items may
+// be down, and draining others are being drained.
+func (c *Controller) drainNext(w *wave, down, draining int, now tmclock.Millis) {
+	for _, it := range c.nextDue(w, now) {
+		counted := c.mayBeDown(it, now)
+		if counted && down > w.slots {
+			continue
+		}
+		if !counted && down+draining >= w.slots {
+			return
+		}
+		if c.beginDrain(it, w, now) && !counted {
+			draining++
+		}
+	}
+}
+
 // mayBeDown reports whether the maintenance of an item that is not done has begun, or may begin at
 // any time: its order is on its way, or one got no answer or may have got none at an earlier owner.
 func (c *Controller) mayBeDown(it *waveItem, now tmclock.Millis) bool {
