--- a/review/standin4/main.go
+++ b/review/standin4/main.go
@@ -31,6 +31,8 @@
 	"waiting": playWaiting,
 	"lasting": playLasting,
 	"large":   playLarge,
+	"memory":  playMemory,
+	"shards":  playShards,
 }
 
 // usage: standin4 SCENARIO REPOSITORY RECORD
@@ -481,3 +483,202 @@
 	}
 	return true
 }
+
+const (
+	// wideJobs and wideTasks are the number of wide jobs that last, and of their tasks.
+	wideJobs, wideTasks = 150, 10_000
+	// wideJobsPerSecond is the rate at which they come.
+	wideJobsPerSecond = 12
+)
+
+// playMemory: a tenant sends jobs of one step of many tasks that last, a call of about 100 bytes each. The
+// platform kills a process that exceeds the memory of its machine, and starts it again.
+func playMemory(w *world) bool {
+	watch, batch := &queue{name: "watch"}, &queue{name: "batch"}
+	hot, calm := &tenant{name: "hot", limit: resources{CPU: 4000}}, &tenant{name: "calm"}
+	w.open([]*queue{watch, batch}, []*tenant{hot, calm}, kinds(8, kind{"a", resources{CPU: 16000, Mem: 64000}}))
+	if !w.awaitReady() {
+		return false
+	}
+	done := make(chan struct{})
+	var guards sync.WaitGroup
+	defer guards.Wait()
+	defer close(done)
+	for _, n := range w.nodes {
+		guards.Go(func() { n.guardMemory(done) })
+	}
+	time.Sleep(3 * time.Second)
+	tasks := 1
+	if w.trouble {
+		tasks = wideTasks
+	}
+	requesters := w.traffic(wideJobsPerSecond, wideJobs*time.Second/wideJobsPerSecond, func() *job {
+		return &job{queue: watch, tenant: hot, count: tasks, size: resources{CPU: 1000, Mem: 100}, lasts: true}
+	})
+	requesters.Wait()
+	w.note("the wide jobs are in")
+	requesters = w.traffic(2, 10*time.Second, func() *job {
+		return &job{queue: batch, tenant: calm, count: 4, size: resources{CPU: 1000, Mem: 100}, takes: 500 * time.Millisecond}
+	})
+	requesters.Wait()
+	w.note("the traffic has ended")
+	time.Sleep(2 * finishTime)
+	for _, j := range w.accepted() {
+		if j.tenant != calm {
+			continue
+		}
+		if j.state = w.stateOf(j); j.state != "completed" {
+			w.judgeStill(j)
+		}
+	}
+	return true
+}
+
+// guardMemory kills the process whenever it exceeds the memory of its machine, and starts it again.
+func (n *node) guardMemory(done <-chan struct{}) {
+	limit, err := strconv.Atoi(n.w.machine.memoryMB)
+	check(err)
+	for most := 0; ; time.Sleep(100 * time.Millisecond) {
+		select {
+		case <-done:
+			n.w.note("node %s had %d MB at most", n.name, most)
+			return
+		default:
+		}
+		used := n.memoryMB()
+		most = max(most, used)
+		if used > limit {
+			n.w.note("node %s has %d MB of %d and is killed", n.name, used, limit)
+			n.kill()
+			time.Sleep(500 * time.Millisecond)
+			n.start()
+		}
+	}
+}
+
+// memoryMB returns the resident memory of the process in units of 2^20 bytes, 0 if there is none.
+func (n *node) memoryMB() int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.cmd == nil {
+		return 0
+	}
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", n.cmd.Process.Pid))
+	if err != nil {
+		return 0
+	}
+	var size, resident int
+	if _, err := fmt.Sscan(string(data), &size, &resident); err != nil {
+		return 0
+	}
+	return resident * os.Getpagesize() >> 20
+}
+
+// shardWorkers is a number of workers that no weak machine can own alone, so that the fleet is divided.
+const shardWorkers = 180
+
+// playShards: tasks that last fill the workers of one part of a divided fleet; the other part is idle. Then one
+// worker under such a task is lost for good.
+func playShards(w *world) bool {
+	w.machine = weak
+	queues := []*queue{{name: "watch"}, {name: "stream"}, {name: "survey"}, {name: "follow"}, {name: "monitor"}, {name: "audit"}}
+	w.open(queues, []*tenant{{name: "crews"}}, kinds(shardWorkers, kind{"a", resources{CPU: 4000, Mem: 16000}}))
+	if !w.awaitReady() {
+		return false
+	}
+	time.Sleep(8 * time.Second)
+	var jobs []*job
+	room := 0
+	for _, q := range queues {
+		probe := &job{queue: q, tenant: w.tenants[0], count: 1, size: resources{CPU: 4000, Mem: 500}, lasts: true}
+		if !w.submit(probe) {
+			return false
+		}
+		time.Sleep(2 * time.Second)
+		if room = w.roomBeside(); 2*room < shardWorkers {
+			jobs = append(jobs, probe)
+			break
+		}
+		w.ask(w.anyNode(), q, w.tenants[0], http.MethodDelete, probe.id, nil)
+		w.note("DELETE %s: its part of the fleet has %d workers", probe.id, room)
+		time.Sleep(2 * time.Second)
+	}
+	if jobs == nil || room == 0 {
+		w.note("no queue has its tasks that last in the smaller part of the fleet")
+		return false
+	}
+	q := jobs[0].queue
+	w.note("queue %s: its part of the fleet has %d of %d workers", q.name, room, shardWorkers)
+	rest := &job{queue: q, tenant: w.tenants[0], count: room - 1, size: resources{CPU: 4000, Mem: 500}, lasts: true}
+	if !w.submit(rest) {
+		return false
+	}
+	jobs = append(jobs, rest)
+	for end := time.Now().Add(15 * time.Second); w.lastingRuns(jobs) < room; time.Sleep(100 * time.Millisecond) {
+		if time.Now().After(end) {
+			w.note("%d of %d tasks that last run", w.lastingRuns(jobs), room)
+			return false
+		}
+	}
+	w.note("all %d tasks that last run", room)
+	time.Sleep(4 * time.Second)
+	if w.trouble {
+		host := w.hostOf(jobs[0])
+		host.crash()
+		host.mu.Lock()
+		host.gone = true
+		host.mu.Unlock()
+		w.note("worker %s is lost for good", host.id)
+	}
+	complete := time.Now()
+	for end := time.Now().Add(30 * time.Second); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
+		if w.lastingRuns(jobs) == room {
+			complete = time.Now()
+		}
+		if away := time.Since(complete); away > lastingAway+lastingStill {
+			used, capacity := w.use()
+			w.violate("LOST: a task that lasts has not run for %.1f s, with %d of %d cores of the service in use", away.Seconds(), used/1000, capacity/1000)
+			complete = time.Now()
+		}
+	}
+	return true
+}
+
+// lastingRuns returns the number of runs of jobs.
+func (w *world) lastingRuns(jobs []*job) int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	n := 0
+	for _, j := range jobs {
+		n += j.active
+	}
+	return n
+}
+
+// roomBeside asks the nodes for the state that they show to operators (/dump), and returns how many workers the
+// part of the fleet has in which something runs.
+func (w *world) roomBeside() int {
+	for _, n := range w.nodes {
+		resp, err := http.Get("http://" + n.other + "/dump")
+		if err != nil {
+			continue
+		}
+		var d struct {
+			Shards map[string]struct {
+				Pools map[string]struct{ Answering, Runs int }
+			} `json:"shards"`
+		}
+		err = json.NewDecoder(resp.Body).Decode(&d)
+		_ = resp.Body.Close()
+		if err != nil {
+			continue
+		}
+		for shard, s := range d.Shards {
+			w.note("node %s owns shard %s: %+v", n.name, shard, s.Pools[serviceName])
+			if p := s.Pools[serviceName]; p.Runs > 0 {
+				return p.Answering
+			}
+		}
+	}
+	return 0
+}
--- a/review/standin4/world.go
+++ b/review/standin4/world.go
@@ -85,6 +85,7 @@
 	rng       *rand.Rand
 	workers   []*worker
 	nodes     []*node
+	machine   machine
 
 	mu     sync.Mutex
 	jobs   map[string]*job
@@ -177,7 +178,7 @@
 	check(err)
 	w := &world{
 		dir: dir, repo: repo, trouble: trouble, store: newStore(), began: time.Now(), rng: rand.New(rand.NewPCG(seed, 4)),
-		jobs: map[string]*job{}, record: file,
+		jobs: map[string]*job{}, record: file, machine: standard,
 	}
 	w.advice = &advice{w: w, tickets: map[string]ticket{}}
 	w.note("seed %d, trouble %v", seed, trouble)
@@ -279,6 +280,16 @@
 	return advised
 }
 
+// machine is what a front machine has.
+type machine struct{ cores, memoryMB, linkMbps string }
+
+// standard is the front machine of the sheets of SYSTEM.md, weak the weakest one of those of
+// grown/LATER.md.
+var (
+	standard = machine{cores: "0.4", memoryMB: "284", linkMbps: "1000"}
+	weak     = machine{cores: "0.192", memoryMB: "184", linkMbps: "10"}
+)
+
 // node is a process of the project's program.
 type node struct {
 	w                      *world
@@ -296,12 +307,19 @@
 // takes them while a process is away.
 const firstPort, lastPort = 10_000, 30_000
 
-// freeAddress returns a loopback address whose port is free.
+// chosen holds the addresses that freeAddress has returned.
+var chosen = map[string]bool{}
+
+// freeAddress returns a loopback address whose port is free. It is called by one goroutine.
 func freeAddress() string {
 	for {
 		address := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(lastPort-firstPort))
+		if chosen[address] {
+			continue
+		}
 		if l, err := net.Listen("tcp", address); err == nil {
 			check(l.Close())
+			chosen[address] = true
 			return address
 		}
 	}
@@ -315,8 +333,8 @@
 	host, port, err := net.SplitHostPort(n.other)
 	check(err)
 	values := strings.NewReplacer(
-		"{{node}}", n.name, "{{zone}}", zoneName(i), "{{limits.cpuShare}}", "0.4", "{{limits.memoryMb}}", "284",
-		"{{limits.linkMbps}}", "1000", "{{limits.maxFds}}", "4100", "{{listen.front}}", n.callers, "{{listen.ready}}", n.health,
+		"{{node}}", n.name, "{{zone}}", zoneName(i), "{{limits.cpuShare}}", w.machine.cores, "{{limits.memoryMb}}", w.machine.memoryMB,
+		"{{limits.linkMbps}}", w.machine.linkMbps, "{{limits.maxFds}}", "4100", "{{listen.front}}", n.callers, "{{listen.ready}}", n.health,
 		"{{ip}}", host, "{{portRange.0}}", port, "{{platform.address}}", storeAt, "{{platform.across}}", "true",
 		"{{platform.rowBytes}}", "65536", "{{cloud.address}}", machinesAt, "{{advice}}", adviceAt, "{{bounds.graceS}}", "6",
 		"{{bounds.revokeMs}}", "5000", "{{bounds.status_s}}", "120", "{{bounds.maxHoldMs}}", "10000", "{{bounds.leaseMs}}", "3000",
