tmcontrol: a ticket of the placement policy is for one lifetime of an endpoint

Tickets were kept by the id of the endpoint, so that the ticket of the lifetime that had crashed was used for the next one. It was rejected and removed, and the endpoint stayed set aside for the task, which was a suspect by then: placeIsolated assigned it with no ticket at all, each 60 ms, and nothing on that path asked the policy. The same followed, with no restart, when a ticket expired while the endpoint was busy.

Ruled out: the guess of the claim that resetLifetime alone is at fault. Dropping the tickets there would have ended the first rejection, not the series: that comes from an assignment that does not look at tickets.

Change: a ticket belongs to a lifetime, an answer to a request that was made before a restart gives none to the lifetime after it, and fits, which every path that assigns a run calls, asks for a valid ticket. A suspect whose endpoint has none asks the policy.

--- a/core/tmcontrol/isolation.go
+++ b/core/tmcontrol/isolation.go
@@ -48,7 +48,7 @@
 	for _, t := range suspects {
 		p := c.poolOf(t, pools)
 		if p != nil && c.hasStartRoom() && c.withinLimit(t.step, 1) {
-			c.placeIsolated(t, p)
+			c.placeIsolated(t, p, now)
 		}
 	}
 }
@@ -101,10 +101,14 @@
 
 // placeIsolated starts a suspect on the endpoint that is set aside for it, once nothing
 // else is starting there.
-func (c *Controller) placeIsolated(t *task, p *pool) {
+func (c *Controller) placeIsolated(t *task, p *pool, now tmclock.Millis) {
 	e := p.isolatedFor[t]
-	if e != nil && e.isQuiet() && c.fits(t.step, e) {
+	switch {
+	case e == nil || !e.isQuiet():
+	case c.fits(t.step, e):
 		c.assign(t, e, t.runs+1)
+	default:
+		c.wantAdvice(t.step, p, now)
 	}
 }
 
@@ -115,9 +119,9 @@
 	if busy == nil || len(busy.runs) == 0 || busy.isQuiet() && c.fits(t.step, busy) {
 		return
 	}
-	advised := c.adviceFor(t.step, p, now)
+	c.wantAdvice(t.step, p, now)
 	for _, e := range p.endpoints {
-		if len(e.runs) == 0 && e.isolated == nil && c.fits(t.step, e) && advised(e) {
+		if len(e.runs) == 0 && e.isolated == nil && c.fits(t.step, e) {
 			busy.isolated, e.isolated = nil, t
 			p.isolatedFor[t] = e
 			c.event(tmevent.EndpointIsolated, "endpoint", busy.info.ID, "task", t.id.String(), "runs", len(busy.runs), "ended", true)
@@ -154,9 +158,9 @@
 // unless too many are set aside.
 func (c *Controller) isolate(t *task, p *pool, now tmclock.Millis) {
 	var best *endpoint
-	advised := c.adviceFor(t.step, p, now)
+	c.wantAdvice(t.step, p, now)
 	for _, e := range p.endpoints {
-		if e.isolated == nil && c.couldFit(t.step, e) && advised(e) && (best == nil || len(e.runs) < len(best.runs)) {
+		if e.isolated == nil && c.couldFit(t.step, e) && c.policyPermits(t.step, e) && (best == nil || len(e.runs) < len(best.runs)) {
 			best = e
 		}
 	}
--- a/core/tmcontrol/order.go
+++ b/core/tmcontrol/order.go
@@ -130,7 +130,7 @@
 		r.ep.blockedUntil = now.Add(avoidTime)
 	}
 	if a == BadTicket {
-		r.task.step.advice.removeTicket(r.ep.info.ID)
+		r.task.step.advice.removeTicket(r.ep)
 	}
 	if r.unanswered || r.tries > 1 {
 		r.settledAt = now
--- a/core/tmcontrol/plan.go
+++ b/core/tmcontrol/plan.go
@@ -243,8 +243,8 @@
 	c.pending++
 	t.runs, t.heldSince = n, 0
 	c.copies.Run()
-	if tk, ok := t.step.advice.tickets[e.info.ID]; ok {
-		r.ticket = tk
+	if tk, ok := t.step.advice.ticketFor(e, c.now); ok {
+		r.ticket = tk.token
 	}
 	j := t.step.occ.job
 	c.markDirty(t)
@@ -257,9 +257,9 @@
 func (c *Controller) choose(s *step, p *pool, now tmclock.Millis) *endpoint {
 	var best *endpoint
 	var bestScore float64
-	advised := c.adviceFor(s, p, now)
+	c.wantAdvice(s, p, now)
 	for _, e := range p.endpoints {
-		if !c.allows(s, e) || !advised(e) {
+		if !c.allows(s, e) {
 			continue
 		}
 		score := c.score(s, e)
@@ -277,7 +277,7 @@
 
 // fits reports whether e has room for one more task of the step and may run it.
 func (c *Controller) fits(s *step, e *endpoint) bool {
-	return !e.reserved && s.spec.Reservation().Fits(e.free()) && s.permits(e)
+	return !e.reserved && s.spec.Reservation().Fits(e.free()) && s.permits(e) && c.policyPermits(s, e)
 }
 
 // permits reports whether the requirements of the step, other than room, permit one more
