tmticket, tmcontrol: the placement policy is asked about each endpoint, not about each step

Cause: with tickets that are valid for long, callers saw jobs that stood still while an endpoint that may run them was idle. The policy was asked again only when a step had no ticket left, so one that could not be used, of an endpoint that is lost, full or set aside, hid that the endpoint with room had none.

Change: core/tmticket keeps, for each lifetime of an endpoint, whether the policy permits the step (which doesn't change) and the ticket (which expires). A step that waits asks about the endpoints for which it has no valid ticket: those with room first, then those of which nothing is known. Full ones are not asked about again. Tickets that are valid for less than the margin are used.

--- a/core/tmcontrol/advice.go
+++ b/core/tmcontrol/advice.go
@@ -3,48 +3,21 @@
 import (
 	"turmericmoor/core/tmclock"
 	"turmericmoor/core/tmevent"
+	"turmericmoor/core/tmticket"
 )
 
+// This file asks the placement policy of a queue on which endpoints a step may run, and keeps
+// tasks off endpoints for which the step has no valid ticket.
+
 // maxAdviceEndpoints limits the endpoints named in one request to the placement
 // policy.
 const maxAdviceEndpoints = 100
 
-// ticketMargin is the minimum remaining validity of a ticket that is used for a
-// placement. The placement has to be stored and the start ordered before the ticket
-// expires.
-const ticketMargin = 300 * tmclock.Millisecond
-
 // advice is what the placement policy has answered for a step.
 type advice struct {
-	tickets map[*endpoint]ticket
-	asked   bool
-	// next is the index of the endpoint of the pool with which the next request begins.
-	next int
-}
-
-// ticket permits a step to run on one lifetime of an endpoint. A start order carries its token.
-type ticket struct {
-	token      string
-	lifetime   int
-	validUntil tmclock.Millis
-}
-
-// ticketFor returns the ticket of the step for the present lifetime of e, if it is valid.
-func (a *advice) ticketFor(e *endpoint, now tmclock.Millis) (ticket, bool) {
-	tk, ok := a.tickets[e]
-	return tk, ok && tk.lifetime == e.lifetime && !now.After(tk.validUntil)
-}
-
-func (a *advice) removeTicket(e *endpoint) { delete(a.tickets, e) }
-
-// hasTicket reports whether the step has a valid ticket for some endpoint.
-func (a *advice) hasTicket(now tmclock.Millis) bool {
-	for e := range a.tickets {
-		if _, ok := a.ticketFor(e, now); ok {
-			return true
-		}
-	}
-	return false
+	book tmticket.Book[*endpoint]
+	// wanted is set while the step waits for a request, asked while one is under way.
+	wanted, asked bool
 }
 
 // AdviceRequest asks the placement policy which endpoints may run a step.
@@ -53,14 +26,24 @@
 	Step      string
 	Endpoints []string
 	step      *step
-	// subjects are the lifetimes of the endpoints at the time of the request.
-	subjects []adviceSubject
+	// lifetimes are those of the endpoints at the time of the request.
+	lifetimes []tmticket.Lifetime[*endpoint]
 }
 
-// adviceSubject is one lifetime of an endpoint that the policy is asked about.
-type adviceSubject struct {
-	endpoint *endpoint
-	lifetime int
+// AdviceAnswer is the answer of the placement policy to a request that was sent at AskedAt.
+type AdviceAnswer struct {
+	// Tickets holds, by endpoint, the token of each that may run the step.
+	Tickets map[string]string
+	// Validity is how long the tickets are valid.
+	Validity tmclock.Span
+	AskedAt  tmclock.Millis
+	// Failed is set if the policy gave no answer. The other fields are not used then.
+	Failed bool
+}
+
+// currentLifetime identifies the present lifetime of an endpoint.
+func (e *endpoint) currentLifetime() tmticket.Lifetime[*endpoint] {
+	return tmticket.Lifetime[*endpoint]{Endpoint: e, Number: e.lifetime}
 }
 
 // needsTicket reports whether tasks of the step start with a ticket of the placement policy only.
@@ -69,55 +52,101 @@
 }
 
 // policyPermits reports whether a task of the step may be placed on e as far as the placement
-// policy of its queue is concerned.
+// policy of its queue is concerned: there is a valid ticket.
 func (c *Controller) policyPermits(s *step, e *endpoint) bool {
 	if !c.needsTicket(s) {
 		return true
 	}
-	_, ok := s.advice.ticketFor(e, c.now)
+	_, ok := s.advice.book.Token(e.currentLifetime(), c.now)
 	return ok
 }
 
-// wantAdvice asks the placement policy about a step that it applies to, unless there is an answer
-// that can be used.
-func (c *Controller) wantAdvice(s *step, p *pool, now tmclock.Millis) {
-	if c.needsTicket(s) && !s.advice.asked && !s.advice.hasTicket(now) {
-		c.requestAdvice(s, p)
+// mayGetTicket reports whether the placement policy is known to permit the step on e, whether its
+// last ticket is still valid or not.
+func (c *Controller) mayGetTicket(s *step, e *endpoint) bool {
+	return !c.needsTicket(s) || s.advice.book.Permits(e.currentLifetime())
+}
+
+// wantAdvice makes the placement policy be asked about endpoints on which a step that waits could
+// run if it had a ticket.
+func (c *Controller) wantAdvice(s *step) {
+	if c.needsTicket(s) && !s.advice.wanted && !s.advice.asked {
+		s.advice.wanted = true
+		c.adviceWanted = append(c.adviceWanted, s)
 	}
 }
 
-// requestAdvice asks about as many endpoints of a pool as one request may name. The next
-// request continues with the others.
-func (c *Controller) requestAdvice(s *step, p *pool) {
+// TakeAdviceRequests returns the requests for the steps that have waited for a ticket since the
+// last call, in the order in which these were planned.
+func (c *Controller) TakeAdviceRequests(now tmclock.Millis) []AdviceRequest {
+	var requests []AdviceRequest
+	for _, s := range c.adviceWanted {
+		s.advice.wanted = false
+		if q, ok := c.adviceRequest(s, now); ok {
+			s.advice.asked = true
+			requests = append(requests, q)
+		}
+	}
+	c.adviceWanted = nil
+	return requests
+}
+
+// adviceRequest returns a request about the endpoints of the pool for which the step has no valid
+// ticket: first those with room for it, then those of which nothing is known. It reports false if
+// there are none.
+func (c *Controller) adviceRequest(s *step, now tmclock.Millis) (AdviceRequest, bool) {
+	s.advice.book.Forget(func(e *endpoint) bool { return c.endpoints[e.info.ID] != e })
+	service := c.rules.Queues[s.occ.job.spec.Queue].Service
+	var withRoom, unknown []*endpoint
+	for _, e := range c.sorted() {
+		if e.info.Service != service || !e.isAvailable(now) || c.zonesOut[e.info.Zone] || !s.labelPermits(e) || !s.advice.book.MayAsk(e.currentLifetime(), now) {
+			continue
+		}
+		switch {
+		case c.hasRoom(s, e) && (e.isolated == nil || e.isolated.step == s):
+			withRoom = append(withRoom, e)
+		case !s.advice.book.IsKnown(e.currentLifetime()):
+			unknown = append(unknown, e)
+		}
+	}
 	q := AdviceRequest{Step: s.tasks[0].id.StepName(), step: s}
-	for range min(len(p.endpoints), maxAdviceEndpoints) {
-		e := p.endpoints[s.advice.next%len(p.endpoints)]
+	for _, e := range append(withRoom, unknown...) {
+		if len(q.Endpoints) == maxAdviceEndpoints {
+			break
+		}
 		q.Endpoints = append(q.Endpoints, e.info.ID)
-		q.subjects = append(q.subjects, adviceSubject{e, e.lifetime})
-		s.advice.next++
+		q.lifetimes = append(q.lifetimes, e.currentLifetime())
 	}
-	s.advice.asked = true
-	c.adviceRequests = append(c.adviceRequests, q)
+	return q, len(q.Endpoints) > 0
 }
 
-// TakeAdviceRequests returns the requests issued since the last call.
-func (c *Controller) TakeAdviceRequests() []AdviceRequest {
-	q := c.adviceRequests
-	c.adviceRequests = nil
-	return q
+// Advised handles the answer to a request.
+func (c *Controller) Advised(q AdviceRequest, a AdviceAnswer, now tmclock.Millis) {
+	q.step.advice.asked = false
+	if a.Failed {
+		return
+	}
+	book := &q.step.advice.book
+	for _, l := range q.lifetimes {
+		if token, ok := a.Tickets[l.Endpoint.info.ID]; ok {
+			book.Permit(l, tmticket.Ticket{Token: token, Validity: a.Validity, AskedAt: a.AskedAt, AnsweredAt: now})
+		} else {
+			book.Refuse(l, now)
+		}
+	}
+	c.event(tmevent.Advice, "step", q.Step, "asked", len(q.Endpoints), "good", len(a.Tickets), "valid_ms", int64(a.Validity))
 }
 
-// Advised handles the answer to a request that was sent at the time asked. The
-// answer holds a ticket for each endpoint that may run the step. Tickets expire the
-// time valid after asked. After a failed request tickets is nil.
-func (c *Controller) Advised(q AdviceRequest, tickets map[string]string, valid tmclock.Span, asked tmclock.Millis) {
-	a := &q.step.advice
-	a.asked = false
-	a.tickets = make(map[*endpoint]ticket, len(tickets))
-	for _, subject := range q.subjects {
-		if token, ok := tickets[subject.endpoint.info.ID]; ok {
-			a.tickets[subject.endpoint] = ticket{token: token, lifetime: subject.lifetime, validUntil: asked.Add(valid - ticketMargin)}
-		}
+// recordTicket records whether an endpoint has accepted the ticket of a start.
+func (c *Controller) recordTicket(r *run, a Answer, now tmclock.Millis) {
+	if r.ticket == "" {
+		return
+	}
+	book := &r.task.step.advice.book
+	switch a {
+	case Accepted:
+		book.Accepted(r.ep.currentLifetime())
+	case BadTicket:
+		book.Rejected(r.ep.currentLifetime(), r.ticket, now)
 	}
-	c.event(tmevent.Advice, "step", q.Step, "asked", len(q.Endpoints), "good", len(tickets), "valid_ms", int64(valid))
 }
--- a/core/tmcontrol/advice_test.go
+++ b/core/tmcontrol/advice_test.go
@@ -8,6 +8,7 @@
 	"gotest.tools/v3/assert"
 
 	"turmericmoor/core/tmclock"
+	"turmericmoor/core/tmticket"
 )
 
 // policyFixture is a fixture whose queue q has a placement policy. Its endpoints reject starts
@@ -19,8 +20,13 @@
 	valid   tmclock.Span
 	// tickets holds what the policy has issued.
 	tickets map[string]issuedTicket
-	// rejected counts the starts that were rejected because of their ticket.
-	rejected int
+	// distrusts makes endpoints reject all tickets.
+	distrusts bool
+	// lost holds the endpoints that are lost for good.
+	lost map[string]bool
+	// rejected counts the starts that were rejected because of their ticket, questions the
+	// requests to the policy.
+	rejected, questions int
 }
 
 type issuedTicket struct {
@@ -30,7 +36,7 @@
 }
 
 func newPolicyFixture(t *testing.T, endpoints int, permitted ...string) *policyFixture {
-	f := &policyFixture{fixture: newFixture(t, endpoints), valid: 3000, tickets: map[string]issuedTicket{}}
+	f := &policyFixture{fixture: newFixture(t, endpoints), valid: 3000, tickets: map[string]issuedTicket{}, lost: map[string]bool{}}
 	f.permits = func(endpoint string) bool { return slices.Contains(permitted, endpoint) }
 	f.c.Apply(DesiredState{Rules: policyRules(2)}, f.now)
 	return f
@@ -47,7 +53,8 @@
 
 // advise answers the questions to the policy.
 func (f *policyFixture) advise() {
-	for _, q := range f.c.TakeAdviceRequests() {
+	for _, q := range f.c.TakeAdviceRequests(f.now) {
+		f.questions++
 		tickets := map[string]string{}
 		for _, id := range q.Endpoints {
 			if !f.permits(id) {
@@ -57,7 +64,7 @@
 			f.tickets[name] = issuedTicket{step: q.Step, endpoint: id, lifetime: f.restarts[id], until: f.now.Add(f.valid)}
 			tickets[id] = name
 		}
-		f.c.Advised(q, tickets, f.valid, f.now)
+		f.c.Advised(q, AdviceAnswer{Tickets: tickets, Validity: f.valid, AskedAt: f.now}, f.now)
 	}
 }
 
@@ -83,17 +90,27 @@
 
 func (f *policyFixture) isValid(s StartOrder) bool {
 	tk, ok := f.tickets[s.Ticket]
-	return ok && tk.step == s.Ref.Task.StepName() && tk.endpoint == s.Ref.Endpoint &&
+	return ok && !f.distrusts && tk.step == s.Ref.Task.StepName() && tk.endpoint == s.Ref.Endpoint &&
 		tk.lifetime == f.restarts[s.Ref.Endpoint] && f.now.Before(tk.until)
 }
 
+// workUp lets d pass, and the endpoints that are not lost list their runs.
+func (f *policyFixture) workUp(d tmclock.Span) {
+	f.now = f.now.Add(d)
+	for _, e := range f.c.sorted() {
+		if !f.lost[e.info.ID] {
+			f.answerHold(e.info.ID)
+		}
+	}
+}
+
 // planUntilStarted plans until the only task of a job runs, for at most d. It returns the endpoint
 // of the run, or "".
 func (f *policyFixture) planUntilStarted(job string, d tmclock.Span) string {
 	const interval = 50 * tmclock.Millisecond
 	for until := f.now.Add(d); f.now.Before(until) && f.placeOf(job) == ""; {
 		f.plan(interval)
-		f.work(interval)
+		f.workUp(interval)
 	}
 	return f.placeOf(job)
 }
@@ -154,34 +171,117 @@
 	f := newPolicyFixture(t, 1, "e1")
 	f.c.Submitted(oneTask("j"))
 	f.order(10)
-	questions := f.c.TakeAdviceRequests()
+	questions := f.c.TakeAdviceRequests(f.now)
 	assert.Equal(t, len(questions), 1)
 	f.restart("e1")
-	f.c.Advised(questions[0], map[string]string{"e1": "of the earlier lifetime"}, f.valid, f.now)
+	f.c.Advised(questions[0], AdviceAnswer{Tickets: map[string]string{"e1": "of the earlier lifetime"}, Validity: f.valid, AskedAt: f.now}, f.now)
 	assert.Equal(t, f.planUntilStarted("j", 1000), "e1")
 	assert.Equal(t, f.rejected, 0)
 }
 
+// Guards against a ticket of a lost endpoint that hides that the endpoint that is left has none.
+func TestTicketOfALostEndpointHidesNoOther(t *testing.T) {
+	f := newPolicyFixture(t, 3, "e1", "e2")
+	f.valid = 30000
+	j := oneTask("j")
+	j.Steps[0].Count = 2
+	f.c.Submitted(j)
+	assert.Assert(t, f.planUntilStarted("j", 1000) != "")
+	f.c.HoldFailed("e2", "lost", f.now)
+	f.runs["e2"] = nil
+	f.c.RemoveEndpoint("e2")
+	f.restart("e1")
+	f.lost["e2"] = true
+	assert.Equal(t, f.planUntilStarted("j", 2000), "e1")
+	assert.Equal(t, f.rejected, 0)
+}
+
+// Guards against a new endpoint that stays idle until the tickets of a full one have expired.
+func TestNewEndpointIsAskedAboutBesideValidTickets(t *testing.T) {
+	f := newPolicyFixture(t, 1, "e1", "e2")
+	f.valid = 30000
+	j := oneTask("j")
+	j.Steps[0].Count = 2
+	j.Steps[0].Size.CPU = 8000
+	f.c.Submitted(j)
+	assert.Equal(t, f.planUntilStarted("j", 1000), "e1")
+	f.c.SetEndpoint(f.endpointInfo(2), f.now)
+	f.answerHold("e2")
+	for range 10 {
+		f.plan(50)
+	}
+	assert.Equal(t, len(f.runs["e2"]), 1)
+}
+
+// Guards against asking for tickets that can't be used: the policy answers one call at a time.
+func TestFullEndpointsAreNotAskedAboutAgain(t *testing.T) {
+	f := newPolicyFixture(t, 2, "e1", "e2")
+	j := oneTask("j")
+	j.Steps[0].Count = 3
+	j.Steps[0].Size.CPU = 8000
+	f.c.Submitted(j)
+	for range 10 {
+		f.plan(50)
+	}
+	questions := f.questions
+	for range 10 {
+		f.plan(f.valid)
+		f.work(10)
+	}
+	assert.Equal(t, f.questions, questions)
+}
+
+// Guards against a step that waits for an endpoint for good that its policy refused while the endpoint
+// was restarting.
+func TestRefusedEndpointIsAskedAboutAgain(t *testing.T) {
+	f := newPolicyFixture(t, 1)
+	f.c.Submitted(oneTask("j"))
+	assert.Equal(t, f.planUntilStarted("j", 1000), "")
+	f.permits = func(string) bool { return true }
+	assert.Equal(t, f.planUntilStarted("j", 2*tmticket.RefusalValidity), "e1")
+}
+
+// Guards against starts in quick succession that an endpoint rejects although the policy issues tickets.
+func TestRejectedTicketsSlowDown(t *testing.T) {
+	f := newPolicyFixture(t, 1, "e1")
+	f.distrusts = true
+	f.c.Submitted(oneTask("j"))
+	assert.Equal(t, f.planUntilStarted("j", 20000), "")
+	assert.Assert(t, f.rejected >= 3 && f.rejected <= 15, "%d rejected starts", f.rejected)
+	f.distrusts = false
+	assert.Equal(t, f.planUntilStarted("j", 2*tmticket.MaxRejectionDelay), "e1")
+}
+
+// Guards against a step that never starts because its tickets are valid for less than the margin that
+// storing its placement takes.
+func TestShortTicketsAreUsed(t *testing.T) {
+	f := newPolicyFixture(t, 1, "e1")
+	f.valid = 150
+	f.c.Submitted(oneTask("j"))
+	assert.Equal(t, f.planUntilStarted("j", 2000), "e1")
+}
+
 // Guards against a step that never starts because its pool has more endpoints than a request
 // for advice may name, and none of the first ones may run it.
 func TestAdviceIsAskedAboutAllEndpoints(t *testing.T) {
-	f := newFixture(t, 0)
-	p := &pool{}
-	for range maxAdviceEndpoints + 1 {
-		p.endpoints = append(p.endpoints, newEndpoint(EndpointInfo{ID: string(rune(len(p.endpoints)))}))
+	f := newPolicyFixture(t, 0)
+	for i := range maxAdviceEndpoints + 1 {
+		info := f.endpointInfo(1)
+		info.ID, info.Instance = fmt.Sprintf("e%d", i), fmt.Sprintf("i%d", i)
+		f.c.SetEndpoint(info, f.now)
+		f.answerHold(info.ID)
 	}
 	f.c.Submitted(oneTask("j"))
-	s := f.c.jobs["j"].open(0).steps[0]
 	asked := map[string]bool{}
 	for range 2 {
-		f.c.requestAdvice(s, p)
-		for _, q := range f.c.TakeAdviceRequests() {
-			assert.Equal(t, len(q.Endpoints), maxAdviceEndpoints)
+		f.order(10)
+		for _, q := range f.c.TakeAdviceRequests(f.now) {
+			assert.Assert(t, len(q.Endpoints) <= maxAdviceEndpoints)
 			for _, id := range q.Endpoints {
 				asked[id] = true
 			}
-			f.c.Advised(q, nil, 0, f.now)
+			f.c.Advised(q, AdviceAnswer{Validity: f.valid, AskedAt: f.now}, f.now)
 		}
 	}
-	assert.Equal(t, len(asked), len(p.endpoints))
+	assert.Equal(t, len(asked), maxAdviceEndpoints+1)
 }
--- a/core/tmcontrol/budget.go
+++ b/core/tmcontrol/budget.go
@@ -51,7 +51,7 @@
 	p := pools[e.info.Service]
 	for _, r := range longRuns(e) {
 		s := r.task.step
-		if p == nil || c.choose(s, p, now) == nil {
+		if !c.hasOtherPlace(s, p, now) {
 			c.reportShortage(e.info.Service, 1)
 			continue
 		}
--- a/core/tmcontrol/controller.go
+++ b/core/tmcontrol/controller.go
@@ -72,13 +72,14 @@
 	flushes        int64
 	// loaded is set once all jobs of the store have been loaded, stale while the store has
 	// not confirmed lately what the operator and the endpoints have written.
-	loaded, stale  bool
-	loadedAt       tmclock.Millis
-	starts         []StartOrder
-	stops          []StopOrder
-	paces          []PaceOrder
-	adviceRequests []AdviceRequest
-	deposed        bool
+	loaded, stale bool
+	loadedAt      tmclock.Millis
+	starts        []StartOrder
+	stops         []StopOrder
+	paces         []PaceOrder
+	// adviceWanted holds the steps that wait for a ticket of their placement policy.
+	adviceWanted []*step
+	deposed      bool
 	// confirmedAt is when this node was last confirmed as owner of the fleet.
 	confirmedAt tmclock.Millis
 	// pending counts the pending starts, from their placement until their order is answered or
--- a/core/tmcontrol/copy.go
+++ b/core/tmcontrol/copy.go
@@ -71,6 +71,7 @@
 	}
 	e := c.chooseAmong(t.step, p, others, now)
 	if e == nil {
+		c.wantAdvice(t.step)
 		return
 	}
 	c.copies.Take()
--- a/core/tmcontrol/gang.go
+++ b/core/tmcontrol/gang.go
@@ -38,6 +38,7 @@
 		return
 	}
 	if !c.tryGang(s, p, n+1, now) {
+		c.wantAdvice(s)
 		c.recordBlocked(s, p)
 		c.reserve(s, p, int64(len(s.tasks)), now)
 		c.reportBlocked(s, p, int64(len(s.tasks)))
--- a/core/tmcontrol/isolation.go
+++ b/core/tmcontrol/isolation.go
@@ -42,13 +42,13 @@
 		p.hasOverdue = p.hasOverdue || t.isOverdue(now)
 		c.moveIsolation(t, p, now)
 		if p.isolatedFor[t] == nil && p.mayIsolate(true) && c.withinLimit(t.step, 1) {
-			c.isolate(t, p, now)
+			c.isolate(t, p)
 		}
 	}
 	for _, t := range suspects {
 		p := c.poolOf(t, pools)
 		if p != nil && c.hasStartRoom() && c.withinLimit(t.step, 1) {
-			c.placeIsolated(t, p, now)
+			c.placeIsolated(t, p)
 		}
 	}
 }
@@ -101,15 +101,13 @@
 
 // placeIsolated starts a suspect on the endpoint that is set aside for it, once nothing
 // else is starting there.
-func (c *Controller) placeIsolated(t *task, p *pool, now tmclock.Millis) {
+func (c *Controller) placeIsolated(t *task, p *pool) {
 	e := p.isolatedFor[t]
-	switch {
-	case e == nil || !e.isQuiet():
-	case c.fits(t.step, e):
+	if e != nil && e.isQuiet() && c.fits(t.step, e) {
 		c.assign(t, e, t.runs+1)
-	default:
-		c.wantAdvice(t.step, p, now)
+		return
 	}
+	c.wantAdvice(t.step)
 }
 
 // moveIsolation gives up a busy endpoint that is set aside for a suspect if an idle one can be
@@ -119,7 +117,6 @@
 	if busy == nil || len(busy.runs) == 0 || busy.isQuiet() && c.fits(t.step, busy) {
 		return
 	}
-	c.wantAdvice(t.step, p, now)
 	for _, e := range p.endpoints {
 		if len(e.runs) == 0 && e.isolated == nil && c.fits(t.step, e) {
 			busy.isolated, e.isolated = nil, t
@@ -156,11 +153,10 @@
 
 // isolate sets aside the endpoint where a crash would end the fewest runs for a suspect,
 // unless too many are set aside.
-func (c *Controller) isolate(t *task, p *pool, now tmclock.Millis) {
+func (c *Controller) isolate(t *task, p *pool) {
 	var best *endpoint
-	c.wantAdvice(t.step, p, now)
 	for _, e := range p.endpoints {
-		if e.isolated == nil && c.couldFit(t.step, e) && c.policyPermits(t.step, e) && (best == nil || len(e.runs) < len(best.runs)) {
+		if e.isolated == nil && c.couldFit(t.step, e) && (best == nil || len(e.runs) < len(best.runs)) {
 			best = e
 		}
 	}
@@ -174,9 +170,9 @@
 }
 
 // couldFit reports whether a task of the step fits on e once the tasks there that end by
-// themselves have ended.
+// themselves have ended, and may run there.
 func (c *Controller) couldFit(s *step, e *endpoint) bool {
-	return !e.reserved && s.permits(e) && s.spec.Reservation().Fits(e.info.Capacity.Sub(e.longRunning))
+	return !e.reserved && s.permits(e) && c.mayGetTicket(s, e) && s.spec.Reservation().Fits(e.info.Capacity.Sub(e.longRunning))
 }
 
 // IsIsolated reports whether a suspect is isolated on an endpoint.
--- a/core/tmcontrol/lifetime.go
+++ b/core/tmcontrol/lifetime.go
@@ -194,7 +194,7 @@
 		if r.stop || r.phase != active {
 			continue
 		}
-		if p == nil || c.choose(s, p, now) == nil {
+		if !c.hasOtherPlace(s, p, now) {
 			c.reportShortage(e.info.Service, 1)
 			return
 		}
--- a/core/tmcontrol/order.go
+++ b/core/tmcontrol/order.go
@@ -90,6 +90,7 @@
 	r.inFlight = false
 	r.startAnswered(a, now)
 	c.recordStart(r, a, now)
+	c.recordTicket(r, a, now)
 	c.markAnswered(r)
 	if a != Accepted {
 		c.event(tmevent.StartAnswer, "task", ref.Task.String(), "run", ref.Run, "endpoint", ref.Endpoint, "answer", a.String(), "try", r.tries)
@@ -129,9 +130,6 @@
 	if a != TooLate && a != BadTicket && a != NoConnection {
 		r.ep.blockedUntil = now.Add(avoidTime)
 	}
-	if a == BadTicket {
-		r.task.step.advice.removeTicket(r.ep)
-	}
 	if r.unanswered || r.tries > 1 {
 		r.settledAt = now
 		c.stopRun(r, "start refused after one without an answer")
--- a/core/tmcontrol/plan.go
+++ b/core/tmcontrol/plan.go
@@ -197,6 +197,9 @@
 		t.step.blockedSince = 0
 	}
 	if e == nil {
+		if !blocked || t.step.advice.book.IsEmpty() {
+			c.wantAdvice(t.step)
+		}
 		if blocked {
 			c.reserve(t.step, p, 1, now)
 		}
@@ -243,9 +246,7 @@
 	c.pending++
 	t.runs, t.heldSince = n, 0
 	c.copies.Run()
-	if tk, ok := t.step.advice.ticketFor(e, c.now); ok {
-		r.ticket = tk.token
-	}
+	r.ticket, _ = t.step.advice.book.Token(e.currentLifetime(), c.now)
 	j := t.step.occ.job
 	c.markDirty(t)
 	c.event(tmevent.TaskPlaced, "task", t.id.String(), "run", n, "endpoint", e.info.ID,
@@ -257,7 +258,6 @@
 func (c *Controller) choose(s *step, p *pool, now tmclock.Millis) *endpoint {
 	var best *endpoint
 	var bestScore float64
-	c.wantAdvice(s, p, now)
 	for _, e := range p.endpoints {
 		if !c.allows(s, e) {
 			continue
@@ -270,6 +270,19 @@
 	return best
 }
 
+// hasOtherPlace reports whether a long-running task of the step could start in p now, so that it may
+// be stopped where it runs. p is nil if the pool has no endpoints.
+func (c *Controller) hasOtherPlace(s *step, p *pool, now tmclock.Millis) bool {
+	if p == nil {
+		return false
+	}
+	if c.choose(s, p, now) == nil {
+		c.wantAdvice(s)
+		return false
+	}
+	return true
+}
+
 // allows reports whether e may run one more task of the step that is not a suspect.
 func (c *Controller) allows(s *step, e *endpoint) bool {
 	return e.isolated == nil && e.admits() && c.fits(s, e) && c.mayBackfill(s, e)
@@ -277,7 +290,12 @@
 
 // fits reports whether e has room for one more task of the step and may run it.
 func (c *Controller) fits(s *step, e *endpoint) bool {
-	return !e.reserved && s.spec.Reservation().Fits(e.free()) && s.permits(e) && c.policyPermits(s, e)
+	return c.hasRoom(s, e) && c.policyPermits(s, e)
+}
+
+// hasRoom is like fits for an endpoint that the placement policy may not permit.
+func (c *Controller) hasRoom(s *step, e *endpoint) bool {
+	return !e.reserved && s.spec.Reservation().Fits(e.free()) && s.permits(e)
 }
 
 // permits reports whether the requirements of the step, other than room, permit one more
--- a/io/tmowner/call.go
+++ b/io/tmowner/call.go
@@ -99,14 +99,16 @@
 func (o *Owner) requestAdvice(ctx context.Context, q tmcontrol.AdviceRequest) {
 	callCtx, cancel := context.WithTimeout(ctx, adviceTimeout)
 	defer cancel()
-	asked := o.opts.Clock.Now()
-	tickets, valid, err := o.advise(callCtx, q)
+	a := tmcontrol.AdviceAnswer{AskedAt: o.opts.Clock.Now()}
+	var err error
+	a.Tickets, a.Validity, err = o.advise(callCtx, q)
 	if err != nil {
 		o.emit(tmevent.AdviceFailed, "step", q.Step, "cause", err.Error())
 		tmwait.Pause(ctx, retryDelay)
+		a.Failed = true
 	}
 	o.mu.Lock()
-	o.ctl.Advised(q, tickets, valid, asked)
+	o.ctl.Advised(q, a, o.opts.Clock.Now())
 	o.mu.Unlock()
 	o.requestPlan()
 }
--- a/io/tmowner/owner.go
+++ b/io/tmowner/owner.go
@@ -249,7 +249,7 @@
 	o.ctl.Plan(now, wall)
 	o.publishStatus()
 	starts, stops, paces := o.ctl.TakeOrders(now)
-	adviceRequests := o.ctl.TakeAdviceRequests()
+	adviceRequests := o.ctl.TakeAdviceRequests(now)
 	instanceOrders, reports := o.ctl.TakeInstanceOrders()
 	o.endLifetimes(o.ctl.TakeEndedLifetimes())
 	lifetimes := make([]context.Context, 0, len(starts))
