tmcontrol: a start is ordered with a ticket that is valid at that time

Cause: the ticket was chosen when a task was placed and sent once the placement was stored, or when the start was repeated after no answer. If the store took longer than the ticket was valid, the start was rejected, and placed and stored again, as long as the store was slow.

Change: the ticket is taken when the start is ordered. If the one of the placement has expired, the placement is kept for up to a second and the policy is asked about its endpoint; then the start goes out with the new ticket, and all members of a gang together. A run that gets none is released, or stopped if it may have started.

Seen: TestStartAfterASlowWriteHasAValidTicket (a single task and gangs of 1 and 3), TestRepeatedStartHasAValidTicket and TestStartWithoutATicketIsGivenUp failed before and pass.

--- a/core/tmcontrol/advice.go
+++ b/core/tmcontrol/advice.go
@@ -1,6 +1,8 @@
 package tmcontrol
 
 import (
+	"slices"
+
 	"turmericmoor/core/tmclock"
 	"turmericmoor/core/tmevent"
 	"turmericmoor/core/tmticket"
@@ -13,6 +15,10 @@
 // policy.
 const maxAdviceEndpoints = 100
 
+// maxTicketWait is how long a run whose placement is stored keeps its room while it waits for a new
+// ticket.
+const maxTicketWait = tmclock.Second
+
 // advice is what the placement policy has answered for a step.
 type advice struct {
 	book tmticket.Book[*endpoint]
@@ -99,10 +105,13 @@
 	service := c.rules.Queues[s.occ.job.spec.Queue].Service
 	var withRoom, unknown []*endpoint
 	for _, e := range c.sorted() {
-		if e.info.Service != service || !e.isAvailable(now) || c.zonesOut[e.info.Zone] || !s.labelPermits(e) || !s.advice.book.MayAsk(e.currentLifetime(), now) {
+		if e.info.Service != service || !s.advice.book.MayAsk(e.currentLifetime(), now) {
 			continue
 		}
 		switch {
+		case e.hasAwaitingTicket(s):
+			withRoom = append(withRoom, e)
+		case !e.isAvailable(now) || c.zonesOut[e.info.Zone] || !s.labelPermits(e):
 		case c.hasRoom(s, e) && (e.isolated == nil || e.isolated.step == s):
 			withRoom = append(withRoom, e)
 		case !s.advice.book.IsKnown(e.currentLifetime()):
@@ -137,6 +146,67 @@
 	c.event(tmevent.Advice, "step", q.Step, "asked", len(q.Endpoints), "good", len(a.Tickets), "valid_ms", int64(a.Validity))
 }
 
+// renewTicket gives a run whose start is about to be ordered the present ticket for its endpoint. It
+// reports false if there is none that is valid.
+func (c *Controller) renewTicket(r *run, now tmclock.Millis) bool {
+	token, ok := r.task.step.advice.book.StartToken(r.ep.currentLifetime(), now)
+	if !ok && c.needsTicket(r.task.step) {
+		return false
+	}
+	r.ticket, r.ticketWantedAt = token, 0
+	return true
+}
+
+// mayAwaitTicket makes the policy be asked for a new ticket for a run. It reports false if the run
+// has waited for too long.
+func (c *Controller) mayAwaitTicket(r *run, now tmclock.Millis) bool {
+	if !r.awaitsTicket() {
+		r.ticketWantedAt = now
+	}
+	c.wantAdvice(r.task.step)
+	return now.Sub(r.ticketWantedAt) < maxTicketWait
+}
+
+// awaitTickets keeps runs that start together until there are new tickets, or releases them if they
+// have waited for too long.
+func (c *Controller) awaitTickets(runs []*run, now tmclock.Millis) {
+	mayAwait := true
+	for _, r := range runs {
+		mayAwait = c.mayAwaitTicket(r, now) && mayAwait
+	}
+	for _, r := range runs {
+		switch {
+		case !mayAwait:
+			c.release(r)
+		case !slices.Contains(c.awaitingTicket, r):
+			c.awaitingTicket = append(c.awaitingTicket, r)
+		}
+	}
+}
+
+// retryAwaitingTicket orders the starts for which there is a new ticket.
+func (c *Controller) retryAwaitingTicket(now tmclock.Millis) {
+	runs := c.awaitingTicket
+	c.awaitingTicket = nil
+	c.startPlaced(runs, now)
+}
+
+// awaitsTicket reports whether a run waits for a new ticket.
+func (r *run) awaitsTicket() bool { return r.ticketWantedAt != 0 }
+
+// hasAwaitingTicket reports whether a run of the step waits for a ticket for e.
+func (e *endpoint) hasAwaitingTicket(s *step) bool {
+	if e.stepRuns[s] == 0 {
+		return false
+	}
+	for _, r := range e.runs {
+		if r.task.step == s && r.awaitsTicket() {
+			return true
+		}
+	}
+	return false
+}
+
 // recordTicket records whether an endpoint has accepted the ticket of a start.
 func (c *Controller) recordTicket(r *run, a Answer, now tmclock.Millis) {
 	if r.ticket == "" {
--- a/core/tmcontrol/advice_test.go
+++ b/core/tmcontrol/advice_test.go
@@ -285,3 +285,68 @@
 	}
 	assert.Equal(t, len(asked), maxAdviceEndpoints+1)
 }
+
+// placeAndStore plans and takes d to store the placements.
+func (f *policyFixture) placeAndStore(d tmclock.Span) {
+	f.c.Tick(f.now, int64(f.now))
+	f.c.Plan(f.now, int64(f.now))
+	flush := f.c.TakeFlush(f.now)
+	f.now = f.now.Add(d)
+	f.c.Stored(flush, f.now)
+}
+
+// Guards against a start with a ticket that has expired while the placement was stored, and against a
+// step that never starts because its placements take longer to store than tickets are valid.
+func TestStartAfterASlowWriteHasAValidTicket(t *testing.T) {
+	for _, members := range []int{0, 1, 3} {
+		f := newPolicyFixture(t, 1, "e1")
+		j := oneTask("j")
+		j.Steps[0].Count, j.Steps[0].Gang = max(1, members), members > 0
+		f.c.Submitted(j)
+		f.plan(10)
+		f.placeAndStore(2 * f.valid)
+		for range 4 {
+			f.plan(10)
+		}
+		assert.Equal(t, len(f.runs["e1"]), j.Steps[0].Count)
+		assert.Equal(t, f.rejected, 0)
+		assert.Equal(t, f.c.jobs["j"].open(0).steps[0].tasks[0].runs, 1)
+	}
+}
+
+// Guards against a start that is repeated with a ticket that has expired since it got no answer.
+func TestRepeatedStartHasAValidTicket(t *testing.T) {
+	f := newPolicyFixture(t, 1, "e1")
+	f.c.Submitted(oneTask("j"))
+	f.plan(10)
+	lost := f.order(10)
+	assert.Equal(t, len(lost), 1)
+	f.now = f.now.Add(2 * f.valid)
+	f.c.Started(lost[0].Ref, NoAnswer, f.now)
+	for range 4 {
+		f.work(10)
+		f.plan(10)
+	}
+	assert.Equal(t, f.placeOf("j"), "e1")
+	assert.Equal(t, f.rejected, 0)
+	assert.Equal(t, f.runs["e1"][0].Run, 1)
+}
+
+// Guards against capacity that is kept for a start whose policy does not answer.
+func TestStartWithoutATicketIsGivenUp(t *testing.T) {
+	f := newPolicyFixture(t, 1, "e1")
+	j := oneTask("j")
+	j.Steps[0].Count, j.Steps[0].Gang = 3, true
+	f.c.Submitted(j)
+	f.plan(10)
+	f.placeAndStore(2 * f.valid)
+	assert.Equal(t, len(f.c.endpoints["e1"].runs), 3)
+	for range 10 {
+		f.order(maxTicketWait / 5)
+		for _, q := range f.c.TakeAdviceRequests(f.now) {
+			f.c.Advised(q, AdviceAnswer{Failed: true}, f.now)
+		}
+	}
+	assert.Equal(t, len(f.c.endpoints["e1"].runs), 0)
+	assert.Equal(t, f.planUntilStarted("j", 2000), "e1")
+}
--- a/core/tmcontrol/controller.go
+++ b/core/tmcontrol/controller.go
@@ -79,7 +79,9 @@
 	paces         []PaceOrder
 	// adviceWanted holds the steps that wait for a ticket of their placement policy.
 	adviceWanted []*step
-	deposed      bool
+	// awaitingTicket holds the runs whose placement is stored and whose ticket has expired since.
+	awaitingTicket []*run
+	deposed        bool
 	// confirmedAt is when this node was last confirmed as owner of the fleet.
 	confirmedAt tmclock.Millis
 	// pending counts the pending starts, from their placement until their order is answered or
--- a/core/tmcontrol/job.go
+++ b/core/tmcontrol/job.go
@@ -173,7 +173,10 @@
 	usage        int64
 	pace         int
 	pacedAt      tmclock.Millis
-	ticket       string
+	// ticket is the token of the placement policy that the start order carries, or "".
+	// ticketWantedAt is since when it has expired, 0 if it has not.
+	ticket         string
+	ticketWantedAt tmclock.Millis
 	// mark is the moment from which the neighbours of the run count.
 	mark          tminterference.Mark
 	stop          bool
--- a/core/tmcontrol/order.go
+++ b/core/tmcontrol/order.go
@@ -55,12 +55,14 @@
 	if c.stale {
 		return
 	}
-	if r.tries >= maxStartTries || !c.mayStart(r) {
+	switch {
+	case r.tries >= maxStartTries, !c.mayStart(r), !c.renewTicket(r, now) && !c.mayAwaitTicket(r, now):
 		c.stopRun(r, "start got no answer")
 		c.sendStop(r, now)
-		return
+	case r.awaitsTicket():
+	default:
+		c.sendStart(r, now)
 	}
-	c.sendStart(r, now)
 }
 
 // dropSlowStarts stops counting a start as pending after slowStartAnswer without an
@@ -230,8 +232,10 @@
 			gangs[s] = true
 		case !c.mayStart(r):
 			c.release(r)
-		default:
+		case c.renewTicket(r, now):
 			c.sendStart(r, now)
+		default:
+			c.awaitTickets([]*run{r}, now)
 		}
 	}
 	for s := range gangs {
@@ -242,7 +246,7 @@
 // startGang orders the starts of the members of a gang once all their placements are stored.
 func (c *Controller) startGang(s *step, now tmclock.Millis) {
 	var members []*run
-	mayStart := true
+	mayStart, hasTickets := true, true
 	for _, t := range s.tasks {
 		for _, r := range t.active {
 			if !r.isPlaced() {
@@ -253,8 +257,13 @@
 			}
 			members = append(members, r)
 			mayStart = mayStart && c.mayStart(r)
+			hasTickets = c.renewTicket(r, now) && hasTickets
 		}
 	}
+	if mayStart && !hasTickets {
+		c.awaitTickets(members, now)
+		return
+	}
 	checkpoint := s.gangCheckpoint()
 	for _, r := range members {
 		if mayStart {
--- a/core/tmticket/book.go
+++ b/core/tmticket/book.go
@@ -23,6 +23,8 @@
 	// that are valid for a short time it is marginShare of that time.
 	maxMargin   = 300 * tmclock.Millisecond
 	marginShare = 0.25
+	// startMarginShare is the share of that which has to be left when the start is ordered.
+	startMarginShare = 0.25
 )
 
 // Lifetime is one lifetime of an endpoint. The numbers of the lifetimes of an endpoint rise.
@@ -41,8 +43,10 @@
 	lifetime  int
 	permitted bool
 	token     string
-	// The token may be used until validUntil. The policy is not asked again before askAfter.
-	validUntil, askAfter tmclock.Millis
+	// The token may be used for placements until placeUntil, and for starts until startUntil.
+	placeUntil, startUntil tmclock.Millis
+	// The policy is not asked again before askAfter.
+	askAfter tmclock.Millis
 	// rejections counts the starts that were rejected in a row because of their ticket.
 	rejections int
 }
@@ -55,14 +59,16 @@
 	AskedAt, AnsweredAt tmclock.Millis
 }
 
-// usableUntil returns until when the ticket is used. If the answer took longer than the ticket is
-// valid, its validity has probably begun with the answer.
-func (t *Ticket) usableUntil() tmclock.Millis {
+// usableUntil returns until when the ticket is used for placements and for starts. If the answer took
+// longer than the ticket is valid, its validity has probably begun with the answer.
+func (t *Ticket) usableUntil() (placements, starts tmclock.Millis) {
 	margin := min(maxMargin, tmclock.Span(marginShare*float64(t.Validity)))
-	if until := t.AskedAt.Add(t.Validity - margin); until.After(t.AnsweredAt) {
-		return until
+	began := t.AskedAt
+	if !began.Add(t.Validity - margin).After(t.AnsweredAt) {
+		began = t.AnsweredAt
 	}
-	return t.AnsweredAt.Add(t.Validity - margin)
+	startMargin := tmclock.Span(startMarginShare * float64(margin))
+	return began.Add(t.Validity - margin), began.Add(t.Validity - startMargin)
 }
 
 func (b *Book[E]) answer(l Lifetime[E]) (answer, bool) {
@@ -70,10 +76,20 @@
 	return a, ok && a.lifetime == l.Number
 }
 
-// Token returns the token of the ticket for a lifetime, if it is valid.
+// Token returns the token of the ticket for a lifetime, if it is valid for long enough to store a
+// placement and to order its start.
 func (b *Book[E]) Token(l Lifetime[E], now tmclock.Millis) (string, bool) {
 	a, ok := b.answer(l)
-	if !ok || !a.permitted || now.After(a.validUntil) {
+	if !ok || !a.permitted || now.After(a.placeUntil) {
+		return "", false
+	}
+	return a.token, true
+}
+
+// StartToken is like Token for a placement that is stored.
+func (b *Book[E]) StartToken(l Lifetime[E], now tmclock.Millis) (string, bool) {
+	a, ok := b.answer(l)
+	if !ok || !a.permitted || now.After(a.startUntil) {
 		return "", false
 	}
 	return a.token, true
@@ -114,7 +130,8 @@
 // Permit records a ticket for a lifetime.
 func (b *Book[E]) Permit(l Lifetime[E], t Ticket) {
 	last, _ := b.answer(l)
-	b.set(l, answer{permitted: true, token: t.Token, validUntil: t.usableUntil(), rejections: last.rejections})
+	placeUntil, startUntil := t.usableUntil()
+	b.set(l, answer{permitted: true, token: t.Token, placeUntil: placeUntil, startUntil: startUntil, rejections: last.rejections})
 }
 
 // Refuse records that the policy does not permit the step on a lifetime.
@@ -148,7 +165,7 @@
 	if n := a.rejections; n < 16 {
 		delay = min(delay, rejectionDelay<<n)
 	}
-	b.set(l, answer{permitted: true, validUntil: now - 1, askAfter: now.Add(delay), rejections: a.rejections + 1})
+	b.set(l, answer{permitted: true, placeUntil: now - 1, startUntil: now - 1, askAfter: now.Add(delay), rejections: a.rejections + 1})
 }
 
 // Forget drops the answers about endpoints that are gone for good.
--- a/core/tmticket/book_test.go
+++ b/core/tmticket/book_test.go
@@ -30,6 +30,10 @@
 	_, ok = b.Token(life, 3701)
 	assert.Assert(t, !ok)
 	assert.Assert(t, b.MayAsk(life, 3701))
+	_, ok = b.StartToken(life, 3925)
+	assert.Assert(t, ok)
+	_, ok = b.StartToken(life, 3926)
+	assert.Assert(t, !ok)
 }
 
 // Guards against a refusal that counts for good, and against one that counts for the next lifetime.
