tmcontrol, tmowner: one request to the placement policy at a time, in the order of planning

Cause: an owner sent a request for each waiting step at once. The policy answers one call at a time for each caller, so that with many steps most calls waited longer than their 2 s, were given up and sent again, in no order; a step whose request failed, or one that names more endpoints than the policy can answer for in 2 s, never started.

Change: the controller gives out one request at a time, for the first step in the order of the last planning pass that has no place; runs that hold room for want of a ticket go before it. A failed request puts its step off for half a second and halves the number of endpoints that the next one names.

Seen: TestPolicyIsAskedOneRequestAtATime and TestFailedRequestsAreSmallerAndHoldUpNoOthers; the queue that they test did not exist before, when two waiting steps gave two requests at once.

--- a/core/tmcontrol/advice.go
+++ b/core/tmcontrol/advice.go
@@ -15,6 +15,10 @@
 // policy.
 const maxAdviceEndpoints = 100
 
+// failedAdvicePause is the pause after a failed request for a step, in which the policy is asked about
+// others.
+const failedAdvicePause = 500 * tmclock.Millisecond
+
 // maxTicketWait is how long a run whose placement is stored keeps its room while it waits for a new
 // ticket.
 const maxTicketWait = tmclock.Second
@@ -22,8 +26,46 @@
 // advice is what the placement policy has answered for a step.
 type advice struct {
 	book tmticket.Book[*endpoint]
-	// wanted is set while the step waits for a request, asked while one is under way.
-	wanted, asked bool
+	// wanted is set while the step waits for a request. There is none before askAfter.
+	wanted   bool
+	askAfter tmclock.Millis
+}
+
+// adviceQueue holds the steps that wait for a ticket of their placement policy. The policy answers one
+// call at a time, so that a request that is sent while another is under way would only wait there.
+type adviceQueue struct {
+	// holding are steps with runs that hold room until there is a new ticket. They go first. steps
+	// are those that the present planning pass has found no place for, in its order.
+	holding, steps []*step
+	// asked is set while a request is under way.
+	asked bool
+	// failures counts the requests that have failed in a row. Each halves the number of
+	// endpoints that the next one names: an answer takes longer the more there are.
+	failures int
+}
+
+// limit returns how many endpoints the next request may name.
+func (q *adviceQueue) limit() int { return max(1, maxAdviceEndpoints>>min(q.failures, 16)) }
+
+// take removes and returns the first step. The queue is not empty.
+func (q *adviceQueue) take() *step {
+	from := &q.steps
+	if len(q.holding) > 0 {
+		from = &q.holding
+	}
+	s := (*from)[0]
+	*from = (*from)[1:]
+	return s
+}
+
+func (q *adviceQueue) isEmpty() bool { return len(q.holding)+len(q.steps) == 0 }
+
+// beginPass removes what the last planning pass has added.
+func (q *adviceQueue) beginPass() {
+	for _, s := range q.steps {
+		s.advice.wanted = false
+	}
+	q.steps = q.steps[:0]
 }
 
 // AdviceRequest asks the placement policy which endpoints may run a step.
@@ -76,25 +118,30 @@
 // wantAdvice makes the placement policy be asked about endpoints on which a step that waits could
 // run if it had a ticket.
 func (c *Controller) wantAdvice(s *step) {
-	if c.needsTicket(s) && !s.advice.wanted && !s.advice.asked {
+	if c.needsTicket(s) && !s.advice.wanted {
 		s.advice.wanted = true
-		c.adviceWanted = append(c.adviceWanted, s)
+		c.advice.steps = append(c.advice.steps, s)
 	}
 }
 
-// TakeAdviceRequests returns the requests for the steps that have waited for a ticket since the
-// last call, in the order in which these were planned.
-func (c *Controller) TakeAdviceRequests(now tmclock.Millis) []AdviceRequest {
-	var requests []AdviceRequest
-	for _, s := range c.adviceWanted {
+// NextAdviceRequest returns the request for the first step that waits for a ticket. It reports false if
+// there is none or if another request is under way, until that is answered.
+func (c *Controller) NextAdviceRequest(now tmclock.Millis) (AdviceRequest, bool) {
+	if c.advice.asked {
+		return AdviceRequest{}, false
+	}
+	for !c.advice.isEmpty() {
+		s := c.advice.take()
 		s.advice.wanted = false
+		if now.Before(s.advice.askAfter) || s.occ.job.final {
+			continue
+		}
 		if q, ok := c.adviceRequest(s, now); ok {
-			s.advice.asked = true
-			requests = append(requests, q)
+			c.advice.asked = true
+			return q, true
 		}
 	}
-	c.adviceWanted = nil
-	return requests
+	return AdviceRequest{}, false
 }
 
 // adviceRequest returns a request about the endpoints of the pool for which the step has no valid
@@ -120,7 +167,7 @@
 	}
 	q := AdviceRequest{Step: s.tasks[0].id.StepName(), step: s}
 	for _, e := range append(withRoom, unknown...) {
-		if len(q.Endpoints) == maxAdviceEndpoints {
+		if len(q.Endpoints) == c.advice.limit() {
 			break
 		}
 		q.Endpoints = append(q.Endpoints, e.info.ID)
@@ -131,10 +178,13 @@
 
 // Advised handles the answer to a request.
 func (c *Controller) Advised(q AdviceRequest, a AdviceAnswer, now tmclock.Millis) {
-	q.step.advice.asked = false
+	c.advice.asked = false
 	if a.Failed {
+		c.advice.failures++
+		q.step.advice.askAfter = now.Add(failedAdvicePause)
 		return
 	}
+	c.advice.failures = 0
 	book := &q.step.advice.book
 	for _, l := range q.lifetimes {
 		if token, ok := a.Tickets[l.Endpoint.info.ID]; ok {
@@ -163,7 +213,9 @@
 	if !r.awaitsTicket() {
 		r.ticketWantedAt = now
 	}
-	c.wantAdvice(r.task.step)
+	if s := r.task.step; !slices.Contains(c.advice.holding, s) {
+		c.advice.holding = append(c.advice.holding, s)
+	}
 	return now.Sub(r.ticketWantedAt) < maxTicketWait
 }
 
--- a/core/tmcontrol/advice_test.go
+++ b/core/tmcontrol/advice_test.go
@@ -53,7 +53,7 @@
 
 // advise answers the questions to the policy.
 func (f *policyFixture) advise() {
-	for _, q := range f.c.TakeAdviceRequests(f.now) {
+	for q, ok := f.c.NextAdviceRequest(f.now); ok; q, ok = f.c.NextAdviceRequest(f.now) {
 		f.questions++
 		tickets := map[string]string{}
 		for _, id := range q.Endpoints {
@@ -171,10 +171,10 @@
 	f := newPolicyFixture(t, 1, "e1")
 	f.c.Submitted(oneTask("j"))
 	f.order(10)
-	questions := f.c.TakeAdviceRequests(f.now)
-	assert.Equal(t, len(questions), 1)
+	question, ok := f.c.NextAdviceRequest(f.now)
+	assert.Assert(t, ok)
 	f.restart("e1")
-	f.c.Advised(questions[0], AdviceAnswer{Tickets: map[string]string{"e1": "of the earlier lifetime"}, Validity: f.valid, AskedAt: f.now}, f.now)
+	f.c.Advised(question, AdviceAnswer{Tickets: map[string]string{"e1": "of the earlier lifetime"}, Validity: f.valid, AskedAt: f.now}, f.now)
 	assert.Equal(t, f.planUntilStarted("j", 1000), "e1")
 	assert.Equal(t, f.rejected, 0)
 }
@@ -275,13 +275,12 @@
 	asked := map[string]bool{}
 	for range 2 {
 		f.order(10)
-		for _, q := range f.c.TakeAdviceRequests(f.now) {
-			assert.Assert(t, len(q.Endpoints) <= maxAdviceEndpoints)
-			for _, id := range q.Endpoints {
-				asked[id] = true
-			}
-			f.c.Advised(q, AdviceAnswer{Validity: f.valid, AskedAt: f.now}, f.now)
+		q, ok := f.c.NextAdviceRequest(f.now)
+		assert.Assert(t, ok && len(q.Endpoints) <= maxAdviceEndpoints)
+		for _, id := range q.Endpoints {
+			asked[id] = true
 		}
+		f.c.Advised(q, AdviceAnswer{Validity: f.valid, AskedAt: f.now}, f.now)
 	}
 	assert.Equal(t, len(asked), maxAdviceEndpoints+1)
 }
@@ -343,10 +342,76 @@
 	assert.Equal(t, len(f.c.endpoints["e1"].runs), 3)
 	for range 10 {
 		f.order(maxTicketWait / 5)
-		for _, q := range f.c.TakeAdviceRequests(f.now) {
+		if q, ok := f.c.NextAdviceRequest(f.now); ok {
 			f.c.Advised(q, AdviceAnswer{Failed: true}, f.now)
 		}
 	}
 	assert.Equal(t, len(f.c.endpoints["e1"].runs), 0)
 	assert.Equal(t, f.planUntilStarted("j", 2000), "e1")
 }
+
+// Guards against requests that time out, and are sent again, because they wait for many others: the
+// policy answers one call at a time. The step that is planned first is asked about first.
+func TestPolicyIsAskedOneRequestAtATime(t *testing.T) {
+	f := newPolicyFixture(t, 2, "e1")
+	late, urgent := oneTask("late"), oneTask("urgent")
+	late.Accepted = int64(f.now) - 10000
+	f.c.Submitted(late)
+	f.order(10)
+	first, ok := f.c.NextAdviceRequest(f.now)
+	assert.Assert(t, ok)
+	f.c.Submitted(urgent)
+	f.c.Submitted(oneTask("third"))
+	f.order(10)
+	_, ok = f.c.NextAdviceRequest(f.now)
+	assert.Assert(t, !ok, "a second request is under way")
+	f.c.Advised(first, AdviceAnswer{Failed: true}, f.now)
+	var asked []string
+	for q, ok := f.c.NextAdviceRequest(f.now); ok; q, ok = f.c.NextAdviceRequest(f.now) {
+		asked = append(asked, q.step.occ.job.spec.ID)
+		f.c.Advised(q, AdviceAnswer{Validity: f.valid, AskedAt: f.now}, f.now)
+	}
+	var planned []string
+	for _, o := range f.plannedOrder() {
+		if id := o.job.spec.ID; id != first.step.occ.job.spec.ID {
+			planned = append(planned, id)
+		}
+	}
+	assert.DeepEqual(t, asked, planned)
+}
+
+// plannedOrder returns the waiting occurrences of queue q in the order in which they are placed.
+func (f *policyFixture) plannedOrder() []*occurrence {
+	pools := f.c.pools(f.now)
+	w := f.c.waitingQueues(slices.Clone(f.c.openJobs), pools, f.now, int64(f.now))["s"]
+	var out []*occurrence
+	for _, placed := range f.c.order(pools["s"], w, f.now, int64(f.now)) {
+		out = append(out, w.occurrences[placed.Index])
+	}
+	return out
+}
+
+// Guards against a step whose requests fail and which keeps all others from being asked about, and
+// against requests that fail for good because they name more endpoints than the policy can answer for
+// in time.
+func TestFailedRequestsAreSmallerAndHoldUpNoOthers(t *testing.T) {
+	f := newPolicyFixture(t, 8, "e1")
+	f.c.Submitted(oneTask("a"))
+	f.c.Submitted(oneTask("b"))
+	f.order(10)
+	first, _ := f.c.NextAdviceRequest(f.now)
+	f.c.Advised(first, AdviceAnswer{Failed: true}, f.now)
+	f.order(10)
+	second, ok := f.c.NextAdviceRequest(f.now)
+	assert.Assert(t, ok && second.step != first.step)
+	for range 10 {
+		f.c.Advised(second, AdviceAnswer{Failed: true}, f.now)
+		f.order(failedAdvicePause)
+		second, ok = f.c.NextAdviceRequest(f.now)
+		assert.Assert(t, ok)
+	}
+	assert.Equal(t, len(second.Endpoints), 1)
+	f.c.Advised(second, AdviceAnswer{Failed: true}, f.now)
+	assert.Assert(t, f.planUntilStarted("a", 5000) != "")
+	assert.Assert(t, f.planUntilStarted("b", 5000) != "")
+}
--- a/core/tmcontrol/controller.go
+++ b/core/tmcontrol/controller.go
@@ -77,8 +77,7 @@
 	starts        []StartOrder
 	stops         []StopOrder
 	paces         []PaceOrder
-	// adviceWanted holds the steps that wait for a ticket of their placement policy.
-	adviceWanted []*step
+	advice        adviceQueue
 	// awaitingTicket holds the runs whose placement is stored and whose ticket has expired since.
 	awaitingTicket []*run
 	deposed        bool
--- a/core/tmcontrol/tick.go
+++ b/core/tmcontrol/tick.go
@@ -9,6 +9,7 @@
 	c.pruneFinal(now)
 	c.refreshEffects(now)
 	c.dropSlowStarts(now)
+	c.advice.beginPass()
 	c.retryAwaitingTicket(now)
 	for _, e := range c.endpoints {
 		if len(e.runs) > 0 && !e.answering && now.After(e.leaseExpiry) {
--- a/io/tmowner/call.go
+++ b/io/tmowner/call.go
@@ -96,7 +96,16 @@
 	o.opts.Observe(op, time.Since(began), err)
 }
 
+// requestAdvice asks the placement policy about one step after another, until none waits for a ticket.
 func (o *Owner) requestAdvice(ctx context.Context, q tmcontrol.AdviceRequest) {
+	for more := true; more; {
+		q, more = o.requestNextAdvice(ctx, q)
+		o.requestPlan()
+	}
+}
+
+// requestNextAdvice sends a request to the placement policy and returns the next one, if there is any.
+func (o *Owner) requestNextAdvice(ctx context.Context, q tmcontrol.AdviceRequest) (tmcontrol.AdviceRequest, bool) {
 	callCtx, cancel := context.WithTimeout(ctx, adviceTimeout)
 	defer cancel()
 	a := tmcontrol.AdviceAnswer{AskedAt: o.opts.Clock.Now()}
@@ -107,10 +116,14 @@
 		tmwait.Pause(ctx, retryDelay)
 		a.Failed = true
 	}
+	now := o.opts.Clock.Now()
 	o.mu.Lock()
-	o.ctl.Advised(q, a, o.opts.Clock.Now())
-	o.mu.Unlock()
-	o.requestPlan()
+	defer o.mu.Unlock()
+	o.ctl.Advised(q, a, now)
+	if ctx.Err() != nil {
+		return tmcontrol.AdviceRequest{}, false
+	}
+	return o.ctl.NextAdviceRequest(now)
 }
 
 var errNoPlacementPolicy = errors.New("tmowner: no placement policy is configured")
--- a/io/tmowner/owner.go
+++ b/io/tmowner/owner.go
@@ -249,7 +249,7 @@
 	o.ctl.Plan(now, wall)
 	o.publishStatus()
 	starts, stops, paces := o.ctl.TakeOrders(now)
-	adviceRequests := o.ctl.TakeAdviceRequests(now)
+	question, hasQuestion := o.ctl.NextAdviceRequest(now)
 	instanceOrders, reports := o.ctl.TakeInstanceOrders()
 	o.endLifetimes(o.ctl.TakeEndedLifetimes())
 	lifetimes := make([]context.Context, 0, len(starts))
@@ -279,8 +279,8 @@
 		o.work.Go(func() { o.sendInstanceOrder(ctx, i) })
 	}
 	o.queueWaveReports(reports)
-	for _, q := range adviceRequests {
-		o.work.Go(func() { o.requestAdvice(ctx, q) })
+	if hasQuestion {
+		o.work.Go(func() { o.requestAdvice(ctx, question) })
 	}
 	for _, id := range ids {
 		o.work.Go(func() { o.hold(ctx, id) })
