tmcontrol: no endpoint is set aside while the placement policy does not answer

Cause: an endpoint that is set aside for a suspect stays so until the suspect has started. Without an answer of the policy it can't start, and other queues, which need no policy, could not use the endpoint either.

Change: while requests to the policy fail, an endpoint is set aside only with a valid ticket for it. It is given back with the first request that fails, and set aside again once the policy answers.

Seen: TestEndpointIsNotSetAsideWhileThePolicyFails failed before and passes.

--- a/core/tmcontrol/advice.go
+++ b/core/tmcontrol/advice.go
@@ -109,10 +109,13 @@
 	return ok
 }
 
-// mayGetTicket reports whether the placement policy is known to permit the step on e, whether its
-// last ticket is still valid or not.
+// mayGetTicket reports whether the step has a valid ticket for e or will probably get one: the
+// placement policy answers and is known to permit the step there.
 func (c *Controller) mayGetTicket(s *step, e *endpoint) bool {
-	return !c.needsTicket(s) || s.advice.book.Permits(e.currentLifetime())
+	if c.policyPermits(s, e) {
+		return true
+	}
+	return c.advice.failures == 0 && s.advice.book.Permits(e.currentLifetime())
 }
 
 // wantAdvice makes the placement policy be asked about endpoints on which a step that waits could
--- a/core/tmcontrol/advice_test.go
+++ b/core/tmcontrol/advice_test.go
@@ -89,6 +89,9 @@
 }
 
 func (f *policyFixture) isValid(s StartOrder) bool {
+	if q := f.c.jobs[s.Ref.Task.Job].spec.Queue; !f.c.rules.Queues[q].NeedsAdvice {
+		return true
+	}
 	tk, ok := f.tickets[s.Ticket]
 	return ok && !f.distrusts && tk.step == s.Ref.Task.StepName() && tk.endpoint == s.Ref.Endpoint &&
 		tk.lifetime == f.restarts[s.Ref.Endpoint] && f.now.Before(tk.until)
@@ -415,3 +418,36 @@
 	assert.Assert(t, f.planUntilStarted("a", 5000) != "")
 	assert.Assert(t, f.planUntilStarted("b", 5000) != "")
 }
+
+// Guards against an endpoint that stays idle because it is set aside for a task whose placement policy
+// does not answer.
+func TestEndpointIsNotSetAsideWhileThePolicyFails(t *testing.T) {
+	f := newPolicyFixture(t, 1, "e1")
+	rules := policyRules(3)
+	rules.Queues["other"] = Queue{Name: "other", Service: "s", Attempts: 2, Stretch: 1.6, Objective: 600}
+	f.c.Apply(DesiredState{Rules: rules}, f.now)
+	full := oneTask("full")
+	full.Queue, full.Steps[0].Size.CPU = "other", 8000
+	f.c.Submitted(full)
+	assert.Equal(t, f.planUntilStarted("full", 1000), "e1")
+	run := f.runs["e1"][0]
+	f.submitSuspect("j", suspectedInCompany)
+	for range 4 {
+		f.plan(10)
+	}
+	assert.Assert(t, f.c.IsIsolated("e1"))
+	f.work(f.valid)
+	f.end("e1", run.Task, run.Run, EndDone)
+	other := oneTask("other")
+	other.Queue = "other"
+	f.c.Submitted(other)
+	for range 4 {
+		f.start(f.order(50))
+		if q, ok := f.c.NextAdviceRequest(f.now); ok {
+			f.c.Advised(q, AdviceAnswer{Failed: true}, f.now)
+		}
+	}
+	assert.Equal(t, f.placeOf("other"), "e1")
+	f.work(MinWorkTime)
+	assert.Equal(t, f.planUntilStarted("j", 3000), "e1")
+}
--- a/core/tmcontrol/isolation.go
+++ b/core/tmcontrol/isolation.go
@@ -214,7 +214,7 @@
 // endIsolations ends the isolations whose suspect is at work or no longer needs it.
 func (c *Controller) endIsolations(now tmclock.Millis) {
 	for _, e := range c.endpoints {
-		if e.isolated == nil || e.needsIsolation(now) {
+		if e.isolated == nil || c.needsIsolation(e, now) {
 			continue
 		}
 		c.event(tmevent.EndpointIsolated, "endpoint", e.info.ID, "task", e.isolated.id.String(), "runs", len(e.runs), "ended", true)
@@ -231,13 +231,13 @@
 
 // needsIsolation reports whether the suspect that is isolated on e is starting there, or
 // is about to be placed there.
-func (e *endpoint) needsIsolation(now tmclock.Millis) bool {
+func (c *Controller) needsIsolation(e *endpoint, now tmclock.Millis) bool {
 	for _, r := range e.runs {
 		if r.task.culprit() == e.isolated {
 			return r.isStarting()
 		}
 	}
-	return e.usable(now) && !e.isAvoided(now) && e.isolated.awaitsIsolation()
+	return e.usable(now) && !e.isAvoided(now) && e.isolated.awaitsIsolation() && c.mayGetTicket(e.isolated.step, e)
 }
 
 // awaitsIsolation reports whether a suspect is about to be placed in isolation. Gangs are
