tmcontrol: capacity is kept for a step on endpoints that its placement policy permits

Cause: room on endpoints that the policy refuses counted as room, so that nothing was kept for a large task or a gang of such a queue; or it was kept on those endpoints, where the task may not run. Smaller tasks of other queues took the permitted ones again and again.

Change: an endpoint that the policy has refused is not eligible, as one without the label that a step requires: it does not count as room, is not reserved, and a step that is blocked says nothing about others.

--- a/core/tmcontrol/advice.go
+++ b/core/tmcontrol/advice.go
@@ -29,6 +29,9 @@
 	// wanted is set while the step waits for a request. There is none before askAfter.
 	wanted   bool
 	askAfter tmclock.Millis
+	// needed is set if the queue has a placement policy by that version of the rules.
+	needed       bool
+	rulesVersion int64
 }
 
 // adviceQueue holds the steps that wait for a ticket of their placement policy. The policy answers one
@@ -96,7 +99,10 @@
 
 // needsTicket reports whether tasks of the step start with a ticket of the placement policy only.
 func (c *Controller) needsTicket(s *step) bool {
-	return c.rules.Queues[s.occ.job.spec.Queue].NeedsAdvice
+	if a := &s.advice; a.rulesVersion != c.rules.Version {
+		a.needed, a.rulesVersion = c.rules.Queues[s.occ.job.spec.Queue].NeedsAdvice, c.rules.Version
+	}
+	return s.advice.needed
 }
 
 // policyPermits reports whether a task of the step may be placed on e as far as the placement
--- a/core/tmcontrol/advice_test.go
+++ b/core/tmcontrol/advice_test.go
@@ -8,6 +8,7 @@
 	"gotest.tools/v3/assert"
 
 	"turmericmoor/core/tmclock"
+	"turmericmoor/core/tmjob"
 	"turmericmoor/core/tmticket"
 )
 
@@ -51,6 +52,13 @@
 	return rules
 }
 
+// addPlainQueue adds queue "other", which has no placement policy and shares the endpoints of queue q.
+func (f *policyFixture) addPlainQueue() {
+	rules := policyRules(3)
+	rules.Queues["other"] = Queue{Name: "other", Service: "s", Attempts: 2, Stretch: 1.6, Objective: 600}
+	f.c.Apply(DesiredState{Rules: rules}, f.now)
+}
+
 // advise answers the questions to the policy.
 func (f *policyFixture) advise() {
 	for q, ok := f.c.NextAdviceRequest(f.now); ok; q, ok = f.c.NextAdviceRequest(f.now) {
@@ -423,9 +431,7 @@
 // does not answer.
 func TestEndpointIsNotSetAsideWhileThePolicyFails(t *testing.T) {
 	f := newPolicyFixture(t, 1, "e1")
-	rules := policyRules(3)
-	rules.Queues["other"] = Queue{Name: "other", Service: "s", Attempts: 2, Stretch: 1.6, Objective: 600}
-	f.c.Apply(DesiredState{Rules: rules}, f.now)
+	f.addPlainQueue()
 	full := oneTask("full")
 	full.Queue, full.Steps[0].Size.CPU = "other", 8000
 	f.c.Submitted(full)
@@ -451,3 +457,53 @@
 	f.work(MinWorkTime)
 	assert.Equal(t, f.planUntilStarted("j", 3000), "e1")
 }
+
+// Guards against a large task or a gang that never starts because capacity is kept for it on endpoints
+// that its placement policy refuses, or none is kept because those have room.
+func TestLargeTasksStartOnPermittedEndpoints(t *testing.T) {
+	large := sized("large", "t", 1, 0)
+	large.Steps[0].Size.CPU = 7000
+	gang := sized("large", "t", 2, 0)
+	gang.Steps[0].Size.CPU, gang.Steps[0].Gang = 3500, true
+	for _, j := range []tmjob.Job{large, gang} {
+		for _, permitted := range []string{"e1", "e3"} {
+			waited := startsOnAnEndpointOfSmallTasks(t, j, permitted)
+			t.Logf("gang %v on %s waited %d ms", j.Steps[0].Gang, permitted, waited)
+			assert.Assert(t, waited < 20*tmclock.Second)
+		}
+	}
+}
+
+// startsOnAnEndpointOfSmallTasks keeps three endpoints full of small tasks of another queue that run for
+// 700 ms, and returns how long a job waits that may run only on the given one, at most 30 s.
+func startsOnAnEndpointOfSmallTasks(t *testing.T, j tmjob.Job, permitted string) tmclock.Span {
+	f := newPolicyFixture(t, 3, permitted)
+	f.addPlainQueue()
+	const runTime = 700
+	running := map[tmclock.Millis][]StartOrder{}
+	for i := range 600 {
+		for n := range 2 {
+			small := sized(fmt.Sprintf("small%03d.%d", i, n), "t", 1, int64(f.now))
+			small.Queue = "other"
+			f.c.Submitted(small)
+		}
+		if i == 20 {
+			j.Accepted = int64(f.now)
+			f.c.Submitted(j)
+		}
+		starts := f.order(50 - tmclock.Span(f.now%50))
+		f.start(starts)
+		f.advise()
+		for _, s := range starts {
+			if s.Ref.Task.Job == j.ID {
+				return tmclock.Span(int64(f.now) - j.Accepted)
+			}
+			end := f.now.Add(runTime) / 50
+			running[end] = append(running[end], s)
+		}
+		for _, s := range running[f.now/50] {
+			f.end(s.Ref.Endpoint, s.Ref.Task, 1, EndDone)
+		}
+	}
+	return 30 * tmclock.Second
+}
--- a/core/tmcontrol/plan.go
+++ b/core/tmcontrol/plan.go
@@ -66,13 +66,13 @@
 	return slices.ContainsFunc(p.held, func(h heldSize) bool { return h.reservation.Fits(reservation) && takes >= h.takes })
 }
 
-// addBlocked records that no endpoint may take a task of the step. A step with a label says nothing
-// about others.
+// addBlocked records that no endpoint may take a task of the step. A step that may not run on all
+// endpoints says nothing about others.
 func (c *Controller) addBlocked(s *step, p *pool) {
 	reservation := s.spec.Reservation()
 	hasRoom := func(e *endpoint) bool { return reservation.Fits(e.free()) }
 	switch {
-	case s.spec.Label != "":
+	case c.isRestricted(s):
 	case slices.ContainsFunc(p.endpoints, hasRoom):
 		p.held = append(p.held, heldSize{reservation, c.estimate(s.occ.job.spec.Queue, s.spec)})
 	default:
@@ -224,11 +224,11 @@
 	return waiting
 }
 
-// fitsAny reports whether a task of the step fits on some endpoint with the label that it
-// requires, beside what is reserved there for others, regardless of other requirements.
+// fitsAny reports whether a task of the step fits on some endpoint that is eligible for it, beside
+// what is reserved there for others, regardless of other requirements.
 func (c *Controller) fitsAny(s *step, p *pool) bool {
 	for _, e := range p.endpoints {
-		if s.labelPermits(e) && s.spec.Reservation().Fits(e.free()) && c.mayBackfill(s, e) {
+		if c.isEligible(s, e) && s.spec.Reservation().Fits(e.free()) && c.mayBackfill(s, e) {
 			return true
 		}
 	}
--- a/core/tmcontrol/reserve.go
+++ b/core/tmcontrol/reserve.go
@@ -57,7 +57,7 @@
 // step in the order of its pool of which that is true and which others would always precede.
 func (c *Controller) reserve(s *step, p *pool, tasks int64, now tmclock.Millis) {
 	state := c.orderOf(p.service)
-	if state.hasBlocked || !state.scarce || s.tasks[0].isSuspect() || !state.precedes(s, tasks) || !p.isHalfUsedFor(s) {
+	if state.hasBlocked || !state.scarce || s.tasks[0].isSuspect() || !state.precedes(s, tasks) || !c.isHalfUsedFor(s, p) {
 		return
 	}
 	state.hasBlocked = true
@@ -109,7 +109,7 @@
 	var endpoints []*endpoint
 	var places []tmorder.Place
 	for _, e := range from {
-		if e.isolated == nil && !e.reserved && s.labelPermits(e) {
+		if e.isolated == nil && !e.reserved && c.isEligible(s, e) {
 			endpoints = append(endpoints, e)
 			places = append(places, c.placeOn(e, s, now))
 		}
@@ -216,24 +216,23 @@
 	}
 }
 
-// isHalfUsedFor is like isHalfUsed for the endpoints with the label that the step requires. They
-// may be full while the rest of the pool is idle, for at most maxIdleReservation.
-func (p *pool) isHalfUsedFor(s *step) bool {
-	if s.spec.Label == "" {
+// isHalfUsedFor is like isHalfUsed for the endpoints that are eligible for the step. They may be
+// full while the rest of the pool is idle, for at most maxIdleReservation.
+func (c *Controller) isHalfUsedFor(s *step, p *pool) bool {
+	if !c.isRestricted(s) {
 		return p.isHalfUsed()
 	}
-	labelled := pool{service: p.service}
-	for _, e := range p.endpoints {
-		if s.labelPermits(e) {
-			labelled.endpoints = append(labelled.endpoints, e)
-		}
-	}
-	for _, e := range p.vacating {
-		if s.labelPermits(e) {
-			labelled.vacating = append(labelled.vacating, e)
+	eligible := func(endpoints []*endpoint) []*endpoint {
+		var out []*endpoint
+		for _, e := range endpoints {
+			if c.isEligible(s, e) {
+				out = append(out, e)
+			}
 		}
+		return out
 	}
-	return labelled.isHalfUsed()
+	part := pool{service: p.service, endpoints: eligible(p.endpoints), vacating: eligible(p.vacating)}
+	return part.isHalfUsed()
 }
 
 // isHalfUsed reports whether half of some resource of the pool is in use, vacated endpoints
--- a/core/tmcontrol/schedule.go
+++ b/core/tmcontrol/schedule.go
@@ -312,13 +312,22 @@
 		return
 	}
 	for _, e := range p.endpoints {
-		if s.spec.Reservation().Fits(e.info.Capacity.Sub(e.longRunning)) && s.labelPermits(e) {
+		if s.spec.Reservation().Fits(e.info.Capacity.Sub(e.longRunning)) && c.isEligible(s, e) {
 			state.blocked = true
 			return
 		}
 	}
 }
 
+// isRestricted reports whether some endpoints may not be eligible for the step.
+func (c *Controller) isRestricted(s *step) bool { return s.spec.Label != "" || c.needsTicket(s) }
+
+// isEligible reports whether tasks of the step may run on e as far as its label and the placement
+// policy are concerned. An endpoint that the policy was not asked about is eligible.
+func (c *Controller) isEligible(s *step, e *endpoint) bool {
+	return s.labelPermits(e) && !(c.needsTicket(s) && s.advice.book.Refuses(e.currentLifetime(), c.now))
+}
+
 // labelPermits reports whether e has the label that the step requires.
 func (s *step) labelPermits(e *endpoint) bool {
 	return s.spec.Label == "" || e.info.hasLabel(s.spec.Label)
--- a/core/tmticket/book.go
+++ b/core/tmticket/book.go
@@ -111,10 +111,10 @@
 	return ok && a.permitted
 }
 
-// Refuses reports whether the policy doesn't permit the step on a lifetime.
-func (b *Book[E]) Refuses(l Lifetime[E]) bool {
+// Refuses reports whether the policy has refused the step on a lifetime within RefusalValidity.
+func (b *Book[E]) Refuses(l Lifetime[E], now tmclock.Millis) bool {
 	a, ok := b.answer(l)
-	return ok && !a.permitted
+	return ok && !a.permitted && now.Before(a.askAfter)
 }
 
 // MayAsk reports whether the policy is to be asked about a lifetime once the step could run there.
