--- a/core/tmcontrol/attempt.go
+++ b/core/tmcontrol/attempt.go
@@ -26,17 +26,17 @@
 func (c *Controller) chooseFor(t *task, p *pool, now tmclock.Millis) *endpoint {
 	last := c.isLastAttempt(t)
 	if t.failures == 0 && !last {
-		return c.choose(t.step, p, now)
+		return c.choose(t.step, p)
 	}
-	if e := c.chooseAmong(t.step, p, p.endpointsWithoutTrouble(now), now); e != nil {
+	if e := c.chooseAmong(t.step, p, p.endpointsWithoutTrouble(now)); e != nil {
 		return e
 	}
-	e := c.chooseAmong(t.step, p, p.endpointsWithoutFailures(now), now)
+	e := c.chooseAmong(t.step, p, p.endpointsWithoutFailures(now))
 	if e == nil {
-		e = c.chooseAmong(t.step, p, p.trusted(now), now)
+		e = c.chooseAmong(t.step, p, p.trusted(now))
 	}
 	if e == nil {
-		e = c.choose(t.step, p, now)
+		e = c.choose(t.step, p)
 	}
 	if e == nil || !last {
 		return e
@@ -64,11 +64,11 @@
 }
 
 // chooseAmong chooses from some of the endpoints of p.
-func (c *Controller) chooseAmong(s *step, p *pool, endpoints []*endpoint, now tmclock.Millis) *endpoint {
+func (c *Controller) chooseAmong(s *step, p *pool, endpoints []*endpoint) *endpoint {
 	if len(endpoints) == 0 {
 		return nil
 	}
-	return c.choose(s, &pool{service: p.service, endpoints: endpoints}, now)
+	return c.choose(s, &pool{service: p.service, endpoints: endpoints})
 }
 
 // troubles holds the endpoints of a pool by their recent failures, for one planning pass.
@@ -134,22 +134,22 @@
 	if now.Sub(s.blockedSince) < maxAvoidanceWait || p.usedShare() > 0.5 {
 		return nil
 	}
-	if e := c.chooseAmong(s, p, p.vacating, now); e != nil {
+	if e := c.chooseAmong(s, p, p.vacating); e != nil {
 		return e
 	}
-	if e := c.chooseOnTrial(s, p, now); e != nil {
+	if e := c.chooseOnTrial(s, p); e != nil {
 		return e
 	}
-	return c.chooseAmong(s, p, p.avoided, now)
+	return c.chooseAmong(s, p, p.avoided)
 }
 
 // chooseOnTrial chooses from the endpoints on trial as if they were not. For other tasks the
 // trials go on.
-func (c *Controller) chooseOnTrial(s *step, p *pool, now tmclock.Millis) *endpoint {
+func (c *Controller) chooseOnTrial(s *step, p *pool) *endpoint {
 	for _, e := range p.onTrial {
 		e.onTrial = false
 	}
-	chosen := c.chooseAmong(s, p, p.onTrial, now)
+	chosen := c.chooseAmong(s, p, p.onTrial)
 	for _, e := range p.onTrial {
 		e.onTrial = true
 	}
--- a/core/tmcontrol/bench_test.go
+++ b/core/tmcontrol/bench_test.go
@@ -107,7 +107,7 @@
 	for i, t := range s.tasks {
 		c.addRun(t, p.endpoints[i%endpoints], 1)
 	}
-	return func() { c.choose(s, p, now) }
+	return func() { c.choose(s, p) }
 }
 
 func BenchmarkChoose(b *testing.B) {
@@ -150,7 +150,7 @@
 				}
 			}
 			for b.Loop() {
-				c.choose(s, p, now)
+				c.choose(s, p)
 			}
 		})
 	}
--- a/core/tmcontrol/budget.go
+++ b/core/tmcontrol/budget.go
@@ -3,7 +3,6 @@
 import (
 	"slices"
 
-	"turmericmoor/core/tmclock"
 	"turmericmoor/core/tmjob"
 )
 
@@ -37,7 +36,7 @@
 // relocate stops long-running tasks on an instance that has more tasks of one step
 // than the step's MaxUnavailable. The stopped tasks start again elsewhere, one after
 // another.
-func (c *Controller) relocate(instance string, pools map[string]*pool, now tmclock.Millis) {
+func (c *Controller) relocate(instance string, pools map[string]*pool) {
 	e := c.endpointOn(instance)
 	if e == nil || e.longRunning == (tmjob.Resources{}) {
 		return
@@ -51,7 +50,7 @@
 	p := pools[e.info.Service]
 	for _, r := range longRuns(e) {
 		s := r.task.step
-		if !c.hasOtherPlace(s, p, now) {
+		if !c.hasOtherPlace(s, p) {
 			c.reportShortage(e.info.Service, 1)
 			continue
 		}
--- a/core/tmcontrol/copy.go
+++ b/core/tmcontrol/copy.go
@@ -69,7 +69,7 @@
 			others = append(others, e)
 		}
 	}
-	e := c.chooseAmong(t.step, p, others, now)
+	e := c.chooseAmong(t.step, p, others)
 	if e == nil {
 		c.wantAdvice(t.step)
 		return
--- a/core/tmcontrol/gang.go
+++ b/core/tmcontrol/gang.go
@@ -23,21 +23,21 @@
 		c.reserve(s, p, int64(len(s.tasks)), now)
 		return
 	}
-	if s.tasks[0].isSuspect() && c.tryGang(s, p.quietEndpoints(), n+1, now) {
+	if s.tasks[0].isSuspect() && c.tryGang(s, p.quietEndpoints(), n+1) {
 		s.isolateGang()
 		return
 	}
 	if s.spec.SameRack {
 		for _, rack := range racksOf(p) {
-			if c.tryGang(s, &pool{service: p.service, endpoints: rack}, n+1, now) {
+			if c.tryGang(s, &pool{service: p.service, endpoints: rack}, n+1) {
 				return
 			}
 		}
 	}
-	if s.hasFailed() && c.tryGang(s, &pool{service: p.service, endpoints: p.endpointsWithoutTrouble(now)}, n+1, now) {
+	if s.hasFailed() && c.tryGang(s, &pool{service: p.service, endpoints: p.endpointsWithoutTrouble(now)}, n+1) {
 		return
 	}
-	if !c.tryGang(s, p, n+1, now) {
+	if !c.tryGang(s, p, n+1) {
 		c.wantAdvice(s)
 		c.recordBlocked(s, p)
 		c.reserve(s, p, int64(len(s.tasks)), now)
@@ -68,11 +68,11 @@
 }
 
 // tryGang places a gang on the endpoints of p if all its tasks fit at once.
-func (c *Controller) tryGang(s *step, p *pool, n int, now tmclock.Millis) bool {
+func (c *Controller) tryGang(s *step, p *pool, n int) bool {
 	reservation := s.spec.Reservation()
 	places := make([]*endpoint, 0, len(s.tasks))
 	for range s.tasks {
-		e := c.choose(s, p, now)
+		e := c.choose(s, p)
 		if e == nil {
 			break
 		}
--- a/core/tmcontrol/isolation.go
+++ b/core/tmcontrol/isolation.go
@@ -40,7 +40,7 @@
 			continue
 		}
 		p.hasOverdue = p.hasOverdue || t.isOverdue(now)
-		c.moveIsolation(t, p, now)
+		c.moveIsolation(t, p)
 		if p.isolatedFor[t] == nil && p.mayIsolate(true) && c.withinLimit(t.step, 1) {
 			c.isolate(t, p)
 		}
@@ -112,7 +112,7 @@
 
 // moveIsolation gives up a busy endpoint that is set aside for a suspect if an idle one can be
 // used at once. The tasks on the busy one may last long.
-func (c *Controller) moveIsolation(t *task, p *pool, now tmclock.Millis) {
+func (c *Controller) moveIsolation(t *task, p *pool) {
 	busy := p.isolatedFor[t]
 	if busy == nil || len(busy.runs) == 0 || busy.isQuiet() && c.fits(t.step, busy) {
 		return
--- a/core/tmcontrol/lifetime.go
+++ b/core/tmcontrol/lifetime.go
@@ -194,7 +194,7 @@
 		if r.stop || r.phase != active {
 			continue
 		}
-		if !c.hasOtherPlace(s, p, now) {
+		if !c.hasOtherPlace(s, p) {
 			c.reportShortage(e.info.Service, 1)
 			return
 		}
--- a/core/tmcontrol/plan.go
+++ b/core/tmcontrol/plan.go
@@ -255,7 +255,7 @@
 
 // choose returns the endpoint with the highest score among those that may run a
 // task of the step, or nil.
-func (c *Controller) choose(s *step, p *pool, now tmclock.Millis) *endpoint {
+func (c *Controller) choose(s *step, p *pool) *endpoint {
 	var best *endpoint
 	var bestScore float64
 	for _, e := range p.endpoints {
@@ -272,11 +272,11 @@
 
 // hasOtherPlace reports whether a long-running task of the step could start in p now, so that it may
 // be stopped where it runs. p is nil if the pool has no endpoints.
-func (c *Controller) hasOtherPlace(s *step, p *pool, now tmclock.Millis) bool {
+func (c *Controller) hasOtherPlace(s *step, p *pool) bool {
 	if p == nil {
 		return false
 	}
-	if c.choose(s, p, now) == nil {
+	if c.choose(s, p) == nil {
 		c.wantAdvice(s)
 		return false
 	}
--- a/core/tmcontrol/schedule.go
+++ b/core/tmcontrol/schedule.go
@@ -325,7 +325,7 @@
 // isEligible reports whether tasks of the step may run on e as far as its label and the placement
 // policy are concerned. An endpoint that the policy was not asked about is eligible.
 func (c *Controller) isEligible(s *step, e *endpoint) bool {
-	return s.labelPermits(e) && !(c.needsTicket(s) && s.advice.book.Refuses(e.currentLifetime(), c.now))
+	return s.labelPermits(e) && (!c.needsTicket(s) || !s.advice.book.Refuses(e.currentLifetime(), c.now))
 }
 
 // labelPermits reports whether e has the label that the step requires.
--- a/core/tmcontrol/wave.go
+++ b/core/tmcontrol/wave.go
@@ -259,7 +259,7 @@
 	}
 	for _, it := range w.items {
 		if it.state == itemDraining && !it.unanswered {
-			c.relocate(it.id, pools, now)
+			c.relocate(it.id, pools)
 		}
 		if it.state == itemDraining && c.mayTakeDown(it, w, down, now) {
 			if !c.mayBeDown(it, now) {
