fleetsim: simulations have a queue with a placement policy

Change: the emulated platform has a placement policy: a few endpoints for each step, validities of 0.3 s, 3 s or 60 s by the seed. Endpoints restart under their ID, are replaced, are cut off; owners are killed, the store is slow, orders are late, the policy is away for 4 s. Checked: from 12 s after the last fault on no task lacks a run for 3 s beside an idle endpoint that may run it, and no start carries a ticket that is not for it or that its sender must have known to be invalid. An emulated endpoint that crashes now ends its connections, as a process does. TestPlacementPolicyOfOtherShards fails and is listed: a job stays in its shard, although its endpoints may be in others.

--- a/internal/emulator/endpoint.go
+++ b/internal/emulator/endpoint.go
@@ -148,12 +148,13 @@
 	e.runsChanged = make(chan struct{})
 }
 
-// Crash ends the process and all its runs without reporting their ends.
+// Crash ends the process and all its runs without reporting their ends. Its connections end with it.
 func (e *Endpoint) Crash() {
 	e.fleet.checker.recordLosses(e)
 	lost := slices.Collect(maps.Keys(e.runs))
 	clear(e.runs)
 	e.down = true
+	e.notify()
 	for _, key := range lost {
 		if e.fleet.isGang(key.task) {
 			e.fleet.awaitLostMember(key)
@@ -221,6 +222,9 @@
 		return tmcontrol.TooLate
 	}
 	e.extend(o.Until)
+	if p := e.fleet.policy; p != nil && !p.accepts(e, key.task, o.Ticket, late) {
+		return tmcontrol.BadTicket
+	}
 	step := e.fleet.step(key.task)
 	if step == nil {
 		e.fleet.ReportViolation("%s starts but its job was never submitted", key.task)
@@ -316,7 +320,8 @@
 	return limit
 }
 
-// Wake returns a channel that is closed when the next run of the endpoint starts or ends.
+// Wake returns a channel that is closed when the next run of the endpoint starts or ends, or when it
+// crashes.
 func (e *Endpoint) Wake() <-chan struct{} { return e.runsChanged }
 
 // ID returns the ID of the endpoint.
--- a/internal/emulator/fleet.go
+++ b/internal/emulator/fleet.go
@@ -32,6 +32,7 @@
 	limits            map[string]int64
 	zonesOutOfService map[string]time.Time
 	checker           checker
+	policy            *Policy
 }
 
 // NewFleet returns a fleet without endpoints.
--- a/internal/fleetsim/endpoint_test.go
+++ b/internal/fleetsim/endpoint_test.go
@@ -167,7 +167,7 @@
 
 func endpointInfo(e *emulator.Endpoint) tmcontrol.EndpointInfo {
 	return tmcontrol.EndpointInfo{
-		ID: e.ID(), Service: "pool", Address: e.ID() + ":1", Zone: e.Zone(), Instance: "i-" + e.ID(),
+		ID: e.ID(), Service: "pool", Address: e.ID() + ":1", Zone: e.Zone(), Instance: instanceOf(e.ID()),
 		Capacity: e.Capacity(), StartedAt: e.StartedAt(),
 	}
 }
--- a/internal/fleetsim/fleet_test.go
+++ b/internal/fleetsim/fleet_test.go
@@ -304,7 +304,8 @@
 
 // TestOneWorld runs only the seed in TM_FLEET_SEED, for example to read its log. With
 // TM_FLEET_SHARDED=1 the fleet is divided into shards, with TM_FLEET_CRASHES=1 some tasks
-// crash their endpoints, with TM_FLEET_CRASHES=gangs some gangs and speculative tasks.
+// crash their endpoints, with TM_FLEET_CRASHES=gangs some gangs and speculative tasks, with
+// TM_FLEET_POLICY=1 a queue has a placement policy.
 func TestOneWorld(t *testing.T) {
 	text := os.Getenv("TM_FLEET_SEED")
 	if text == "" {
@@ -325,6 +326,9 @@
 	default:
 		prepare = crashEndpoints
 	}
+	if os.Getenv("TM_FLEET_POLICY") != "" {
+		prepare = usePolicyOfShards
+	}
 	for _, b := range runSimulation(t, seed, shards, prepare) {
 		t.Error(b)
 	}
--- a/internal/fleetsim/simulation_test.go
+++ b/internal/fleetsim/simulation_test.go
@@ -57,6 +57,11 @@
 	shapeStep func(n int, step *tmjob.Step)
 	// answerDelay is the time from an order to its answer.
 	answerDelay time.Duration
+	// slots holds the ID of the endpoint in each slot of the fleet. An endpoint that is lost for
+	// good is replaced by one with another ID.
+	slots []string
+	// policy is the placement policy of policyQueue, or nil.
+	policy *emulator.Policy
 
 	// linkMbps is what nodes know about their links, 0 for nothing. Links are not emulated.
 	linkMbps float64
@@ -105,6 +110,7 @@
 		id := fmt.Sprintf("w%d", i)
 		sim.fleet.AddEndpoint(id, "z", tmjob.Resources{CPU: 8000, Mem: 8000}, 0.98+0.02*sim.rng.Float64())
 		sim.store.Set(endpointTable, id, []byte(id))
+		sim.slots = append(sim.slots, id)
 	}
 	if shards > 1 {
 		sim.store.Set(tmrecord.OwnerTable, tmrecord.LayoutKey().Key, tmrecord.EncodeLayout(shards))
@@ -115,7 +121,10 @@
 
 // drawEndpoint returns the ID of a random endpoint.
 func (sim *simulation) drawEndpoint() string {
-	return fmt.Sprintf("w%d", sim.store.IntN(endpointsPerShard*sim.shards))
+	slot := sim.store.IntN(endpointsPerShard * sim.shards)
+	sim.mu.Lock()
+	defer sim.mu.Unlock()
+	return sim.slots[slot]
 }
 
 // configure writes a version of the configuration with a limit of the team, 0 for none.
@@ -169,6 +178,9 @@
 	if d.sim.unweighted {
 		rules.Teams["t"] = tmcontrol.Team{Name: "t", Limit: tmjob.Resources{CPU: limit}}
 	}
+	if d.sim.policy != nil {
+		rules.Queues[policyQueue] = tmcontrol.Queue{Name: policyQueue, Service: "pool", Attempts: 4, Stretch: 2, Objective: 600, NeedsAdvice: true}
+	}
 	return tmnode.OperatorEntry{Access: tmaccess.NewTable(version, nil, map[string]string{"k": "t"}, 1<<20), Rules: &rules}, nil
 }
 
@@ -178,6 +190,7 @@
 	p.stop = stop
 	p.node = tmnode.New(tmnode.Options{
 		Name: name, Store: &storeView{store: sim.store, partitioned: p.cannotReachStore, configLost: p.isConfigLost, listLost: p.isListLost, unbounded: sim.reportUnbounded, refused: sim.reportRefused, awaitTurn: p.awaitTurn}, Endpoints: &endpointClient{sim: sim, node: name, partitioned: p.isKilled, awaitTurn: p.awaitTurn},
+		Advisor:   newPolicyClient(sim, p.isKilled),
 		Directory: directory{sim}, Clock: tmclock.NewSystem(), BootClock: time.Now, MaxConfigAge: 3 * time.Second,
 		Bounds:    tmcontrol.Bounds{Lease: 5000, MaxLease: 10000, HandoverDelay: 3000, Maintenance: 2000},
 		Resources: tmshard.Node{Cores: 1, LinkMbps: sim.linkMbps}, KeepOutcomes: outcomeRetention,
@@ -255,7 +268,8 @@
 
 // submit sends a random job, and may cancel it later.
 func (sim *simulation) submit(n int) {
-	j := tmjob.Job{ID: fmt.Sprintf("%016x", n), Queue: "q", Team: "t", Accepted: time.Now().UnixMilli()}
+	j := tmjob.Job{ID: fmt.Sprintf("%016x", n), Team: "t", Accepted: time.Now().UnixMilli()}
+	j.Queue = sim.queueOf(j.ID)
 	for s := range 1 + sim.rng.IntN(3) {
 		step := tmjob.Step{Count: 1 + sim.rng.IntN(6), Size: tmjob.Resources{CPU: 1000 + 500*sim.rng.Int64N(3), Mem: 500}, Estimate: 800}
 		if s > 0 {
@@ -321,7 +335,7 @@
 
 func (sim *simulation) cancel(first int, id string) {
 	ok := sim.call(first, func(ctx context.Context, n *tmnode.Node) error {
-		err := n.Cancel(ctx, "q", id)
+		err := n.Cancel(ctx, sim.queueOf(id), id)
 		if errors.Is(err, tmintake.ErrNoJob) {
 			return nil
 		}
@@ -407,7 +421,7 @@
 	for i := range nodeCount {
 		p := sim.process(i)
 		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
-		state, err := p.node.State(ctx, "q", id)
+		state, err := p.node.State(ctx, sim.queueOf(id), id)
 		cancel()
 		if errors.Is(err, tmintake.ErrNoJob) {
 			sim.reportViolation("job %s was accepted but is unknown", id)
