tmowner: no start by an old table of jobs

Callers saw: tasks of a job that started 4.1 s after its cancellation was confirmed (promised: 3 s). Cause: two runs were placed before the store turned slow and was then away for 4 s. When it was back, their stored placement was confirmed and they were ordered at 23.609 s; the feed of the jobs, which had the cancellation of 19.49 s, was read at 23.656 s. An owner starts nothing by an old configuration or list of endpoints, but the table of jobs had no such bound: while it alone can't be read, starts go on for good. Change: what the owner knows counts as stale once the table of jobs is older than 2.5 s, as with the other two. The whole of internal/fleetsim and io/tmowner passes. The processes of the simulation have one accessor for a table that they can't read, in place of two.

--- a/core/tmcontrol/controller.go
+++ b/core/tmcontrol/controller.go
@@ -71,7 +71,7 @@
 	flushLimit     int
 	flushes        int64
 	// loaded is set once all jobs of the store have been loaded, stale while the store has
-	// not confirmed lately what the operator and the endpoints have written.
+	// not confirmed lately what the operator, the endpoints and callers have written.
 	loaded, stale bool
 	loadedAt      tmclock.Millis
 	starts        []StartOrder
--- a/internal/fleetsim/capacity_test.go
+++ b/internal/fleetsim/capacity_test.go
@@ -21,7 +21,7 @@
 		sim.start()
 		time.Sleep(warmupDuration)
 		for i := range nodeCount {
-			sim.process(i).setListLost(true)
+			sim.process(i).setLostTable(endpointTable)
 		}
 		sim.fleet.Lock()
 		for i := range endpointsPerShard {
--- a/internal/fleetsim/config_test.go
+++ b/internal/fleetsim/config_test.go
@@ -18,7 +18,7 @@
 		sim.start()
 		time.Sleep(warmupDuration)
 		stale := (sim.owner() + 1) % nodeCount
-		sim.process(stale).setConfigLost(true)
+		sim.process(stale).setLostTable(operatorTable)
 		// The call in progress still gets its answer.
 		time.Sleep(configTimeout)
 		sim.configure(2, loweredLimit)
@@ -39,7 +39,7 @@
 		if n := sim.starts(); n > 0 {
 			t.Errorf("%d tasks started without a current configuration", n)
 		}
-		sim.process(stale).setConfigLost(false)
+		sim.process(stale).setLostTable("")
 		time.Sleep(configTimeout)
 		sim.close()
 		if sim.starts() == 0 {
--- a/internal/fleetsim/process_test.go
+++ b/internal/fleetsim/process_test.go
@@ -14,10 +14,10 @@
 	name string
 	node *tmnode.Node
 	mu   sync.Mutex
-	// A killed process reaches nothing; a storePartitioned one can't reach the store, a
-	// configLost one gets no answers about the table of the operator, and a listLost one
-	// none about the list of endpoints.
-	killed, storePartitioned, configLost, listLost bool
+	// A killed process reaches nothing, and a storePartitioned one can't reach the store. A process
+	// gets no answers about lostTable, "" for none.
+	killed, storePartitioned bool
+	lostTable                string
 	// callTime is the processor time that each call takes of a starved process, 0 for none.
 	// freeAt is when the calls so far have had theirs.
 	callTime time.Duration
@@ -44,28 +44,16 @@
 	return p.killed || p.storePartitioned
 }
 
-func (p *nodeProcess) isConfigLost() bool {
+func (p *nodeProcess) hasLost(table string) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.configLost
+	return table == p.lostTable
 }
 
-func (p *nodeProcess) setConfigLost(lost bool) {
+func (p *nodeProcess) setLostTable(table string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.configLost = lost
-}
-
-func (p *nodeProcess) isListLost() bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.listLost
-}
-
-func (p *nodeProcess) setListLost(lost bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.listLost = lost
+	p.lostTable = table
 }
 
 func (p *nodeProcess) setStorePartitioned(partitioned bool) {
--- a/internal/fleetsim/simulation_test.go
+++ b/internal/fleetsim/simulation_test.go
@@ -189,7 +189,7 @@
 	ctx, stop := context.WithCancel(context.Background())
 	p.stop = stop
 	p.node = tmnode.New(tmnode.Options{
-		Name: name, Store: &storeView{store: sim.store, partitioned: p.cannotReachStore, configLost: p.isConfigLost, listLost: p.isListLost, unbounded: sim.reportUnbounded, refused: sim.reportRefused, awaitTurn: p.awaitTurn}, Endpoints: &endpointClient{sim: sim, node: name, partitioned: p.isKilled, awaitTurn: p.awaitTurn},
+		Name: name, Store: &storeView{store: sim.store, partitioned: p.cannotReachStore, hasLost: p.hasLost, unbounded: sim.reportUnbounded, refused: sim.reportRefused, awaitTurn: p.awaitTurn}, Endpoints: &endpointClient{sim: sim, node: name, partitioned: p.isKilled, awaitTurn: p.awaitTurn},
 		Advisor:   newPolicyClient(sim, p.isKilled),
 		Directory: directory{sim}, Clock: tmclock.NewSystem(), BootClock: time.Now, MaxConfigAge: 3 * time.Second,
 		Bounds:    tmcontrol.Bounds{Lease: 5000, MaxLease: 10000, HandoverDelay: 3000, Maintenance: 2000},
--- a/internal/fleetsim/store_test.go
+++ b/internal/fleetsim/store_test.go
@@ -30,10 +30,10 @@
 // storeView is the connection of one node to the store.
 type storeView struct {
 	store
-	// partitioned reports whether the node can't reach the store, configLost whether its
-	// calls about the table of the operator get no answer, listLost those about the list of
-	// endpoints.
-	partitioned, configLost, listLost func() bool
+	// partitioned reports whether the node can't reach the store, hasLost whether its calls about
+	// a table get no answer.
+	partitioned func() bool
+	hasLost     func(table string) bool
 	// awaitTurn waits until the node has time for a call, it reports false if ctx ended before.
 	awaitTurn func(ctx context.Context) bool
 	// unbounded is called for each call that has no time limit, refused for each transaction
@@ -95,7 +95,7 @@
 
 // hides reports whether the node gets no answer to a call about a table.
 func (v *storeView) hides(table string) bool {
-	return table == operatorTable && v.configLost() || table == endpointTable && v.listLost() || v.Faults().HidesTable(table)
+	return v.hasLost(table) || v.Faults().HidesTable(table)
 }
 
 func (v *storeView) Feed(ctx context.Context, table string, after int64, wait tmclock.Span) (tmtable.Page, error) {
--- a/io/tmowner/load.go
+++ b/io/tmowner/load.go
@@ -81,7 +81,12 @@
 
 func (o *Owner) followJobs(ctx context.Context) {
 	f := tmtable.Follower{
-		Store: o.opts.Store, Table: tmrecord.JobTable(o.shard), Parts: tmrecord.Parts(), Pause: o.feedPause(), MaxInFlight: o.opts.MaxInFlight,
+		Store: o.opts.Store, Table: tmrecord.JobTable(o.shard), Parts: tmrecord.Parts(), Pause: o.feedPause(), Now: o.opts.BootClock, MaxInFlight: o.opts.MaxInFlight,
+		Synced: func(sentAt time.Time) {
+			o.mu.Lock()
+			defer o.mu.Unlock()
+			o.jobsReadAt = sentAt
+		},
 		Snapshot: func(rows []tmtable.Row) {
 			// Rows come grouped by partition. The shares of teams depend on the order
 			// in which jobs arrived, which is the order of versions.
--- a/io/tmowner/owner.go
+++ b/io/tmowner/owner.go
@@ -65,6 +65,9 @@
 	// a start order stays valid it is at most the time for which an endpoint accepts starts
 	// by a capacity that has shrunk.
 	maxListAge = 2 * time.Second
+	// maxJobsAge is how old the table of jobs may be for starts. A task of a cancelled job may
+	// start until three seconds after the cancellation, and a start order takes time.
+	maxJobsAge = 2500 * time.Millisecond
 )
 
 // Owner manages a shard of the fleet while this node owns it. The mutex mu guards the
@@ -79,6 +82,8 @@
 	ctl *tmcontrol.Controller
 	// listedAt is the time on the BootClock as of which the list of endpoints is known.
 	listedAt time.Time
+	// jobsReadAt is the time on the BootClock as of which the table of jobs is known.
+	jobsReadAt time.Time
 	// held and probed are the endpoints under a hold and those that are probed.
 	held, probed map[string]bool
 	// lifetimes holds, by endpoint, the context of the calls to its current lifetime.
@@ -232,7 +237,8 @@
 	// This waits for a lock of the node, so that mu is locked afterwards.
 	isConfigCurrent := o.opts.IsConfigCurrent()
 	o.mu.Lock()
-	o.ctl.SetStale(!isConfigCurrent || o.opts.BootClock().Sub(o.listedAt) > maxListAge)
+	now := o.opts.BootClock()
+	o.ctl.SetStale(!isConfigCurrent || now.Sub(o.listedAt) > maxListAge || now.Sub(o.jobsReadAt) > maxJobsAge)
 }
 
 // planOnce runs one pass of the controller and sends the orders that result.
