tmcontrol: a lifetime is used by the entry that it has written itself

A hold shows a new lifetime before the list of endpoints does, and service, label and capacity of the entry before were used for it; behind a cut from the store for seconds. Change: an endpoint keeps which lifetime its entry is from; without one of the present lifetime nothing is placed or started there. Entries that name no lifetime count for all.

--- a/core/tmcontrol/crash_test.go
+++ b/core/tmcontrol/crash_test.go
@@ -21,9 +21,17 @@
 	// The first answer of a lifetime ends the runs of the one before.
 	for _, id := range endpoints {
 		f.answerHold(id)
+		f.listLifetime(id)
 	}
 }
 
+// listLifetime puts an entry of the present lifetime of an endpoint into the list of endpoints.
+func (f *fixture) listLifetime(endpoint string) {
+	info := f.c.endpoints[endpoint].info
+	info.StartedAt = 5 + f.restarts[endpoint]
+	f.c.SetEndpoint(info, f.now)
+}
+
 // work lets d pass, and all endpoints list their runs.
 func (f *fixture) work(d tmclock.Span) {
 	f.now = f.now.Add(d)
--- a/core/tmcontrol/endpoint.go
+++ b/core/tmcontrol/endpoint.go
@@ -27,6 +27,9 @@
 type endpoint struct {
 	info   EndpointInfo
 	listed bool
+	// entryStartedAt is the lifetime that has written info, 0 if that isn't known. A later one may
+	// have another service, label and capacity.
+	entryStartedAt int64
 	// token is the fencing token of calls to the endpoint. It is higher than that of all calls
 	// to earlier lifetimes.
 	token int64
@@ -118,6 +121,7 @@
 	c.endpoints[info.ID] = e
 	c.byID, c.needsSort = append(c.byID, e), true
 	c.setInfo(e, info)
+	e.entryStartedAt = info.StartedAt
 	return e
 }
 
@@ -241,7 +245,12 @@
 
 // mayStart reports whether a task that was placed on e may still be started there.
 func (e *endpoint) mayStart() bool {
-	return e.answering && !e.gone && !e.info.Draining && !e.isOvercommitted()
+	return e.answering && !e.gone && e.isDescribed() && !e.info.Draining && !e.isOvercommitted()
+}
+
+// isDescribed reports whether info was written by the present lifetime.
+func (e *endpoint) isDescribed() bool {
+	return e.entryStartedAt == 0 || e.entryStartedAt == e.info.StartedAt
 }
 
 // usable reports whether new tasks may be placed here, unless suspicion forbids.
@@ -251,6 +260,6 @@
 
 // isAvailable is like usable for an endpoint that may be vacated.
 func (e *endpoint) isAvailable(now tmclock.Millis) bool {
-	return e.tokenAccepted && e.answering && e.listed && !e.info.Draining && !e.reserved &&
+	return e.tokenAccepted && e.answering && e.listed && e.isDescribed() && !e.info.Draining && !e.reserved &&
 		!e.gone && e.unknownRuns == 0 && !now.Before(e.blockedUntil)
 }
--- a/core/tmcontrol/lifetime.go
+++ b/core/tmcontrol/lifetime.go
@@ -16,6 +16,7 @@
 		c.reserveFor(e)
 		return
 	}
+	entryStartedAt := info.StartedAt
 	if info.StartedAt == 0 {
 		info.StartedAt = e.info.StartedAt
 	}
@@ -33,7 +34,7 @@
 		c.event(tmevent.EndpointListed, "endpoint", info.ID, "service", info.Service, "instance", info.Instance, "zone", info.Zone)
 	}
 	c.setInfo(e, info)
-	e.listed = true
+	e.listed, e.entryStartedAt = true, entryStartedAt
 }
 
 // endReplacedLifetimes ends the earlier lifetimes on the instance of an endpoint that has
--- a/core/tmcontrol/restart_test.go
+++ b/core/tmcontrol/restart_test.go
@@ -103,3 +103,42 @@
 	f.c.Restore(progress, f.now)
 	f.c.Loaded()
 }
+
+// Guards against tasks on an endpoint that has restarted as another kind, by the label and the capacity
+// that the lifetime before had written into the list of endpoints.
+func TestRestartedEndpointIsNotUsedByTheEarlierEntry(t *testing.T) {
+	f := newFixture(t, 1)
+	info := f.endpointInfo(1)
+	info.Labels = []string{"a"}
+	f.c.SetEndpoint(info, f.now)
+	job := oneTask("j")
+	job.Steps[0].Label = "a"
+	f.c.Submitted(job)
+	f.restarts["e1"]++
+	for range 10 {
+		f.answerHold("e1")
+		assert.Equal(t, len(f.advance(100)), 0)
+	}
+	info.StartedAt, info.Labels = info.StartedAt+1, []string{"b"}
+	f.c.SetEndpoint(info, f.now)
+	assert.Equal(t, len(f.advance(100)), 0)
+	f.restarts["e1"]++
+	f.answerHold("e1")
+	info.StartedAt, info.Labels = info.StartedAt+1, []string{"a"}
+	f.c.SetEndpoint(info, f.now)
+	f.answerHold("e1")
+	assert.Equal(t, len(f.advance(100)), 1)
+}
+
+// Guards against an endpoint that is never used again because its entries name no lifetime.
+func TestRestartedEndpointWhoseEntriesNameNoLifetimeIsUsed(t *testing.T) {
+	f := newFixture(t, 1)
+	info := f.endpointInfo(1)
+	info.StartedAt = 0
+	f.c.SetEndpoint(info, f.now)
+	f.restarts["e1"]++
+	f.answerHold("e1")
+	f.answerHold("e1")
+	f.c.Submitted(oneTask("j"))
+	assert.Equal(t, len(f.advance(10)), 1)
+}
--- a/internal/emulator/endpoint.go
+++ b/internal/emulator/endpoint.go
@@ -193,6 +193,7 @@
 	e.startedAt = e.clockStart.UnixMilli()
 	e.token, e.lastEndNumber, e.lastEndAtExpiry, e.leaseExpiry = 0, 0, 0, time.Time{}
 	e.endedRuns, e.closedRuns = nil, map[tmjob.TaskID]int{}
+	e.fleet.Restarted(e.id)
 }
 
 func (e *Endpoint) fence(token int64) bool {
--- a/internal/emulator/fleet.go
+++ b/internal/emulator/fleet.go
@@ -24,6 +24,8 @@
 	// IgnoreTokens and LongLeases are negative controls: endpoints accept outdated
 	// fencing tokens, and every lease lasts maxLeaseDuration.
 	IgnoreTokens, LongLeases bool
+	// Restarted is called with the ID of an endpoint that has restarted.
+	Restarted func(id string)
 
 	began             time.Time
 	endpoints         map[string]*Endpoint
@@ -38,7 +40,7 @@
 // NewFleet returns a fleet without endpoints.
 func NewFleet() *Fleet {
 	return &Fleet{
-		TaskDuration: taskDuration, MaxListedEnds: maxListedEnds, CrashesEndpoint: func(tmjob.TaskID) bool { return false }, began: time.Now(),
+		TaskDuration: taskDuration, MaxListedEnds: maxListedEnds, CrashesEndpoint: func(tmjob.TaskID) bool { return false }, Restarted: func(string) {}, began: time.Now(),
 		endpoints: map[string]*Endpoint{}, jobs: map[string]*tmjob.Job{}, cancelled: map[string]time.Time{},
 		limits: map[string]int64{}, zonesOutOfService: map[string]time.Time{}, checker: newChecker(),
 	}
--- a/internal/fleetsim/simulation_test.go
+++ b/internal/fleetsim/simulation_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -23,6 +24,9 @@
 )
 
 const (
+	// entryDelay is how long an endpoint that has started takes to put itself on the list of
+	// endpoints.
+	entryDelay = 100 * time.Millisecond
 	// cancelTimeout is how long after the confirmation of a cancellation tasks of
 	// the job may still start.
 	cancelTimeout = 3 * time.Second
@@ -104,6 +108,7 @@
 	}
 	sim.store = store{emulator.Store{Table: emulator.NewTable(rand.New(rand.NewPCG(seed, 2)))}}
 	sim.fleet.CancelTimeout = cancelTimeout
+	sim.fleet.Restarted = func(id string) { time.AfterFunc(entryDelay, func() { sim.list(id) }) }
 	// Fewer than an endpoint runs at a time, so that ends often don't fit.
 	sim.fleet.MaxListedEnds = 4
 	for i := range endpointsPerShard * shards {
@@ -119,6 +124,16 @@
 	return sim
 }
 
+// list puts an entry of an endpoint into the list of endpoints, unless it was replaced.
+func (sim *simulation) list(id string) {
+	sim.mu.Lock()
+	isReplaced := !slices.Contains(sim.slots, id)
+	sim.mu.Unlock()
+	if !isReplaced {
+		sim.store.Set(endpointTable, id, []byte(id))
+	}
+}
+
 // drawEndpoint returns the ID of a random endpoint.
 func (sim *simulation) drawEndpoint() string {
 	slot := sim.store.IntN(endpointsPerShard * sim.shards)
