--- a/core/tmcontrol/feasible.go
+++ b/core/tmcontrol/feasible.go
@@ -13,6 +13,8 @@
 	c *Controller
 	// known holds the answers so far.
 	known map[request]bool
+	// waiting counts the open tasks that wait, nil if they are not counted.
+	waiting map[taskKind]int64
 }
 
 // request is what decides whether the tasks of a step could run: count tasks at once.
