tmcontrol, tmrecord: a record says whether an endpoint has started the task

Cause: a new owner took a stored task without a placement for one that had begun. A refused start leaves such a record as well. Change: the record has Begun, "b" in its row; at most one of it and "d" is stored, so the bound on the size of a record holds. Records of earlier versions count as not begun. Seen: TestRestoredJobWaitsIfItsStartWasRefused failed before (0 waiting in place of 1).

--- a/core/tmcontrol/backlog_test.go
+++ b/core/tmcontrol/backlog_test.go
@@ -361,3 +361,23 @@
 	f.answerHold("e1")
 	assert.Equal(t, f.c.Waiting()["q"], 0)
 }
+
+// Guards against a job that counts as begun at a new owner because its start was refused, and against one
+// that counts as waiting because its run was lost with its endpoint.
+func TestRestoredJobWaitsIfItsStartWasRefused(t *testing.T) {
+	for _, answer := range []Answer{Refused, Accepted} {
+		t.Run(answer.String(), func(t *testing.T) {
+			f := newFixture(t, 1)
+			f.c.Submitted(oneTask("j"))
+			first := f.order(10)[0].Ref
+			f.c.Started(first, answer, f.now)
+			f.restart("e1")
+			f.restoreAtNewOwner("j")
+			waiting := 0
+			if answer == Refused {
+				waiting = 1
+			}
+			assert.Equal(t, f.c.Waiting()["q"], waiting)
+		})
+	}
+}
--- a/core/tmcontrol/controller.go
+++ b/core/tmcontrol/controller.go
@@ -256,7 +256,8 @@
 		return
 	}
 	// Whether a run that may still be active has begun is not known.
-	j.begun = j.begun || rec.Done || len(rec.Placements) == 0
+	t.begun = rec.Begun
+	j.begun = j.begun || rec.Done || rec.Begun
 	t.runs, t.failures, t.checkpoint = rec.Runs, rec.Failures, rec.Checkpoint
 	t.crashes, t.suspicions, t.suspectedAt = rec.Crashes, rec.Suspicions, now
 	j.hasSuspects = j.hasSuspects || t.isSuspect()
--- a/core/tmcontrol/job.go
+++ b/core/tmcontrol/job.go
@@ -95,8 +95,8 @@
 	failures int
 	// heldSince is since when the last attempt waits for an endpoint without recent failures.
 	heldSince tmclock.Millis
-	// hasFailed is set once this owner has seen a run fail.
-	hasFailed bool
+	// hasFailed is set once this owner has seen a run fail, begun once an endpoint has started one.
+	hasFailed, begun bool
 	// crashes counts the endpoints that have crashed under the task. suspicions tells
 	// how likely the task caused them by starting, from 0 to maxSuspicions.
 	crashes, suspicions int
@@ -187,7 +187,7 @@
 
 // markBegun records that the endpoint has accepted or listed the run.
 func (r *run) markBegun() {
-	r.begun = true
+	r.begun, r.task.begun = true, true
 	r.sends.CarriedOut()
 	r.task.step.occ.job.begun = true
 }
@@ -448,7 +448,8 @@
 	}
 	rec := tmjob.TaskRecord{
 		Occurrence: t.id.Occurrence, Step: t.id.Step, Index: t.id.Index,
-		Runs: t.runs, Failures: t.failures, Crashes: t.crashes, Suspicions: t.suspicions, Done: t.done, Checkpoint: t.checkpoint,
+		Runs: t.runs, Failures: t.failures, Crashes: t.crashes, Suspicions: t.suspicions, Done: t.done, Begun: t.begun && !t.done,
+		Checkpoint: t.checkpoint,
 	}
 	for _, r := range t.active {
 		rec.Placements = append(rec.Placements, r.placement())
--- a/core/tmjob/progress.go
+++ b/core/tmjob/progress.go
@@ -32,6 +32,9 @@
 	// how likely the task caused them.
 	Crashes, Suspicions int
 	Done                bool
+	// Begun is set if an endpoint had started a run of the task when the record was stored, and the
+	// task is not done.
+	Begun bool
 	// Checkpoint is the latest checkpoint, or "".
 	Checkpoint string
 	// Placements lists the runs that may still be active.
--- a/io/tmrecord/codec.go
+++ b/io/tmrecord/codec.go
@@ -127,6 +127,7 @@
 	Crashes    int            `json:"x,omitempty"`
 	Suspicions int            `json:"y,omitempty"`
 	Done       bool           `json:"d,omitempty"`
+	Begun      bool           `json:"b,omitempty"`
 	Checkpoint string         `json:"c,omitempty"`
 	Placements []placementRow `json:"p,omitempty"`
 }
@@ -147,7 +148,7 @@
 	for _, t := range p.Tasks {
 		tr := taskRow{
 			Occurrence: t.Occurrence, Step: t.Step, Index: t.Index, Runs: t.Runs,
-			Failures: t.Failures, Crashes: t.Crashes, Suspicions: t.Suspicions, Done: t.Done, Checkpoint: t.Checkpoint,
+			Failures: t.Failures, Crashes: t.Crashes, Suspicions: t.Suspicions, Done: t.Done, Begun: t.Begun, Checkpoint: t.Checkpoint,
 		}
 		for _, place := range t.Placements {
 			tr.Placements = append(tr.Placements, placementRow(place))
@@ -178,7 +179,7 @@
 		}
 		rec := tmjob.TaskRecord{
 			Occurrence: t.Occurrence, Step: t.Step, Index: t.Index, Runs: t.Runs,
-			Failures: t.Failures, Crashes: t.Crashes, Suspicions: t.Suspicions, Done: t.Done, Checkpoint: t.Checkpoint,
+			Failures: t.Failures, Crashes: t.Crashes, Suspicions: t.Suspicions, Done: t.Done, Begun: t.Begun, Checkpoint: t.Checkpoint,
 		}
 		for _, place := range t.Placements {
 			rec.Placements = append(rec.Placements, tmjob.Placement(place))
