--- a/internal/fleetsim/fleet_test.go
+++ b/internal/fleetsim/fleet_test.go
@@ -86,13 +86,15 @@
 
 func dropStoreHistory(sim *simulation) { sim.store.DropHistory() }
 
-func crashEndpoint(sim *simulation) {
-	id := sim.drawEndpoint()
+func crashEndpoint(sim *simulation) { sim.crash(sim.drawEndpoint(), 3*time.Second) }
+
+// crash ends the process of an endpoint, which is back under its ID after the outage.
+func (sim *simulation) crash(id string, outage time.Duration) {
 	sim.fleet.Lock()
 	e := sim.fleet.Endpoint(id)
 	e.Crash()
 	sim.fleet.Unlock()
-	sim.sleep(3 * time.Second)
+	sim.sleep(outage)
 	sim.fleet.Lock()
 	e.Restart()
 	sim.fleet.Unlock()
--- a/internal/fleetsim/policy_test.go
+++ b/internal/fleetsim/policy_test.go
@@ -131,18 +131,8 @@
 	sim.work.Go(func() { sim.watchStandstill() })
 }
 
-// restartEndpoint crashes an endpoint, which is back under its ID soon.
-func restartEndpoint(sim *simulation) {
-	id := sim.drawEndpoint()
-	sim.fleet.Lock()
-	e := sim.fleet.Endpoint(id)
-	e.Crash()
-	sim.fleet.Unlock()
-	sim.sleep(400 * time.Millisecond)
-	sim.fleet.Lock()
-	e.Restart()
-	sim.fleet.Unlock()
-}
+// restartEndpoint crashes an endpoint, which is back soon.
+func restartEndpoint(sim *simulation) { sim.crash(sim.drawEndpoint(), 400*time.Millisecond) }
 
 // replaceEndpoint crashes an endpoint for good. Another one comes in its place.
 func replaceEndpoint(sim *simulation) {
--- a/internal/fleetsim/restart_test.go
+++ b/internal/fleetsim/restart_test.go
@@ -46,7 +46,7 @@
 			sim.mu.Unlock()
 			for n := range jobCount {
 				sim.submit(n + 1)
-				sim.restartEndpoint(fmt.Sprintf("w%d", sim.rng.IntN(endpointsPerShard)))
+				sim.restartAndList(fmt.Sprintf("w%d", sim.rng.IntN(endpointsPerShard)))
 				time.Sleep(restartInterval)
 			}
 			sim.mu.Lock()
@@ -61,15 +61,8 @@
 	}
 }
 
-// restartEndpoint lets an endpoint crash and restart under its id, and put itself on the list of
-// endpoints again.
-func (sim *simulation) restartEndpoint(id string) {
-	sim.fleet.Lock()
-	sim.fleet.Endpoint(id).Crash()
-	sim.fleet.Unlock()
-	time.Sleep(shortOutage)
-	sim.fleet.Lock()
-	sim.fleet.Endpoint(id).Restart()
-	sim.fleet.Unlock()
-	sim.store.Set(endpointTable, id, []byte(id))
+// restartAndList lets an endpoint crash and restart, and put itself on the list of endpoints at once.
+func (sim *simulation) restartAndList(id string) {
+	sim.crash(id, shortOutage)
+	sim.list(id)
 }
