tmrecord: the tests of the codec draw Begun

Cause: the new field of a record was in no test of its row. Change: the drawn records have it, for tasks that are not done, as the owner stores them.

--- a/core/tmcontrol/controller.go
+++ b/core/tmcontrol/controller.go
@@ -209,7 +209,7 @@
 	}
 }
 
-// SetStale records whether what the operator and the endpoints have written may have
+// SetStale records whether what the operator, the endpoints and callers have written may have
 // changed without this owner's knowledge. While it may have, nothing starts.
 func (c *Controller) SetStale(stale bool) { c.stale = stale }
 
--- a/io/tmrecord/size_test.go
+++ b/io/tmrecord/size_test.go
@@ -25,6 +25,7 @@
 			Runs: number.Draw(t, "runs"), Failures: number.Draw(t, "failures"), Crashes: number.Draw(t, "crashes"),
 			Suspicions: number.Draw(t, "suspicions"), Done: rapid.Bool().Draw(t, "done"), Checkpoint: text.Draw(t, "checkpoint"),
 		}
+		rec.Begun = !rec.Done && rapid.Bool().Draw(t, "begun")
 		for range rapid.IntRange(0, 3).Draw(t, "placements") {
 			rec.Placements = append(rec.Placements, tmjob.Placement{
 				Run: number.Draw(t, "run"), Endpoint: text.Draw(t, "endpoint"), EndpointStart: int64(number.Draw(t, "start")),
