Revert: crashes of other endpoints speak for a task

Tried: one crash in isolation more before a job fails with each three unexplained crashes of other endpoints.

--- a/core/tmcontrol/crash.go
+++ b/core/tmcontrol/crash.go
@@ -57,8 +57,6 @@
 	mayBeOrder bool
 	// suspected lists the tasks that became more suspicious by the crash.
 	suspected []suspectedTask
-	// isExplained is set once the task that has caused the crash is found.
-	isExplained bool
 }
 
 // starting returns the tasks that may have caused the crash by starting. Beside one that
--- a/core/tmcontrol/suspicion.go
+++ b/core/tmcontrol/suspicion.go
@@ -31,13 +31,6 @@
 	suspectedInCompany = 2
 	suspicionAlone     = 2
 	maxSuspicions      = 4
-	// Crashes of endpoints that a task was not on, and for which no cause was found, tell that
-	// endpoints crash by themselves, and may do so under a healthy task. With each
-	// crashesPerDoubt of them within backgroundWindow one more crash in isolation is needed, maxDoubts
-	// at most. maxCrashes holds all the same.
-	crashesPerDoubt  = 3
-	maxDoubts        = 2
-	backgroundWindow = 10 * tmclock.Second
 	// maxStartingTime is the most time between a start and the first sign of a crash for
 	// which a task that was not listed meanwhile was certainly starting.
 	maxStartingTime = 2 * MinWorkTime
@@ -114,7 +107,7 @@
 // the task if that was once too often. A long-running task starts again in any case, alone on its
 // endpoint, and later each time.
 func (c *Controller) recordCrashUnder(t *task, endpoint string) {
-	isBlamed := t.suspicions >= maxSuspicions+c.doubts(t)*suspicionAlone || t.crashes >= maxCrashes
+	isBlamed := t.suspicions >= maxSuspicions || t.crashes >= maxCrashes
 	if !isBlamed || t.step.spec.LongRunning {
 		c.suspect(t, endpoint)
 	}
@@ -130,21 +123,6 @@
 	}
 }
 
-// doubts returns how many crashes in isolation more than usual have to be held against a task before it
-// counts as their cause.
-func (c *Controller) doubts(t *task) int {
-	n := 0
-	for _, cr := range slices.Backward(c.recentCrashes) {
-		if c.now.Sub(cr.at) > backgroundWindow {
-			break
-		}
-		if !cr.mayBeOrder && !cr.isExplained && !slices.Contains(cr.tasks(), t) {
-			n++
-		}
-	}
-	return min(n/crashesPerDoubt, maxDoubts)
-}
-
 // crashDelay returns how long a long-running task waits after that many crashes.
 func crashDelay(crashes int) tmclock.Span {
 	delay := minCrashDelay
@@ -176,7 +154,7 @@
 			s.task.suspicions -= s.added
 			c.markDirty(s.task)
 		}
-		cr.suspected, cr.isExplained = nil, true
+		cr.suspected = nil
 	}
 }
 
